--- /dev/null
+++ b/src/portpaddle/base/log.h
@@ -0,0 +1,69 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Structured log: numbered events, one JSON object a line on standard error.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Portpaddle {
+
+/// The events that may be logged; numbers never change their meaning.
+enum class LogEvent : std::uint16_t {
+    DaemonStarted = 1001,
+    DaemonStopping = 1002,
+    DaemonStopped = 1003,
+    DaemonStartFailed = 1004,
+    SettingsAccepted = 2001,
+    SettingsRejected = 2002,
+    SettingsApplied = 2003,
+    PlatformUnreachable = 2101,
+    PlatformReachable = 2102,
+    MemberJoined = 3001,
+    MemberSuspected = 3002,
+    MemberDied = 3003,
+    LinkOpened = 3101,
+    LinkClosed = 3102,
+    LinkRejected = 3103,
+    RequestRefused = 4001,
+    RequestRetried = 4002,
+    RequestResumed = 4003,
+    RequestFailed = 4004,
+    UpstreamEjected = 4101,
+    UpstreamReadmitted = 4102,
+    ClaimConflict = 4201,
+    DrainOrdered = 5001,
+    OrderSent = 5101,
+    OrderWithheld = 5102,
+};
+
+/// One row of the event catalogue.
+struct LogEventDescription
+{
+    LogEvent event;
+    std::string_view name;
+    std::string_view level;
+    std::string_view meaning;
+};
+
+/// Every event that may be logged, in ascending order of its number.
+std::span<const LogEventDescription> logCatalogue();
+
+/// A named value beside an event.
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+/// Writes one event; never write keys or bodies of requests here.
+void logEvent(LogEvent event, std::initializer_list<LogField> fields = {});
+
+/// Names the writer in every line that follows.
+void setLogSource(std::string source);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/base/metrics.h
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Counters and distributions, written in the text format that common scrapers read.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Portpaddle {
+
+/// What is counted.
+enum class Counter {
+    Requests,
+    Refusals,
+    Retries,
+    Resumes,
+    SentAway,
+    ReceivedFromPeers,
+    TokensStreamed,
+    ClaimsGranted,
+    ClaimsRefused,
+    PlatformReads,
+    PlatformWrites,
+    PlatformWatches,
+    GossipMessagesSent,
+    GossipBytesSent,
+    GossipBytesReceived,
+    LinkFramesSent,
+    LinkBytesSent,
+    LinkBytesReceived,
+    PeersRejected,
+    Count,
+};
+
+/// What is measured as a distribution.
+enum class Timer { FirstByte, WholeRequest, Decision, QueueWait, Count };
+
+/// One row of the metrics page.
+struct MetricDescription
+{
+    std::string_view name;
+    std::string_view meaning;
+};
+
+std::span<const MetricDescription> counterCatalogue();
+std::span<const MetricDescription> timerCatalogue();
+
+/// Thread-safe.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+
+    void count(Counter counter, std::uint64_t amount = 1);
+    void observe(Timer timer, double milliseconds);
+    std::uint64_t value(Counter counter) const;
+    std::string text() const;
+
+private:
+    class Distribution;
+
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> counters_{};
+    std::array<std::unique_ptr<Distribution>, static_cast<std::size_t>(Timer::Count)> timers_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/claims/claim_book.cpp
@@ -0,0 +1,132 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/claims/claim_book.h"
+
+#include "portpaddle/base/digest.h"
+#include "portpaddle/interfaces/clock.h"
+#include "portpaddle/interfaces/platform.h"
+#include "portpaddle/interfaces/random_source.h"
+
+#include <chrono>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace Portpaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Claims are written under a lease that nobody renews: the platform forgets them by itself, without a collector.
+constexpr Millis claimLifetime = 26h;
+constexpr Millis leaseRenewal = 1h;
+/// A claim made at the end of a lease's hour still outlives the longest deadline by an hour.
+constexpr Millis sendWindow = 24h;
+
+std::string claimKey(const std::string &organisation, const std::string &service, const std::string &repeatKey)
+{
+    return "portpaddle/claims/" + sha256Hex(fmt::format("{}\n{}\n{}", organisation, service, repeatKey));
+}
+
+std::string claimText(const Claim &claim, const std::string &daemon, bool ran)
+{
+    return nlohmann::json{ { "claim_id", claim.claimId }, { "daemon", daemon }, { "ran", ran } }.dump();
+}
+
+Error unavailable()
+{
+    return Error{ ErrorCode::ClaimUnavailable, "the platform cannot confirm that this call runs only once", RunState::NotRun,
+                  Millis{ 2000 } };
+}
+
+Error duplicate(const std::string &record)
+{
+    const nlohmann::json json = nlohmann::json::parse(record, nullptr, false);
+    const bool ran = json.is_object() && json.contains("ran") && json["ran"] == true;
+    return Error{ ErrorCode::DuplicateRequest, "a call with this Idempotency-Key was already taken",
+                  ran ? RunState::Ran : RunState::MayHaveRun, std::nullopt };
+}
+
+} // namespace
+
+ClaimBook::ClaimBook(KeyValueStore &store, const Clock &clock, RandomSource &random, std::string daemon)
+    : store_(store), clock_(clock), random_(random), daemon_(std::move(daemon))
+{
+}
+
+Result<Claim> ClaimBook::acquire(const std::string &organisation, const std::string &service, const std::string &repeatKey)
+{
+    const Millis askedAt = clock_.monotonic();
+    const Result<std::uint64_t> lease = currentLease();
+    if (!isOk(lease)) {
+        return unavailable();
+    }
+    Claim claim;
+    claim.key = claimKey(organisation, service, repeatKey);
+    claim.claimId = fmt::format("{}-{:016x}{:016x}", daemon_, random_.next(), random_.next());
+    claim.sendBefore = askedAt + sendWindow;
+    const Result<std::uint64_t> written = store_.put(claim.key, claimText(claim, daemon_, false), mustBeAbsent, valueOf(lease));
+    if (!isOk(written)) {
+        return settle(std::move(claim), errorOf(written));
+    }
+    claim.revision = valueOf(written);
+    return claim;
+}
+
+void ClaimBook::release(const Claim &claim)
+{
+    // When this fails the key stays taken and repeats are refused as "may have run": safe, though not helpful.
+    store_.remove(claim.key, claim.revision);
+}
+
+void ClaimBook::markRan(const Claim &claim)
+{
+    const Result<std::uint64_t> lease = currentLease();
+    if (isOk(lease)) {
+        store_.put(claim.key, claimText(claim, daemon_, true), claim.revision, valueOf(lease));
+    }
+}
+
+Result<std::uint64_t> ClaimBook::currentLease()
+{
+    const std::lock_guard lock(mutex_);
+    const Millis now = clock_.monotonic();
+    if (lease_ != 0 && now < leaseGrantedAt_ + leaseRenewal) {
+        return lease_;
+    }
+    const Result<LeaseGrant> granted = store_.grantLease(claimLifetime);
+    if (!isOk(granted)) {
+        return errorOf(granted);
+    }
+    lease_ = valueOf(granted).id;
+    leaseGrantedAt_ = now;
+    return lease_;
+}
+
+Result<Claim> ClaimBook::settle(Claim claim, const Error &writeError)
+{
+    if (writeError.code == ErrorCode::NotFound) {
+        const std::lock_guard lock(mutex_);
+        lease_ = 0;
+        return unavailable();
+    }
+    const bool mayBeWritten = writeError.run != RunState::NotRun || writeError.code == ErrorCode::VersionConflict;
+    if (!mayBeWritten) {
+        return unavailable();
+    }
+    const Result<std::optional<KeyValue>> stored = store_.get(claim.key);
+    if (!isOk(stored) || !valueOf(stored)) {
+        // If the write arrives later it only makes repeats be refused: this daemon does not send without a proved claim.
+        return unavailable();
+    }
+    const nlohmann::json record = nlohmann::json::parse(valueOf(stored)->value, nullptr, false);
+    if (record.is_object() && record.contains("claim_id") && record["claim_id"] == claim.claimId) {
+        claim.revision = valueOf(stored)->revision;
+        return claim;
+    }
+    return duplicate(valueOf(stored)->value);
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/claims/claim_book.h
@@ -0,0 +1,55 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Claims on calls that may not be repeated: one claim per repeat key, created in the platform's store before the call leaves.
+#pragma once
+
+#include "portpaddle/base/error.h"
+
+#include <mutex>
+#include <string>
+
+namespace Portpaddle {
+
+class Clock;
+class KeyValueStore;
+class RandomSource;
+
+/// The right to run one call once. It never passes to another process.
+struct Claim
+{
+    std::string key;
+    std::string claimId;
+    std::uint64_t revision = 0;
+    /// After this moment the holder must not send: the record may be gone soon.
+    Millis sendBefore{ 0 };
+};
+
+/// Acquires and releases claims.
+class ClaimBook
+{
+public:
+    ClaimBook(KeyValueStore &store, const Clock &clock, RandomSource &random, std::string daemon);
+
+    /// Acquires the only claim for @p repeatKey. DuplicateRequest when one exists; ClaimUnavailable when it cannot be proved
+    /// that none does. In both failures this daemon has not run the call and never will.
+    Result<Claim> acquire(const std::string &organisation, const std::string &service, const std::string &repeatKey);
+    /// Gives back a claim under which provably nothing was sent, so that the caller may try again.
+    void release(const Claim &claim);
+    /// Notes that the call under @p claim ran, so that repeats are told so.
+    void markRan(const Claim &claim);
+
+private:
+    Result<std::uint64_t> currentLease();
+    Result<Claim> settle(Claim claim, const Error &writeError);
+
+    KeyValueStore &store_;
+    const Clock &clock_;
+    RandomSource &random_;
+    const std::string daemon_;
+    std::mutex mutex_;
+    std::uint64_t lease_ = 0;
+    Millis leaseGrantedAt_{ 0 };
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/control/observer_controller.cpp
@@ -0,0 +1,111 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/control/observer_controller.h"
+
+#include "portpaddle/base/socket_address.h"
+#include "portpaddle/interfaces/clock.h"
+
+#include <algorithm>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace Portpaddle {
+
+namespace {
+
+constexpr Millis pollTimeout{ 500 };
+constexpr unsigned largestCount = 65'535;
+
+unsigned countIn(const nlohmann::json &json, const char *name)
+{
+    const bool present = json.contains(name) && json[name].is_number_unsigned();
+    return present ? static_cast<unsigned>(std::min<std::uint64_t>(json[name].get<std::uint64_t>(), largestCount)) : 0;
+}
+
+} // namespace
+
+UpstreamReport fetchLoad(const std::string &upstream, const std::string &address, std::uint64_t sequence, const Clock &clock)
+{
+    UpstreamReport report;
+    report.upstream = upstream;
+    report.sequence = sequence;
+    report.observedAt = clock.monotonic();
+    report.reachable = false;
+    const Result<SocketAddress> parsed = parseSocketAddress(address);
+    if (!isOk(parsed)) {
+        return report;
+    }
+    httplib::Client client(valueOf(parsed).host, valueOf(parsed).port);
+    client.set_connection_timeout(pollTimeout);
+    client.set_read_timeout(pollTimeout);
+    const httplib::Result reply = client.Get("/load");
+    const nlohmann::json json = reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+    if (!json.is_object()) {
+        return report;
+    }
+    report.reachable = true;
+    report.load.running = countIn(json, "running");
+    report.load.queuedInteractive = countIn(json, "queued_interactive");
+    report.load.queuedDeferrable = countIn(json, "queued_deferrable");
+    report.leaving = json.contains("leaving") && json["leaving"] == true;
+    // The engine's report lags: it tells how old its figures are.
+    report.observedAt = clock.monotonic() - Millis{ countIn(json, "age_ms") };
+    return report;
+}
+
+ObserverController::ObserverController(ObserverParts parts) : parts_(std::move(parts))
+{
+}
+
+ObserverController::~ObserverController()
+{
+    stop();
+}
+
+void ObserverController::start()
+{
+    thread_ = Thread("observer", [this] { run(); });
+}
+
+void ObserverController::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        wake_.notify_all();
+    }
+    thread_.join();
+}
+
+void ObserverController::run()
+{
+    while (true) {
+        observeAll();
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, parts_.interval, [this] { return stopping_; });
+        if (stopping_) {
+            return;
+        }
+    }
+}
+
+void ObserverController::observeAll()
+{
+    const std::shared_ptr<const CompiledSettings> settings = parts_.board.settings.read();
+    for (const UpstreamSettings &upstream : settings->upstreams()) {
+        if (upstream.dataCentre != settings->place().dataCentre || !parts_.observes(upstream.id)) {
+            continue;
+        }
+        // Wall time orders the reports of successive observers; a clock that jumps back is outlived by the report's memory.
+        std::uint64_t &last = sequences_[upstream.id];
+        last = std::max(last + 1, static_cast<std::uint64_t>(parts_.clock.wall().count()));
+        const UpstreamReport report = fetchLoad(upstream.id, upstream.address, last, parts_.clock);
+        parts_.board.upstreams.takeReport(report);
+        parts_.tell(report);
+    }
+    parts_.onChanged();
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/daemon/admin_server.h
@@ -0,0 +1,44 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The listener for operators, apart from that of callers and with a key of its own.
+#pragma once
+
+#include "portpaddle/base/http_server.h"
+
+#include <string>
+
+namespace Portpaddle {
+
+class Daemon;
+
+/// Serves operators and scrapers.
+class AdminServer
+{
+public:
+    explicit AdminServer(Daemon &daemon);
+    Result<SocketAddress> start(const SocketAddress &address);
+    void stop();
+
+private:
+    using Route = void (AdminServer::*)(const httplib::Request &, httplib::Response &);
+
+    void addRoutes();
+    void guard(const httplib::Request &request, httplib::Response &response, Route route);
+    void status(const httplib::Request &request, httplib::Response &response);
+    void members(const httplib::Request &request, httplib::Response &response);
+    void upstreams(const httplib::Request &request, httplib::Response &response);
+    void showSettings(const httplib::Request &request, httplib::Response &response);
+    void proposeSettings(const httplib::Request &request, httplib::Response &response);
+    void revertSettings(const httplib::Request &request, httplib::Response &response);
+    void history(const httplib::Request &request, httplib::Response &response);
+    void audit(const httplib::Request &request, httplib::Response &response);
+    void explainRequest(const httplib::Request &request, httplib::Response &response);
+    void drain(const httplib::Request &request, httplib::Response &response);
+    void metrics(const httplib::Request &request, httplib::Response &response);
+
+    Daemon &daemon_;
+    HttpServer server_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/dispatch/dispatcher.cpp
@@ -0,0 +1,421 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/dispatch/dispatcher.h"
+
+#include "portpaddle/base/log.h"
+#include "portpaddle/base/metrics.h"
+#include "portpaddle/claims/claim_book.h"
+#include "portpaddle/dispatch/token_stream.h"
+#include "portpaddle/interfaces/clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace Portpaddle {
+
+namespace {
+
+/// Waiting requests look again after this time even if nobody woke them: reports may have changed.
+constexpr Millis longestSleep{ 50 };
+
+/// Passes an answer on and remembers whether any of it left; counts tokens of streams.
+class ObservedSink : public AnswerSink
+{
+public:
+    ObservedSink(AnswerSink &receiver, const Call &call, const Clock &clock, std::function<void()> onFirstByte)
+        : receiver_(receiver)
+        , stream_(receiver, call.resumeFrom)
+        , streamed_(call.streamed)
+        , clock_(clock)
+        , deadline_(call.facts.deadline)
+        , onFirstByte_(std::move(onFirstByte))
+    {
+    }
+
+    bool head(const AnswerHead &head) override
+    {
+        passThrough_ = passThrough_ || !streamed_ || head.status != okStatus;
+        started_ = true;
+        return streamed_ ? stream_.head(head) : receiver_.head(head);
+    }
+
+    bool data(std::string_view bytes) override
+    {
+        if (!sawData_) {
+            sawData_ = true;
+            onFirstByte_();
+        }
+        late_ = clock_.monotonic() >= deadline_;
+        if (late_) {
+            return false;
+        }
+        return passThrough_ ? receiver_.data(bytes) : stream_.data(bytes);
+    }
+
+    bool receiverGone() const override
+    {
+        return receiver_.receiverGone();
+    }
+
+    void onReceiverGone(std::function<void()> hook) override
+    {
+        receiver_.onReceiverGone(std::move(hook));
+    }
+
+    void restart()
+    {
+        stream_.restart();
+    }
+
+    bool started() const
+    {
+        return started_;
+    }
+
+    /// A stream is whole only with its closing event; other answers are as whole as their transport says.
+    bool whole() const
+    {
+        return passThrough_ || stream_.finished();
+    }
+
+    /// Whether the deadline cut the answer.
+    bool late() const
+    {
+        return late_;
+    }
+
+    unsigned tokens() const
+    {
+        return stream_.tokens();
+    }
+
+private:
+    static constexpr int okStatus = 200;
+
+    AnswerSink &receiver_;
+    TokenStream stream_;
+    const bool streamed_;
+    const Clock &clock_;
+    const Millis deadline_;
+    std::function<void()> onFirstByte_;
+    bool late_ = false;
+    bool passThrough_ = false;
+    bool started_ = false;
+    bool sawData_ = false;
+};
+
+} // namespace
+
+/// The way of one call.
+class Dispatcher::Run
+{
+public:
+    Run(Dispatcher &owner, Call call, AnswerSink &sink)
+        : owner_(owner), parts_(owner.parts_), call_(std::move(call)), sink_(sink, call_, parts_.clock, [this] { firstByte(); })
+    {
+        trace_.requestId = call_.facts.requestId;
+        trace_.organisation = call_.facts.organisation;
+        trace_.service = call_.facts.service;
+        trace_.promptTokens = call_.facts.promptTokens;
+        trace_.visited = call_.facts.visited;
+    }
+
+    Status execute()
+    {
+        Status status = claim();
+        if (isOk(status)) {
+            status = loop();
+            settleClaim(status);
+        }
+        finish(status);
+        return status;
+    }
+
+private:
+    Status claim()
+    {
+        const bool needed = call_.atMostOnce && !call_.claimed && !call_.idempotencyKey.empty();
+        if (!needed) {
+            return success();
+        }
+        Result<Claim> acquired = parts_.claims.acquire(call_.facts.organisation, call_.facts.service, call_.idempotencyKey);
+        if (!isOk(acquired)) {
+            parts_.metrics.count(Counter::ClaimsRefused);
+            return errorOf(acquired);
+        }
+        parts_.metrics.count(Counter::ClaimsGranted);
+        claim_ = std::move(valueOf(acquired));
+        call_.claimed = true;
+        return success();
+    }
+
+    void settleClaim(const Status &status)
+    {
+        if (!claim_) {
+            return;
+        }
+        if (isOk(status)) {
+            parts_.claims.markRan(*claim_);
+        } else if (errorOf(status).run == RunState::NotRun) {
+            parts_.claims.release(*claim_);
+        }
+    }
+
+    Status loop()
+    {
+        while (true) {
+            const Millis now = parts_.clock.monotonic();
+            if (sink_.receiverGone()) {
+                return failure(ErrorCode::Cancelled, "the caller went away");
+            }
+            if (now >= call_.facts.deadline) {
+                return failure(ErrorCode::DeadlineExceeded, "the deadline passed");
+            }
+            if (claim_ && now >= claim_->sendBefore) {
+                return failure(ErrorCode::ClaimUnavailable, "the claim is too old to send under");
+            }
+            Decision decision = decideNow(now);
+            const Verdict verdict = decision.verdict;
+            if (verdict == Verdict::Wait) {
+                if (!waitForCapacity(now)) {
+                    return failure(ErrorCode::Overloaded, "too many requests wait already", Millis{ 1000 });
+                }
+                continue;
+            }
+            if (verdict == Verdict::Refuse) {
+                return refuse(std::move(decision));
+            }
+            const std::optional<Status> ended = attempt(std::move(decision));
+            if (ended) {
+                return *ended;
+            }
+        }
+    }
+
+    Decision decideNow(Millis now)
+    {
+        const std::shared_ptr<const RoutingSnapshot> snapshot = parts_.board.routing.read();
+        const ServiceRoutes &routes = snapshot->routesOf(call_.facts.service);
+        std::vector<std::uint32_t> local(snapshot->upstreams.size());
+        for (const ServiceCandidate &candidate : routes.local) {
+            local[candidate.upstream] = parts_.board.upstreams.dispatches(snapshot->upstreams[candidate.upstream].id)->count();
+        }
+        std::vector<std::uint32_t> remote(routes.remote.size());
+        for (const RemoteView &view : routes.remote) {
+            remote[view.slot] = parts_.remoteDispatches.counter(view.dataCentre, call_.facts.service)->count();
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        Decision decision = decide(snapshot, call_.facts, OwnDispatches{ local, remote }, now, parts_.random);
+        const std::chrono::duration<double, std::milli> spent = std::chrono::steady_clock::now() - begin;
+        parts_.metrics.observe(Timer::Decision, spent.count());
+        return decision;
+    }
+
+    bool waitForCapacity(Millis now)
+    {
+        const Millis left = std::min(longestSleep, call_.facts.deadline - now);
+        const RequestPolicy &policy = parts_.board.settings.read()->policy(call_.facts.organisation, call_.facts.service);
+        const bool taken = owner_.queue_.wait(policy.requestClass, call_.facts.arrivedAt, left);
+        waited_ += parts_.clock.monotonic() - now;
+        return taken;
+    }
+
+    Status refuse(Decision decision)
+    {
+        const ErrorCode code = decision.refusal;
+        const std::optional<Millis> retryAfter = decision.retryAfter;
+        record(std::move(decision), "refused");
+        if (lastError_ && code == ErrorCode::NoUpstream) {
+            return failure(lastError_->code, lastError_->message, lastError_->retryAfter);
+        }
+        return failure(code, "no place may or can run this request now", retryAfter);
+    }
+
+    std::optional<Status> attempt(Decision decision)
+    {
+        if (attempts_ > 0) {
+            if (!owner_.retries_.spend()) {
+                return failure(ErrorCode::UpstreamFailed, "the retry budget is spent", Millis{ 1000 });
+            }
+            parts_.metrics.count(resuming() ? Counter::Resumes : Counter::Retries);
+            logEvent(resuming() ? LogEvent::RequestResumed : LogEvent::RequestRetried,
+                     { { "request", call_.facts.requestId }, { "attempt", std::to_string(attempts_ + 1) } });
+        }
+        ++attempts_;
+        sink_.restart();
+        call_.resumeFrom = sink_.tokens();
+        AttemptResult result = decision.verdict == Verdict::Serve ? serve(decision) : forward(decision);
+        if (result.end == AttemptEnd::Complete && !sink_.whole()) {
+            result = AttemptResult{ AttemptEnd::Broken,
+                                    Error{ ErrorCode::UpstreamFailed, "the stream ended early", RunState::MayHaveRun,
+                                           std::nullopt } };
+        }
+        record(std::move(decision), outcomeText(result));
+        return afterAttempt(result);
+    }
+
+    AttemptResult serve(const Decision &decision)
+    {
+        const UpstreamView &view = decision.snapshot->upstreams[decision.target];
+        const Millis startedAt = parts_.clock.monotonic();
+        const std::shared_ptr<DispatchCounter> counter = parts_.board.upstreams.dispatches(view.id);
+        counter->started(startedAt);
+        AttemptResult result = parts_.upstreams.attempt(view.address, call_, call_.facts.deadline - startedAt, sink_);
+        counter->ended(startedAt);
+        const Millis endedAt = parts_.clock.monotonic();
+        owner_.queue_.wakeOne(endedAt);
+        if (result.end == AttemptEnd::Complete && sink_.whole()) {
+            parts_.board.upstreams.attemptSucceeded(view.id);
+        } else if (result.end != AttemptEnd::ReceiverGone && result.error.code != ErrorCode::Overloaded) {
+            parts_.board.upstreams.attemptFailed(view.id, endedAt);
+        }
+        call_.facts.tried.push_back(view.id);
+        return result;
+    }
+
+    AttemptResult forward(const Decision &decision)
+    {
+        const RemoteView &view = decision.snapshot->routesOf(call_.facts.service).remote[decision.target];
+        const Millis startedAt = parts_.clock.monotonic();
+        const std::shared_ptr<DispatchCounter> counter = parts_.remoteDispatches.counter(view.dataCentre, call_.facts.service);
+        counter->started(startedAt);
+        parts_.metrics.count(Counter::SentAway);
+        const RequestPolicy &policy = decision.snapshot->settings->policy(call_.facts.organisation, call_.facts.service);
+        Call passed = call_;
+        // A place that was tried is a place passed through: the request must not come back to either.
+        passed.facts.visited.push_back(decision.snapshot->settings->place().dataCentre);
+        AttemptResult result = parts_.peers.forward(view.dataCentre, passed, policy, call_.facts.deadline - startedAt, sink_);
+        counter->ended(startedAt);
+        call_.facts.visited.push_back(view.dataCentre);
+        return result;
+    }
+
+    std::optional<Status> afterAttempt(const AttemptResult &result)
+    {
+        lastError_ = result.error;
+        switch (result.end) {
+        case AttemptEnd::Complete:
+            return success();
+        case AttemptEnd::ReceiverGone:
+            run_ = RunState::MayHaveRun;
+            return sink_.late() ? failure(ErrorCode::DeadlineExceeded, "the deadline passed")
+                                : failure(ErrorCode::Cancelled, "the caller went away");
+        case AttemptEnd::NotRun:
+            break;
+        case AttemptEnd::Broken:
+            run_ = RunState::MayHaveRun;
+            if (!mayRepeat()) {
+                return failure(result.error.code, result.error.message);
+            }
+            break;
+        }
+        const RequestPolicy &policy = parts_.board.settings.read()->policy(call_.facts.organisation, call_.facts.service);
+        if (attempts_ >= policy.maxAttempts) {
+            return failure(result.error.code, result.error.message, result.error.retryAfter);
+        }
+        return std::nullopt;
+    }
+
+    /// After a break a stream goes on at its next token; anything else only while nothing of it reached the caller.
+    bool mayRepeat() const
+    {
+        if (call_.atMostOnce) {
+            return false;
+        }
+        return call_.streamed ? call_.repeatable : call_.repeatable && !sink_.started();
+    }
+
+    bool resuming() const
+    {
+        return sink_.started();
+    }
+
+    Error failure(ErrorCode code, std::string message, std::optional<Millis> retryAfter = std::nullopt) const
+    {
+        return Error{ code, std::move(message), run_, retryAfter };
+    }
+
+    static std::string outcomeText(const AttemptResult &result)
+    {
+        switch (result.end) {
+        case AttemptEnd::Complete:
+            return "complete";
+        case AttemptEnd::NotRun:
+            return fmt::format("not run: {}", result.error.message);
+        case AttemptEnd::Broken:
+            return fmt::format("broken: {}", result.error.message);
+        case AttemptEnd::ReceiverGone:
+            return "receiver gone";
+        }
+        return {};
+    }
+
+    void record(Decision decision, std::string outcome)
+    {
+        trace_.steps.push_back(TraceStep{ parts_.clock.wall().count(), std::move(decision), std::move(outcome) });
+    }
+
+    void firstByte()
+    {
+        parts_.metrics.observe(Timer::FirstByte, static_cast<double>((parts_.clock.monotonic() - call_.facts.arrivedAt).count()));
+    }
+
+    void finish(const Status &status)
+    {
+        parts_.metrics.count(Counter::TokensStreamed, sink_.tokens());
+        parts_.metrics.observe(Timer::WholeRequest,
+                               static_cast<double>((parts_.clock.monotonic() - call_.facts.arrivedAt).count()));
+        if (waited_ > Millis{ 0 }) {
+            parts_.metrics.observe(Timer::QueueWait, static_cast<double>(waited_.count()));
+        }
+        trace_.outcome
+            = isOk(status) ? "complete" : fmt::format("{}, {}", nameOf(errorOf(status).code), nameOf(errorOf(status).run));
+        if (!isOk(status)) {
+            const Error &error = errorOf(status);
+            const bool refused = error.run == RunState::NotRun;
+            parts_.metrics.count(Counter::Refusals, refused ? 1 : 0);
+            logEvent(refused ? LogEvent::RequestRefused : LogEvent::RequestFailed,
+                     { { "request", call_.facts.requestId },
+                       { "code", std::string(nameOf(error.code)) },
+                       { "message", error.message } });
+        }
+        parts_.traces.keep(std::move(trace_));
+    }
+
+    Dispatcher &owner_;
+    DispatcherParts &parts_;
+    Call call_;
+    ObservedSink sink_;
+    RequestTrace trace_;
+    std::optional<Claim> claim_;
+    std::optional<Error> lastError_;
+    RunState run_ = RunState::NotRun;
+    unsigned attempts_ = 0;
+    Millis waited_{ 0 };
+};
+
+Dispatcher::Dispatcher(DispatcherParts parts) : parts_(parts)
+{
+}
+
+Status Dispatcher::run(Call call, AnswerSink &sink)
+{
+    const std::shared_ptr<const CompiledSettings> settings = parts_.board.settings.read();
+    retries_.earn(settings->policy(call.facts.organisation, call.facts.service).retryBudgetPercent);
+    return Run(*this, std::move(call), sink).execute();
+}
+
+void Dispatcher::wakeWaiting()
+{
+    queue_.wakeAll();
+}
+
+std::size_t Dispatcher::waiting() const
+{
+    return queue_.waiting();
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/dispatch/wait_queue.cpp
@@ -0,0 +1,74 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/dispatch/wait_queue.h"
+
+namespace Portpaddle {
+
+namespace {
+
+/// A deferrable request that waited this long counts as interactive.
+constexpr Millis agingLimit{ 30'000 };
+
+} // namespace
+
+WaitQueue::WaitQueue(std::size_t capacity) : capacity_(capacity)
+{
+}
+
+bool WaitQueue::wait(RequestClass requestClass, Millis arrivedAt, Millis longest)
+{
+    std::unique_lock lock(mutex_);
+    if (waiters_.size() >= capacity_) {
+        return false;
+    }
+    const auto self = waiters_.emplace(waiters_.end());
+    self->requestClass = requestClass;
+    self->arrivedAt = arrivedAt;
+    self->wake.wait_for(lock, longest, [&] { return self->woken; });
+    waiters_.erase(self);
+    return true;
+}
+
+void WaitQueue::wakeOne(Millis now)
+{
+    const std::lock_guard lock(mutex_);
+    Waiter *best = nullptr;
+    for (Waiter &waiter : waiters_) {
+        if (!waiter.woken && (best == nullptr || moreUrgent(waiter, *best, now))) {
+            best = &waiter;
+        }
+    }
+    if (best != nullptr) {
+        best->woken = true;
+        best->wake.notify_one();
+    }
+}
+
+void WaitQueue::wakeAll()
+{
+    const std::lock_guard lock(mutex_);
+    for (Waiter &waiter : waiters_) {
+        waiter.woken = true;
+        waiter.wake.notify_one();
+    }
+}
+
+std::size_t WaitQueue::waiting() const
+{
+    const std::lock_guard lock(mutex_);
+    return waiters_.size();
+}
+
+bool WaitQueue::moreUrgent(const Waiter &left, const Waiter &right, Millis now)
+{
+    const auto urgent = [&](const Waiter &waiter) {
+        return waiter.requestClass == RequestClass::Interactive || now - waiter.arrivedAt >= agingLimit;
+    };
+    if (urgent(left) != urgent(right)) {
+        return urgent(left);
+    }
+    return left.arrivedAt < right.arrivedAt;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/membership/gossip_message.cpp
@@ -0,0 +1,202 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/membership/gossip_message.h"
+
+#include "portpaddle/base/digest.h"
+#include "portpaddle/base/name_table.h"
+#include "portpaddle/wire/peer_generated.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Portpaddle {
+
+namespace {
+
+constexpr NameTable<MemberState, 4> memberStateNames{ { "alive", "suspect", "leaving", "dead" } };
+/// Sixteen bytes of the code keep forging out of reach and datagrams small.
+constexpr std::size_t codeLength = 16;
+constexpr std::size_t longestName = 64;
+constexpr std::size_t largestList = 64;
+
+template<typename Integer>
+Integer clampTo(std::uint64_t value)
+{
+    return static_cast<Integer>(std::min<std::uint64_t>(value, std::numeric_limits<Integer>::max()));
+}
+
+std::uint32_t ageOf(Millis observedAt, Millis now)
+{
+    return clampTo<std::uint32_t>(static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - observedAt).count())));
+}
+
+std::string_view codeOf(const MessageCode &code)
+{
+    return std::string_view(reinterpret_cast<const char *>(code.data()), codeLength);
+}
+
+std::unique_ptr<Wire::MemberUpdateT> toWire(const MemberUpdate &update)
+{
+    auto wire = std::make_unique<Wire::MemberUpdateT>();
+    wire->id = update.id;
+    wire->region = update.region;
+    wire->data_centre = update.dataCentre;
+    wire->gossip = toText(update.gossip);
+    wire->link = update.linkAddress;
+    wire->entry = update.entryAddress;
+    wire->incarnation = update.incarnation;
+    wire->state = static_cast<Wire::MemberState>(update.state);
+    return wire;
+}
+
+std::unique_ptr<Wire::UpstreamDigestT> toWire(const UpstreamDigest &digest, Millis now)
+{
+    auto wire = std::make_unique<Wire::UpstreamDigestT>();
+    wire->upstream = digest.upstream;
+    wire->sequence = digest.sequence;
+    wire->age_ms = ageOf(digest.observedAt, now);
+    wire->running = clampTo<std::uint16_t>(digest.running);
+    wire->queued_interactive = clampTo<std::uint16_t>(digest.queuedInteractive);
+    wire->queued_deferrable = clampTo<std::uint16_t>(digest.queuedDeferrable);
+    wire->leaving = digest.leaving;
+    wire->reachable = digest.reachable;
+    return wire;
+}
+
+std::unique_ptr<Wire::ServiceSummaryT> toWire(const ServiceSummary &summary, Millis now)
+{
+    auto wire = std::make_unique<Wire::ServiceSummaryT>();
+    wire->data_centre = summary.dataCentre;
+    wire->service = summary.service;
+    wire->sequence = summary.sequence;
+    wire->age_ms = ageOf(summary.observedAt, now);
+    wire->capacity = summary.capacity;
+    wire->busy = summary.busy;
+    wire->queued = summary.queued;
+    wire->versions = summary.versions;
+    return wire;
+}
+
+std::unique_ptr<Wire::OrganisationDemandT> toWire(const DemandReport &demand)
+{
+    auto wire = std::make_unique<Wire::OrganisationDemandT>();
+    wire->daemon = demand.source;
+    wire->organisation = demand.organisation;
+    wire->sequence = demand.sequence;
+    wire->requests_per_second = static_cast<float>(demand.requestsPerSecond);
+    return wire;
+}
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= longestName;
+}
+
+std::optional<MemberUpdate> fromWire(const Wire::MemberUpdateT &wire)
+{
+    const Result<SocketAddress> gossip = parseSocketAddress(wire.gossip);
+    const bool valid = isOk(gossip) && isName(wire.id) && isName(wire.data_centre) && wire.state <= Wire::MemberState::MAX
+        && isOk(parseSocketAddress(wire.link)) && isOk(parseSocketAddress(wire.entry));
+    if (!valid) {
+        return std::nullopt;
+    }
+    return MemberUpdate{ wire.id,   wire.region, wire.data_centre, valueOf(gossip),
+                         wire.link, wire.entry,  wire.incarnation, static_cast<MemberState>(wire.state) };
+}
+
+bool listsAreBounded(const Wire::GossipT &wire)
+{
+    return wire.members.size() <= largestList && wire.upstreams.size() <= largestList && wire.summaries.size() <= largestList
+        && wire.demands.size() <= largestList;
+}
+
+GossipMessage fromWire(const Wire::GossipT &wire, Millis now)
+{
+    GossipMessage message;
+    message.kind = static_cast<GossipKind>(wire.kind);
+    message.sequence = wire.sequence;
+    message.sender = wire.sender;
+    message.senderIncarnation = wire.sender_incarnation;
+    message.target = wire.target;
+    message.settingsVersion = wire.settings_version;
+    for (const auto &member : wire.members) {
+        std::optional<MemberUpdate> update = fromWire(*member);
+        if (update) {
+            message.members.push_back(std::move(*update));
+        }
+    }
+    for (const auto &digest : wire.upstreams) {
+        message.upstreams.push_back(UpstreamDigest{ digest->upstream, digest->sequence, now - Millis{ digest->age_ms },
+                                                    digest->running, digest->queued_interactive, digest->queued_deferrable,
+                                                    digest->leaving, digest->reachable });
+    }
+    for (const auto &summary : wire.summaries) {
+        message.summaries.push_back(ServiceSummary{ summary->data_centre, summary->service, summary->sequence,
+                                                    now - Millis{ summary->age_ms }, summary->capacity, summary->busy,
+                                                    summary->queued, summary->versions });
+    }
+    for (const auto &demand : wire.demands) {
+        message.demands.push_back(
+            DemandReport{ demand->daemon, demand->organisation, demand->sequence, std::max(0.0F, demand->requests_per_second) });
+    }
+    return message;
+}
+
+} // namespace
+
+std::string_view nameOf(MemberState state)
+{
+    return memberStateNames[state];
+}
+
+std::string encodeGossip(const GossipMessage &message, std::string_view clusterKey, Millis now)
+{
+    Wire::GossipT wire;
+    wire.kind = static_cast<Wire::GossipKind>(message.kind);
+    wire.sequence = message.sequence;
+    wire.sender = message.sender;
+    wire.sender_incarnation = message.senderIncarnation;
+    wire.target = message.target;
+    wire.settings_version = message.settingsVersion;
+    for (const MemberUpdate &update : message.members) {
+        wire.members.push_back(toWire(update));
+    }
+    for (const UpstreamDigest &digest : message.upstreams) {
+        wire.upstreams.push_back(toWire(digest, now));
+    }
+    for (const ServiceSummary &summary : message.summaries) {
+        wire.summaries.push_back(toWire(summary, now));
+    }
+    for (const DemandReport &demand : message.demands) {
+        wire.demands.push_back(toWire(demand));
+    }
+    flatbuffers::FlatBufferBuilder builder(largestDatagram);
+    builder.Finish(Wire::Gossip::Pack(builder, &wire));
+    std::string bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+    bytes.append(codeOf(messageCode(clusterKey, bytes)));
+    return bytes;
+}
+
+std::optional<GossipMessage> decodeGossip(std::string_view datagram, std::string_view clusterKey, Millis now)
+{
+    if (datagram.size() <= codeLength || datagram.size() > largestDatagram) {
+        return std::nullopt;
+    }
+    const std::string_view body = datagram.substr(0, datagram.size() - codeLength);
+    if (!equalInConstantTime(datagram.substr(body.size()), codeOf(messageCode(clusterKey, body)))) {
+        return std::nullopt;
+    }
+    // The copy is aligned for the reader, which the position within a datagram need not be.
+    const std::vector<std::uint8_t> aligned(body.begin(), body.end());
+    flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+    if (!verifier.VerifyBuffer<Wire::Gossip>(nullptr)) {
+        return std::nullopt;
+    }
+    Wire::GossipT wire;
+    flatbuffers::GetRoot<Wire::Gossip>(aligned.data())->UnPackTo(&wire);
+    const bool valid = isName(wire.sender) && wire.kind <= Wire::GossipKind::MAX && listsAreBounded(wire);
+    return valid ? std::optional{ fromWire(wire, now) } : std::nullopt;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/membership/gossip_message.h
@@ -0,0 +1,103 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The datagrams between daemons and their authenticated encoding.
+#pragma once
+
+#include "portpaddle/base/error.h"
+#include "portpaddle/base/socket_address.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Portpaddle {
+
+/// The state of a member; at the same incarnation the later one wins.
+enum class MemberState : std::uint8_t { Alive, Suspect, Leaving, Dead };
+std::string_view nameOf(MemberState state);
+
+/// What is told about a member.
+struct MemberUpdate
+{
+    std::string id;
+    std::string region;
+    std::string dataCentre;
+    SocketAddress gossip;
+    std::string linkAddress;
+    std::string entryAddress;
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Alive;
+};
+
+/// The load of an upstream, told within its data centre.
+struct UpstreamDigest
+{
+    std::string upstream;
+    std::uint64_t sequence = 0;
+    Millis observedAt{ 0 };
+    unsigned running = 0;
+    unsigned queuedInteractive = 0;
+    unsigned queuedDeferrable = 0;
+    bool leaving = false;
+    bool reachable = true;
+};
+
+/// What a data centre offers for a service, told everywhere.
+struct ServiceSummary
+{
+    std::string dataCentre;
+    std::string service;
+    std::uint64_t sequence = 0;
+    Millis observedAt{ 0 };
+    unsigned capacity = 0;
+    unsigned busy = 0;
+    unsigned queued = 0;
+    std::vector<std::string> versions;
+};
+
+/// How much an organisation asks: of one daemon, told within its data centre, or of a whole data centre, told everywhere.
+struct DemandReport
+{
+    /// A daemon, or "dc:" and the name of a data centre.
+    std::string source;
+    std::string organisation;
+    std::uint64_t sequence = 0;
+    double requestsPerSecond = 0;
+};
+
+enum class GossipKind : std::uint8_t { Ping, Ack, PingRequest, Push };
+
+/// One datagram.
+struct GossipMessage
+{
+    GossipKind kind = GossipKind::Push;
+    std::uint32_t sequence = 0;
+    std::string sender;
+    std::uint64_t senderIncarnation = 0;
+    std::string target;
+    std::uint64_t settingsVersion = 0;
+    std::vector<MemberUpdate> members;
+    std::vector<UpstreamDigest> upstreams;
+    std::vector<ServiceSummary> summaries;
+    std::vector<DemandReport> demands;
+};
+
+/// Bytes on the way to an address.
+struct Datagram
+{
+    SocketAddress to;
+    std::string bytes;
+};
+
+/// Largest datagram sent or accepted, below the usual path MTU.
+inline constexpr std::size_t largestDatagram = 1400;
+
+/// Encodes with ages counted from @p now and appends a code under @p clusterKey.
+std::string encodeGossip(const GossipMessage &message, std::string_view clusterKey, Millis now);
+/// No value for anything that was not made under @p clusterKey or is not well formed.
+std::optional<GossipMessage> decodeGossip(std::string_view datagram, std::string_view clusterKey, Millis now);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/membership/gossip_node.cpp
@@ -0,0 +1,584 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/membership/gossip_node.h"
+
+#include "portpaddle/interfaces/random_source.h"
+#include "portpaddle/routing/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace Portpaddle {
+
+namespace {
+
+/// Room for the code at the end and for the estimate's error.
+constexpr std::size_t fillLimit = largestDatagram - 160;
+/// Leaves room for one more member, whose names may be long.
+constexpr std::size_t introductionLimit = 900;
+constexpr unsigned indirectProbes = 2;
+/// Records of members that each probe repeats.
+constexpr unsigned repeatedRecords = 2;
+/// One probe in so many goes to a member that is believed dead: it may have come back.
+constexpr unsigned deadProbeInterval = 5;
+constexpr std::size_t largestRelayTable = 256;
+/// An upstream's report with a lower sequence is believed after this silence.
+constexpr Millis sequenceMemory{ 10'000 };
+/// Demand that was not confirmed for this long while its source can be heard is over.
+constexpr Millis demandMemory{ 30'000 };
+constexpr double budgetBurstSeconds = 1;
+/// What a datagram may cost; a push waits until the budget has it.
+constexpr double pushCost = 600;
+constexpr std::string_view dataCentrePrefix = "dc:";
+
+std::string summaryKey(const ServiceSummary &summary)
+{
+    return summary.dataCentre + '/' + summary.service;
+}
+
+std::string demandKey(const DemandReport &report)
+{
+    return report.source + '/' + report.organisation;
+}
+
+bool isUsable(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect || state == MemberState::Leaving;
+}
+
+} // namespace
+
+GossipNode::GossipNode(GossipConfig config, MemberUpdate self, std::string clusterKey, RandomSource &random, Millis now)
+    : config_(config)
+    , clusterKey_(std::move(clusterKey))
+    , random_(random)
+    , members_(std::move(self), now)
+    , startedAt_(now)
+    , nextProbeAt_(now)
+    , nextPushAt_(now)
+    , allowanceAt_(now)
+    , allowance_(config.bytesPerSecond * budgetBurstSeconds)
+{
+    tellMember(members_.self());
+}
+
+std::vector<Datagram> GossipNode::tick(Millis now)
+{
+    std::vector<Datagram> out;
+    const double seconds = static_cast<double>((now - allowanceAt_).count()) / 1000;
+    allowance_ = std::min(config_.bytesPerSecond * budgetBurstSeconds, allowance_ + seconds * config_.bytesPerSecond);
+    allowanceAt_ = now;
+    followProbe(now, out);
+    if (now >= nextProbeAt_) {
+        nextProbeAt_ = now + config_.probePeriod;
+        beginProbe(now, out);
+    }
+    if (now >= nextPushAt_) {
+        nextPushAt_ = now + config_.pushInterval;
+        push(now, out);
+    }
+    return out;
+}
+
+std::vector<Datagram> GossipNode::receive(const SocketAddress &from, std::string_view bytes, Millis now)
+{
+    std::vector<Datagram> out;
+    const std::optional<GossipMessage> message = decodeGossip(bytes, clusterKey_, now);
+    if (!message || message->sender == members_.self().id) {
+        rejected_ += message ? 0 : 1;
+        return out;
+    }
+    takeNewsOf(*message, now);
+    noteSender(*message, now);
+    const bool local = isLocal(message->sender);
+    switch (message->kind) {
+    case GossipKind::Ping:
+        // A probe for somebody who had this address before is not answered: that somebody is gone.
+        if (message->target.empty() || message->target == members_.self().id) {
+            send(newMessage(GossipKind::Ack, members_.self().id, message->sequence), from, local, now, out);
+        }
+        if (message->target.empty()) {
+            introduceMembers(from, now, out);
+        }
+        break;
+    case GossipKind::PingRequest: {
+        const MemberRecord *target = members_.find(message->target);
+        if (target != nullptr && relays_.size() < largestRelayTable) {
+            const std::uint32_t sequence = ++sequence_;
+            relays_[sequence] = Relay{ from, message->sequence, message->target };
+            send(newMessage(GossipKind::Ping, message->target, sequence), target->update.gossip, isLocal(message->target), now,
+                 out);
+        }
+        break;
+    }
+    case GossipKind::Ack: {
+        const auto relay = relays_.find(message->sequence);
+        if (relay != relays_.end() && relay->second.target == message->target) {
+            send(newMessage(GossipKind::Ack, message->target, relay->second.askerSequence), relay->second.asker, true, now, out);
+            relays_.erase(relay);
+        }
+        std::erase_if(probes_,
+                      [&](const Probe &probe) { return probe.sequence == message->sequence && probe.target == message->target; });
+        break;
+    }
+    case GossipKind::Push:
+        break;
+    }
+    return out;
+}
+
+void GossipNode::setSeeds(std::vector<SocketAddress> seeds)
+{
+    seeds_ = std::move(seeds);
+}
+
+void GossipNode::leave()
+{
+    members_.leave();
+    tellMember(members_.self());
+}
+
+void GossipNode::setSettingsVersion(std::uint64_t version)
+{
+    settingsVersion_ = version;
+}
+
+void GossipNode::tellUpstream(const UpstreamReport &report)
+{
+    UpstreamDigest digest{ report.upstream,
+                           report.sequence,
+                           report.observedAt,
+                           report.load.running,
+                           report.load.queuedInteractive,
+                           report.load.queuedDeferrable,
+                           report.leaving,
+                           report.reachable };
+    upstreamSequences_[report.upstream] = { report.sequence, report.observedAt };
+    items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
+}
+
+void GossipNode::tellSummaries(const std::vector<SummaryEntry> &entries, Millis now)
+{
+    for (const SummaryEntry &entry : entries) {
+        if (!speaksFor(entry.service, 2)) {
+            continue;
+        }
+        ServiceSummary summary{
+            entry.dataCentre, entry.service, 0, now, entry.capacity, entry.busy, entry.queued, entry.versions
+        };
+        ServiceSummary &known = summaries_[summaryKey(summary)];
+        summary.sequence = known.sequence + 1;
+        known = summary;
+        items_.add(summary, tellings(static_cast<unsigned>(members_.records().size())));
+    }
+}
+
+void GossipNode::tellDemand(const std::vector<OwnDemand> &demand, Millis now)
+{
+    ++demandSequence_;
+    const std::string &self = members_.self().id;
+    const std::string total = std::string(dataCentrePrefix) + members_.self().dataCentre;
+    for (const OwnDemand &own : demand) {
+        const DemandReport report{ self, own.organisation, demandSequence_, own.requestsPerSecond };
+        items_.add(report, tellings(static_cast<unsigned>(localMembers().size())));
+        if (!speaksFor(own.organisation)) {
+            continue;
+        }
+        DemandReport sum{ total, own.organisation, 0, own.requestsPerSecond };
+        for (const auto &[key, heard] : demands_) {
+            const bool ofPeer = heard.report.source.compare(0, dataCentrePrefix.size(), dataCentrePrefix) != 0;
+            if (ofPeer && heard.report.organisation == own.organisation && now < heard.heardAt + demandMemory) {
+                sum.requestsPerSecond += heard.report.requestsPerSecond;
+            }
+        }
+        HeardDemand &known = demands_[demandKey(sum)];
+        sum.sequence = known.report.sequence + 1;
+        known = HeardDemand{ sum, now };
+        items_.add(sum, tellings(static_cast<unsigned>(members_.records().size())));
+    }
+}
+
+GossipNews GossipNode::takeNews()
+{
+    return std::exchange(news_, GossipNews{});
+}
+
+MemberTable GossipNode::memberTable(Millis now) const
+{
+    MemberTable table;
+    table.counted = 0;
+    for (const auto &[id, record] : members_.records()) {
+        const MemberUpdate &update = record.update;
+        MemberView view{ id, update.region, update.dataCentre, update.entryAddress, update.linkAddress, false, false, false };
+        view.alive = isUsable(update.state);
+        view.leaving = update.state == MemberState::Leaving;
+        view.suspected = update.state == MemberState::Suspect || !dataCentreHeard(update.dataCentre, now);
+        const bool vanishedLately = update.state == MemberState::Dead && now < record.since + config_.limitMemory;
+        table.counted += view.alive || vanishedLately ? 1 : 0;
+        table.cutOff = table.cutOff || (view.alive && view.suspected);
+        table.members.push_back(std::move(view));
+    }
+    return table;
+}
+
+SummaryTable GossipNode::summaryTable() const
+{
+    SummaryTable table;
+    for (const auto &[key, summary] : summaries_) {
+        table.entries.push_back(SummaryEntry{ summary.dataCentre, summary.service, summary.sequence, summary.capacity,
+                                              summary.busy, summary.queued, summary.versions, summary.observedAt });
+    }
+    return table;
+}
+
+std::vector<OthersDemand> GossipNode::othersDemand(Millis now) const
+{
+    const std::string ownTotal = std::string(dataCentrePrefix) + members_.self().dataCentre;
+    std::vector<OthersDemand> result;
+    for (const auto &[key, heard] : demands_) {
+        const std::string &source = heard.report.source;
+        if (source == ownTotal || source == members_.self().id) {
+            continue;
+        }
+        const bool ofDataCentre = source.compare(0, dataCentrePrefix.size(), dataCentrePrefix) == 0;
+        // What a data centre asked before it was cut off goes on to count: its daemons still serve that demand.
+        const bool silent = ofDataCentre && !dataCentreHeard(source.substr(dataCentrePrefix.size()), now);
+        if (silent || now < heard.heardAt + demandMemory) {
+            result.push_back(OthersDemand{ heard.report.organisation, heard.report.requestsPerSecond });
+        }
+    }
+    return result;
+}
+
+const MemberList &GossipNode::members() const
+{
+    return members_;
+}
+
+std::vector<std::string> GossipNode::localMembers() const
+{
+    std::vector<std::string> result = members_.probed(members_.self().dataCentre);
+    std::erase_if(result, [&](const std::string &id) { return members_.find(id)->update.state != MemberState::Alive; });
+    if (members_.self().state != MemberState::Leaving) {
+        result.push_back(members_.self().id);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+bool GossipNode::speaksFor(const std::string &subject, unsigned places) const
+{
+    const std::uint64_t key = stableHash(subject);
+    const double mine = rendezvousDraw(key, stableHash(members_.self().id), 1);
+    unsigned before = 0;
+    for (const std::string &id : localMembers()) {
+        if (id != members_.self().id && rendezvousDraw(key, stableHash(id), 1) > mine) {
+            ++before;
+        }
+    }
+    return before < places;
+}
+
+std::uint64_t GossipNode::rejected() const
+{
+    return rejected_;
+}
+
+GossipMessage GossipNode::newMessage(GossipKind kind, const std::string &target, std::uint32_t sequence) const
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.sequence = sequence;
+    message.sender = members_.self().id;
+    message.senderIncarnation = members_.self().incarnation;
+    message.target = target;
+    message.settingsVersion = settingsVersion_;
+    return message;
+}
+
+void GossipNode::send(GossipMessage message, const SocketAddress &to, bool sameDataCentre, Millis now, std::vector<Datagram> &out)
+{
+    // Probes and answers always go out; only the news they carry is cut to the budget.
+    const double room = std::clamp(allowance_, 0.0, static_cast<double>(fillLimit));
+    items_.fill(message, static_cast<std::size_t>(room), sameDataCentre);
+    std::string bytes = encodeGossip(message, clusterKey_, now);
+    allowance_ -= static_cast<double>(bytes.size());
+    out.push_back(Datagram{ to, std::move(bytes) });
+}
+
+void GossipNode::beginProbe(Millis now, std::vector<Datagram> &out)
+{
+    ++period_;
+    for (const MemberUpdate &died : members_.expireSuspects(
+             config_.probePeriod * (config_.suspicionPeriods + tellings(static_cast<unsigned>(localMembers().size()))), now)) {
+        news_.membersChanged = true;
+        tellMember(died);
+    }
+    members_.forgetDead(config_.deadMemory, now);
+    std::erase_if(relays_, [&](const auto &relay) { return relay.first + largestRelayTable < sequence_; });
+    const std::optional<std::string> local = nextLocalTarget();
+    if (local) {
+        probeTarget(*local, false, now, out);
+    }
+    const std::optional<std::string> remote = randomRemote();
+    if (remote) {
+        probeTarget(*remote, true, now, out);
+    }
+    const std::optional<std::string> dead = period_ % deadProbeInterval == 0 ? randomDead() : std::nullopt;
+    if (dead) {
+        probeTarget(*dead, true, now, out);
+    }
+    if (!local && !remote) {
+        trySeeds(now, out);
+    }
+}
+
+void GossipNode::followProbe(Millis now, std::vector<Datagram> &out)
+{
+    std::vector<Probe> open;
+    for (Probe probe : probes_) {
+        if (now >= probe.startedAt + config_.probePeriod) {
+            // Only the own data centre judges its members: across a cut everyone would look dead to everyone.
+            if (!probe.remote && members_.suspect(probe.target, now)) {
+                news_.membersChanged = true;
+                tellMember(members_.find(probe.target)->update);
+            }
+            continue;
+        }
+        if (!probe.indirect && !probe.remote && now >= probe.startedAt + config_.ackTimeout) {
+            probe.indirect = true;
+            std::vector<std::string> helpers = members_.probed(members_.self().dataCentre);
+            std::erase(helpers, probe.target);
+            for (unsigned count = 0; count < indirectProbes && !helpers.empty(); ++count) {
+                const std::string helper = *pick(helpers);
+                std::erase(helpers, helper);
+                send(newMessage(GossipKind::PingRequest, probe.target, probe.sequence), members_.find(helper)->update.gossip,
+                     true, now, out);
+            }
+        }
+        open.push_back(std::move(probe));
+    }
+    probes_ = std::move(open);
+}
+
+void GossipNode::probeTarget(const std::string &target, bool remote, Millis now, std::vector<Datagram> &out)
+{
+    const MemberUpdate &update = members_.find(target)->update;
+    const std::uint32_t sequence = ++sequence_;
+    probes_.push_back(Probe{ target, sequence, now, false, remote });
+    GossipMessage message = newMessage(GossipKind::Ping, target, sequence);
+    if (update.state != MemberState::Alive) {
+        // Whoever is suspected hears of it directly, to refute it.
+        message.members.push_back(update);
+    }
+    addOldNews(message);
+    send(std::move(message), update.gossip, isLocal(target), now, out);
+}
+
+void GossipNode::addOldNews(GossipMessage &message)
+{
+    // News is told a bounded number of times, and all of those may be lost in a cut. Repeating a few records of everything
+    // known, chosen by chance, makes views meet whatever was lost.
+    const auto &records = members_.records();
+    for (unsigned count = 0; count < repeatedRecords; ++count) {
+        const auto chosen = std::next(records.begin(), static_cast<std::ptrdiff_t>(random_.below(records.size())));
+        message.members.push_back(chosen->second.update);
+    }
+}
+
+void GossipNode::push(Millis now, std::vector<Datagram> &out)
+{
+    if (items_.size() == 0 || allowance_ < pushCost) {
+        return;
+    }
+    const std::optional<std::string> target = pick(members_.probed(members_.self().dataCentre));
+    if (target) {
+        send(newMessage(GossipKind::Push, {}, 0), members_.find(*target)->update.gossip, true, now, out);
+    }
+}
+
+void GossipNode::trySeeds(Millis now, std::vector<Datagram> &out)
+{
+    for (const SocketAddress &seed : seeds_) {
+        if (seed == members_.self().gossip) {
+            continue;
+        }
+        GossipMessage message = newMessage(GossipKind::Ping, {}, ++sequence_);
+        message.members.push_back(members_.self());
+        send(std::move(message), seed, false, now, out);
+    }
+}
+
+void GossipNode::introduceMembers(const SocketAddress &newcomer, Millis now, std::vector<Datagram> &out)
+{
+    GossipMessage message = newMessage(GossipKind::Push, {}, 0);
+    for (const auto &[id, record] : members_.records()) {
+        if (isUsable(record.update.state)) {
+            message.members.push_back(record.update);
+        }
+        if (emptyMessageSize(message) > introductionLimit) {
+            out.push_back(Datagram{ newcomer, encodeGossip(message, clusterKey_, now) });
+            message.members.clear();
+        }
+    }
+    out.push_back(Datagram{ newcomer, encodeGossip(message, clusterKey_, now) });
+}
+
+std::optional<std::string> GossipNode::nextLocalTarget()
+{
+    const std::vector<std::string> ids = members_.probed(members_.self().dataCentre);
+    if (ids.empty()) {
+        return std::nullopt;
+    }
+    while (true) {
+        if (probeOrder_.empty()) {
+            // A fresh random order each round bounds the time until everyone was probed.
+            probeOrder_.assign(ids.begin(), ids.end());
+            for (std::size_t index = probeOrder_.size() - 1; index > 0; --index) {
+                std::swap(probeOrder_[index], probeOrder_[random_.below(index + 1)]);
+            }
+        }
+        std::string next = std::move(probeOrder_.front());
+        probeOrder_.pop_front();
+        if (std::find(ids.begin(), ids.end(), next) != ids.end()) {
+            return next;
+        }
+    }
+}
+
+std::optional<std::string> GossipNode::randomRemote()
+{
+    std::set<std::string> dataCentres;
+    for (const std::string &id : members_.probed("")) {
+        if (!isLocal(id)) {
+            dataCentres.insert(members_.find(id)->update.dataCentre);
+        }
+    }
+    if (dataCentres.empty()) {
+        return std::nullopt;
+    }
+    // A data centre first, a member second: small ones are heard as often as large ones.
+    const auto chosen = std::next(dataCentres.begin(), static_cast<std::ptrdiff_t>(random_.below(dataCentres.size())));
+    return pick(members_.probed(*chosen));
+}
+
+std::optional<std::string> GossipNode::randomDead()
+{
+    std::vector<std::string> dead;
+    for (const auto &[id, record] : members_.records()) {
+        if (record.update.state == MemberState::Dead) {
+            dead.push_back(id);
+        }
+    }
+    return pick(dead);
+}
+
+std::optional<std::string> GossipNode::pick(const std::vector<std::string> &ids)
+{
+    return ids.empty() ? std::nullopt : std::optional{ ids[random_.below(ids.size())] };
+}
+
+void GossipNode::takeNewsOf(const GossipMessage &message, Millis now)
+{
+    for (const MemberUpdate &update : message.members) {
+        applyUpdate(update, now);
+    }
+    if (message.settingsVersion > std::max(news_.settingsVersion, settingsVersion_)) {
+        news_.settingsVersion = message.settingsVersion;
+        news_.settingsHolder = message.sender;
+    }
+    for (const UpstreamDigest &digest : message.upstreams) {
+        auto &[sequence, observedAt] = upstreamSequences_[digest.upstream];
+        const bool remembered = digest.observedAt < observedAt + sequenceMemory;
+        if (!isLocal(message.sender) || (remembered && digest.sequence <= sequence)) {
+            continue;
+        }
+        sequence = digest.sequence;
+        observedAt = digest.observedAt;
+        news_.upstreams.push_back(
+            UpstreamReport{ digest.upstream, digest.sequence, digest.observedAt,
+                            UpstreamLoad{ digest.running, digest.queuedInteractive, digest.queuedDeferrable }, digest.leaving,
+                            digest.reachable });
+        items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
+    }
+    for (const ServiceSummary &summary : message.summaries) {
+        ServiceSummary &known = summaries_[summaryKey(summary)];
+        const bool remembered = summary.observedAt < known.observedAt + sequenceMemory;
+        if (!known.service.empty() && remembered && summary.sequence <= known.sequence) {
+            continue;
+        }
+        known = summary;
+        news_.summariesChanged = true;
+        items_.add(summary, tellings(static_cast<unsigned>(members_.records().size())));
+    }
+    for (const DemandReport &report : message.demands) {
+        HeardDemand &known = demands_[demandKey(report)];
+        const bool remembered = now < known.heardAt + demandMemory;
+        if (remembered && report.sequence <= known.report.sequence) {
+            continue;
+        }
+        known = HeardDemand{ report, now };
+        items_.add(report, tellings(static_cast<unsigned>(localMembers().size())));
+    }
+}
+
+void GossipNode::applyUpdate(const MemberUpdate &update, Millis now)
+{
+    switch (members_.apply(update, now)) {
+    case UpdateEffect::Nothing:
+        return;
+    case UpdateEffect::RefutesUs:
+        tellMember(members_.self());
+        return;
+    case UpdateEffect::Changed:
+        news_.membersChanged = true;
+        tellMember(update);
+        return;
+    }
+}
+
+void GossipNode::tellMember(const MemberUpdate &update)
+{
+    items_.add(update, tellings(static_cast<unsigned>(members_.records().size())));
+}
+
+void GossipNode::noteSender(const GossipMessage &message, Millis now)
+{
+    const MemberRecord *record = members_.find(message.sender);
+    if (record == nullptr) {
+        return;
+    }
+    members_.heardFrom(message.sender, now);
+    dataCentreHeardAt_[record->update.dataCentre] = now;
+}
+
+bool GossipNode::isLocal(const std::string &id) const
+{
+    const MemberRecord *record = members_.find(id);
+    return record != nullptr && record->update.dataCentre == members_.self().dataCentre;
+}
+
+unsigned GossipNode::tellings(unsigned audience) const
+{
+    return 2 + static_cast<unsigned>(std::ceil(std::log2(audience + 1)));
+}
+
+bool GossipNode::dataCentreHeard(const std::string &dataCentre, Millis now) const
+{
+    if (dataCentre == members_.self().dataCentre) {
+        return true;
+    }
+    const auto heard = dataCentreHeardAt_.find(dataCentre);
+    Millis latest = heard == dataCentreHeardAt_.end() ? startedAt_ : heard->second;
+    // A large data centre hears directly of another only now and then: a fresh summary proves as much.
+    for (const auto &[key, summary] : summaries_) {
+        if (summary.dataCentre == dataCentre) {
+            latest = std::max(latest, summary.observedAt);
+        }
+    }
+    return now < latest + config_.remoteSilence;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/membership/member_list.cpp
@@ -0,0 +1,138 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/membership/member_list.h"
+
+namespace Portpaddle {
+
+namespace {
+
+/// A hostile or broken peer cannot fill the memory with invented members.
+constexpr std::size_t largestList = 4096;
+
+bool supersedes(const MemberUpdate &update, const MemberUpdate &known)
+{
+    if (update.incarnation != known.incarnation) {
+        return update.incarnation > known.incarnation;
+    }
+    return update.state > known.state;
+}
+
+} // namespace
+
+MemberList::MemberList(MemberUpdate self, Millis now) : self_(std::move(self))
+{
+    records_[self_.id] = MemberRecord{ self_, now, now };
+}
+
+const MemberUpdate &MemberList::self() const
+{
+    return self_;
+}
+
+const std::map<std::string, MemberRecord> &MemberList::records() const
+{
+    return records_;
+}
+
+const MemberRecord *MemberList::find(const std::string &id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+UpdateEffect MemberList::apply(const MemberUpdate &update, Millis now)
+{
+    if (update.id == self_.id) {
+        const bool aboutUsNow = update.incarnation == self_.incarnation && update.state <= self_.state;
+        if (update.incarnation < self_.incarnation || aboutUsNow) {
+            return UpdateEffect::Nothing;
+        }
+        // Either somebody suspects us, or a former process with this name is remembered: both are outdone, and a
+        // daemon that leaves goes on leaving.
+        self_.incarnation = update.incarnation + 1;
+        records_[self_.id] = MemberRecord{ self_, now, now };
+        return UpdateEffect::RefutesUs;
+    }
+    const auto found = records_.find(update.id);
+    if (found == records_.end()) {
+        if (records_.size() >= largestList) {
+            return UpdateEffect::Nothing;
+        }
+        records_[update.id] = MemberRecord{ update, now, Millis{ 0 } };
+        return UpdateEffect::Changed;
+    }
+    if (!supersedes(update, found->second.update)) {
+        return UpdateEffect::Nothing;
+    }
+    found->second.update = update;
+    found->second.since = now;
+    return UpdateEffect::Changed;
+}
+
+void MemberList::heardFrom(const std::string &id, Millis now)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end()) {
+        found->second.heardAt = now;
+    }
+}
+
+bool MemberList::suspect(const std::string &id, Millis now)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end() || id == self_.id) {
+        return false;
+    }
+    MemberState &state = found->second.update.state;
+    if (state == MemberState::Alive) {
+        state = MemberState::Suspect;
+    } else if (state == MemberState::Leaving) {
+        // Whoever said that it leaves and then falls silent has left.
+        state = MemberState::Dead;
+    } else {
+        return false;
+    }
+    found->second.since = now;
+    return true;
+}
+
+std::vector<MemberUpdate> MemberList::expireSuspects(Millis timeout, Millis now)
+{
+    std::vector<MemberUpdate> died;
+    for (auto &[id, record] : records_) {
+        if (record.update.state == MemberState::Suspect && now >= record.since + timeout) {
+            record.update.state = MemberState::Dead;
+            record.since = now;
+            died.push_back(record.update);
+        }
+    }
+    return died;
+}
+
+void MemberList::leave()
+{
+    self_.state = MemberState::Leaving;
+    records_[self_.id].update = self_;
+}
+
+void MemberList::forgetDead(Millis after, Millis now)
+{
+    std::erase_if(records_, [&](const auto &entry) {
+        return entry.second.update.state == MemberState::Dead && now >= entry.second.since + after;
+    });
+}
+
+std::vector<std::string> MemberList::probed(const std::string &dataCentre) const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, record] : records_) {
+        const bool here = dataCentre.empty() || record.update.dataCentre == dataCentre;
+        if (id != self_.id && here && record.update.state != MemberState::Dead) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/tests/introspective/decision_tests.cpp
@@ -0,0 +1,301 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// The decision as a pure function.
+
+#include "portpaddle/base/system_clock.h"
+#include "portpaddle/routing/decision.h"
+#include "portpaddle/routing/rendezvous.h"
+#include "support/settings_text.h"
+
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace Portpaddle;
+
+namespace {
+
+const std::string settingsText = R"({
+  "/": {},
+  "/regions/north": {"link_ms": {"south": 30, "west": 60}},
+  "/regions/north/data_centres/n1": {},
+  "/regions/south": {}, "/regions/south/data_centres/s1": {},
+  "/regions/west": {}, "/regions/west/data_centres/w1": {},
+  "/services/m": {"kind": "model"},
+  "/services/later": {"kind": "model", "class": "deferrable"},
+  "/organisations/free": {},
+  "/organisations/home": {"residency": ["north"]},
+  "/organisations/abroad": {"residency": ["south"]},
+  "/organisations/pinned": {"version": "2"},
+  "/organisations/short": {"hop_limit": 0}
+})";
+
+class DecisionFixture
+{
+public:
+    DecisionFixture()
+    {
+        snapshot->settings = compiledFrom(settingsText);
+        facts.requestId = "r";
+        facts.organisation = "free";
+        facts.service = "m";
+        facts.promptTokens = 20;
+        facts.arrivedAt = facts.deadline = now;
+        facts.deadline += Millis{ 60'000 };
+        snapshot->allDaemons = 1;
+    }
+
+    UpstreamView &addEngine(const std::string &id, unsigned running, const std::string &version = "1")
+    {
+        UpstreamView view;
+        view.id = id;
+        view.idHash = stableHash(id);
+        view.slots = 8;
+        view.load.running = running;
+        view.observedAt = now;
+        const auto index = static_cast<std::uint32_t>(snapshot->upstreams.size());
+        for (const char *service : { "m", "later" }) {
+            snapshot->routes[service].local.push_back(ServiceCandidate{ index, version });
+        }
+        snapshot->upstreams.push_back(view);
+        return snapshot->upstreams.back();
+    }
+
+    RemoteView &addRemote(const std::string &dataCentre, const std::string &region, unsigned capacity, unsigned busy)
+    {
+        std::vector<RemoteView> &remotes = snapshot->routes["m"].remote;
+        RemoteView view;
+        view.dataCentre = dataCentre;
+        view.region = region;
+        view.capacity = capacity;
+        view.busy = busy;
+        view.versions = { "1" };
+        view.observedAt = now;
+        view.reachable = true;
+        view.slot = static_cast<std::uint32_t>(remotes.size());
+        remotes.push_back(view);
+        return remotes.back();
+    }
+
+    Decision run(std::vector<std::uint32_t> ownLocal = {}, std::vector<std::uint32_t> ownRemote = {})
+    {
+        return decide(snapshot, facts, OwnDispatches{ ownLocal, ownRemote }, now, random);
+    }
+
+    LossReason reasonOf(const Decision &decision, std::uint32_t index, bool remote)
+    {
+        const auto found
+            = std::find_if(decision.candidates.begin(), decision.candidates.end(),
+                           [&](const CandidateOutcome &outcome) { return outcome.index == index && outcome.remote == remote; });
+        REQUIRE(found != decision.candidates.end());
+        return found->reason;
+    }
+
+    Millis now{ 1'000'000 };
+    SeededRandom random{ 7 };
+    std::shared_ptr<RoutingSnapshot> snapshot = std::make_shared<RoutingSnapshot>();
+    RequestFacts facts;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, one engine busy and one free, serves on the free one")
+{
+    addEngine("e1", 8);
+    addEngine("e2", 0);
+    const Decision decision = run();
+    CHECK(decision.verdict == Verdict::Serve);
+    CHECK(decision.target == 1);
+    CHECK(decision.candidates.size() == 2);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, leaving engine, gets nothing by any of the signals")
+{
+    for (const LeavingSignal signal : { LeavingSignal::Settings, LeavingSignal::OwnReport, LeavingSignal::VmList }) {
+        snapshot->upstreams.clear();
+        snapshot->routes.clear();
+        addEngine("e1", 0).leaving = signal;
+        addEngine("e2", 7);
+        const Decision decision = run();
+        CHECK(decision.target == 1);
+        CHECK(reasonOf(decision, 0, false) == LossReason::Leaving);
+    }
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, ejected or tried engine or wrong version, is left out with the reason")
+{
+    addEngine("e1", 0).healthy = false;
+    addEngine("e2", 0);
+    addEngine("e3", 0, "2");
+    facts.tried = { "e2" };
+    const Decision decision = run();
+    CHECK(decision.target == 2);
+    CHECK(reasonOf(decision, 0, false) == LossReason::Unhealthy);
+    CHECK(reasonOf(decision, 1, false) == LossReason::AlreadyTried);
+    facts.organisation = "pinned";
+    facts.tried.clear();
+    const Decision pinned = run();
+    CHECK(pinned.target == 2);
+    CHECK(reasonOf(pinned, 1, false) == LossReason::VersionAbsent);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, long shared prompt, goes to the same engine until that one is loaded")
+{
+    for (int index = 0; index < 6; ++index) {
+        addEngine("e" + std::to_string(index), 1);
+    }
+    facts.promptTokens = 8'000;
+    facts.prefixHash = stableHash("a shop's history");
+    const std::uint32_t home = run().target;
+    for (int repeat = 0; repeat < 20; ++repeat) {
+        CHECK(run().target == home);
+    }
+    snapshot->upstreams[home].load.running = 9;
+    CHECK(run().target != home);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, own requests since the report, count as load")
+{
+    addEngine("e1", 0);
+    addEngine("e2", 0);
+    CHECK(run({ 8, 0 }).target == 1);
+    CHECK(run({ 0, 8 }).target == 0);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, region forbidden for the request, refuses and chooses nothing")
+{
+    addEngine("e1", 0);
+    facts.organisation = "abroad";
+    const Decision decision = run();
+    CHECK(decision.verdict == Verdict::Refuse);
+    CHECK(decision.refusal == ErrorCode::ResidencyForbids);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, bound request with full engines, waits at home and is never sent away")
+{
+    addEngine("e1", 20);
+    addRemote("s1", "south", 100, 0);
+    facts.organisation = "home";
+    const Decision decision = run();
+    CHECK(decision.verdict != Verdict::Forward);
+    CHECK(reasonOf(decision, 0, true) == LossReason::ResidencyForbids);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, own engines full, sends away to the nearest region with room")
+{
+    addEngine("e1", 20);
+    addRemote("w1", "west", 100, 0);
+    addRemote("s1", "south", 100, 0);
+    const Decision decision = run();
+    CHECK(decision.verdict == Verdict::Forward);
+    CHECK(decision.target == 1);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, place passed before, is never chosen again")
+{
+    addEngine("e1", 20);
+    addRemote("s1", "south", 100, 0);
+    facts.visited = { "s1" };
+    const Decision decision = run();
+    CHECK(decision.verdict != Verdict::Forward);
+    CHECK(reasonOf(decision, 0, true) == LossReason::AlreadyVisited);
+    facts.visited.clear();
+    facts.organisation = "short";
+    CHECK(reasonOf(run(), 0, true) == LossReason::HopLimit);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, free engine at home, is preferred over an emptier region")
+{
+    addEngine("e1", 3);
+    addRemote("s1", "south", 100, 0);
+    const Decision decision = run();
+    CHECK(decision.verdict == Verdict::Serve);
+    CHECK(reasonOf(decision, 0, true) == LossReason::MarginNotReached);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, many daemons with the same summary, together send about what is free")
+{
+    addEngine("e1", 20);
+    addRemote("s1", "south", 20, 10);
+    snapshot->allDaemons = 27;
+    unsigned sent = 0;
+    constexpr unsigned rounds = 40;
+    for (unsigned round = 0; round < rounds; ++round) {
+        for (unsigned daemon = 0; daemon < 27; ++daemon) {
+            sent += run().verdict == Verdict::Forward ? 1 : 0;
+        }
+    }
+    CHECK(sent <= 10 * rounds * 1.2);
+    CHECK(sent >= 10 * rounds * 0.8);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, stale or unreachable summary, is not acted on")
+{
+    addEngine("e1", 20);
+    addRemote("s1", "south", 100, 0).observedAt = now - Millis{ 60'000 };
+    addRemote("w1", "west", 100, 0).reachable = false;
+    const Decision decision = run();
+    CHECK(decision.verdict != Verdict::Forward);
+    CHECK(reasonOf(decision, 0, true) == LossReason::Stale);
+    CHECK(reasonOf(decision, 1, true) == LossReason::Unreachable);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, everything full, interactive is refused with a time and deferrable waits")
+{
+    addEngine("e1", 40);
+    const Decision refused = run();
+    CHECK(refused.verdict == Verdict::Refuse);
+    CHECK(refused.refusal == ErrorCode::Overloaded);
+    CHECK(refused.retryAfter.has_value());
+    facts.service = "later";
+    CHECK(run().verdict == Verdict::Wait);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, deferrable work, leaves room for interactive until it has aged")
+{
+    addEngine("e1", 7);
+    facts.service = "later";
+    CHECK(run().verdict == Verdict::Wait);
+    facts.arrivedAt = now - Millis{ 30'000 };
+    CHECK(run().verdict == Verdict::Serve);
+    facts.arrivedAt = now;
+    facts.service = "m";
+    CHECK(run().verdict == Verdict::Serve);
+}
+
+TEST_CASE_FIXTURE(DecisionFixture, "Decision, warming engine, gets a share of its slots")
+{
+    addEngine("e1", 1).admitted = 0.1;
+    addEngine("e2", 4);
+    CHECK(run().target == 1);
+}
+
+TEST_CASE("Rendezvous, member removed or weight changed, moves only keys of that member")
+{
+    std::vector<std::uint64_t> members;
+    for (int index = 0; index < 20; ++index) {
+        members.push_back(stableHash("engine-" + std::to_string(index)));
+    }
+    const auto winner = [](std::uint64_t key, const std::vector<std::uint64_t> &list, double firstWeight) {
+        std::size_t best = 0;
+        for (std::size_t index = 1; index < list.size(); ++index) {
+            const auto weight = [&](std::size_t at) { return at == 0 ? firstWeight : 1.0; };
+            if (rendezvousDraw(key, list[index], weight(index)) > rendezvousDraw(key, list[best], weight(best))) {
+                best = index;
+            }
+        }
+        return list[best];
+    };
+    const std::vector<std::uint64_t> fewer(members.begin(), members.end() - 1);
+    std::set<std::uint64_t> used;
+    for (std::uint64_t key = 0; key < 2'000; ++key) {
+        const std::uint64_t before = winner(key, members, 1);
+        used.insert(before);
+        CHECK((before == members.back() || winner(key, fewer, 1) == before));
+        const std::uint64_t heavier = winner(key, members, 2);
+        CHECK((heavier == before || heavier == members.front()));
+    }
+    CHECK(used.size() == members.size());
+}
--- /dev/null
+++ b/tests/introspective/membership_tests.cpp
@@ -0,0 +1,283 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Membership and gossip on a hand-moved clock, with cuts, pauses and replaced VMs.
+
+#include "support/gossip_network.h"
+
+#include <doctest/doctest.h>
+
+using namespace Portpaddle;
+
+namespace {
+
+MemberUpdate memberOf(const std::string &id, std::uint64_t incarnation, MemberState state)
+{
+    MemberUpdate update;
+    update.id = id;
+    update.dataCentre = "n1";
+    update.linkAddress = update.entryAddress = "127.0.0.1:1";
+    update.incarnation = incarnation;
+    update.state = state;
+    return update;
+}
+
+class GossipFixture
+{
+public:
+    GossipFixture()
+    {
+        for (const char *id : { "n-a", "n-b", "n-c" }) {
+            network.add(id, "n1");
+        }
+        for (const char *id : { "s-a", "s-b", "s-c" }) {
+            network.add(id, "s1");
+        }
+        REQUIRE(network.passUntil(Millis{ 30'000 }, [&] { return network.allSeeAllAlive(); }));
+    }
+
+    static bool across(const std::string &from, const std::string &to)
+    {
+        return from.front() != to.front();
+    }
+
+    GossipNetwork network;
+};
+
+} // namespace
+
+TEST_CASE("Member list, update about us that says we are suspected or dead, is refuted by a higher incarnation")
+{
+    MemberList list(memberOf("self", 5, MemberState::Alive), Millis{ 1 });
+    CHECK(list.apply(memberOf("self", 5, MemberState::Suspect), Millis{ 2 }) == UpdateEffect::RefutesUs);
+    CHECK(list.self().incarnation == 6);
+    CHECK(list.apply(memberOf("self", 5, MemberState::Dead), Millis{ 2 }) == UpdateEffect::Nothing);
+    CHECK(list.apply(memberOf("self", 9, MemberState::Alive), Millis{ 2 }) == UpdateEffect::RefutesUs);
+    CHECK(list.self().incarnation == 10);
+}
+
+TEST_CASE("Member list, leaving, is not undone by a late word that it is alive")
+{
+    MemberList list(memberOf("self", 1, MemberState::Alive), Millis{ 1 });
+    list.apply(memberOf("x", 3, MemberState::Leaving), Millis{ 1 });
+    list.apply(memberOf("x", 3, MemberState::Alive), Millis{ 2 });
+    list.apply(memberOf("x", 3, MemberState::Suspect), Millis{ 2 });
+    CHECK(list.find("x")->update.state == MemberState::Leaving);
+    list.apply(memberOf("x", 4, MemberState::Alive), Millis{ 3 });
+    CHECK(list.find("x")->update.state == MemberState::Alive);
+}
+
+TEST_CASE("Member list, one that leaves and is refuting, stays leaving")
+{
+    MemberList list(memberOf("self", 1, MemberState::Alive), Millis{ 1 });
+    list.leave();
+    list.apply(memberOf("self", 1, MemberState::Dead), Millis{ 2 });
+    CHECK(list.self().state == MemberState::Leaving);
+    CHECK(list.self().incarnation == 2);
+}
+
+TEST_CASE("Gossip message, wrong key or any flipped byte, is not accepted")
+{
+    GossipMessage message;
+    message.sender = "a";
+    message.members.push_back(memberOf("a", 1, MemberState::Alive));
+    const std::string bytes = encodeGossip(message, "cluster-key", Millis{ 10 });
+    CHECK(decodeGossip(bytes, "cluster-key", Millis{ 10 }).has_value());
+    CHECK(!decodeGossip(bytes, "other-key", Millis{ 10 }).has_value());
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        std::string flipped = bytes;
+        flipped[index] = static_cast<char>(flipped[index] ^ 1);
+        CHECK(!decodeGossip(flipped, "cluster-key", Millis{ 10 }).has_value());
+    }
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK(!decodeGossip(bytes.substr(0, length), "cluster-key", Millis{ 10 }).has_value());
+    }
+}
+
+TEST_CASE("Gossip message, report on its way, keeps its age whatever the clocks")
+{
+    GossipMessage message;
+    message.sender = "a";
+    message.upstreams.push_back(UpstreamDigest{ "e1", 4, Millis{ 1'000 }, 3, 2, 1, true, true });
+    const std::string bytes = encodeGossip(message, "k", Millis{ 1'250 });
+    const GossipMessage read = *decodeGossip(bytes, "k", Millis{ 900'000 });
+    REQUIRE(read.upstreams.size() == 1);
+    CHECK(read.upstreams[0].observedAt == Millis{ 899'750 });
+    CHECK(read.upstreams[0].leaving);
+    CHECK(read.upstreams[0].running == 3);
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, daemon that dies, is suspected within seconds and then dead everywhere")
+{
+    network.remove("n-b");
+    const Millis begin = network.now;
+    REQUIRE(network.passUntil(Millis{ 10'000 },
+                              [&] { return network.node("n-a").members().find("n-b")->update.state != MemberState::Alive; }));
+    CHECK(network.now - begin <= Millis{ 4'000 });
+    CHECK(network.passUntil(Millis{ 30'000 }, [&] { return network.allSee("n-b", MemberState::Dead); }));
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, paused process that goes on, refutes and is alive again everywhere")
+{
+    network.pause("n-b", true);
+    REQUIRE(network.passUntil(Millis{ 30'000 },
+                              [&] { return network.node("n-a").members().find("n-b")->update.state == MemberState::Dead; }));
+    network.pause("n-b", false);
+    CHECK(network.passUntil(Millis{ 60'000 }, [&] { return network.allSeeAllAlive(); }));
+    CHECK(network.node("n-b").members().self().incarnation > 1);
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, regions cut off, nobody is declared dead and both sides know of the cut")
+{
+    network.lost = across;
+    network.pass(Millis{ 120'000 });
+    CHECK(network.allSeeAllAlive());
+    CHECK(network.node("n-a").memberTable(network.now).cutOff);
+    for (const MemberView &member : network.node("n-a").memberTable(network.now).members) {
+        CHECK(member.suspected == (member.dataCentre == "s1"));
+    }
+    network.lost = [](const std::string &, const std::string &) { return false; };
+    CHECK(network.passUntil(Millis{ 10'000 }, [&] { return !network.node("n-a").memberTable(network.now).cutOff; }));
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, one-way cut between two daemons, third one vouches and nobody dies")
+{
+    network.lost = [](const std::string &from, const std::string &to) { return from == "n-a" && to == "n-b"; };
+    for (int second = 0; second < 120; ++second) {
+        network.pass(Millis{ 1'000 });
+        CHECK(network.node("n-c").members().find("n-b")->update.state != MemberState::Dead);
+        CHECK(network.node("n-c").members().find("n-a")->update.state != MemberState::Dead);
+    }
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, data centre cut in itself, views meet again when it heals")
+{
+    network.lost = [](const std::string &from, const std::string &to) { return (from == "n-c") != (to == "n-c"); };
+    network.pass(Millis{ 60'000 });
+    CHECK(network.node("n-a").members().find("n-c")->update.state == MemberState::Dead);
+    network.lost = [](const std::string &, const std::string &) { return false; };
+    CHECK(network.passUntil(Millis{ 120'000 }, [&] { return network.allSeeAllAlive(); }));
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, VM replaced at the same address under the same name, new one is believed")
+{
+    network.remove("n-b");
+    network.pass(Millis{ 2'000 });
+    network.add("n-b", "n1", 2);
+    CHECK(network.passUntil(Millis{ 60'000 }, [&] { return network.allSeeAllAlive(); }));
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, replaced VM whose clock went back, outdoes what is remembered of it")
+{
+    network.remove("n-b");
+    network.pass(Millis{ 30'000 });
+    network.add("n-b", "n1", 0);
+    CHECK(network.passUntil(Millis{ 60'000 }, [&] { return network.allSeeAllAlive(); }));
+    CHECK(network.node("n-b").members().self().incarnation >= 2);
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Membership, planned leaving, is known everywhere within three seconds and sticks")
+{
+    network.node("n-b").leave();
+    CHECK(network.passUntil(Millis{ 3'000 }, [&] { return network.allSee("n-b", MemberState::Leaving); }));
+    network.pass(Millis{ 30'000 });
+    CHECK(network.allSee("n-b", MemberState::Leaving));
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Gossip, upstream digest, reaches its own data centre and no other")
+{
+    UpstreamReport report;
+    report.upstream = "e1";
+    report.sequence = 1;
+    report.observedAt = network.now;
+    report.load.running = 5;
+    network.node("n-a").takeNews();
+    network.node("n-b").takeNews();
+    network.node("s-a").takeNews();
+    network.node("n-a").tellUpstream(report);
+    network.pass(Millis{ 5'000 });
+    CHECK(network.node("n-b").takeNews().upstreams.size() == 1);
+    for (const char *id : { "s-a", "s-b", "s-c" }) {
+        CHECK(network.node(id).takeNews().upstreams.empty());
+    }
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Gossip, summary of a data centre, reaches all others and older ones do not replace it")
+{
+    SummaryEntry entry;
+    entry.dataCentre = "n1";
+    entry.service = "m";
+    entry.capacity = 40;
+    for (int round = 1; round <= 5; ++round) {
+        entry.busy = static_cast<unsigned>(round);
+        for (const char *id : { "n-a", "n-b", "n-c" }) {
+            network.node(id).tellSummaries({ entry }, network.now);
+        }
+        network.pass(Millis{ 1'000 });
+    }
+    network.pass(Millis{ 3'000 });
+    for (auto &[id, node] : network.nodes()) {
+        const SummaryTable table = node->summaryTable();
+        REQUIRE(table.entries.size() == 1);
+        CHECK(table.entries[0].busy == 5);
+    }
+}
+
+TEST_CASE_FIXTURE(GossipFixture, "Gossip, newer settings at a peer, are heard of by everyone")
+{
+    network.node("s-c").setSettingsVersion(9);
+    for (const char *id : { "n-a", "n-b", "n-c", "s-a", "s-b" }) {
+        CHECK(network.passUntil(Millis{ 30'000 }, [&] { return network.node(id).takeNews().settingsVersion == 9; }));
+        network.node(id).setSettingsVersion(9);
+    }
+}
+
+TEST_CASE("Gossip, ninety daemons, keep to the budget of bytes and to the size of a datagram")
+{
+    GossipNetwork network;
+    constexpr int daemons = 90;
+    for (int index = 0; index < daemons; ++index) {
+        network.add("daemon-" + std::to_string(index), "n1");
+    }
+    network.pass(Millis{ 30'000 });
+    network.bytes = 0;
+    std::uint64_t sequence = 0;
+    for (int second = 0; second < 20; ++second) {
+        ++sequence;
+        for (int engine = 0; engine < 230; ++engine) {
+            UpstreamReport report;
+            report.upstream = "engine-" + std::to_string(engine);
+            report.sequence = sequence;
+            report.observedAt = network.now;
+            network.node("daemon-" + std::to_string(engine % daemons)).tellUpstream(report);
+        }
+        network.pass(Millis{ 1'000 });
+    }
+    CHECK(network.bytes / daemons / 20 <= 3'000);
+    CHECK(network.largest <= largestDatagram);
+}
+
+TEST_CASE("Gossip, several seeds of randomness and random cuts, always ends in agreement")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        GossipNetwork network(seed);
+        SeededRandom chaos(seed * 31);
+        for (int index = 0; index < 6; ++index) {
+            network.add("d" + std::to_string(index), index < 4 ? "n1" : "s1");
+        }
+        network.pass(Millis{ 10'000 });
+        for (int round = 0; round < 10; ++round) {
+            const std::uint64_t cut = chaos.next();
+            network.lost = [cut](const std::string &from, const std::string &to) {
+                return ((cut >> ((from.back() - '0') * 6 + (to.back() - '0'))) & 1) != 0;
+            };
+            const std::string victim = "d" + std::to_string(chaos.below(6));
+            network.pause(victim, true);
+            network.pass(Millis{ static_cast<std::int64_t>(chaos.below(15'000)) });
+            network.pause(victim, false);
+        }
+        network.lost = [](const std::string &, const std::string &) { return false; };
+        CHECK(network.passUntil(Millis{ 300'000 }, [&] { return network.allSeeAllAlive(); }));
+    }
+}
--- /dev/null
+++ b/tests/support/eventually.h
@@ -0,0 +1,27 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Waiting for what must happen in the end. The bound only turns a hang into a failure; no verdict depends on speed.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <thread>
+
+namespace Portpaddle {
+
+inline bool eventually(const std::function<bool()> &condition)
+{
+    constexpr std::chrono::seconds hangBound{ 60 };
+    constexpr std::chrono::milliseconds pause{ 5 };
+    const auto end = std::chrono::steady_clock::now() + hangBound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return true;
+}
+
+} // namespace Portpaddle
