--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<CommandDescription, 14> catalogue{ {
+constexpr std::array<CommandDescription, 15> catalogue{ {
     { "status", "what the daemon is, its settings version, and whether it sees the platform and the others" },
     { "members", "all daemons known, and their states" },
     { "engines", "upstreams of the data centre with load and health, and what other data centres offer" },
@@ -30,6 +30,7 @@
     { "settings set PATH KEY VALUE", "propose one change; VALUE is JSON, null removes the key" },
     { "settings history", "accepted changes, oldest first" },
     { "settings revert VERSION", "a new version that restores the values of an old one" },
+    { "orders", "orders that this daemon gave to engines while it held the lease, newest first" },
     { "drain", "the daemon takes no new work and finishes what it has" },
     { "audit", "what operators did besides settings, newest first" },
 } };
@@ -350,6 +351,12 @@
                               { "version", "author", "reason", "patch" });
           } },
         { { "settings", "revert" }, 1, revert },
+        { { "orders" },
+          0,
+          [](const CommandLine &line, const AdminClient &client) {
+              return showList(line, client.get("/admin/orders"), "orders",
+                              { "time_ms", "upstream", "order", "subject", "fence", "outcome" });
+          } },
         { { "drain" }, 0, drain },
         { { "audit" },
           0,
--- a/src/portpaddle/control/membership_controller.cpp
+++ b/src/portpaddle/control/membership_controller.cpp
@@ -200,11 +200,66 @@
     parts_.board.limiter.update(node_->othersDemand(now), std::max(1U, table.counted), table.cutOff, now);
 }
 
-void MembershipController::publish(const GossipNews &news, Millis now)
+void MembershipController::takeDigests(const std::vector<UpstreamDigest> &digests)
+{
+    if (digests.empty()) {
+        return;
+    }
+    const std::shared_ptr<const RoutingSnapshot> snapshot = parts_.board.routing.read();
+    std::unordered_map<std::uint32_t, const std::string *> names;
+    for (const UpstreamView &view : snapshot->upstreams) {
+        names[shortKey(view.id)] = &view.id;
+    }
+    for (const UpstreamDigest &digest : digests) {
+        const auto name = names.find(digest.key);
+        // An upstream that the settings in force here do not know yet will be told of again.
+        if (name != names.end()) {
+            parts_.board.upstreams.takeReport(
+                UpstreamReport{ *name->second, digest.sequence, digest.observedAt,
+                                UpstreamLoad{ digest.running, digest.queuedInteractive, digest.queuedDeferrable }, digest.leaving,
+                                digest.reachable });
+        }
+    }
+}
+
+std::shared_ptr<SummaryTable>
+MembershipController::namedSummaries(const std::map<std::string, DataCentreSummary> &summaries) const
 {
-    for (const UpstreamReport &report : news.upstreams) {
-        parts_.board.upstreams.takeReport(report);
+    const std::shared_ptr<const CompiledSettings> settings = parts_.board.settings.read();
+    std::unordered_map<std::uint32_t, std::string> names;
+    for (const ServiceSettings &service : settings->services()) {
+        names[shortKey(service.name)] = service.name;
     }
+    std::unordered_map<std::uint32_t, std::string> versions;
+    for (const UpstreamSettings &upstream : settings->upstreams()) {
+        for (const OfferedService &service : upstream.services) {
+            versions[shortKey(service.version)] = service.version;
+        }
+    }
+    auto table = std::make_shared<SummaryTable>();
+    for (const auto &[dataCentre, summary] : summaries) {
+        for (const ServiceFigures &figures : summary.services) {
+            const auto name = names.find(figures.key);
+            if (name == names.end()) {
+                continue;
+            }
+            SummaryEntry entry{ dataCentre,     name->second, summary.sequence,  figures.capacity, figures.busy,
+                                figures.queued, {},           summary.observedAt };
+            for (const std::uint32_t version : { figures.version, figures.otherVersion }) {
+                const auto known = versions.find(version);
+                if (known != versions.end()) {
+                    entry.versions.push_back(known->second);
+                }
+            }
+            table->entries.push_back(std::move(entry));
+        }
+    }
+    return table;
+}
+
+void MembershipController::publish(const GossipNews &news, Millis now)
+{
+    takeDigests(news.upstreams);
     if (news.settingsVersion > 0) {
         parts_.onNewerSettings(news.settingsHolder, news.settingsVersion);
     }
@@ -213,7 +268,7 @@
     {
         const std::lock_guard lock(mutex_);
         table = std::make_shared<MemberTable>(node_->memberTable(now));
-        summaries = news.summariesChanged ? std::make_shared<SummaryTable>(node_->summaryTable()) : nullptr;
+        summaries = news.summariesChanged ? namedSummaries(node_->summaries()) : nullptr;
     }
     const std::shared_ptr<const MemberTable> before = parts_.board.members.read();
     const bool reachabilityChanged = table->cutOff != before->cutOff;
--- a/src/portpaddle/control/membership_controller.h
+++ b/src/portpaddle/control/membership_controller.h
@@ -57,6 +57,8 @@
     void receiveAll();
     void send(const std::vector<Datagram> &datagrams);
     void tellPeriodically(Millis now);
+    std::shared_ptr<SummaryTable> namedSummaries(const std::map<std::string, DataCentreSummary> &summaries) const;
+    void takeDigests(const std::vector<UpstreamDigest> &digests);
     void publish(const GossipNews &news, Millis now);
 
     MembershipParts parts_;
--- a/src/portpaddle/control/observer_controller.cpp
+++ b/src/portpaddle/control/observer_controller.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Millis pollTimeout{ 500 };
+/// However many upstreams a daemon observes, it polls no more often than this.
+constexpr Millis paceOfPolls{ 400 };
 constexpr unsigned largestCount = 65'535;
 
 unsigned countIn(const nlohmann::json &json, const char *name)
@@ -82,17 +84,18 @@
 void ObserverController::run()
 {
     while (true) {
-        observeAll();
+        const std::size_t observed = observeAll();
         std::unique_lock lock(mutex_);
-        wake_.wait_for(lock, parts_.interval, [this] { return stopping_; });
+        wake_.wait_for(lock, std::max(parts_.interval, paceOfPolls * static_cast<int>(observed)), [this] { return stopping_; });
         if (stopping_) {
             return;
         }
     }
 }
 
-void ObserverController::observeAll()
+std::size_t ObserverController::observeAll()
 {
+    std::size_t observed = 0;
     const std::shared_ptr<const CompiledSettings> settings = parts_.board.settings.read();
     for (const UpstreamSettings &upstream : settings->upstreams()) {
         if (upstream.dataCentre != settings->place().dataCentre || !parts_.observes(upstream.id)) {
@@ -104,8 +107,10 @@
         const UpstreamReport report = fetchLoad(upstream.id, upstream.address, last, parts_.clock);
         parts_.board.upstreams.takeReport(report);
         parts_.tell(report);
+        ++observed;
     }
     parts_.onChanged();
+    return observed;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/control/observer_controller.h
+++ b/src/portpaddle/control/observer_controller.h
@@ -42,7 +42,7 @@
 
 private:
     void run();
-    void observeAll();
+    std::size_t observeAll();
 
     ObserverParts parts_;
     std::mutex mutex_;
--- a/src/portpaddle/daemon/admin_server.cpp
+++ b/src/portpaddle/daemon/admin_server.cpp
@@ -126,6 +126,7 @@
     routes.Get("/admin/history", bind(&AdminServer::history));
     routes.Get("/admin/audit", bind(&AdminServer::audit));
     routes.Get("/admin/explain", bind(&AdminServer::explainRequest));
+    routes.Get("/admin/orders", bind(&AdminServer::orders));
     routes.Post("/admin/drain", bind(&AdminServer::drain));
     routes.Get("/metrics", bind(&AdminServer::metrics));
 }
@@ -322,6 +323,20 @@
     response.set_content(*text, "application/json");
 }
 
+void AdminServer::orders(const httplib::Request &, httplib::Response &response)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const OrderRecord &record : daemon_.orders().recent()) {
+        list.push_back({ { "time_ms", record.wallMs },
+                         { "upstream", record.order.upstream },
+                         { "order", nameOf(record.order.kind) },
+                         { "subject", record.order.subject },
+                         { "fence", record.order.fence },
+                         { "outcome", record.outcome } });
+    }
+    answer(response, { { "holder", daemon_.orders().holdsLease() }, { "orders", list } });
+}
+
 void AdminServer::drain(const httplib::Request &request, httplib::Response &response)
 {
     const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
--- a/src/portpaddle/daemon/admin_server.h
+++ b/src/portpaddle/daemon/admin_server.h
@@ -34,6 +34,7 @@
     void history(const httplib::Request &request, httplib::Response &response);
     void audit(const httplib::Request &request, httplib::Response &response);
     void explainRequest(const httplib::Request &request, httplib::Response &response);
+    void orders(const httplib::Request &request, httplib::Response &response);
     void drain(const httplib::Request &request, httplib::Response &response);
     void metrics(const httplib::Request &request, httplib::Response &response);
 
--- a/src/portpaddle/daemon/daemon.cpp
+++ b/src/portpaddle/daemon/daemon.cpp
@@ -49,6 +49,8 @@
                                    snapshots_.rebuild();
                                    dispatcher_.wakeWaiting();
                                } })
+    , orders_(OrderParts{ board_, clock, platform_, orderSender_, config_.place.dataCentre, config_.id,
+                          [this] { return !board_.draining && membership_.speaksFor("orders", platformReaders); } })
     , linkServer_(LinkServerParts{
           PeerIdentity{ config_.id, config_.place.dataCentre }, config_.clusterKey, board_, clock, metrics_, dispatcher_,
           [this](const PeerIdentity &peer, const std::string &kind, const std::string &argument) {
@@ -199,6 +201,11 @@
     return SettingsLog(platform_, clock_);
 }
 
+const OrderController &Daemon::orders() const
+{
+    return orders_;
+}
+
 std::size_t Daemon::requestsInProgress() const
 {
     return entry_.requestsInProgress();
@@ -259,6 +266,7 @@
             auditAt = now;
             audit_.flush();
         }
+        orders_.step();
         // Ejections end and warming goes on by time alone.
         snapshots_.rebuild();
         std::unique_lock lock(houseMutex_);
--- a/src/portpaddle/daemon/daemon.h
+++ b/src/portpaddle/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "portpaddle/control/audit_trail.h"
 #include "portpaddle/control/membership_controller.h"
 #include "portpaddle/control/observer_controller.h"
+#include "portpaddle/control/order_controller.h"
 #include "portpaddle/control/settings_controller.h"
 #include "portpaddle/daemon/daemon_config.h"
 #include "portpaddle/dispatch/dispatcher.h"
@@ -57,6 +58,7 @@
     std::optional<std::string> explainAnywhere(const std::string &requestId);
     Result<SettingsChange> proposeSettings(const ChangeProposal &proposal);
     AuditTrail &audit();
+    const OrderController &orders() const;
     SettingsLog settingsLog();
     std::size_t requestsInProgress() const;
 
@@ -84,6 +86,8 @@
     MembershipController membership_;
     SettingsController settings_;
     ObserverController observer_;
+    HttpOrderSender orderSender_;
+    OrderController orders_;
     LinkServer linkServer_;
     EntryServer entry_;
     std::unique_ptr<AdminServer> admin_;
--- a/src/portpaddle/membership/gossip_items.cpp
+++ b/src/portpaddle/membership/gossip_items.cpp
@@ -12,8 +12,9 @@
 
 /// Measured sizes of the encoded tables without their texts; each text costs its length, a length word and padding.
 constexpr std::size_t memberBytes = 60;
-constexpr std::size_t digestBytes = 56;
-constexpr std::size_t summaryBytes = 64;
+constexpr std::size_t digestBytes = 24;
+constexpr std::size_t summaryBytes = 48;
+constexpr std::size_t figuresBytes = 20;
 constexpr std::size_t demandBytes = 40;
 constexpr std::size_t textOverhead = 8;
 constexpr std::size_t messageBytes = 110;
@@ -25,18 +26,14 @@
         + 6 * textOverhead;
 }
 
-std::size_t sizeOf(const UpstreamDigest &digest)
+std::size_t sizeOf(const UpstreamDigest &)
 {
-    return digestBytes + digest.upstream.size() + textOverhead;
+    return digestBytes;
 }
 
-std::size_t sizeOf(const ServiceSummary &summary)
+std::size_t sizeOf(const DataCentreSummary &summary)
 {
-    std::size_t size = summaryBytes + summary.dataCentre.size() + summary.service.size() + 2 * textOverhead;
-    for (const std::string &version : summary.versions) {
-        size += version.size() + textOverhead + sizeof(std::uint32_t);
-    }
-    return size;
+    return summaryBytes + summary.dataCentre.size() + textOverhead + summary.services.size() * figuresBytes;
 }
 
 std::size_t sizeOf(const DemandReport &demand)
@@ -51,12 +48,12 @@
 
 std::string subjectOf(const UpstreamDigest &digest)
 {
-    return "u/" + digest.upstream;
+    return "u/" + std::to_string(digest.key);
 }
 
-std::string subjectOf(const ServiceSummary &summary)
+std::string subjectOf(const DataCentreSummary &summary)
 {
-    return "s/" + summary.dataCentre + '/' + summary.service;
+    return "s/" + summary.dataCentre;
 }
 
 std::string subjectOf(const DemandReport &demand)
@@ -72,6 +69,11 @@
     return ofOneDaemon || std::holds_alternative<UpstreamDigest>(payload);
 }
 
+bool isAboutMember(const GossipItems::Payload &payload)
+{
+    return std::holds_alternative<MemberUpdate>(payload);
+}
+
 struct AddToMessage
 {
     GossipMessage &message;
@@ -84,7 +86,7 @@
     {
         message.upstreams.push_back(digest);
     }
-    void operator()(const ServiceSummary &summary) const
+    void operator()(const DataCentreSummary &summary) const
     {
         message.summaries.push_back(summary);
     }
@@ -99,10 +101,13 @@
 void GossipItems::add(const Payload &payload, unsigned times)
 {
     const std::string subject = std::visit([](const auto &value) { return subjectOf(value); }, payload);
-    items_[subject] = Item{ payload, times, 0 };
+    // An item that is replaced keeps its turn: what is renewed often must not push itself before the rest.
+    const auto [position, isNew] = items_.try_emplace(subject);
+    const std::uint64_t order = isNew ? ++added_ : position->second.order;
+    position->second = Item{ payload, times, 0, order };
 }
 
-void GossipItems::fill(GossipMessage &message, std::size_t byteLimit, bool sameDataCentre)
+void GossipItems::fill(GossipMessage &message, const FillLimits &limits, bool sameDataCentre)
 {
     std::vector<std::map<std::string, Item>::iterator> candidates;
     for (auto item = items_.begin(); item != items_.end(); ++item) {
@@ -112,15 +117,19 @@
     }
     // News of members goes first: it is rare, and everything else depends on it.
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
-        const bool leftIsMember = left->second.payload.index() == 0;
-        const bool rightIsMember = right->second.payload.index() == 0;
-        return leftIsMember != rightIsMember ? leftIsMember : left->second.told < right->second.told;
+        const bool leftIsMember = isAboutMember(left->second.payload);
+        const bool rightIsMember = isAboutMember(right->second.payload);
+        if (leftIsMember != rightIsMember) {
+            return leftIsMember;
+        }
+        return left->second.told != right->second.told ? left->second.told < right->second.told
+                                                       : left->second.order < right->second.order;
     });
     std::size_t used = emptyMessageSize(message);
     for (const auto &candidate : candidates) {
         Item &item = candidate->second;
         const std::size_t size = std::visit([](const auto &value) { return sizeOf(value); }, item.payload);
-        if (used + size > byteLimit) {
+        if (used + size > (isAboutMember(item.payload) ? limits.members : limits.others)) {
             continue;
         }
         used += size;
@@ -132,6 +141,11 @@
     }
 }
 
+bool GossipItems::hasMemberNews() const
+{
+    return std::any_of(items_.begin(), items_.end(), [](const auto &entry) { return isAboutMember(entry.second.payload); });
+}
+
 std::size_t GossipItems::size() const
 {
     return items_.size();
--- a/src/portpaddle/membership/gossip_message.cpp
+++ b/src/portpaddle/membership/gossip_message.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/digest.h"
 #include "portpaddle/base/name_table.h"
+#include "portpaddle/routing/rendezvous.h"
 #include "portpaddle/wire/peer_generated.h"
 
 #include <algorithm>
@@ -50,31 +51,23 @@
     return wire;
 }
 
-std::unique_ptr<Wire::UpstreamDigestT> toWire(const UpstreamDigest &digest, Millis now)
+Wire::UpstreamDigest toWire(const UpstreamDigest &digest, Millis now)
 {
-    auto wire = std::make_unique<Wire::UpstreamDigestT>();
-    wire->upstream = digest.upstream;
-    wire->sequence = digest.sequence;
-    wire->age_ms = ageOf(digest.observedAt, now);
-    wire->running = clampTo<std::uint16_t>(digest.running);
-    wire->queued_interactive = clampTo<std::uint16_t>(digest.queuedInteractive);
-    wire->queued_deferrable = clampTo<std::uint16_t>(digest.queuedDeferrable);
-    wire->leaving = digest.leaving;
-    wire->reachable = digest.reachable;
-    return wire;
+    return Wire::UpstreamDigest(digest.sequence, digest.key, ageOf(digest.observedAt, now),
+                                clampTo<std::uint16_t>(digest.running), clampTo<std::uint16_t>(digest.queuedInteractive),
+                                clampTo<std::uint16_t>(digest.queuedDeferrable), digest.leaving, digest.reachable);
 }
 
-std::unique_ptr<Wire::ServiceSummaryT> toWire(const ServiceSummary &summary, Millis now)
+std::unique_ptr<Wire::DataCentreSummaryT> toWire(const DataCentreSummary &summary, Millis now)
 {
-    auto wire = std::make_unique<Wire::ServiceSummaryT>();
+    auto wire = std::make_unique<Wire::DataCentreSummaryT>();
     wire->data_centre = summary.dataCentre;
-    wire->service = summary.service;
     wire->sequence = summary.sequence;
     wire->age_ms = ageOf(summary.observedAt, now);
-    wire->capacity = summary.capacity;
-    wire->busy = summary.busy;
-    wire->queued = summary.queued;
-    wire->versions = summary.versions;
+    for (const ServiceFigures &figures : summary.services) {
+        wire->services.emplace_back(figures.key, figures.version, figures.otherVersion, clampTo<std::uint16_t>(figures.capacity),
+                                    clampTo<std::uint16_t>(figures.busy), clampTo<std::uint16_t>(figures.queued));
+    }
     return wire;
 }
 
@@ -126,15 +119,18 @@
             message.members.push_back(std::move(*update));
         }
     }
-    for (const auto &digest : wire.upstreams) {
-        message.upstreams.push_back(UpstreamDigest{ digest->upstream, digest->sequence, now - Millis{ digest->age_ms },
-                                                    digest->running, digest->queued_interactive, digest->queued_deferrable,
-                                                    digest->leaving, digest->reachable });
+    for (const Wire::UpstreamDigest &digest : wire.upstreams) {
+        message.upstreams.push_back(UpstreamDigest{ digest.key(), digest.sequence(), now - Millis{ digest.age_ms() },
+                                                    digest.running(), digest.queued_interactive(), digest.queued_deferrable(),
+                                                    digest.leaving(), digest.reachable() });
     }
     for (const auto &summary : wire.summaries) {
-        message.summaries.push_back(ServiceSummary{ summary->data_centre, summary->service, summary->sequence,
-                                                    now - Millis{ summary->age_ms }, summary->capacity, summary->busy,
-                                                    summary->queued, summary->versions });
+        DataCentreSummary read{ summary->data_centre, summary->sequence, now - Millis{ summary->age_ms }, {} };
+        for (const Wire::ServiceFigures &figures : summary->services) {
+            read.services.push_back(ServiceFigures{ figures.key(), figures.version(), figures.other_version(), figures.capacity(),
+                                                    figures.busy(), figures.queued() });
+        }
+        message.summaries.push_back(std::move(read));
     }
     for (const auto &demand : wire.demands) {
         message.demands.push_back(
@@ -145,6 +141,11 @@
 
 } // namespace
 
+std::uint32_t shortKey(std::string_view name)
+{
+    return std::max(1U, static_cast<std::uint32_t>(stableHash(name)));
+}
+
 std::string_view nameOf(MemberState state)
 {
     return memberStateNames[state];
@@ -165,7 +166,7 @@
     for (const UpstreamDigest &digest : message.upstreams) {
         wire.upstreams.push_back(toWire(digest, now));
     }
-    for (const ServiceSummary &summary : message.summaries) {
+    for (const DataCentreSummary &summary : message.summaries) {
         wire.summaries.push_back(toWire(summary, now));
     }
     for (const DemandReport &demand : message.demands) {
--- a/src/portpaddle/membership/gossip_message.h
+++ b/src/portpaddle/membership/gossip_message.h
@@ -35,7 +35,8 @@
 /// The load of an upstream, told within its data centre.
 struct UpstreamDigest
 {
-    std::string upstream;
+    /// Hash of the upstream's name, by shortKey().
+    std::uint32_t key = 0;
     std::uint64_t sequence = 0;
     Millis observedAt{ 0 };
     unsigned running = 0;
@@ -45,17 +46,28 @@
     bool reachable = true;
 };
 
-/// What a data centre offers for a service, told everywhere.
-struct ServiceSummary
+/// The short name of an upstream, a service or a version in gossip; never zero.
+std::uint32_t shortKey(std::string_view name);
+
+/// What a data centre offers for one service.
+struct ServiceFigures
 {
-    std::string dataCentre;
-    std::string service;
-    std::uint64_t sequence = 0;
-    Millis observedAt{ 0 };
+    std::uint32_t key = 0;
+    /// The versions offered, at most two; zero stands for none.
+    std::uint32_t version = 0;
+    std::uint32_t otherVersion = 0;
     unsigned capacity = 0;
     unsigned busy = 0;
     unsigned queued = 0;
-    std::vector<std::string> versions;
+};
+
+/// What a data centre offers, told everywhere.
+struct DataCentreSummary
+{
+    std::string dataCentre;
+    std::uint64_t sequence = 0;
+    Millis observedAt{ 0 };
+    std::vector<ServiceFigures> services;
 };
 
 /// How much an organisation asks: of one daemon, told within its data centre, or of a whole data centre, told everywhere.
@@ -81,7 +93,7 @@
     std::uint64_t settingsVersion = 0;
     std::vector<MemberUpdate> members;
     std::vector<UpstreamDigest> upstreams;
-    std::vector<ServiceSummary> summaries;
+    std::vector<DataCentreSummary> summaries;
     std::vector<DemandReport> demands;
 };
 
--- a/src/portpaddle/membership/gossip_node.cpp
+++ b/src/portpaddle/membership/gossip_node.cpp
@@ -19,8 +19,8 @@
 /// Leaves room for one more member, whose names may be long.
 constexpr std::size_t introductionLimit = 900;
 constexpr unsigned indirectProbes = 2;
-/// Records of members that each probe repeats.
-constexpr unsigned repeatedRecords = 2;
+/// Records of members that each probe repeats; more would crowd out figures.
+constexpr unsigned repeatedRecords = 1;
 /// One probe in so many goes to a member that is believed dead: it may have come back.
 constexpr unsigned deadProbeInterval = 5;
 constexpr std::size_t largestRelayTable = 256;
@@ -29,15 +29,12 @@
 /// Demand that was not confirmed for this long while its source can be heard is over.
 constexpr Millis demandMemory{ 30'000 };
 constexpr double budgetBurstSeconds = 1;
+/// Daemons that tell the summary of their data centre: a second one, should the first be gone unnoticed.
+constexpr unsigned summarySpeakers = 2;
 /// What a datagram may cost; a push waits until the budget has it.
 constexpr double pushCost = 600;
 constexpr std::string_view dataCentrePrefix = "dc:";
 
-std::string summaryKey(const ServiceSummary &summary)
-{
-    return summary.dataCentre + '/' + summary.service;
-}
-
 std::string demandKey(const DemandReport &report)
 {
     return report.source + '/' + report.organisation;
@@ -147,32 +144,29 @@
 
 void GossipNode::tellUpstream(const UpstreamReport &report)
 {
-    UpstreamDigest digest{ report.upstream,
-                           report.sequence,
-                           report.observedAt,
-                           report.load.running,
-                           report.load.queuedInteractive,
-                           report.load.queuedDeferrable,
-                           report.leaving,
-                           report.reachable };
-    upstreamSequences_[report.upstream] = { report.sequence, report.observedAt };
+    const UpstreamDigest digest{
+        shortKey(report.upstream),    report.sequence, report.observedAt, report.load.running, report.load.queuedInteractive,
+        report.load.queuedDeferrable, report.leaving,  report.reachable
+    };
+    upstreamSequences_[digest.key] = { report.sequence, report.observedAt };
     items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
 }
 
 void GossipNode::tellSummaries(const std::vector<SummaryEntry> &entries, Millis now)
 {
+    if (entries.empty() || !speaksFor("summary", summarySpeakers)) {
+        return;
+    }
+    DataCentreSummary &known = summaries_[members_.self().dataCentre];
+    DataCentreSummary summary{ members_.self().dataCentre, known.sequence + 1, now, {} };
     for (const SummaryEntry &entry : entries) {
-        if (!speaksFor(entry.service, 2)) {
-            continue;
-        }
-        ServiceSummary summary{
-            entry.dataCentre, entry.service, 0, now, entry.capacity, entry.busy, entry.queued, entry.versions
-        };
-        ServiceSummary &known = summaries_[summaryKey(summary)];
-        summary.sequence = known.sequence + 1;
-        known = summary;
-        items_.add(summary, tellings(static_cast<unsigned>(members_.records().size())));
+        const auto versionAt
+            = [&](std::size_t index) { return index < entry.versions.size() ? shortKey(entry.versions[index]) : 0; };
+        summary.services.push_back(
+            ServiceFigures{ shortKey(entry.service), versionAt(0), versionAt(1), entry.capacity, entry.busy, entry.queued });
     }
+    known = summary;
+    items_.add(summary, tellings(static_cast<unsigned>(members_.records().size())));
 }
 
 void GossipNode::tellDemand(const std::vector<OwnDemand> &demand, Millis now)
@@ -223,14 +217,9 @@
     return table;
 }
 
-SummaryTable GossipNode::summaryTable() const
+const std::map<std::string, DataCentreSummary> &GossipNode::summaries() const
 {
-    SummaryTable table;
-    for (const auto &[key, summary] : summaries_) {
-        table.entries.push_back(SummaryEntry{ summary.dataCentre, summary.service, summary.sequence, summary.capacity,
-                                              summary.busy, summary.queued, summary.versions, summary.observedAt });
-    }
-    return table;
+    return summaries_;
 }
 
 std::vector<OthersDemand> GossipNode::othersDemand(Millis now) const
@@ -300,9 +289,9 @@
 
 void GossipNode::send(GossipMessage message, const SocketAddress &to, bool sameDataCentre, Millis now, std::vector<Datagram> &out)
 {
-    // Probes and answers always go out; only the news they carry is cut to the budget.
+    // Probes, answers and news of members always go out: they are rare. Figures are cut to what is left of the budget.
     const double room = std::clamp(allowance_, 0.0, static_cast<double>(fillLimit));
-    items_.fill(message, static_cast<std::size_t>(room), sameDataCentre);
+    items_.fill(message, FillLimits{ fillLimit, static_cast<std::size_t>(room) }, sameDataCentre);
     std::string bytes = encodeGossip(message, clusterKey_, now);
     allowance_ -= static_cast<double>(bytes.size());
     out.push_back(Datagram{ to, std::move(bytes) });
@@ -390,7 +379,7 @@
 
 void GossipNode::push(Millis now, std::vector<Datagram> &out)
 {
-    if (items_.size() == 0 || allowance_ < pushCost) {
+    if (!items_.hasMemberNews() && (items_.size() == 0 || allowance_ < pushCost)) {
         return;
     }
     const std::optional<std::string> target = pick(members_.probed(members_.self().dataCentre));
@@ -490,23 +479,20 @@
         news_.settingsHolder = message.sender;
     }
     for (const UpstreamDigest &digest : message.upstreams) {
-        auto &[sequence, observedAt] = upstreamSequences_[digest.upstream];
+        auto &[sequence, observedAt] = upstreamSequences_[digest.key];
         const bool remembered = digest.observedAt < observedAt + sequenceMemory;
         if (!isLocal(message.sender) || (remembered && digest.sequence <= sequence)) {
             continue;
         }
         sequence = digest.sequence;
         observedAt = digest.observedAt;
-        news_.upstreams.push_back(
-            UpstreamReport{ digest.upstream, digest.sequence, digest.observedAt,
-                            UpstreamLoad{ digest.running, digest.queuedInteractive, digest.queuedDeferrable }, digest.leaving,
-                            digest.reachable });
+        news_.upstreams.push_back(digest);
         items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
     }
-    for (const ServiceSummary &summary : message.summaries) {
-        ServiceSummary &known = summaries_[summaryKey(summary)];
+    for (const DataCentreSummary &summary : message.summaries) {
+        DataCentreSummary &known = summaries_[summary.dataCentre];
         const bool remembered = summary.observedAt < known.observedAt + sequenceMemory;
-        if (!known.service.empty() && remembered && summary.sequence <= known.sequence) {
+        if (!known.dataCentre.empty() && remembered && summary.sequence <= known.sequence) {
             continue;
         }
         known = summary;
@@ -573,10 +559,9 @@
     const auto heard = dataCentreHeardAt_.find(dataCentre);
     Millis latest = heard == dataCentreHeardAt_.end() ? startedAt_ : heard->second;
     // A large data centre hears directly of another only now and then: a fresh summary proves as much.
-    for (const auto &[key, summary] : summaries_) {
-        if (summary.dataCentre == dataCentre) {
-            latest = std::max(latest, summary.observedAt);
-        }
+    const auto summary = summaries_.find(dataCentre);
+    if (summary != summaries_.end()) {
+        latest = std::max(latest, summary->second.observedAt);
     }
     return now < latest + config_.remoteSilence;
 }
--- a/src/portpaddle/membership/gossip_node.h
+++ b/src/portpaddle/membership/gossip_node.h
@@ -28,7 +28,7 @@
     /// How often news is pushed when nothing needs probing.
     Millis pushInterval{ 200 };
     /// Bytes a second that this daemon may send.
-    double bytesPerSecond = 2'500;
+    double bytesPerSecond = 2'850;
     /// A suspect that stays silent this many probe periods, and more in large data centres, is dead.
     unsigned suspicionPeriods = 4;
     /// A data centre that was not heard of this long counts as cut off.
@@ -42,7 +42,7 @@
 /// What the node learned that others act on.
 struct GossipNews
 {
-    std::vector<UpstreamReport> upstreams;
+    std::vector<UpstreamDigest> upstreams;
     bool membersChanged = false;
     bool summariesChanged = false;
     /// The highest version of the settings that a peer holds, and that peer.
@@ -67,14 +67,15 @@
     void setSettingsVersion(std::uint64_t version);
     /// Tells the data centre what this daemon saw of an upstream.
     void tellUpstream(const UpstreamReport &report);
-    /// Tells everyone what this data centre offers, for the services this daemon speaks for.
+    /// Tells everyone what this data centre offers, if this daemon speaks for it.
     void tellSummaries(const std::vector<SummaryEntry> &summaries, Millis now);
     /// Tells the data centre what organisations ask of this daemon, and everyone the total, for those it speaks for.
     void tellDemand(const std::vector<OwnDemand> &demand, Millis now);
 
     GossipNews takeNews();
     MemberTable memberTable(Millis now) const;
-    SummaryTable summaryTable() const;
+    /// The newest summary of each data centre, by its name.
+    const std::map<std::string, DataCentreSummary> &summaries() const;
     std::vector<OthersDemand> othersDemand(Millis now) const;
     const MemberList &members() const;
     /// Live members of the own data centre, this one included, in a common order.
@@ -137,8 +138,8 @@
     std::vector<Probe> probes_;
     std::map<std::uint32_t, Relay> relays_;
     std::unordered_map<std::string, Millis> dataCentreHeardAt_;
-    std::map<std::string, ServiceSummary> summaries_;
-    std::unordered_map<std::string, std::pair<std::uint64_t, Millis>> upstreamSequences_;
+    std::map<std::string, DataCentreSummary> summaries_;
+    std::unordered_map<std::uint32_t, std::pair<std::uint64_t, Millis>> upstreamSequences_;
     std::map<std::string, HeardDemand> demands_;
     GossipNews news_;
     std::uint64_t settingsVersion_ = 0;
--- a/src/portpaddle/wire/peer_generated.h
+++ b/src/portpaddle/wire/peer_generated.h
@@ -21,12 +21,12 @@
 struct MemberUpdateT;
 
 struct UpstreamDigest;
-struct UpstreamDigestBuilder;
-struct UpstreamDigestT;
 
-struct ServiceSummary;
-struct ServiceSummaryBuilder;
-struct ServiceSummaryT;
+struct ServiceFigures;
+
+struct DataCentreSummary;
+struct DataCentreSummaryBuilder;
+struct DataCentreSummaryT;
 
 struct OrganisationDemand;
 struct OrganisationDemandBuilder;
@@ -439,6 +439,117 @@
 bool VerifyLinkBody(flatbuffers::Verifier &verifier, const void *obj, LinkBody type);
 bool VerifyLinkBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<LinkBody> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamDigest FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t sequence_;
+  uint32_t key_;
+  uint32_t age_ms_;
+  uint16_t running_;
+  uint16_t queued_interactive_;
+  uint16_t queued_deferrable_;
+  uint8_t leaving_;
+  uint8_t reachable_;
+
+ public:
+  UpstreamDigest()
+      : sequence_(0),
+        key_(0),
+        age_ms_(0),
+        running_(0),
+        queued_interactive_(0),
+        queued_deferrable_(0),
+        leaving_(0),
+        reachable_(0) {
+  }
+  UpstreamDigest(uint64_t _sequence, uint32_t _key, uint32_t _age_ms, uint16_t _running, uint16_t _queued_interactive, uint16_t _queued_deferrable, bool _leaving, bool _reachable)
+      : sequence_(flatbuffers::EndianScalar(_sequence)),
+        key_(flatbuffers::EndianScalar(_key)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        running_(flatbuffers::EndianScalar(_running)),
+        queued_interactive_(flatbuffers::EndianScalar(_queued_interactive)),
+        queued_deferrable_(flatbuffers::EndianScalar(_queued_deferrable)),
+        leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_leaving))),
+        reachable_(flatbuffers::EndianScalar(static_cast<uint8_t>(_reachable))) {
+  }
+  uint64_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint32_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t queued_interactive() const {
+    return flatbuffers::EndianScalar(queued_interactive_);
+  }
+  uint16_t queued_deferrable() const {
+    return flatbuffers::EndianScalar(queued_deferrable_);
+  }
+  bool leaving() const {
+    return flatbuffers::EndianScalar(leaving_) != 0;
+  }
+  bool reachable() const {
+    return flatbuffers::EndianScalar(reachable_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamDigest, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) ServiceFigures FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t key_;
+  uint32_t version_;
+  uint32_t other_version_;
+  uint16_t capacity_;
+  uint16_t busy_;
+  uint16_t queued_;
+  int16_t padding0__;
+
+ public:
+  ServiceFigures()
+      : key_(0),
+        version_(0),
+        other_version_(0),
+        capacity_(0),
+        busy_(0),
+        queued_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ServiceFigures(uint32_t _key, uint32_t _version, uint32_t _other_version, uint16_t _capacity, uint16_t _busy, uint16_t _queued)
+      : key_(flatbuffers::EndianScalar(_key)),
+        version_(flatbuffers::EndianScalar(_version)),
+        other_version_(flatbuffers::EndianScalar(_other_version)),
+        capacity_(flatbuffers::EndianScalar(_capacity)),
+        busy_(flatbuffers::EndianScalar(_busy)),
+        queued_(flatbuffers::EndianScalar(_queued)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t other_version() const {
+    return flatbuffers::EndianScalar(other_version_);
+  }
+  uint16_t capacity() const {
+    return flatbuffers::EndianScalar(capacity_);
+  }
+  uint16_t busy() const {
+    return flatbuffers::EndianScalar(busy_);
+  }
+  uint16_t queued() const {
+    return flatbuffers::EndianScalar(queued_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServiceFigures, 20);
+
 struct MemberUpdateT : public flatbuffers::NativeTable {
   typedef MemberUpdate TableType;
   std::string id{};
@@ -602,316 +713,108 @@
 
 flatbuffers::Offset<MemberUpdate> CreateMemberUpdate(flatbuffers::FlatBufferBuilder &_fbb, const MemberUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct UpstreamDigestT : public flatbuffers::NativeTable {
-  typedef UpstreamDigest TableType;
-  std::string upstream{};
-  uint64_t sequence = 0;
-  uint32_t age_ms = 0;
-  uint16_t running = 0;
-  uint16_t queued_interactive = 0;
-  uint16_t queued_deferrable = 0;
-  bool leaving = false;
-  bool reachable = true;
-};
-
-struct UpstreamDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef UpstreamDigestT NativeTableType;
-  typedef UpstreamDigestBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4,
-    VT_SEQUENCE = 6,
-    VT_AGE_MS = 8,
-    VT_RUNNING = 10,
-    VT_QUEUED_INTERACTIVE = 12,
-    VT_QUEUED_DEFERRABLE = 14,
-    VT_LEAVING = 16,
-    VT_REACHABLE = 18
-  };
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
-  }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
-  uint32_t age_ms() const {
-    return GetField<uint32_t>(VT_AGE_MS, 0);
-  }
-  uint16_t running() const {
-    return GetField<uint16_t>(VT_RUNNING, 0);
-  }
-  uint16_t queued_interactive() const {
-    return GetField<uint16_t>(VT_QUEUED_INTERACTIVE, 0);
-  }
-  uint16_t queued_deferrable() const {
-    return GetField<uint16_t>(VT_QUEUED_DEFERRABLE, 0);
-  }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
-  bool reachable() const {
-    return GetField<uint8_t>(VT_REACHABLE, 1) != 0;
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
-           VerifyField<uint16_t>(verifier, VT_RUNNING, 2) &&
-           VerifyField<uint16_t>(verifier, VT_QUEUED_INTERACTIVE, 2) &&
-           VerifyField<uint16_t>(verifier, VT_QUEUED_DEFERRABLE, 2) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           VerifyField<uint8_t>(verifier, VT_REACHABLE, 1) &&
-           verifier.EndTable();
-  }
-  UpstreamDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(UpstreamDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<UpstreamDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct UpstreamDigestBuilder {
-  typedef UpstreamDigest Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(UpstreamDigest::VT_UPSTREAM, upstream);
-  }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(UpstreamDigest::VT_SEQUENCE, sequence, 0);
-  }
-  void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(UpstreamDigest::VT_AGE_MS, age_ms, 0);
-  }
-  void add_running(uint16_t running) {
-    fbb_.AddElement<uint16_t>(UpstreamDigest::VT_RUNNING, running, 0);
-  }
-  void add_queued_interactive(uint16_t queued_interactive) {
-    fbb_.AddElement<uint16_t>(UpstreamDigest::VT_QUEUED_INTERACTIVE, queued_interactive, 0);
-  }
-  void add_queued_deferrable(uint16_t queued_deferrable) {
-    fbb_.AddElement<uint16_t>(UpstreamDigest::VT_QUEUED_DEFERRABLE, queued_deferrable, 0);
-  }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(UpstreamDigest::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
-  void add_reachable(bool reachable) {
-    fbb_.AddElement<uint8_t>(UpstreamDigest::VT_REACHABLE, static_cast<uint8_t>(reachable), 1);
-  }
-  explicit UpstreamDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<UpstreamDigest> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<UpstreamDigest>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<UpstreamDigest> CreateUpstreamDigest(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    uint64_t sequence = 0,
-    uint32_t age_ms = 0,
-    uint16_t running = 0,
-    uint16_t queued_interactive = 0,
-    uint16_t queued_deferrable = 0,
-    bool leaving = false,
-    bool reachable = true) {
-  UpstreamDigestBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
-  builder_.add_age_ms(age_ms);
-  builder_.add_upstream(upstream);
-  builder_.add_queued_deferrable(queued_deferrable);
-  builder_.add_queued_interactive(queued_interactive);
-  builder_.add_running(running);
-  builder_.add_reachable(reachable);
-  builder_.add_leaving(leaving);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<UpstreamDigest> CreateUpstreamDigestDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr,
-    uint64_t sequence = 0,
-    uint32_t age_ms = 0,
-    uint16_t running = 0,
-    uint16_t queued_interactive = 0,
-    uint16_t queued_deferrable = 0,
-    bool leaving = false,
-    bool reachable = true) {
-  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return Portpaddle::Wire::CreateUpstreamDigest(
-      _fbb,
-      upstream__,
-      sequence,
-      age_ms,
-      running,
-      queued_interactive,
-      queued_deferrable,
-      leaving,
-      reachable);
-}
-
-flatbuffers::Offset<UpstreamDigest> CreateUpstreamDigest(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct ServiceSummaryT : public flatbuffers::NativeTable {
-  typedef ServiceSummary TableType;
+struct DataCentreSummaryT : public flatbuffers::NativeTable {
+  typedef DataCentreSummary TableType;
   std::string data_centre{};
-  std::string service{};
   uint64_t sequence = 0;
   uint32_t age_ms = 0;
-  uint32_t capacity = 0;
-  uint32_t busy = 0;
-  uint32_t queued = 0;
-  std::vector<std::string> versions{};
+  std::vector<Portpaddle::Wire::ServiceFigures> services{};
 };
 
-struct ServiceSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ServiceSummaryT NativeTableType;
-  typedef ServiceSummaryBuilder Builder;
+struct DataCentreSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DataCentreSummaryT NativeTableType;
+  typedef DataCentreSummaryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DATA_CENTRE = 4,
-    VT_SERVICE = 6,
-    VT_SEQUENCE = 8,
-    VT_AGE_MS = 10,
-    VT_CAPACITY = 12,
-    VT_BUSY = 14,
-    VT_QUEUED = 16,
-    VT_VERSIONS = 18
+    VT_SEQUENCE = 6,
+    VT_AGE_MS = 8,
+    VT_SERVICES = 10
   };
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
-  const flatbuffers::String *service() const {
-    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
-  }
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
-  uint32_t capacity() const {
-    return GetField<uint32_t>(VT_CAPACITY, 0);
-  }
-  uint32_t busy() const {
-    return GetField<uint32_t>(VT_BUSY, 0);
-  }
-  uint32_t queued() const {
-    return GetField<uint32_t>(VT_QUEUED, 0);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *versions() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_VERSIONS);
+  const flatbuffers::Vector<const Portpaddle::Wire::ServiceFigures *> *services() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::ServiceFigures *> *>(VT_SERVICES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
-           VerifyOffset(verifier, VT_SERVICE) &&
-           verifier.VerifyString(service()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_CAPACITY, 4) &&
-           VerifyField<uint32_t>(verifier, VT_BUSY, 4) &&
-           VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
-           VerifyOffset(verifier, VT_VERSIONS) &&
-           verifier.VerifyVector(versions()) &&
-           verifier.VerifyVectorOfStrings(versions()) &&
+           VerifyOffset(verifier, VT_SERVICES) &&
+           verifier.VerifyVector(services()) &&
            verifier.EndTable();
   }
-  ServiceSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ServiceSummaryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ServiceSummary> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  DataCentreSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DataCentreSummaryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DataCentreSummary> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DataCentreSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ServiceSummaryBuilder {
-  typedef ServiceSummary Table;
+struct DataCentreSummaryBuilder {
+  typedef DataCentreSummary Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(ServiceSummary::VT_DATA_CENTRE, data_centre);
-  }
-  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
-    fbb_.AddOffset(ServiceSummary::VT_SERVICE, service);
+    fbb_.AddOffset(DataCentreSummary::VT_DATA_CENTRE, data_centre);
   }
   void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(ServiceSummary::VT_SEQUENCE, sequence, 0);
+    fbb_.AddElement<uint64_t>(DataCentreSummary::VT_SEQUENCE, sequence, 0);
   }
   void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(ServiceSummary::VT_AGE_MS, age_ms, 0);
-  }
-  void add_capacity(uint32_t capacity) {
-    fbb_.AddElement<uint32_t>(ServiceSummary::VT_CAPACITY, capacity, 0);
-  }
-  void add_busy(uint32_t busy) {
-    fbb_.AddElement<uint32_t>(ServiceSummary::VT_BUSY, busy, 0);
+    fbb_.AddElement<uint32_t>(DataCentreSummary::VT_AGE_MS, age_ms, 0);
   }
-  void add_queued(uint32_t queued) {
-    fbb_.AddElement<uint32_t>(ServiceSummary::VT_QUEUED, queued, 0);
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::ServiceFigures *>> services) {
+    fbb_.AddOffset(DataCentreSummary::VT_SERVICES, services);
   }
-  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions) {
-    fbb_.AddOffset(ServiceSummary::VT_VERSIONS, versions);
-  }
-  explicit ServiceSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit DataCentreSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ServiceSummary> Finish() {
+  flatbuffers::Offset<DataCentreSummary> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ServiceSummary>(end);
+    auto o = flatbuffers::Offset<DataCentreSummary>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ServiceSummary> CreateServiceSummary(
+inline flatbuffers::Offset<DataCentreSummary> CreateDataCentreSummary(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    flatbuffers::Offset<flatbuffers::String> service = 0,
     uint64_t sequence = 0,
     uint32_t age_ms = 0,
-    uint32_t capacity = 0,
-    uint32_t busy = 0,
-    uint32_t queued = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions = 0) {
-  ServiceSummaryBuilder builder_(_fbb);
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::ServiceFigures *>> services = 0) {
+  DataCentreSummaryBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
-  builder_.add_versions(versions);
-  builder_.add_queued(queued);
-  builder_.add_busy(busy);
-  builder_.add_capacity(capacity);
+  builder_.add_services(services);
   builder_.add_age_ms(age_ms);
-  builder_.add_service(service);
   builder_.add_data_centre(data_centre);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ServiceSummary> CreateServiceSummaryDirect(
+inline flatbuffers::Offset<DataCentreSummary> CreateDataCentreSummaryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *data_centre = nullptr,
-    const char *service = nullptr,
     uint64_t sequence = 0,
     uint32_t age_ms = 0,
-    uint32_t capacity = 0,
-    uint32_t busy = 0,
-    uint32_t queued = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *versions = nullptr) {
+    const std::vector<Portpaddle::Wire::ServiceFigures> *services = nullptr) {
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
-  auto service__ = service ? _fbb.CreateString(service) : 0;
-  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*versions) : 0;
-  return Portpaddle::Wire::CreateServiceSummary(
+  auto services__ = services ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::ServiceFigures>(*services) : 0;
+  return Portpaddle::Wire::CreateDataCentreSummary(
       _fbb,
       data_centre__,
-      service__,
       sequence,
       age_ms,
-      capacity,
-      busy,
-      queued,
-      versions__);
+      services__);
 }
 
-flatbuffers::Offset<ServiceSummary> CreateServiceSummary(flatbuffers::FlatBufferBuilder &_fbb, const ServiceSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<DataCentreSummary> CreateDataCentreSummary(flatbuffers::FlatBufferBuilder &_fbb, const DataCentreSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct OrganisationDemandT : public flatbuffers::NativeTable {
   typedef OrganisationDemand TableType;
@@ -1025,8 +928,8 @@
   std::string target{};
   uint64_t settings_version = 0;
   std::vector<std::unique_ptr<Portpaddle::Wire::MemberUpdateT>> members{};
-  std::vector<std::unique_ptr<Portpaddle::Wire::UpstreamDigestT>> upstreams{};
-  std::vector<std::unique_ptr<Portpaddle::Wire::ServiceSummaryT>> summaries{};
+  std::vector<Portpaddle::Wire::UpstreamDigest> upstreams{};
+  std::vector<std::unique_ptr<Portpaddle::Wire::DataCentreSummaryT>> summaries{};
   std::vector<std::unique_ptr<Portpaddle::Wire::OrganisationDemandT>> demands{};
   GossipT() = default;
   GossipT(const GossipT &o);
@@ -1070,11 +973,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>> *>(VT_MEMBERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>> *upstreams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>> *>(VT_UPSTREAMS);
+  const flatbuffers::Vector<const Portpaddle::Wire::UpstreamDigest *> *upstreams() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamDigest *> *>(VT_UPSTREAMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>> *summaries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>> *>(VT_SUMMARIES);
+  const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>> *summaries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>> *>(VT_SUMMARIES);
   }
   const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>> *demands() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>> *>(VT_DEMANDS);
@@ -1094,7 +997,6 @@
            verifier.VerifyVectorOfTables(members()) &&
            VerifyOffset(verifier, VT_UPSTREAMS) &&
            verifier.VerifyVector(upstreams()) &&
-           verifier.VerifyVectorOfTables(upstreams()) &&
            VerifyOffset(verifier, VT_SUMMARIES) &&
            verifier.VerifyVector(summaries()) &&
            verifier.VerifyVectorOfTables(summaries()) &&
@@ -1133,10 +1035,10 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>>> members) {
     fbb_.AddOffset(Gossip::VT_MEMBERS, members);
   }
-  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>>> upstreams) {
+  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamDigest *>> upstreams) {
     fbb_.AddOffset(Gossip::VT_UPSTREAMS, upstreams);
   }
-  void add_summaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>>> summaries) {
+  void add_summaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>>> summaries) {
     fbb_.AddOffset(Gossip::VT_SUMMARIES, summaries);
   }
   void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>>> demands) {
@@ -1162,8 +1064,8 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint64_t settings_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>>> upstreams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>>> summaries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamDigest *>> upstreams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>>> summaries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>>> demands = 0) {
   GossipBuilder builder_(_fbb);
   builder_.add_settings_version(settings_version);
@@ -1188,14 +1090,14 @@
     const char *target = nullptr,
     uint64_t settings_version = 0,
     const std::vector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>> *upstreams = nullptr,
-    const std::vector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>> *summaries = nullptr,
+    const std::vector<Portpaddle::Wire::UpstreamDigest> *upstreams = nullptr,
+    const std::vector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>> *summaries = nullptr,
     const std::vector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>> *demands = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>>(*members) : 0;
-  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>>(*upstreams) : 0;
-  auto summaries__ = summaries ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>>(*summaries) : 0;
+  auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamDigest>(*upstreams) : 0;
+  auto summaries__ = summaries ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>>(*summaries) : 0;
   auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>>(*demands) : 0;
   return Portpaddle::Wire::CreateGossip(
       _fbb,
@@ -2648,98 +2550,39 @@
       _state);
 }
 
-inline UpstreamDigestT *UpstreamDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<UpstreamDigestT>(new UpstreamDigestT());
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void UpstreamDigest::UnPackTo(UpstreamDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = age_ms(); _o->age_ms = _e; }
-  { auto _e = running(); _o->running = _e; }
-  { auto _e = queued_interactive(); _o->queued_interactive = _e; }
-  { auto _e = queued_deferrable(); _o->queued_deferrable = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = reachable(); _o->reachable = _e; }
-}
-
-inline flatbuffers::Offset<UpstreamDigest> UpstreamDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateUpstreamDigest(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<UpstreamDigest> CreateUpstreamDigest(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UpstreamDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
-  auto _sequence = _o->sequence;
-  auto _age_ms = _o->age_ms;
-  auto _running = _o->running;
-  auto _queued_interactive = _o->queued_interactive;
-  auto _queued_deferrable = _o->queued_deferrable;
-  auto _leaving = _o->leaving;
-  auto _reachable = _o->reachable;
-  return Portpaddle::Wire::CreateUpstreamDigest(
-      _fbb,
-      _upstream,
-      _sequence,
-      _age_ms,
-      _running,
-      _queued_interactive,
-      _queued_deferrable,
-      _leaving,
-      _reachable);
-}
-
-inline ServiceSummaryT *ServiceSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<ServiceSummaryT>(new ServiceSummaryT());
+inline DataCentreSummaryT *DataCentreSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DataCentreSummaryT>(new DataCentreSummaryT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ServiceSummary::UnPackTo(ServiceSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void DataCentreSummary::UnPackTo(DataCentreSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
-  { auto _e = capacity(); _o->capacity = _e; }
-  { auto _e = busy(); _o->busy = _e; }
-  { auto _e = queued(); _o->queued = _e; }
-  { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = *_e->Get(_i); } } }
 }
 
-inline flatbuffers::Offset<ServiceSummary> ServiceSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateServiceSummary(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<DataCentreSummary> DataCentreSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DataCentreSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDataCentreSummary(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ServiceSummary> CreateServiceSummary(flatbuffers::FlatBufferBuilder &_fbb, const ServiceSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<DataCentreSummary> CreateDataCentreSummary(flatbuffers::FlatBufferBuilder &_fbb, const DataCentreSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DataCentreSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _sequence = _o->sequence;
   auto _age_ms = _o->age_ms;
-  auto _capacity = _o->capacity;
-  auto _busy = _o->busy;
-  auto _queued = _o->queued;
-  auto _versions = _o->versions.size() ? _fbb.CreateVectorOfStrings(_o->versions) : 0;
-  return Portpaddle::Wire::CreateServiceSummary(
+  auto _services = _o->services.size() ? _fbb.CreateVectorOfStructs(_o->services) : 0;
+  return Portpaddle::Wire::CreateDataCentreSummary(
       _fbb,
       _data_centre,
-      _service,
       _sequence,
       _age_ms,
-      _capacity,
-      _busy,
-      _queued,
-      _versions);
+      _services);
 }
 
 inline OrganisationDemandT *OrganisationDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2783,13 +2626,12 @@
         sender(o.sender),
         sender_incarnation(o.sender_incarnation),
         target(o.target),
-        settings_version(o.settings_version) {
+        settings_version(o.settings_version),
+        upstreams(o.upstreams) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new Portpaddle::Wire::MemberUpdateT(*members_) : nullptr); }
-  upstreams.reserve(o.upstreams.size());
-  for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new Portpaddle::Wire::UpstreamDigestT(*upstreams_) : nullptr); }
   summaries.reserve(o.summaries.size());
-  for (const auto &summaries_ : o.summaries) { summaries.emplace_back((summaries_) ? new Portpaddle::Wire::ServiceSummaryT(*summaries_) : nullptr); }
+  for (const auto &summaries_ : o.summaries) { summaries.emplace_back((summaries_) ? new Portpaddle::Wire::DataCentreSummaryT(*summaries_) : nullptr); }
   demands.reserve(o.demands.size());
   for (const auto &demands_ : o.demands) { demands.emplace_back((demands_) ? new Portpaddle::Wire::OrganisationDemandT(*demands_) : nullptr); }
 }
@@ -2824,8 +2666,8 @@
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = settings_version(); _o->settings_version = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<Portpaddle::Wire::MemberUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<Portpaddle::Wire::UpstreamDigestT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = summaries(); if (_e) { _o->summaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->summaries[_i] = std::unique_ptr<Portpaddle::Wire::ServiceSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = *_e->Get(_i); } } }
+  { auto _e = summaries(); if (_e) { _o->summaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->summaries[_i] = std::unique_ptr<Portpaddle::Wire::DataCentreSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = demands(); if (_e) { _o->demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demands[_i] = std::unique_ptr<Portpaddle::Wire::OrganisationDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -2844,8 +2686,8 @@
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _settings_version = _o->settings_version;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::MemberUpdate>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberUpdate(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::UpstreamDigest>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamDigest(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _summaries = _o->summaries.size() ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::ServiceSummary>> (_o->summaries.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceSummary(*__va->__fbb, __va->__o->summaries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVectorOfStructs(_o->upstreams) : 0;
+  auto _summaries = _o->summaries.size() ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::DataCentreSummary>> (_o->summaries.size(), [](size_t i, _VectorArgs *__va) { return CreateDataCentreSummary(*__va->__fbb, __va->__o->summaries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _demands = _o->demands.size() ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::OrganisationDemand>> (_o->demands.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationDemand(*__va->__fbb, __va->__o->demands[i].get(), __va->__rehasher); }, &_va ) : 0;
   return Portpaddle::Wire::CreateGossip(
       _fbb,
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -196,7 +196,7 @@
     std::string text;
     for (unsigned index = 0; index < job->end; ++index) {
         waitWhileHeld(index);
-        std::this_thread::sleep_for(config_.tokenTime);
+        std::this_thread::sleep_for(index > 0 ? config_.tokenTime : Millis{ 0 });
         text += wordOf(job->prompt, index);
     }
     releaseSlot();
@@ -242,7 +242,9 @@
             }
             ++tokens_;
         }
-        std::this_thread::sleep_for(config_.tokenTime);
+        if (job->produced > 0) {
+            std::this_thread::sleep_for(config_.tokenTime);
+        }
         ++job->produced;
         return send(chunk({ { "content", wordOf(job->prompt, job->next++) } }, nullptr));
     };
--- a/tests/introspective/membership_tests.cpp
+++ b/tests/introspective/membership_tests.cpp
@@ -98,7 +98,7 @@
 {
     GossipMessage message;
     message.sender = "a";
-    message.upstreams.push_back(UpstreamDigest{ "e1", 4, Millis{ 1'000 }, 3, 2, 1, true, true });
+    message.upstreams.push_back(UpstreamDigest{ shortKey("e1"), 4, Millis{ 1'000 }, 3, 2, 1, true, true });
     const std::string bytes = encodeGossip(message, "k", Millis{ 1'250 });
     const GossipMessage read = *decodeGossip(bytes, "k", Millis{ 900'000 });
     REQUIRE(read.upstreams.size() == 1);
@@ -217,9 +217,9 @@
     }
     network.pass(Millis{ 3'000 });
     for (auto &[id, node] : network.nodes()) {
-        const SummaryTable table = node->summaryTable();
-        REQUIRE(table.entries.size() == 1);
-        CHECK(table.entries[0].busy == 5);
+        REQUIRE(node->summaries().count("n1") == 1);
+        REQUIRE(node->summaries().at("n1").services.size() == 1);
+        CHECK(node->summaries().at("n1").services[0].busy == 5);
     }
 }
 
@@ -281,3 +281,36 @@
         CHECK(network.passUntil(Millis{ 300'000 }, [&] { return network.allSeeAllAlive(); }));
     }
 }
+
+TEST_CASE("Gossip, planned size of a data centre among many, load digests arrive although summaries are told everywhere")
+{
+    GossipNetwork network;
+    constexpr int remotes = 12;
+    for (int index = 0; index < 30; ++index) {
+        network.add("daemon-" + std::to_string(index), "dc-00");
+    }
+    for (int index = 1; index <= remotes; ++index) {
+        network.add("remote-" + std::to_string(index), "dc-" + std::to_string(index));
+    }
+    network.pass(Millis{ 30'000 });
+    std::size_t arrived = 0;
+    for (std::uint64_t second = 1; second <= 20; ++second) {
+        std::vector<SummaryEntry> entries(9);
+        for (std::size_t service = 0; service < entries.size(); ++service) {
+            entries[service].service = "model-" + std::to_string(service);
+        }
+        for (auto &[id, node] : network.nodes()) {
+            node->tellSummaries(entries, network.now);
+        }
+        for (int engine = 0; engine < 77; ++engine) {
+            UpstreamReport report;
+            report.upstream = "engine-" + std::to_string(engine);
+            report.sequence = second;
+            report.observedAt = network.now;
+            network.node("daemon-" + std::to_string(engine % 30)).tellUpstream(report);
+        }
+        network.pass(Millis{ 1'000 });
+        arrived += network.node("daemon-0").takeNews().upstreams.size();
+    }
+    CHECK(arrived >= 20 * 77 / 4);
+}
--- a/tests/support/gossip_network.h
+++ b/tests/support/gossip_network.h
@@ -126,6 +126,7 @@
         = [](const std::string &, const std::string &) { return false; };
     std::uint64_t bytes = 0;
     std::uint64_t messages = 0;
+    std::map<std::string, std::uint64_t> bytesBySender;
     std::size_t largest = 0;
 
 private:
@@ -140,6 +141,7 @@
     {
         for (const Datagram &datagram : datagrams) {
             bytes += datagram.bytes.size();
+            bytesBySender[from] += datagram.bytes.size();
             ++messages;
             largest = std::max(largest, datagram.bytes.size());
             const auto to = byPort_.find(datagram.to.port);
