Share the path of proposals; tell callers of an answer that is too large

Cause: proposing and reverting settings parsed, checked and answered in two copies; a whole answer over 16 MB was reported as "cancelled, the caller went away"; the renewal of the order lease had a branch that could not be reached in a useful state.

--- a/src/portpaddle/control/order_controller.cpp
+++ b/src/portpaddle/control/order_controller.cpp
@@ -93,12 +93,11 @@
     const std::lock_guard lock(mutex_);
     // Counted from before the call: the platform's clock started no earlier.
     const Millis askedAt = clock_.monotonic();
-    if (lease_ != 0 && isOk(store_.keepAlive(lease_))) {
-        provenUntil_ = fence_ != 0 ? askedAt + leaseTime : Millis{ 0 };
-        if (fence_ != 0) {
-            return;
-        }
-    } else if (lease_ != 0 && askedAt < provenUntil_) {
+    if (fence_ != 0 && isOk(store_.keepAlive(lease_))) {
+        provenUntil_ = askedAt + leaseTime;
+        return;
+    }
+    if (fence_ != 0 && askedAt < provenUntil_) {
         // The platform may only be slow: what was proved before still holds, and nothing more.
         return;
     }
--- a/src/portpaddle/daemon/admin_server.cpp
+++ b/src/portpaddle/daemon/admin_server.cpp
@@ -77,6 +77,9 @@
 /// Reads the members that all proposals share; an error names what is missing.
 Result<ChangeProposal> proposalFrom(const nlohmann::json &json, const std::string &from)
 {
+    if (!json.is_object()) {
+        return badRequest("an object is expected");
+    }
     for (const char *name : { "author", "reason", "change_id" }) {
         if (!json.contains(name) || !json[name].is_string() || json[name].get_ref<const std::string &>().empty()) {
             return badRequest(fmt::format("'{}' must be a text that is not empty", name));
@@ -232,48 +235,48 @@
 
 void AdminServer::proposeSettings(const httplib::Request &request, httplib::Response &response)
 {
-    const Result<nlohmann::json> parsed = parseJsonWithComments(request.body, "request");
-    if (!isOk(parsed)) {
-        return refuse(response, errorOf(parsed));
-    }
-    const nlohmann::json &json = valueOf(parsed);
-    Result<ChangeProposal> proposal = proposalFrom(json, request.remote_addr);
-    if (!isOk(proposal)) {
-        return refuse(response, errorOf(proposal));
-    }
-    const Result<SettingsPatch> patch = parseSettings(json.value("patch", nlohmann::json()).dump(), "patch");
-    if (!isOk(patch)) {
-        return refuse(response, errorOf(patch));
-    }
-    valueOf(proposal).patch = valueOf(patch);
-    const Result<SettingsChange> accepted = daemon_.proposeSettings(valueOf(proposal));
-    if (!isOk(accepted)) {
-        return refuse(response, errorOf(accepted));
-    }
-    answer(response, describeChange(valueOf(accepted)));
+    propose(request, response, [](const nlohmann::json &json, ChangeProposal &proposal) -> Status {
+        const Result<SettingsPatch> patch = parseSettings(json.value("patch", nlohmann::json()).dump(), "patch");
+        if (!isOk(patch)) {
+            return errorOf(patch);
+        }
+        proposal.patch = valueOf(patch);
+        return success();
+    });
 }
 
 void AdminServer::revertSettings(const httplib::Request &request, httplib::Response &response)
+{
+    propose(request, response, [this](const nlohmann::json &json, ChangeProposal &proposal) -> Status {
+        if (!json.contains("version") || !json["version"].is_number_unsigned()) {
+            return badRequest("'version' must name the version to restore");
+        }
+        const SettingsTree present = daemon_.settings().tree();
+        const Result<SettingsPatch> patch = daemon_.settingsLog().patchRestoring(json["version"].get<std::uint64_t>(), present);
+        if (!isOk(patch)) {
+            return errorOf(patch);
+        }
+        proposal.patch = valueOf(patch);
+        // The patch restores from this version only; what others change meanwhile must not be undone unseen.
+        proposal.expectedVersion = present.version();
+        return success();
+    });
+}
+
+void AdminServer::propose(const httplib::Request &request, httplib::Response &response, const ProposalFiller &fill)
 {
     const Result<nlohmann::json> parsed = parseJsonWithComments(request.body, "request");
     if (!isOk(parsed)) {
         return refuse(response, errorOf(parsed));
     }
-    const nlohmann::json &json = valueOf(parsed);
-    Result<ChangeProposal> proposal = proposalFrom(json, request.remote_addr);
+    Result<ChangeProposal> proposal = proposalFrom(valueOf(parsed), request.remote_addr);
     if (!isOk(proposal)) {
         return refuse(response, errorOf(proposal));
     }
-    if (!json.contains("version") || !json["version"].is_number_unsigned()) {
-        return refuse(response, badRequest("'version' must name the version to restore"));
-    }
-    SettingsLog log = daemon_.settingsLog();
-    const Result<SettingsPatch> patch = log.patchRestoring(json["version"].get<std::uint64_t>(), daemon_.settings().tree());
-    if (!isOk(patch)) {
-        return refuse(response, errorOf(patch));
+    const Status filled = fill(valueOf(parsed), valueOf(proposal));
+    if (!isOk(filled)) {
+        return refuse(response, errorOf(filled));
     }
-    valueOf(proposal).patch = valueOf(patch);
-    valueOf(proposal).expectedVersion = daemon_.settings().version();
     const Result<SettingsChange> accepted = daemon_.proposeSettings(valueOf(proposal));
     if (!isOk(accepted)) {
         return refuse(response, errorOf(accepted));
--- a/src/portpaddle/daemon/admin_server.h
+++ b/src/portpaddle/daemon/admin_server.h
@@ -6,11 +6,15 @@
 
 #include "portpaddle/base/http_server.h"
 
+#include <functional>
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace Portpaddle {
 
 class Daemon;
+struct ChangeProposal;
 
 /// Serves operators and scrapers.
 class AdminServer
@@ -23,7 +27,11 @@
 private:
     using Route = void (AdminServer::*)(const httplib::Request &, httplib::Response &);
 
+    /// Puts what one kind of proposal is about into it.
+    using ProposalFiller = std::function<Status(const nlohmann::json &json, ChangeProposal &proposal)>;
+
     void addRoutes();
+    void propose(const httplib::Request &request, httplib::Response &response, const ProposalFiller &fill);
     void guard(const httplib::Request &request, httplib::Response &response, Route route);
     void status(const httplib::Request &request, httplib::Response &response);
     void members(const httplib::Request &request, httplib::Response &response);
--- a/src/portpaddle/entry/caller_answers.cpp
+++ b/src/portpaddle/entry/caller_answers.cpp
@@ -49,6 +49,11 @@
     // Nobody takes this receiver away: it lives as long as the request.
 }
 
+bool BufferedAnswer::tooLarge() const
+{
+    return tooLarge_;
+}
+
 void BufferedAnswer::writeTo(httplib::Response &response) const
 {
     response.status = head_.status;
--- a/src/portpaddle/entry/caller_answers.h
+++ b/src/portpaddle/entry/caller_answers.h
@@ -24,6 +24,8 @@
     bool receiverGone() const override;
     void onReceiverGone(std::function<void()> hook) override;
 
+    /// Whether the answer exceeded the bound and was cut.
+    bool tooLarge() const;
     void writeTo(httplib::Response &response) const;
 
 private:
--- a/src/portpaddle/entry/entry_server.cpp
+++ b/src/portpaddle/entry/entry_server.cpp
@@ -278,6 +278,10 @@
     {
         BufferedAnswer answer;
         const Status status = parts_.dispatcher.run(std::move(call), answer);
+        if (answer.tooLarge()) {
+            return fail(Error{ ErrorCode::UpstreamFailed, "the answer is larger than a whole answer may be", RunState::MayHaveRun,
+                               std::nullopt });
+        }
         if (!isOk(status)) {
             return fail(errorOf(status));
         }
--- a/src/standins/plain_standin.cpp
+++ b/src/standins/plain_standin.cpp
@@ -101,6 +101,11 @@
                                       [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
         return;
     }
+    if (fault == PlainFault::HugeAnswer) {
+        constexpr std::size_t hugeAnswer = 17 * 1024 * 1024;
+        response.set_content(std::string(hugeAnswer, 'x'), "text/plain");
+        return;
+    }
     const std::string status = request.get_header_value("X-Want-Status");
     response.status = status.empty() ? 200 : std::stoi(status);
     response.set_header("X-Answered-By", "plain-standin");
--- a/src/standins/plain_standin.h
+++ b/src/standins/plain_standin.h
@@ -18,6 +18,8 @@
     None,
     /// The call runs, its answer is cut.
     CutAnswer,
+    /// The call runs and its answer is larger than a gateway passes on whole.
+    HugeAnswer,
     /// The call runs when released.
     Hold,
 };
--- a/tests/usage/caller_tests.cpp
+++ b/tests/usage/caller_tests.cpp
@@ -156,6 +156,14 @@
     CHECK(json["authorization_seen"] == false);
 }
 
+TEST_CASE_FIXTURE(CallerFixture, "Caller, answer larger than the bound, is told so and that the call may have run")
+{
+    desk->setFault(PlainFault::HugeAnswer);
+    const nlohmann::json error = errorIn(caller(0).Get("/desk/everything"));
+    CHECK(error.at("code") == "upstream_failed");
+    CHECK(error.at("run") == "may_have_run");
+}
+
 TEST_CASE_FIXTURE(CallerFixture, "Caller, keyed call whose answer was cut, repeats and is told that it may have run")
 {
     desk->setFault(PlainFault::CutAnswer);
--- a/tests/usage/fleet_tests.cpp
+++ b/tests/usage/fleet_tests.cpp
@@ -200,3 +200,34 @@
         return list && list->body.find("north-b") == std::string::npos;
     }));
 }
+
+TEST_CASE_FIXTURE(FleetSite,
+                  "Operator, settings proposed and reverted over the admin listener, make new versions and bad ones are refused")
+{
+    httplib::Client client("127.0.0.1", addresses[0].admin.port);
+    client.set_bearer_token_auth("operator-key-for-tests");
+    const auto post = [&](const std::string &path, nlohmann::json body) {
+        body["author"] = "op";
+        body["reason"] = "test";
+        body["change_id"] = "id-" + std::to_string(random.next());
+        const httplib::Result reply = client.Post(path, body.dump(), "application/json");
+        REQUIRE(reply);
+        return std::make_pair(reply->status, nlohmann::json::parse(reply->body));
+    };
+    const std::uint64_t before = daemons[0]->settings().version();
+    const auto [status, change] = post("/admin/settings", { { "patch", { { "/", { { "hop_limit", 1 } } } } } });
+    CHECK(status == 200);
+    CHECK(change["version"] == before + 1);
+    CHECK(daemons[0]->board().settings.read()->policy("shop", "m").hopLimit == 1);
+    CHECK(post("/admin/settings/revert", { { "version", before } }).second["version"] == before + 2);
+    CHECK(daemons[0]->board().settings.read()->policy("shop", "m").hopLimit == 2);
+    CHECK(post("/admin/settings", { { "patch", { { "/", { { "hop_limt", 1 } } } } } })
+              .second["error"]["message"]
+              .dump()
+              .find("hop_limit")
+          != std::string::npos);
+    CHECK(post("/admin/settings/revert", { { "version", 999 } }).first == 404);
+    const httplib::Result noAuthor = client.Post("/admin/settings", "[]", "application/json");
+    CHECK(noAuthor->status == 400);
+    CHECK(daemons[0]->settings().version() == before + 2);
+}
