--- a/src/portpaddle/claims/claim_book.cpp
+++ b/src/portpaddle/claims/claim_book.cpp
@@ -8,6 +8,7 @@
 #include "portpaddle/interfaces/platform.h"
 #include "portpaddle/interfaces/random_source.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <fmt/format.h>
@@ -21,6 +22,7 @@
 
 // Claims are written under a lease that nobody renews: the platform forgets them by itself, without a collector.
 constexpr Millis claimLifetime = 26h;
+constexpr std::size_t rememberedAbandoned = 10'000;
 /// Runs that a daemon can still tell of; about 6 MB.
 constexpr std::size_t rememberedRuns = 50'000;
 constexpr Millis leaseRenewal = 1h;
@@ -37,6 +39,13 @@
     return nlohmann::json{ { "claim_id", claim.claimId }, { "daemon", daemon } }.dump();
 }
 
+std::string claimIdIn(const std::string &record)
+{
+    const nlohmann::json json = nlohmann::json::parse(record, nullptr, false);
+    const bool named = json.is_object() && json.contains("claim_id") && json["claim_id"].is_string();
+    return named ? json["claim_id"].get<std::string>() : std::string{};
+}
+
 Error unavailable()
 {
     return Error{ ErrorCode::ClaimUnavailable, "the platform cannot confirm that this call runs only once", RunState::NotRun,
@@ -124,16 +133,49 @@
     const Result<std::optional<KeyValue>> stored = store_.get(claim.key);
     if (!isOk(stored) || !valueOf(stored)) {
         // If the write arrives later it only makes repeats be refused: this daemon does not send without a proved claim.
+        abandon(claim);
         return unavailable();
     }
-    const nlohmann::json record = nlohmann::json::parse(valueOf(stored)->value, nullptr, false);
-    if (record.is_object() && record.contains("claim_id") && record["claim_id"] == claim.claimId) {
+    const std::string holder = claimIdIn(valueOf(stored)->value);
+    if (holder == claim.claimId) {
         claim.revision = valueOf(stored)->revision;
         return claim;
     }
+    if (isAbandoned(holder)) {
+        return replaceAbandoned(std::move(claim), *valueOf(stored));
+    }
     return duplicate(claim.key, valueOf(stored)->value);
 }
 
+Result<Claim> ClaimBook::replaceAbandoned(Claim claim, const KeyValue &stored)
+{
+    // The swap succeeds for one caller only, so that two repeats at once cannot both take the place.
+    const Result<std::uint64_t> lease = currentLease();
+    const Result<std::uint64_t> written
+        = isOk(lease) ? store_.put(claim.key, claimText(claim, daemon_), stored.revision, valueOf(lease)) : lease;
+    if (!isOk(written)) {
+        abandon(claim);
+        return unavailable();
+    }
+    claim.revision = valueOf(written);
+    return claim;
+}
+
+void ClaimBook::abandon(const Claim &claim)
+{
+    const std::lock_guard lock(mutex_);
+    abandoned_.push_back(claim.claimId);
+    if (abandoned_.size() > rememberedAbandoned) {
+        abandoned_.pop_front();
+    }
+}
+
+bool ClaimBook::isAbandoned(const std::string &claimId) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::find(abandoned_.begin(), abandoned_.end(), claimId) != abandoned_.end();
+}
+
 Error ClaimBook::duplicate(const std::string &key, const std::string &record) const
 {
     const nlohmann::json json = nlohmann::json::parse(record, nullptr, false);
--- a/src/portpaddle/claims/claim_book.h
+++ b/src/portpaddle/claims/claim_book.h
@@ -16,6 +16,7 @@
 
 class Clock;
 class KeyValueStore;
+struct KeyValue;
 class RandomSource;
 
 /// The right to run one call once. It never passes to another process.
@@ -50,6 +51,9 @@
 private:
     Result<std::uint64_t> currentLease();
     Result<Claim> settle(Claim claim, const Error &writeError);
+    Result<Claim> replaceAbandoned(Claim claim, const KeyValue &stored);
+    void abandon(const Claim &claim);
+    bool isAbandoned(const std::string &claimId) const;
     Error duplicate(const std::string &key, const std::string &record) const;
 
     KeyValueStore &store_;
@@ -60,6 +64,8 @@
     mutable std::mutex mutex_;
     std::unordered_set<std::string> ran_;
     std::deque<std::string> ranOrder_;
+    /// Ids of claims whose writes were given up on; nothing was or will be sent under them.
+    std::deque<std::string> abandoned_;
     std::uint64_t lease_ = 0;
     Millis leaseGrantedAt_{ 0 };
 };
--- a/src/portpaddle/membership/gossip_node.cpp
+++ b/src/portpaddle/membership/gossip_node.cpp
@@ -215,8 +215,13 @@
 {
     const std::uint64_t key = stableHash(subject);
     const double mine = rendezvousDraw(key, stableHash(members_.self().id), 1);
+    const std::vector<std::string> local = localMembers();
+    // Whoever leaves has handed over, unless nobody else is left to do it.
+    if (members_.self().state == MemberState::Leaving && !local.empty()) {
+        return false;
+    }
     unsigned before = 0;
-    for (const std::string &id : localMembers()) {
+    for (const std::string &id : local) {
         if (id != members_.self().id && rendezvousDraw(key, stableHash(id), 1) > mine) {
             ++before;
         }
--- a/tests/introspective/claim_tests.cpp
+++ b/tests/introspective/claim_tests.cpp
@@ -118,3 +118,47 @@
     CHECK(valueOf(entries).size() == 1);
     CHECK(valueOf(entries).front().action == "drain");
 }
+
+namespace {
+
+/// Goes down right after a write whose reply is lost, so that its fate cannot be read back.
+class VanishingPlatform : public MemoryPlatform
+{
+public:
+    using MemoryPlatform::MemoryPlatform;
+
+    Result<std::uint64_t> put(const std::string &key, const std::string &value, std::uint64_t expected,
+                              std::uint64_t lease) override
+    {
+        if (!vanishes) {
+            return MemoryPlatform::put(key, value, expected, lease);
+        }
+        setFaults(PlatformFaults{ .down = false, .losesReplies = true });
+        Result<std::uint64_t> result = MemoryPlatform::put(key, value, expected, lease);
+        setFaults(PlatformFaults{ .down = true, .losesReplies = false });
+        return result;
+    }
+
+    bool vanishes = true;
+};
+
+} // namespace
+
+TEST_CASE(
+    "Claim, write whose fate cannot be learned, is not sent under, and a repeat through the same daemon takes its place once")
+{
+    ManualClock clock;
+    VanishingPlatform platform(clock);
+    SeededRandom random(1);
+    ClaimBook book(platform, clock, random, "d1");
+    const Result<Claim> unproved = book.acquire("o", "s", "key-1");
+    REQUIRE(!isOk(unproved));
+    CHECK(errorOf(unproved).code == ErrorCode::ClaimUnavailable);
+    CHECK(errorOf(unproved).run == RunState::NotRun);
+    platform.vanishes = false;
+    platform.setFaults({});
+    ClaimBook other(platform, clock, random, "d2");
+    CHECK(errorOf(other.acquire("o", "s", "key-1")).code == ErrorCode::DuplicateRequest);
+    CHECK(isOk(book.acquire("o", "s", "key-1")));
+    CHECK(errorOf(book.acquire("o", "s", "key-1")).code == ErrorCode::DuplicateRequest);
+}
--- a/tests/introspective/membership_tests.cpp
+++ b/tests/introspective/membership_tests.cpp
@@ -314,3 +314,31 @@
     }
     CHECK(arrived >= 20 * 77 / 4);
 }
+
+TEST_CASE("Gossip, readers of the platform, are two in a data centre of any size and replaced when one dies")
+{
+    GossipNetwork network;
+    constexpr int daemons = 12;
+    for (int index = 0; index < daemons; ++index) {
+        network.add("d" + std::to_string(index), "n1");
+    }
+    network.pass(Millis{ 20'000 });
+    const auto readers = [&] {
+        std::vector<std::string> result;
+        for (auto &[id, node] : network.nodes()) {
+            if (node->speaksFor("settings", 2)) {
+                result.push_back(id);
+            }
+        }
+        return result;
+    };
+    const std::vector<std::string> before = readers();
+    REQUIRE(before.size() == 2);
+    network.remove(before.front());
+    CHECK(network.passUntil(Millis{ 30'000 }, [&] { return readers().size() == 2; }));
+    network.node(before.back()).leave();
+    CHECK(network.passUntil(Millis{ 30'000 }, [&] {
+        const std::vector<std::string> now = readers();
+        return now.size() == 2 && std::find(now.begin(), now.end(), before.back()) == now.end();
+    }));
+}
