Compare names of headers in one place

Cause: lowering the case of a header's name stood three times, in two ways. Change: lowerCase() in base/text.h.

--- /dev/null
+++ b/src/portpaddle/base/text.h
@@ -0,0 +1,21 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Small operations on text.
+#pragma once
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace Portpaddle {
+
+/// @p text with ASCII letters in lower case, as names of headers are compared.
+inline std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/entry/caller_answers.cpp
+++ b/src/portpaddle/entry/caller_answers.cpp
@@ -3,7 +3,7 @@
 
 #include "portpaddle/entry/caller_answers.h"
 
-#include <algorithm>
+#include "portpaddle/base/text.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -15,12 +15,6 @@
 constexpr std::size_t largestAnswer = 16 * 1024 * 1024;
 constexpr const char *usualType = "application/octet-stream";
 
-bool sameIgnoringCase(const std::string &left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 } // namespace
 
 bool BufferedAnswer::head(const AnswerHead &head)
@@ -65,9 +59,9 @@
 {
     std::string type = usualType;
     for (const HeaderField &field : head.headers) {
-        if (sameIgnoringCase(field.name, "content-type")) {
+        if (lowerCase(field.name) == "content-type") {
             type = field.value;
-        } else if (!sameIgnoringCase(field.name, "x-request-id")) {
+        } else if (lowerCase(field.name) != "x-request-id") {
             response.set_header(field.name, field.value);
         }
     }
--- a/src/portpaddle/entry/entry_server.cpp
+++ b/src/portpaddle/entry/entry_server.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/entry/entry_server.h"
 
 #include "portpaddle/base/metrics.h"
+#include "portpaddle/base/text.h"
 #include "portpaddle/dispatch/answer_channel.h"
 #include "portpaddle/dispatch/dispatcher.h"
 #include "portpaddle/entry/authenticator.h"
@@ -38,8 +39,7 @@
     static constexpr std::array<std::string_view, 9> withheld{ "authorization",  "x-request-id", "x-resume-from-token",
                                                                "x-organisation", "x-priority",   "idempotency-key",
                                                                "remote_addr",    "remote_port",  "expect" };
-    std::string lower(name);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    const std::string lower = lowerCase(name);
     const bool local = lower == "local_addr" || lower == "local_port" || lower == "x-service";
     return !local && !isHopByHopHeader(lower) && std::find(withheld.begin(), withheld.end(), lower) == withheld.end();
 }
--- a/src/portpaddle/upstream/http_upstream_client.cpp
+++ b/src/portpaddle/upstream/http_upstream_client.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/upstream/http_upstream_client.h"
 
 #include "portpaddle/base/socket_address.h"
+#include "portpaddle/base/text.h"
 
 #include <algorithm>
 #include <array>
@@ -145,8 +146,7 @@
                                                              "upgrade",
                                                              "content-length",
                                                              "host" };
-    std::string lower(name);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    const std::string lower = lowerCase(name);
     return std::find(names.begin(), names.end(), lower) != names.end();
 }
 
