Derive what the order controller kept, name the audiences of gossip

Found by reading the whole change again: planOrders() counted orders that it also listed and held two jobs; the controller copied its holdings under a lock that only its own step needs; the lease's id was reset where the fence already says whether it counts; the order kind "role" could never be given. GossipNode spelled how often news is told for an audience eight times.

--- a/src/portpaddle/control/order_controller.cpp
+++ b/src/portpaddle/control/order_controller.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr NameTable<OrderKind, 3> orderKindNames{ { "load", "drop", "role" } };
+constexpr NameTable<OrderKind, 2> orderKindNames{ { "load", "drop" } };
 constexpr Millis leaseTime{ 15'000 };
 constexpr Millis renewInterval{ 5'000 };
 /// An order must leave this long before the lease ends, or it might reach the engine after another holder's.
@@ -55,6 +55,35 @@
     return std::find(list.begin(), list.end(), item) != list.end();
 }
 
+std::vector<std::string> wantedModels(const CompiledSettings &settings, const UpstreamSettings &upstream)
+{
+    std::vector<std::string> wanted;
+    for (const OfferedService &service : upstream.services) {
+        const ServiceSettings *described = settings.service(service.name);
+        if (described != nullptr && described->kind == ServiceKind::Model) {
+            wanted.push_back(offeredText(service));
+        }
+    }
+    return wanted;
+}
+
+/// The first load that is missing, then the first drop that is left over.
+std::optional<EngineOrder> nextOrder(const UpstreamSettings &upstream, const std::vector<std::string> &wanted,
+                                     const std::vector<std::string> &loaded)
+{
+    for (const std::string &subject : wanted) {
+        if (!contains(loaded, subject)) {
+            return EngineOrder{ upstream.id, upstream.address, OrderKind::Load, subject, 0 };
+        }
+    }
+    for (const std::string &subject : loaded) {
+        if (!contains(wanted, subject)) {
+            return EngineOrder{ upstream.id, upstream.address, OrderKind::Drop, subject, 0 };
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string_view nameOf(OrderKind kind)
@@ -118,13 +147,11 @@
     // Reading first spares the platform two writes for each look of a daemon that does not hold the lease.
     const Result<std::optional<KeyValue>> holder = store_.get(key_);
     if (!isOk(holder) || valueOf(holder)) {
-        lease_ = 0;
         return;
     }
     const Millis askedAt = clock_.monotonic();
     const Result<LeaseGrant> granted = store_.grantLease(leaseTime);
     if (!isOk(granted)) {
-        lease_ = 0;
         return;
     }
     lease_ = valueOf(granted).id;
@@ -140,55 +167,32 @@
     }
     if (fence_ != 0) {
         provenUntil_ = askedAt + leaseTime;
-    } else {
-        lease_ = 0;
     }
 }
 
-OrderPlan planOrders(const Blackboard &board, const std::map<std::string, EngineHoldings> &holdings, double share)
+std::vector<EngineOrder> planOrders(const Blackboard &board, const std::map<std::string, EngineHoldings> &holdings, double share)
 {
     const std::shared_ptr<const CompiledSettings> settings = board.settings.read();
-    OrderPlan plan;
+    std::vector<EngineOrder> orders;
     std::size_t upstreams = 0;
-    std::size_t changing = 0;
     for (const UpstreamSettings &upstream : settings->upstreams()) {
         if (upstream.dataCentre != settings->place().dataCentre) {
             continue;
         }
         ++upstreams;
-    }
-    const auto most = static_cast<std::size_t>(std::max(1.0, std::floor(share * static_cast<double>(upstreams))));
-    for (const UpstreamSettings &upstream : settings->upstreams()) {
-        if (upstream.dataCentre != settings->place().dataCentre || upstream.leaving) {
+        if (upstream.leaving) {
             continue;
         }
         const auto known = holdings.find(upstream.id);
-        std::vector<std::string> wanted;
-        for (const OfferedService &service : upstream.services) {
-            const ServiceSettings *described = settings->service(service.name);
-            if (described != nullptr && described->kind == ServiceKind::Model) {
-                wanted.push_back(offeredText(service));
-            }
-        }
-        std::optional<EngineOrder> next;
-        for (const std::string &subject : wanted) {
-            if (!next && (known == holdings.end() || !contains(known->second.loaded, subject))) {
-                next = EngineOrder{ upstream.id, upstream.address, OrderKind::Load, subject, 0 };
-            }
-        }
-        if (!next && known != holdings.end()) {
-            for (const std::string &subject : known->second.loaded) {
-                if (!next && !contains(wanted, subject)) {
-                    next = EngineOrder{ upstream.id, upstream.address, OrderKind::Drop, subject, 0 };
-                }
-            }
-        }
-        if (next && changing < most) {
-            ++changing;
-            plan.orders.push_back(*next);
+        const EngineHoldings held = known == holdings.end() ? EngineHoldings{} : known->second;
+        std::optional<EngineOrder> next = nextOrder(upstream, wantedModels(*settings, upstream), held.loaded);
+        if (next) {
+            orders.push_back(std::move(*next));
         }
     }
-    return plan;
+    const double most = std::max(1.0, std::floor(share * static_cast<double>(upstreams)));
+    orders.resize(std::min(orders.size(), static_cast<std::size_t>(most)));
+    return orders;
 }
 
 OrderController::OrderController(OrderParts parts)
@@ -212,17 +216,11 @@
     }
     if (*fence != holdingsFence_) {
         // A new holder knows nothing of what engines hold: loading what is loaded already costs an engine nothing.
-        const std::lock_guard lock(mutex_);
         holdings_.clear();
         holdingsFence_ = *fence;
         heldSince_ = now;
     }
-    std::map<std::string, EngineHoldings> holdings;
-    {
-        const std::lock_guard lock(mutex_);
-        holdings = holdings_;
-    }
-    for (EngineOrder &order : planOrders(parts_.board, holdings, changingShare).orders) {
+    for (EngineOrder &order : planOrders(parts_.board, holdings_, changingShare)) {
         order.fence = *fence;
         give(std::move(order));
     }
@@ -247,7 +245,6 @@
     const OrderOutcome outcome = parts_.sender.send(order);
     logEvent(LogEvent::OrderSent,
              { { "upstream", order.upstream }, { "subject", order.subject }, { "outcome", std::string(textOf(outcome)) } });
-    const std::lock_guard lock(mutex_);
     if (outcome == OrderOutcome::Accepted) {
         std::vector<std::string> &loaded = holdings_[order.upstream].loaded;
         if (order.kind == OrderKind::Load) {
@@ -256,6 +253,7 @@
             std::erase(loaded, order.subject);
         }
     }
+    const std::lock_guard lock(mutex_);
     recent_.push_back(OrderRecord{ parts_.clock.wall().count(), std::move(order), std::string(textOf(outcome)) });
     if (recent_.size() > recordsKept) {
         recent_.pop_front();
--- a/src/portpaddle/control/order_controller.h
+++ b/src/portpaddle/control/order_controller.h
@@ -24,7 +24,7 @@
 class KeyValueStore;
 
 /// What an engine may be ordered to do.
-enum class OrderKind { Load, Drop, Role };
+enum class OrderKind { Load, Drop };
 std::string_view nameOf(OrderKind kind);
 
 /// One order as it goes to an engine.
@@ -33,7 +33,7 @@
     std::string upstream;
     std::string address;
     OrderKind kind = OrderKind::Load;
-    /// What to load or drop, or the role to take.
+    /// What to load or drop.
     std::string subject;
     /// The revision of the lease's key; engines refuse lower ones.
     std::uint64_t fence = 0;
@@ -81,12 +81,6 @@
     Millis provenUntil_{ 0 };
 };
 
-/// What the orders should bring about, worked out from settings: the difference between what engines offer and what they hold.
-struct OrderPlan
-{
-    std::vector<EngineOrder> orders;
-};
-
 /// What an engine has acknowledged so far.
 struct EngineHoldings
 {
@@ -94,7 +88,8 @@
 };
 
 /// Decides the next orders: loads before drops, at most @p changingShare of the upstreams at once. Pure.
-OrderPlan planOrders(const Blackboard &board, const std::map<std::string, EngineHoldings> &holdings, double changingShare);
+std::vector<EngineOrder> planOrders(const Blackboard &board, const std::map<std::string, EngineHoldings> &holdings,
+                                    double changingShare);
 
 /// What the order controller works with; all must outlive it.
 struct OrderParts
@@ -134,8 +129,9 @@
 
     OrderParts parts_;
     OrderLease lease_;
-    mutable std::mutex mutex_;
+    /// Touched by step() alone.
     std::map<std::string, EngineHoldings> holdings_;
+    mutable std::mutex mutex_;
     std::deque<OrderRecord> recent_;
     std::uint64_t holdingsFence_ = 0;
     Millis renewedAt_{ 0 };
--- a/src/portpaddle/membership/gossip_node.cpp
+++ b/src/portpaddle/membership/gossip_node.cpp
@@ -30,6 +30,12 @@
 /// What a datagram may cost; a push waits until the budget has it.
 constexpr double pushCost = 600;
 
+/// How often an item is told so that rumour reaches an audience of this size.
+unsigned tellingsFor(std::size_t audience)
+{
+    return 2 + static_cast<unsigned>(std::ceil(std::log2(static_cast<double>(audience) + 1)));
+}
+
 bool isUsable(MemberState state)
 {
     return state == MemberState::Alive || state == MemberState::Suspect || state == MemberState::Leaving;
@@ -140,7 +146,7 @@
         report.load.queuedDeferrable, report.leaving,  report.reachable
     };
     figures_.take(digest);
-    items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
+    items_.add(digest, tellingsHere());
 }
 
 void GossipNode::tellSummaries(const std::vector<SummaryEntry> &entries, Millis now)
@@ -148,16 +154,16 @@
     if (entries.empty() || !speaksFor("summary", summarySpeakers)) {
         return;
     }
-    items_.add(figures_.nextSummary(entries, now), tellings(static_cast<unsigned>(members_.records().size())));
+    items_.add(figures_.nextSummary(entries, now), tellingsEverywhere());
 }
 
 void GossipNode::tellDemand(const std::vector<OwnDemand> &demand, Millis now)
 {
     ++demandSequence_;
     for (const OwnDemand &own : demand) {
-        items_.add(figures_.ownDemand(own, demandSequence_), tellings(static_cast<unsigned>(localMembers().size())));
+        items_.add(figures_.ownDemand(own, demandSequence_), tellingsHere());
         if (speaksFor(own.organisation)) {
-            items_.add(figures_.nextTotal(own, now), tellings(static_cast<unsigned>(members_.records().size())));
+            items_.add(figures_.nextTotal(own, now), tellingsEverywhere());
         }
     }
 }
@@ -259,8 +265,8 @@
 void GossipNode::beginProbe(Millis now, std::vector<Datagram> &out)
 {
     ++period_;
-    for (const MemberUpdate &died : members_.expireSuspects(
-             config_.probePeriod * (config_.suspicionPeriods + tellings(static_cast<unsigned>(localMembers().size()))), now)) {
+    for (const MemberUpdate &died :
+         members_.expireSuspects(config_.probePeriod * (config_.suspicionPeriods + tellingsHere()), now)) {
         news_.membersChanged = true;
         tellMember(died);
     }
@@ -440,18 +446,18 @@
     for (const UpstreamDigest &digest : message.upstreams) {
         if (isLocal(message.sender) && figures_.take(digest)) {
             news_.upstreams.push_back(digest);
-            items_.add(digest, tellings(static_cast<unsigned>(localMembers().size())));
+            items_.add(digest, tellingsHere());
         }
     }
     for (const DataCentreSummary &summary : message.summaries) {
         if (figures_.take(summary)) {
             news_.summariesChanged = true;
-            items_.add(summary, tellings(static_cast<unsigned>(members_.records().size())));
+            items_.add(summary, tellingsEverywhere());
         }
     }
     for (const DemandReport &report : message.demands) {
         if (figures_.take(report, now)) {
-            items_.add(report, tellings(static_cast<unsigned>(localMembers().size())));
+            items_.add(report, tellingsHere());
         }
     }
 }
@@ -473,7 +479,7 @@
 
 void GossipNode::tellMember(const MemberUpdate &update)
 {
-    items_.add(update, tellings(static_cast<unsigned>(members_.records().size())));
+    items_.add(update, tellingsEverywhere());
 }
 
 void GossipNode::noteSender(const GossipMessage &message, Millis now)
@@ -492,9 +498,14 @@
     return record != nullptr && record->update.dataCentre == members_.self().dataCentre;
 }
 
-unsigned GossipNode::tellings(unsigned audience) const
+unsigned GossipNode::tellingsHere() const
+{
+    return tellingsFor(localMembers().size());
+}
+
+unsigned GossipNode::tellingsEverywhere() const
 {
-    return 2 + static_cast<unsigned>(std::ceil(std::log2(audience + 1)));
+    return tellingsFor(members_.records().size());
 }
 
 bool GossipNode::dataCentreHeard(const std::string &dataCentre, Millis now) const
--- a/src/portpaddle/membership/gossip_node.h
+++ b/src/portpaddle/membership/gossip_node.h
@@ -121,7 +121,9 @@
     void tellMember(const MemberUpdate &update);
     void noteSender(const GossipMessage &message, Millis now);
     bool isLocal(const std::string &id) const;
-    unsigned tellings(unsigned audience) const;
+    /// How often news for the own data centre, or for everyone, is told.
+    unsigned tellingsHere() const;
+    unsigned tellingsEverywhere() const;
     bool dataCentreHeard(const std::string &dataCentre, Millis now) const;
 
     const GossipConfig config_;
