--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 
 // portpaddled: one daemon on an entry VM.
 
+#include "platform/platform_daemon.h"
 #include "portpaddle/base/digest.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/system_clock.h"
@@ -88,14 +89,21 @@
 int main(int argc, char **argv)
 {
     char *settings = nullptr;
+    int onPlatform = 0;
     const poptOption table[]
-        = { { "settings", 's', POPT_ARG_STRING, &settings, 0, "configuration of this daemon, JSON with comments", "FILE" },
+        = { { "platform", 'p', POPT_ARG_NONE, &onPlatform, 0, "run on the users' platform, which writes the configuration",
+              nullptr },
+            { "settings", 's', POPT_ARG_STRING, &settings, 0, "configuration of this daemon, JSON with comments", "FILE" },
             POPT_AUTOHELP POPT_TABLEEND };
     poptContext context = poptGetContext("portpaddled", argc, const_cast<const char **>(argv), table, 0);
-    if (poptGetNextOpt(context) != -1 || settings == nullptr) {
-        fmt::print(stderr, "portpaddled: --settings FILE is needed; see --help\n");
+    if (poptGetNextOpt(context) != -1 || (settings == nullptr) == (onPlatform == 0)) {
+        fmt::print(stderr, "portpaddled: either --settings FILE or --platform is needed; see --help\n");
         return exitUsage;
     }
+    if (onPlatform != 0) {
+        signal(SIGPIPE, SIG_IGN);
+        return runPlatformDaemon();
+    }
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGINT);
--- a/src/portpaddle/base/error.h
+++ b/src/portpaddle/base/error.h
@@ -41,6 +41,7 @@
     SettingsTooOld,
     PeerUnreachable,
     NotFound,
+    HistoryGone,
     Cancelled,
     Internal,
 };
--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -3,18 +3,22 @@
 
 #include "portpaddle/base/log.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
-#include <cstdio>
+#include <map>
+#include <mutex>
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace Portpaddle {
 
 namespace {
 
-constexpr std::array<LogEventDescription, 25> catalogue{ {
+constexpr std::array<LogEventDescription, 30> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -36,18 +40,43 @@
     { LogEvent::RequestRetried, "request_retried", "info", "A request that provably did not run is tried elsewhere." },
     { LogEvent::RequestResumed, "request_resumed", "warning", "A stream broke and goes on at the next token on another engine." },
     { LogEvent::RequestFailed, "request_failed", "warning", "A request ended without its whole answer." },
+    { LogEvent::RequestServed, "request_served", "info", "The whole answer of an upstream went to the caller." },
+    { LogEvent::RequestAbandoned, "request_abandoned", "info", "The caller left before its answer was whole." },
     { LogEvent::UpstreamEjected, "upstream_ejected", "warning", "An upstream failed repeatedly and gets no work for a while." },
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream gets work again, slowly." },
+    { LogEvent::UpstreamChanged, "upstream_changed", "info", "An upstream registered or changed its record." },
+    { LogEvent::UpstreamGone, "upstream_gone", "info", "The record of an upstream was removed." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
     { LogEvent::OrderWithheld, "order_withheld", "warning", "An order was not sent because the lease could not be proved." },
+    { LogEvent::LogLinesDropped, "log_lines_dropped", "warning", "Lines that went beyond the bound on the volume of the log." },
 } };
 
-std::string &sourceName()
+// Lines of one event in a second, before the rest is only counted. Four hundred lines of 300 bytes cost a small VM about one
+// hundredth of its processor.
+constexpr unsigned mostLinesPerSecond = 400;
+// A reader that is slow for a second loses nothing.
+constexpr std::size_t mostBufferedBytes = 256 * 1024;
+// A pipe that is writable takes this much without blocking.
+constexpr std::size_t pipeStep = 4'096;
+
+/// What the process has logged and not written yet.
+struct LogState
+{
+    std::mutex mutex;
+    std::string source = "portpaddle";
+    std::string buffer;
+    bool buffered = false;
+    std::int64_t second = 0;
+    std::map<LogEvent, unsigned> linesThisSecond;
+    std::uint64_t dropped = 0;
+};
+
+LogState &state()
 {
-    static std::string name = "portpaddle";
-    return name;
+    static LogState instance;
+    return instance;
 }
 
 const LogEventDescription &describe(LogEvent event)
@@ -60,6 +89,59 @@
     return catalogue.front();
 }
 
+std::int64_t wallMillis()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::string formatLine(LogEvent event, std::initializer_list<LogField> fields, std::int64_t time, const std::string &source)
+{
+    const LogEventDescription &row = describe(event);
+    nlohmann::ordered_json line;
+    line["time_ms"] = time;
+    line["source"] = source;
+    line["event"] = static_cast<int>(event);
+    line["name"] = row.name;
+    line["level"] = row.level;
+    for (const LogField &field : fields) {
+        line[std::string(field.key)] = field.value;
+    }
+    // Peers choose some of the values: invalid UTF-8 is replaced rather than thrown at the logger.
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+/// Counts the line; false if its event has had its share of this second.
+bool admit(LogState &log, LogEvent event, std::int64_t time)
+{
+    const std::int64_t second = time / 1000;
+    if (second != log.second) {
+        log.second = second;
+        log.linesThisSecond.clear();
+        if (log.dropped > 0) {
+            log.buffer += formatLine(LogEvent::LogLinesDropped, { { "lines", std::to_string(log.dropped) } }, time, log.source);
+            log.dropped = 0;
+        }
+    }
+    return ++log.linesThisSecond[event] <= mostLinesPerSecond;
+}
+
+/// Writes without blocking where standard output can say that it is ready; the rest stays buffered.
+void writeOut(LogState &log)
+{
+    while (!log.buffer.empty()) {
+        pollfd ready{ STDOUT_FILENO, POLLOUT, 0 };
+        if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+            return;
+        }
+        const ssize_t written = write(STDOUT_FILENO, log.buffer.data(), std::min(log.buffer.size(), pipeStep));
+        if (written <= 0) {
+            return;
+        }
+        log.buffer.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
 } // namespace
 
 std::span<const LogEventDescription> logCatalogue()
@@ -69,24 +151,38 @@
 
 void setLogSource(std::string source)
 {
-    sourceName() = std::move(source);
+    LogState &log = state();
+    const std::lock_guard lock(log.mutex);
+    log.source = std::move(source);
+}
+
+void bufferLog()
+{
+    LogState &log = state();
+    const std::lock_guard lock(log.mutex);
+    log.buffered = true;
+}
+
+void flushLog()
+{
+    LogState &log = state();
+    const std::lock_guard lock(log.mutex);
+    writeOut(log);
 }
 
 void logEvent(LogEvent event, std::initializer_list<LogField> fields)
 {
-    const LogEventDescription &row = describe(event);
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    nlohmann::ordered_json line;
-    line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    line["source"] = sourceName();
-    line["event"] = static_cast<int>(event);
-    line["name"] = row.name;
-    line["level"] = row.level;
-    for (const LogField &field : fields) {
-        line[std::string(field.key)] = field.value;
+    LogState &log = state();
+    const std::lock_guard lock(log.mutex);
+    const std::int64_t time = wallMillis();
+    if (!admit(log, event, time) || log.buffer.size() > mostBufferedBytes) {
+        ++log.dropped;
+        return;
+    }
+    log.buffer += formatLine(event, fields, time, log.source);
+    if (!log.buffered) {
+        writeOut(log);
     }
-    // Peers choose some of the values: invalid UTF-8 is replaced rather than thrown at the logger.
-    fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Structured log: numbered events, one JSON object a line on standard error.
+/// Structured log: numbered events, one JSON object a line on standard output. Bounded in volume; never blocks.
 #pragma once
 
 #include <cstdint>
@@ -33,12 +33,17 @@
     RequestRetried = 4002,
     RequestResumed = 4003,
     RequestFailed = 4004,
+    RequestServed = 4005,
+    RequestAbandoned = 4006,
     UpstreamEjected = 4101,
     UpstreamReadmitted = 4102,
+    UpstreamChanged = 4103,
+    UpstreamGone = 4104,
     ClaimConflict = 4201,
     DrainOrdered = 5001,
     OrderSent = 5101,
     OrderWithheld = 5102,
+    LogLinesDropped = 9001,
 };
 
 /// One row of the event catalogue.
@@ -66,4 +71,9 @@
 /// Names the writer in every line that follows.
 void setLogSource(std::string source);
 
+/// From now on lines wait in memory until flushLog() is called, which a daemon does several times a second.
+void bufferLog();
+/// Writes what waits as far as standard output takes it without blocking.
+void flushLog();
+
 } // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/caller_request.h"
+
+#include <xxhash.h>
+
+#include <charconv>
+#include <string_view>
+
+namespace Portpaddle {
+
+namespace {
+
+/// The number at the start of @p text; zero when there is none, as an absent hint counts.
+template<typename Number>
+Number leadingNumber(std::string_view text)
+{
+    Number value{};
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::vector<PromptPart> decodeParts(std::string_view list)
+{
+    std::vector<PromptPart> parts;
+    std::uint64_t chain = 0;
+    while (!list.empty() && parts.size() < mostPromptParts) {
+        const std::size_t comma = list.find(',');
+        std::string_view entry = list.substr(0, comma);
+        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+        while (!entry.empty() && entry.front() == ' ') {
+            entry.remove_prefix(1);
+        }
+        const std::size_t colon = entry.find(':');
+        if (colon == std::string_view::npos) {
+            continue;
+        }
+        chain = XXH3_64bits_withSeed(entry.data(), colon, chain);
+        parts.push_back({ chain, leadingNumber<unsigned>(entry.substr(colon + 1)) });
+    }
+    return parts;
+}
+
+PromptFacts decodePrompt(const HttpRequest &message, const HeaderNames &names)
+{
+    PromptFacts prompt;
+    const std::string_view counts(message[names.tokenCounts].data(), message[names.tokenCounts].size());
+    prompt.promptTokens = leadingNumber<unsigned>(counts);
+    const std::size_t comma = counts.find(',');
+    if (comma != std::string_view::npos) {
+        prompt.mostTokensOut = leadingNumber<unsigned>(counts.substr(comma + 1));
+    }
+    const auto parts = message[names.promptParts];
+    prompt.parts = decodeParts(std::string_view(parts.data(), parts.size()));
+    return prompt;
+}
+
+} // namespace
+
+CallerRequest decodeRequest(HttpRequest message, const HeaderNames &names, SteadyTime arrivedAt)
+{
+    CallerRequest request;
+    request.arrivedAt = arrivedAt;
+    const auto id = message[names.requestId];
+    request.id.assign(id.data(), id.size());
+    request.idHash = XXH3_64bits(request.id.data(), request.id.size());
+    const auto host = message[boost::beast::http::field::host];
+    request.host.assign(host.data(), host.size());
+    const auto timeLeft = message[names.timeLeft];
+    if (!timeLeft.empty()) {
+        request.timeLeft = Millis(leadingNumber<std::int64_t>(std::string_view(timeLeft.data(), timeLeft.size())));
+    }
+    request.prompt = decodePrompt(message, names);
+    request.message = std::move(message);
+    return request;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -0,0 +1,295 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/caller_session.h"
+
+#include "portpaddle/net/socket_options.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusTimeout = 408;
+constexpr unsigned statusTooLarge = 413;
+constexpr unsigned statusHeaderTooLarge = 431;
+constexpr unsigned statusUnavailable = 503;
+// Bytes of following requests that are taken in while one is served; further ones wait in the kernel.
+constexpr std::size_t mostReadAhead = 16 * 1024;
+constexpr std::size_t readAheadStep = 2 * 1024;
+
+unsigned statusOfReadError(NetError error)
+{
+    if (error == http::error::body_limit) {
+        return statusTooLarge;
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return statusHeaderTooLarge;
+    }
+    return statusBadRequest;
+}
+
+bool isProtocolError(NetError error)
+{
+    return error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+}
+
+} // namespace
+
+CallerSession::CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler)
+    : socket_(std::move(socket))
+    , peer_(peer)
+    , handler_(handler)
+    , timer_(socket_.get_executor())
+    , watchEnded_(socket_.get_executor())
+{
+    applySocketOptions(socket_.native_handle());
+}
+
+void CallerSession::start()
+{
+    boost::asio::co_spawn(
+        socket_.get_executor(), [self = shared_from_this()]() -> Task<void> { co_await self->run(); }, boost::asio::detached);
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (!serving_ && buffer_.size() == 0) {
+        close();
+    }
+}
+
+void CallerSession::close()
+{
+    NetError ignored;
+    socket_.close(ignored);
+}
+
+bool CallerSession::isOpen() const
+{
+    return socket_.is_open();
+}
+
+void CallerSession::closeAfter(std::chrono::milliseconds time)
+{
+    const unsigned round = ++timerRound_;
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this(), round](NetError error) {
+        if (!error && round == self->timerRound_) {
+            self->close();
+        }
+    });
+}
+
+Task<void> CallerSession::run()
+{
+    while (keepOpen_ && socket_.is_open()) {
+        const CallerLimits limits = handler_.limits();
+        Parser parser;
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+        const bool whole = co_await readRequest(parser);
+        if (!whole) {
+            break;
+        }
+        co_await serve(parser.release());
+    }
+    ++timerRound_;
+    timer_.cancel();
+    close();
+}
+
+/// Waits for the first byte under the idle bound, for the head under the header bound, for the body under the idle bound again.
+Task<bool> CallerSession::readRequest(Parser &parser)
+{
+    const CallerLimits limits = handler_.limits();
+    NetError error;
+    if (buffer_.size() == 0) {
+        closeAfter(limits.idleTimeout);
+        const std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
+        if (error) {
+            co_return false;
+        }
+        buffer_.commit(got);
+    }
+    requestStarted_ = std::chrono::steady_clock::now();
+    closeAfter(limits.headerTimeout);
+    co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
+    if (error) {
+        co_await reject(error);
+        co_return false;
+    }
+    if (!parser.is_done()) {
+        closeAfter(limits.idleTimeout);
+        const bool whole = co_await readBody(parser);
+        if (!whole) {
+            co_return false;
+        }
+    }
+    ++timerRound_;
+    timer_.cancel();
+    co_return true;
+}
+
+Task<bool> CallerSession::readBody(Parser &parser)
+{
+    NetError error;
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await boost::asio::async_write(socket_, boost::asio::buffer(goOn), awaitingInto(error));
+    }
+    if (!error) {
+        co_await http::async_read(socket_, buffer_, parser, awaitingInto(error));
+    }
+    if (error) {
+        co_await reject(error);
+        co_return false;
+    }
+    co_return true;
+}
+
+/// Tells a peer that broke the protocol or a bound why, then closes.
+Task<void> CallerSession::reject(NetError error)
+{
+    keepOpen_ = false;
+    if (!isProtocolError(error)) {
+        co_return;
+    }
+    WholeAnswer answer;
+    answer.status = statusOfReadError(error);
+    answer.body = error.message() + "\n";
+    answer.fields.set(http::field::content_type, "text/plain");
+    co_await whole(std::move(answer));
+}
+
+Task<void> CallerSession::serve(HttpRequest message)
+{
+    keepOpen_ = message.keep_alive();
+    headOnly_ = message.method() == http::verb::head;
+    const std::size_t held = message.body().size();
+    if (!handler_.reserveBody(held)) {
+        keepOpen_ = false;
+        WholeAnswer answer;
+        answer.status = statusUnavailable;
+        answer.fields.set(http::field::retry_after, "1");
+        co_await whole(std::move(answer));
+        co_return;
+    }
+    serving_ = true;
+    CallerRequest request = decodeRequest(std::move(message), handler_.names(), requestStarted_);
+    request.relayed = peer_ == SessionPeer::Daemon;
+    watchCaller();
+    co_await handler_.serve(std::move(request), *this, abandoned_);
+    abandoned_ = nullptr;
+    co_await stopWatching();
+    handler_.releaseBody(held);
+    serving_ = false;
+}
+
+/// Reads ahead while a request is served: an end or a reset means that the caller left.
+void CallerSession::watchCaller()
+{
+    if (!socket_.is_open() || buffer_.size() >= mostReadAhead) {
+        return;
+    }
+    watching_ = true;
+    socket_.async_read_some(buffer_.prepare(readAheadStep), [self = shared_from_this()](NetError error, std::size_t got) {
+        self->watching_ = false;
+        if (!error) {
+            self->buffer_.commit(got);
+            if (self->serving_ && self->watchEnded_.expiry() != SteadyTime::max()) {
+                self->watchCaller();
+            }
+        } else if (error != boost::asio::error::operation_aborted) {
+            self->callerLeft();
+        }
+        self->watchEnded_.cancel();
+    });
+}
+
+Task<void> CallerSession::stopWatching()
+{
+    if (!watching_) {
+        co_return;
+    }
+    watchEnded_.expires_at(SteadyTime::max());
+    NetError ignored;
+    socket_.cancel(ignored);
+    co_await watchEnded_.async_wait(awaitingInto(ignored));
+    watchEnded_.expires_at(SteadyTime{});
+}
+
+void CallerSession::callerLeft()
+{
+    keepOpen_ = false;
+    if (abandoned_) {
+        const std::function<void()> hook = std::move(abandoned_);
+        abandoned_ = nullptr;
+        hook();
+    }
+}
+
+Task<bool> CallerSession::whole(WholeAnswer answer)
+{
+    http::response<http::string_body> message(http::int_to_status(answer.status), 11);
+    message.result(answer.status);
+    static_cast<http::fields &>(message) = std::move(answer.fields);
+    message.body() = std::move(answer.body);
+    keepOpen_ = keepOpen_ && !handler_.closing();
+    message.keep_alive(keepOpen_);
+    if (!headOnly_) {
+        message.prepare_payload();
+    }
+    NetError error;
+    co_await http::async_write(socket_, message, awaitingInto(error));
+    co_return !error;
+}
+
+Task<bool> CallerSession::begin(unsigned status, http::fields fields)
+{
+    http::response<http::empty_body> message(http::int_to_status(status), 11);
+    message.result(status);
+    static_cast<http::fields &>(message) = std::move(fields);
+    keepOpen_ = keepOpen_ && !handler_.closing();
+    message.keep_alive(keepOpen_);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    NetError error;
+    co_await http::async_write_header(socket_, serializer, awaitingInto(error));
+    co_return !error;
+}
+
+Task<bool> CallerSession::piece(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        co_return true;
+    }
+    NetError error;
+    co_await boost::asio::async_write(socket_, http::make_chunk(boost::asio::buffer(bytes)), awaitingInto(error));
+    co_return !error;
+}
+
+Task<bool> CallerSession::end()
+{
+    NetError error;
+    co_await boost::asio::async_write(socket_, http::make_chunk_last(), awaitingInto(error));
+    co_return !error;
+}
+
+void CallerSession::abort()
+{
+    keepOpen_ = false;
+    close();
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/cold_gate.h
@@ -0,0 +1,41 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Bounds the requests that one daemon sends to a cold upstream, so that all daemons together stay within what it bears.
+#pragma once
+
+#include "portpaddle/net/asio.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace Portpaddle {
+
+/// Bounds of the whole system on one cold upstream.
+struct ColdTerms
+{
+    /// Times the rate that the upstream bears.
+    double overshoot = 1;
+    /// Requests a second besides.
+    double slack = 0;
+    /// Daemons that may send to it at the same time.
+    unsigned daemons = 1;
+};
+
+/// Counts sends in the last second. Belongs to one event loop.
+class ColdGate
+{
+public:
+    void setTerms(const ColdTerms &terms);
+    /// Whether one more request may be sent now to @p upstream, which bears @p perSecond.
+    bool allows(const std::string &upstream, double perSecond, SteadyTime now);
+    void sent(const std::string &upstream, SteadyTime now);
+    void forget(const std::string &upstream);
+
+private:
+    ColdTerms terms_;
+    std::unordered_map<std::string, std::deque<SteadyTime>> sends_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/connection_headers.cpp
@@ -0,0 +1,57 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/connection_headers.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::string_view relayPrefix = "X-Portpaddle-";
+
+bool same(std::string_view name, std::string_view other)
+{
+    return boost::beast::iequals({ name.data(), name.size() }, { other.data(), other.size() });
+}
+
+} // namespace
+
+bool concernsConnection(http::field field, std::string_view name, const http::fields &fields)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::content_length:
+    case http::field::expect:
+    case http::field::keep_alive:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+        return true;
+    default:
+        break;
+    }
+    const auto connection = fields[http::field::connection];
+    return !connection.empty() && http::token_list(connection).exists({ name.data(), name.size() });
+}
+
+bool isSetBySystem(std::string_view name, const HeaderNames &names)
+{
+    for (const std::string *own : { &names.expectedUpstream, &names.priority, &names.timeLeft, &names.memoryHold, &names.pinFor,
+                                    &names.memoryBackup, &names.memoryFrom, &names.memoryFetch, &names.expectedVersion }) {
+        if (same(name, *own)) {
+            return true;
+        }
+    }
+    return name.size() > relayPrefix.size() && same(name.substr(0, relayPrefix.size()), relayPrefix);
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -0,0 +1,119 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/daemon_registration.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace Portpaddle {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A daemon that died disappears from the list after this. Shorter leases lapse when a loaded VM pauses.
+constexpr Millis usualLease{ 3'500 };
+constexpr Millis step{ 100 };
+// Three renewals fit a lease, so that two may be lost.
+constexpr unsigned stepsBetweenRenewals = 11;
+constexpr unsigned stepsAfterFailure = 3;
+
+} // namespace
+
+std::string encodeDaemonRecord(const DaemonRecord &record)
+{
+    const Json json = { { "id", record.id },
+                        { "region", record.region },
+                        { "data_centre", record.dataCentre },
+                        { "entry", record.entryAddress },
+                        { "link", record.linkAddress } };
+    return json.dump();
+}
+
+Result<DaemonRecord> decodeDaemonRecord(const std::string &text)
+{
+    try {
+        const Json json = Json::parse(text);
+        DaemonRecord record;
+        record.id = json.at("id").get<std::string>();
+        record.region = json.at("region").get<std::string>();
+        record.dataCentre = json.at("data_centre").get<std::string>();
+        record.entryAddress = json.at("entry").get<std::string>();
+        record.linkAddress = json.at("link").get<std::string>();
+        return record;
+    } catch (const Json::exception &exception) {
+        return Error{ ErrorCode::SettingsInvalid, std::string("a daemon's record: ") + exception.what(), RunState::NotRun, {} };
+    }
+}
+
+DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease,
+                                       std::function<bool()> stillListed)
+    : store_(store)
+    , record_(std::move(record))
+    , leaseTime_(std::max(usualLease, shortestLease))
+    , stillListed_(std::move(stillListed))
+{
+}
+
+DaemonRegistration::~DaemonRegistration()
+{
+    withdraw();
+    thread_.join();
+}
+
+void DaemonRegistration::start()
+{
+    thread_ = Thread("register", [this] { run(); });
+}
+
+void DaemonRegistration::withdraw()
+{
+    withdrawn_ = true;
+}
+
+bool DaemonRegistration::enter()
+{
+    const Result<LeaseGrant> grant = store_.grantLease(leaseTime_);
+    if (!isOk(grant)) {
+        return false;
+    }
+    lease_ = valueOf(grant).id;
+    const Result<std::uint64_t> written = store_.write(daemonRecordPrefix + record_.id, encodeDaemonRecord(record_), lease_);
+    if (!isOk(written)) {
+        lease_ = noLease;
+        return false;
+    }
+    return true;
+}
+
+void DaemonRegistration::run()
+{
+    while (!withdrawn_) {
+        bool well = true;
+        if (lease_ == noLease) {
+            well = enter();
+        } else {
+            const Status kept = store_.keepLease(lease_);
+            well = isOk(kept);
+            // A write of an earlier life may have replaced the record and lapsed with its lease: the list tells.
+            const bool over = !well && errorOf(kept).code == ErrorCode::NotFound;
+            if (over || (well && !stillListed_())) {
+                lease_ = noLease;
+                continue;
+            }
+        }
+        for (unsigned steps = well ? stepsBetweenRenewals : stepsAfterFailure; steps > 0 && !withdrawn_; --steps) {
+            std::this_thread::sleep_for(step);
+        }
+    }
+    if (lease_ != noLease) {
+        // If this fails, the lease lapses by itself.
+        (void)store_.endLease(lease_);
+        lease_ = noLease;
+    }
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/daemon_registration.h
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Keeps this daemon's record in the store under a lease.
+#pragma once
+
+#include "portpaddle/base/thread.h"
+#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/interfaces/watched_store.h"
+
+#include <atomic>
+#include <functional>
+
+namespace Portpaddle {
+
+/// Where the records of daemons lie.
+inline constexpr const char *daemonRecordPrefix = "portpaddle/daemons/";
+
+std::string encodeDaemonRecord(const DaemonRecord &record);
+Result<DaemonRecord> decodeDaemonRecord(const std::string &text);
+
+/// Runs a thread until withdraw() is called.
+class DaemonRegistration
+{
+public:
+    /// @p stillListed tells whether the store's list names this daemon.
+    DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> stillListed);
+    ~DaemonRegistration();
+
+    void start();
+    /// The record is taken away soon; does not wait for it.
+    void withdraw();
+
+private:
+    void run();
+    /// Grants a lease and writes the record under it.
+    bool enter();
+
+    WatchedStore &store_;
+    DaemonRecord record_;
+    Millis leaseTime_;
+    std::function<bool()> stillListed_;
+    std::uint64_t lease_ = noLease;
+    std::atomic<bool> withdrawn_{ false };
+    Thread thread_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -0,0 +1,356 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/exchange.h"
+
+#include "portpaddle/base/metrics.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusBadGateway = 502;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusGatewayTimeout = 504;
+// An upstream gives up at the time it was told; its own answer may still come in this time.
+constexpr Millis deadlineGrace{ 60 };
+// An upstream that has less than this left cannot answer.
+constexpr Millis shortestAttempt{ 5 };
+// Engines are one network hop away; a connection that takes longer hangs.
+constexpr Millis localConnectTimeout{ 400 };
+constexpr Millis remoteConnectTimeout{ 800 };
+constexpr Millis roomPoll{ 20 };
+// Part of the aim that a request may wait for room; a refusal within a quarter still leaves time to come back.
+constexpr double waitShare = 0.2;
+constexpr Millis longestWait{ 300 };
+// Callers honour at most a third of their time; shorter returns find nothing changed.
+constexpr Millis shortestReturn{ 100 };
+constexpr Millis longestReturn{ 2'000 };
+constexpr Millis returnBeforeConfiguration{ 500 };
+
+Millis since(SteadyTime from)
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - from);
+}
+
+} // namespace
+
+Exchange::Exchange(Gateway &gateway, CallerRequest request, CallerWriter &writer)
+    : gateway_(gateway)
+    , request_(std::move(request))
+    , writer_(writer)
+    , deadlineTimer_(gateway.executor_)
+    , roomTimer_(gateway.executor_)
+{
+}
+
+void Exchange::callerLeft()
+{
+    interrupt(Interruption::CallerLeft);
+}
+
+void Exchange::interrupt(Interruption reason)
+{
+    if (interruption_ == Interruption::None) {
+        interruption_ = reason;
+    }
+    roomTimer_.cancel();
+    if (current_ != nullptr) {
+        current_->interrupt();
+    }
+}
+
+Millis Exchange::timeLeft() const
+{
+    return std::max(Millis(0), std::chrono::duration_cast<Millis>(deadline_ - std::chrono::steady_clock::now()));
+}
+
+Millis Exchange::suggestedReturn() const
+{
+    return std::clamp(timeLeft() / 4, shortestReturn, longestReturn);
+}
+
+void Exchange::startDeadline()
+{
+    deadline_ = request_.arrivedAt + route_->timeout;
+    if (request_.timeLeft) {
+        deadline_ = std::min(deadline_, request_.arrivedAt + *request_.timeLeft);
+    }
+    deadlineTimer_.expires_at(deadline_ + deadlineGrace);
+    deadlineTimer_.async_wait([weak = weak_from_this()](NetError error) {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (!error && self) {
+            self->interrupt(Interruption::Deadline);
+        }
+    });
+}
+
+Task<void> Exchange::run()
+{
+    gateway_.metrics_.count(request_.relayed ? Counter::ReceivedFromPeers : Counter::Requests);
+    const bool found = co_await findRoute();
+    if (!found) {
+        co_return;
+    }
+    startDeadline();
+    co_await attempts();
+    deadlineTimer_.cancel();
+    gateway_.metrics_.observe(Timer::WholeRequest, static_cast<double>(since(request_.arrivedAt).count()));
+}
+
+Task<bool> Exchange::findRoute()
+{
+    services_ = gateway_.view()->services;
+    if (!services_) {
+        co_await refuse(ErrorCode::Stopping, "no configuration is known yet", returnBeforeConfiguration);
+        co_return false;
+    }
+    if (request_.id.empty()) {
+        co_await fail(statusBadRequest, "the request has no id");
+        co_return false;
+    }
+    const auto target = request_.message.target();
+    const std::string_view path = std::string_view(target.data(), target.size());
+    route_ = services_->find(request_.host, path.substr(0, path.find('?')));
+    if (route_ == nullptr) {
+        co_await fail(statusNotFound, "no route leads there");
+        co_return false;
+    }
+    const bool stays = std::any_of(route_->services.begin(), route_->services.end(),
+                                   [this](const WeightedService &entry) { return entry.service == service_; });
+    if (!stays) {
+        service_ = route_->serviceFor(request_.idHash);
+    }
+    co_return true;
+}
+
+Task<void> Exchange::attempts()
+{
+    const SteadyTime started = std::chrono::steady_clock::now();
+    if (!request_.relayed) {
+        gateway_.retries_.firstSent(service_, started);
+    }
+    AttemptReport report;
+    while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
+        const Target target = gateway_.choose(request_, *route_, service_, tried_, std::chrono::steady_clock::now());
+        if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
+            const bool mayWait = !progress_.begun && sends_ == 0;
+            const bool again = mayWait ? co_await waitForRoom() : false;
+            if (again) {
+                continue;
+            }
+            report = sends_ > 0 ? std::move(report) : AttemptReport{};
+            if (sends_ == 0) {
+                report.end = AttemptEnd::NotRun;
+                report.error = Error{
+                    ErrorCode::NoUpstream, fmt::format("no room: {}", nameOf(target.placement.reason)), RunState::NotRun, {}
+                };
+            }
+            break;
+        }
+        report = co_await attempt(target);
+        if (!mayRepeat(report)) {
+            break;
+        }
+        gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
+        log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0, report.error.message);
+        const bool found = progress_.begun ? true : co_await findRoute();
+        if (!found) {
+            co_return;
+        }
+    }
+    co_await finish(report);
+}
+
+Task<AttemptReport> Exchange::attempt(const Target &target)
+{
+    const bool local = target.upstream.has_value();
+    AttemptPlan plan;
+    plan.peer = local ? target.upstream->id : target.daemon->id;
+    plan.address = local ? target.upstream->address : target.daemon->linkAddress;
+    plan.expectedUpstream = local ? target.upstream->id : std::string();
+    plan.connectTimeout = std::min(local ? localConnectTimeout : remoteConnectTimeout, timeLeft());
+    plan.timeLeft = timeLeft();
+    plan.priority = std::min(route_->priority, 9U);
+    plan.streamed = route_->kind == RouteKind::Stream;
+    predictedMs_ = target.placement.predictedMs;
+    tried_.push_back(local ? target.upstream->id : target.daemon->region);
+
+    LoadTicket ticket;
+    AttemptEvents events;
+    events.sending = [&] {
+        ++sends_;
+        const SteadyTime now = std::chrono::steady_clock::now();
+        if (local) {
+            const ServiceSpec *spec = services_->service(service_);
+            ticket = gateway_.loads_.sent(*target.upstream, *spec, request_.prompt, target.placement.predictedMs, now);
+            if (target.upstream->coldUntil > now) {
+                gateway_.cold_.sent(target.upstream->id, now);
+            }
+        } else {
+            gateway_.metrics_.count(Counter::SentAway);
+        }
+    };
+    events.firstEvent = [&] {
+        if (local) {
+            gateway_.loads_.firstToken(ticket, std::chrono::steady_clock::now());
+        }
+    };
+    events.loadReported = [](std::string_view) {};
+
+    UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
+    current_ = &sending;
+    AttemptReport report = co_await sending.run(plan, events);
+    current_ = nullptr;
+
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const bool interrupted = interruption_ != Interruption::None;
+    if (!report.sent && !interrupted) {
+        if (local) {
+            gateway_.loads_.connectFailed(target.upstream->id, now);
+        } else {
+            gateway_.regions_.unreachable(target.daemon->id, now);
+        }
+    }
+    if (!ticket.upstream.empty()) {
+        const bool answered = report.end == AttemptEnd::Complete;
+        const LoadOutcome ended = answered     ? LoadOutcome::Answered
+            : interrupted                      ? LoadOutcome::Cancelled
+            : report.end == AttemptEnd::NotRun ? LoadOutcome::NotRun
+                                               : LoadOutcome::Failed;
+        gateway_.loads_.ended(ticket, ended, now);
+    }
+    mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
+    co_return report;
+}
+
+bool Exchange::mayRepeat(const AttemptReport &report)
+{
+    const bool ended = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone;
+    if (ended || interruption_ != Interruption::None) {
+        return false;
+    }
+    if (!report.sent) {
+        // Nothing left this daemon: another target costs nobody anything.
+        return true;
+    }
+    if (report.end == AttemptEnd::Broken && !route_->mayRunTwice()) {
+        return false;
+    }
+    if (progress_.begun && (!route_->resumable || progress_.events.lastId().empty())) {
+        return false;
+    }
+    if (request_.relayed || sends_ >= route_->attempts) {
+        return false;
+    }
+    return gateway_.retries_.takeRepeat(service_, std::chrono::steady_clock::now());
+}
+
+Task<bool> Exchange::waitForRoom()
+{
+    const Millis bound = std::min(longestWait, std::chrono::duration_cast<Millis>(route_->targetLatency * waitShare));
+    if (since(request_.arrivedAt) + roomPoll > bound) {
+        co_return false;
+    }
+    tried_.clear();
+    NetError ignored;
+    roomTimer_.expires_after(roomPoll);
+    co_await roomTimer_.async_wait(awaitingInto(ignored));
+    co_return interruption_ == Interruption::None;
+}
+
+Task<void> Exchange::finish(const AttemptReport &report)
+{
+    if (interruption_ == Interruption::CallerLeft || report.end == AttemptEnd::ReceiverGone) {
+        writer_.abort();
+        log(LogEvent::RequestAbandoned, 0, report.error.message);
+        co_return;
+    }
+    if (progress_.begun) {
+        const bool whole = report.end == AttemptEnd::Complete && interruption_ == Interruption::None;
+        if (whole) {
+            co_await writer_.end();
+        } else {
+            writer_.abort();
+        }
+        log(whole ? LogEvent::RequestServed : LogEvent::RequestFailed, 200, report.error.message);
+        co_return;
+    }
+    if (report.failedAnswer) {
+        const unsigned status = report.failedAnswer->status;
+        co_await writer_.whole(*report.failedAnswer);
+        log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
+        co_return;
+    }
+    if (!mayHaveRun_) {
+        const Millis back = report.error.retryAfter.value_or(suggestedReturn());
+        co_await refuse(report.error.code, report.error.message, back);
+        co_return;
+    }
+    const bool late = interruption_ == Interruption::Deadline || timeLeft() <= shortestAttempt;
+    co_await fail(late ? statusGatewayTimeout : statusBadGateway, report.error.message);
+}
+
+/// One line with what decided: the settings' version, the targets asked, the prediction and what came of it.
+void Exchange::log(LogEvent event, unsigned status, const std::string &message) const
+{
+    std::string asked;
+    for (const std::string &target : tried_) {
+        asked += (asked.empty() ? "" : " ") + target;
+    }
+    logEvent(event,
+             { { "request", request_.id },
+               { "route", route_ != nullptr ? route_->name : std::string() },
+               { "service", service_ },
+               { "settings_version", services_ ? std::to_string(services_->version) : std::string("none") },
+               { "store_reachable", gateway_.view()->storeReachable ? "true" : "false" },
+               { "asked", asked },
+               { "sends", std::to_string(sends_) },
+               { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
+               { "took_ms", std::to_string(since(request_.arrivedAt).count()) },
+               { "relayed", request_.relayed ? "true" : "false" },
+               { "status", std::to_string(status) },
+               { "run", std::string(nameOf(mayHaveRun_ ? RunState::MayHaveRun : RunState::NotRun)) },
+               { "message", message } });
+}
+
+/// The request has not run and will not.
+Task<void> Exchange::refuse(ErrorCode code, std::string message, Millis retryAfter)
+{
+    gateway_.metrics_.count(Counter::Refusals);
+    log(LogEvent::RequestRefused, statusUnavailable, message);
+    WholeAnswer answer;
+    answer.status = statusUnavailable;
+    answer.fields.set(http::field::content_type, "text/plain");
+    answer.fields.set(http::field::retry_after, fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
+    answer.fields.set(gateway_.names_.requestId, request_.id);
+    if (request_.relayed) {
+        answer.fields.set(relayOutcomeHeader, relayNotRun);
+    }
+    answer.body = fmt::format("{}: {}\n", nameOf(code), message);
+    co_await writer_.whole(std::move(answer));
+}
+
+Task<void> Exchange::fail(unsigned status, std::string message)
+{
+    log(LogEvent::RequestFailed, status, message);
+    WholeAnswer answer;
+    answer.status = status;
+    answer.fields.set(http::field::content_type, "text/plain");
+    answer.fields.set(gateway_.names_.requestId, request_.id);
+    if (request_.relayed && !mayHaveRun_) {
+        answer.fields.set(relayOutcomeHeader, relayNotRun);
+    }
+    answer.body = message + "\n";
+    co_await writer_.whole(std::move(answer));
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/exchange.h
@@ -0,0 +1,64 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// One request from its arrival to its final answer: placement, attempts, repeats, continued streams.
+#pragma once
+
+#include "portpaddle/base/log.h"
+#include "portpaddle/gateway/gateway.h"
+#include "portpaddle/gateway/upstream_attempt.h"
+
+#include <memory>
+
+namespace Portpaddle {
+
+/// Lives as long as its request.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(Gateway &gateway, CallerRequest request, CallerWriter &writer);
+
+    Task<void> run();
+    void callerLeft();
+
+private:
+    enum class Interruption { None, CallerLeft, Deadline };
+
+    /// Finds the route in the newest configuration; answers and returns false when there is none.
+    Task<bool> findRoute();
+    void startDeadline();
+    void interrupt(Interruption reason);
+    Task<void> attempts();
+    Task<AttemptReport> attempt(const Target &target);
+    /// Whether another attempt may follow @p report.
+    bool mayRepeat(const AttemptReport &report);
+    /// Waits a moment for room; false when the request has waited long enough.
+    Task<bool> waitForRoom();
+    Task<void> finish(const AttemptReport &report);
+    Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
+    Task<void> fail(unsigned status, std::string message);
+    void log(LogEvent event, unsigned status, const std::string &message) const;
+    Millis timeLeft() const;
+    Millis suggestedReturn() const;
+
+    Gateway &gateway_;
+    CallerRequest request_;
+    CallerWriter &writer_;
+    StreamProgress progress_;
+    std::shared_ptr<const ServiceMap> services_;
+    const Route *route_ = nullptr;
+    std::string service_;
+    SteadyTime deadline_;
+    SteadyTimer deadlineTimer_;
+    SteadyTimer roomTimer_;
+    UpstreamAttempt *current_ = nullptr;
+    Interruption interruption_ = Interruption::None;
+    /// Upstreams and regions asked so far.
+    std::vector<std::string> tried_;
+    unsigned sends_ = 0;
+    double predictedMs_ = 0;
+    /// Some upstream may have run it.
+    bool mayHaveRun_ = false;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/fleet_keeper.cpp
@@ -0,0 +1,223 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/fleet_keeper.h"
+
+namespace Portpaddle {
+
+namespace {
+
+// Upstreams that lapsed while the store was away register again within about two seconds of its return.
+constexpr std::chrono::milliseconds lapseGrace{ 2'300 };
+
+} // namespace
+
+FleetKeeper::FleetKeeper(RcuCell<FleetView> &cell, std::function<void()> published)
+    : cell_(cell), published_(std::move(published))
+{
+}
+
+bool FleetKeeper::takeConfiguration(std::shared_ptr<const ServiceMap> services)
+{
+    const std::lock_guard lock(mutex_);
+    if (services_ && services->version <= services_->version) {
+        return false;
+    }
+    services_ = std::move(services);
+    publish();
+    return true;
+}
+
+std::optional<SteadyTime> FleetKeeper::graceFor(SteadyTime now) const
+{
+    if (!storeReachable_ && everReachable_) {
+        return now + lapseGrace;
+    }
+    return now < settledAt_ ? std::optional(settledAt_) : std::nullopt;
+}
+
+void FleetKeeper::storeUpstream(UpstreamRecord record)
+{
+    const auto known = upstreams_.find(record.id);
+    if (known != upstreams_.end()) {
+        // Leaving is final for one life: an older record that arrives late must not undo it.
+        record.leaving = record.leaving || known->second.record.leaving;
+        if (!record.goneAt) {
+            record.goneAt = known->second.record.goneAt;
+        }
+    }
+    const std::string id = record.id;
+    upstreams_[id] = Held<UpstreamRecord>{ std::move(record), std::nullopt };
+}
+
+template<typename Record>
+bool FleetKeeper::drop(std::map<std::string, Held<Record>> &held, const std::string &id, SteadyTime now)
+{
+    const auto found = held.find(id);
+    if (found == held.end()) {
+        return false;
+    }
+    const std::optional<SteadyTime> grace = graceFor(now);
+    if (grace) {
+        found->second.lapsesAt = found->second.lapsesAt.value_or(*grace);
+        return false;
+    }
+    held.erase(found);
+    return true;
+}
+
+template<typename Record>
+bool FleetKeeper::dropLapsed(std::map<std::string, Held<Record>> &held, SteadyTime now)
+{
+    return std::erase_if(held, [now](const auto &item) { return item.second.lapsesAt && *item.second.lapsesAt <= now; }) > 0;
+}
+
+void FleetKeeper::listUpstreams(std::vector<UpstreamRecord> records, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    std::set<std::string> listed;
+    for (UpstreamRecord &record : records) {
+        listed.insert(record.id);
+        storeUpstream(std::move(record));
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, held] : upstreams_) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        drop(upstreams_, id, now);
+    }
+    publish();
+}
+
+void FleetKeeper::changeUpstream(UpstreamRecord record)
+{
+    const std::lock_guard lock(mutex_);
+    storeUpstream(std::move(record));
+    publish();
+}
+
+void FleetKeeper::removeUpstream(const std::string &id, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (drop(upstreams_, id, now)) {
+        publish();
+    }
+}
+
+void FleetKeeper::listEvacuations(std::set<std::string> dataCentres)
+{
+    const std::lock_guard lock(mutex_);
+    evacuated_ = std::move(dataCentres);
+    publish();
+}
+
+void FleetKeeper::changeEvacuation(const std::string &dataCentre, bool evacuated)
+{
+    const std::lock_guard lock(mutex_);
+    if (evacuated) {
+        evacuated_.insert(dataCentre);
+    } else {
+        evacuated_.erase(dataCentre);
+    }
+    publish();
+}
+
+void FleetKeeper::listDaemons(std::vector<DaemonRecord> daemons, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    std::set<std::string> listed;
+    for (DaemonRecord &daemon : daemons) {
+        listed.insert(daemon.id);
+        const std::string id = daemon.id;
+        daemons_[id] = Held<DaemonRecord>{ std::move(daemon), std::nullopt };
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, held] : daemons_) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        drop(daemons_, id, now);
+    }
+    publish();
+}
+
+void FleetKeeper::changeDaemon(DaemonRecord daemon)
+{
+    const std::lock_guard lock(mutex_);
+    const std::string id = daemon.id;
+    daemons_[id] = Held<DaemonRecord>{ std::move(daemon), std::nullopt };
+    publish();
+}
+
+void FleetKeeper::removeDaemon(const std::string &id, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (drop(daemons_, id, now)) {
+        publish();
+    }
+}
+
+void FleetKeeper::storeLost(SteadyTime)
+{
+    const std::lock_guard lock(mutex_);
+    if (storeReachable_) {
+        storeReachable_ = false;
+        publish();
+    }
+}
+
+void FleetKeeper::storeBack(SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (storeReachable_) {
+        return;
+    }
+    // At the first contact nothing can have lapsed that this daemon knew.
+    settledAt_ = everReachable_ ? now + lapseGrace : now;
+    storeReachable_ = true;
+    everReachable_ = true;
+    publish();
+}
+
+void FleetKeeper::tick(SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (!storeReachable_) {
+        return;
+    }
+    const bool upstreams = dropLapsed(upstreams_, now);
+    const bool daemons = dropLapsed(daemons_, now);
+    if (upstreams || daemons) {
+        publish();
+    }
+}
+
+bool FleetKeeper::knowsDaemon(const std::string &id) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = daemons_.find(id);
+    return found != daemons_.end() && !found->second.lapsesAt;
+}
+
+void FleetKeeper::publish()
+{
+    auto view = std::make_shared<FleetView>();
+    view->services = services_;
+    for (const auto &[id, held] : upstreams_) {
+        view->upstreams.emplace(id, held.record);
+    }
+    for (const auto &[id, held] : daemons_) {
+        view->daemons.push_back(held.record);
+    }
+    view->evacuated = evacuated_;
+    view->storeReachable = storeReachable_;
+    cell_.publish(std::move(view));
+    published_();
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/fleet_keeper.h
@@ -0,0 +1,72 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Keeps the picture of the fleet from what the store tells, also while the store is away, and publishes it.
+#pragma once
+
+#include "portpaddle/base/rcu_cell.h"
+#include "portpaddle/gateway/fleet_view.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace Portpaddle {
+
+/// Thread-safe. @p published of the constructor is called after each publication, on the thread that caused it.
+class FleetKeeper
+{
+public:
+    FleetKeeper(RcuCell<FleetView> &cell, std::function<void()> published);
+
+    /// Takes a configuration unless it is older than the one in force; false then.
+    bool takeConfiguration(std::shared_ptr<const ServiceMap> services);
+    void listUpstreams(std::vector<UpstreamRecord> records, SteadyTime now);
+    void changeUpstream(UpstreamRecord record);
+    void removeUpstream(const std::string &id, SteadyTime now);
+    void listEvacuations(std::set<std::string> dataCentres);
+    void changeEvacuation(const std::string &dataCentre, bool evacuated);
+    void listDaemons(std::vector<DaemonRecord> daemons, SteadyTime now);
+    void changeDaemon(DaemonRecord daemon);
+    void removeDaemon(const std::string &id, SteadyTime now);
+    void storeLost(SteadyTime now);
+    void storeBack(SteadyTime now);
+    /// Removes what lapsed and did not come back; call a few times a second.
+    void tick(SteadyTime now);
+    /// Whether the store's list names @p id.
+    bool knowsDaemon(const std::string &id) const;
+
+private:
+    template<typename Record>
+    struct Held
+    {
+        Record record;
+        /// Set where the record lapsed while the store was away: it counts until then.
+        std::optional<SteadyTime> lapsesAt;
+    };
+
+    /// Until when a record that is missing now still counts; no value when it is gone at once.
+    std::optional<SteadyTime> graceFor(SteadyTime now) const;
+    void storeUpstream(UpstreamRecord record);
+    template<typename Record>
+    bool drop(std::map<std::string, Held<Record>> &held, const std::string &id, SteadyTime now);
+    template<typename Record>
+    bool dropLapsed(std::map<std::string, Held<Record>> &held, SteadyTime now);
+    void publish();
+
+    RcuCell<FleetView> &cell_;
+    std::function<void()> published_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<const ServiceMap> services_;
+    std::map<std::string, Held<UpstreamRecord>> upstreams_;
+    std::map<std::string, Held<DaemonRecord>> daemons_;
+    std::set<std::string> evacuated_;
+    bool storeReachable_ = false;
+    bool everReachable_ = false;
+    /// Removals before this may be lapses of an outage.
+    SteadyTime settledAt_{};
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -0,0 +1,277 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/gateway.h"
+
+#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/gateway/load_digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Portpaddle {
+
+namespace {
+
+// Daemons of a region that may be added or come back while others still count.
+constexpr unsigned spareDaemons = 1;
+// Connections beyond the running requests of a daemon's share bring nothing.
+constexpr std::size_t fewestConnections = 4;
+
+double millisLeft(SteadyTime until, SteadyTime now)
+{
+    return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
+}
+
+} // namespace
+
+Gateway::Gateway(Executor executor, GatewayIdentity identity, HeaderNames names, const RcuCell<FleetView> &view,
+                 RandomSource &random, Metrics &metrics)
+    : executor_(executor)
+    , identity_(std::move(identity))
+    , names_(std::move(names))
+    , cell_(view)
+    , view_(view.read())
+    , random_(random)
+    , metrics_(metrics)
+    , pool_(executor)
+{
+    regions_.setOwnRegion(identity_.region);
+}
+
+Task<void> Gateway::serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned)
+{
+    ++inProgress_;
+    Exchange exchange(*this, std::move(request), writer);
+    abandoned = [&exchange] { exchange.callerLeft(); };
+    co_await exchange.run();
+    abandoned = nullptr;
+    --inProgress_;
+}
+
+CallerLimits Gateway::limits() const
+{
+    return view_->services ? view_->services->limits : CallerLimits{};
+}
+
+const HeaderNames &Gateway::names() const
+{
+    return names_;
+}
+
+bool Gateway::closing() const
+{
+    return draining_;
+}
+
+bool Gateway::reserveBody(std::size_t bytes)
+{
+    if (bodyBytes_ + bytes > terms_.bodyMemoryBytes) {
+        return false;
+    }
+    bodyBytes_ += bytes;
+    return true;
+}
+
+void Gateway::releaseBody(std::size_t bytes)
+{
+    bodyBytes_ -= bytes;
+}
+
+void Gateway::setTerms(const GatewayTerms &terms)
+{
+    terms_ = terms;
+    retries_.setTerms({ terms.retryRatio, terms.extraRetriesPerWindow, terms.retryWindow, terms.plannedDaemons });
+}
+
+void Gateway::viewChanged()
+{
+    view_ = cell_.read();
+    loads_.keepOnly(*view_);
+}
+
+void Gateway::takeDigest(const Wire::LoadDigestT &digest)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (digest.daemon == identity_.id) {
+        return;
+    }
+    regions_.takeDigest(digest, now);
+    if (digest.region == identity_.region) {
+        loads_.takeDigest(digest, now);
+    }
+}
+
+Wire::LoadDigestT Gateway::digest()
+{
+    Wire::LoadDigestT digest;
+    digest.daemon = identity_.id;
+    digest.region = identity_.region;
+    digest.sequence = ++digestSequence_;
+    digest.leaving = draining_;
+    digest.config_version = view_->services ? view_->services->version : 0;
+    loads_.fillDigest(digest);
+    addServiceWaits(digest, std::chrono::steady_clock::now());
+    return digest;
+}
+
+void Gateway::addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now)
+{
+    if (!view_->services) {
+        return;
+    }
+    const PromptFacts none;
+    for (const auto &[name, spec] : view_->services->services) {
+        std::vector<const UpstreamRecord *> records;
+        double shortest = std::numeric_limits<double>::max();
+        double speed = 0;
+        for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
+            if (candidate.barred == LossReason::None) {
+                shortest = std::min(shortest, predictedFirstTokenMs(candidate, {}));
+                speed += candidate.tokensPerMs;
+            }
+        }
+        if (speed > 0 && digest.services.size() < mostDigestServices) {
+            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(shortest), static_cast<float>(speed));
+        }
+    }
+}
+
+void Gateway::tick()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    pool_.sweep(now);
+    cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, regions_.daemonsInOwnRegion(now) + spareDaemons });
+}
+
+void Gateway::beginDrain()
+{
+    draining_ = true;
+}
+
+std::size_t Gateway::inProgress() const
+{
+    return inProgress_;
+}
+
+std::shared_ptr<const FleetView> Gateway::view() const
+{
+    return view_;
+}
+
+const RegionTable &Gateway::regions() const
+{
+    return regions_;
+}
+
+const GatewayIdentity &Gateway::identity() const
+{
+    return identity_;
+}
+
+bool Gateway::ready() const
+{
+    return view_->services != nullptr && !draining_;
+}
+
+bool Gateway::isUsable(const DaemonRecord &daemon, SteadyTime now) const
+{
+    if (daemon.id == identity_.id) {
+        return ready();
+    }
+    return !daemon.leaving && !regions_.saysLeaving(daemon.id) && !regions_.fellSilent(daemon.id, now);
+}
+
+std::size_t Gateway::connectionShare(const ServiceSpec &spec) const
+{
+    const unsigned daemons = regions_.daemonsInOwnRegion(std::chrono::steady_clock::now()) + spareDaemons;
+    return std::max<std::size_t>(fewestConnections, spec.connectionLimit / daemons);
+}
+
+LossReason Gateway::bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now)
+{
+    if (!view_->takesRequests(upstream)) {
+        return LossReason::Leaving;
+    }
+    if (pool_.idle(upstream.id) == 0 && pool_.open(upstream.id) >= connectionShare(spec)) {
+        return LossReason::Full;
+    }
+    if (upstream.coldUntil > now && spec.coldPerSecond > 0 && !cold_.allows(upstream.id, spec.coldPerSecond, now)) {
+        return LossReason::ShareSpent;
+    }
+    return LossReason::None;
+}
+
+std::vector<UpstreamCandidate> Gateway::localCandidates(const std::string &service, const ServiceSpec &spec,
+                                                        const PromptFacts &prompt, const std::vector<std::string> &tried,
+                                                        std::vector<const UpstreamRecord *> &records, SteadyTime now)
+{
+    std::vector<UpstreamCandidate> candidates;
+    for (const auto &[id, upstream] : view_->upstreams) {
+        if (upstream.service != service || upstream.region != identity_.region) {
+            continue;
+        }
+        UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
+        candidate.index = static_cast<std::uint32_t>(records.size());
+        const LossReason barred = bar(upstream, spec, now);
+        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+            candidate.barred = LossReason::AlreadyTried;
+        } else if (barred != LossReason::None) {
+            candidate.barred = barred;
+        }
+        records.push_back(&upstream);
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+Target Gateway::choose(const CallerRequest &request, const Route &route, const std::string &service,
+                       const std::vector<std::string> &tried, SteadyTime now)
+{
+    Target target;
+    const ServiceSpec *spec = view_->services ? view_->services->service(service) : nullptr;
+    if (spec == nullptr) {
+        return target;
+    }
+    PlacementRequest facts;
+    facts.promptTokens = request.prompt.promptTokens;
+    facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
+    facts.targetMs = static_cast<double>(route.targetLatency.count());
+    facts.targetLeftMs = millisLeft(request.arrivedAt + route.targetLatency, now);
+    facts.timeLeftMs = millisLeft(request.arrivedAt + route.timeout, now);
+
+    std::vector<const UpstreamRecord *> records;
+    std::vector<UpstreamCandidate> upstreams;
+    if (route.allowsRegion(identity_.region)) {
+        upstreams = localCandidates(service, *spec, request.prompt, tried, records, now);
+    }
+    std::vector<std::string> regionNames;
+    std::vector<RegionCandidate> regions;
+    if (!request.relayed) {
+        regions = regions_.candidates(service, now, regionNames);
+        std::erase_if(regions, [&](const RegionCandidate &candidate) {
+            const std::string &region = regionNames[candidate.index];
+            return !route.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
+                || regions_.pick(*view_, region, now, random_) == nullptr;
+        });
+    }
+    target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
+    if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
+        // All that is left looks ill: the best of them is still better than none.
+        for (UpstreamCandidate &candidate : upstreams) {
+            candidate.barred = candidate.barred == LossReason::Unhealthy ? LossReason::None : candidate.barred;
+        }
+        target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
+    }
+    if (target.placement.verdict == Verdict::Serve) {
+        target.upstream = *records[target.placement.index];
+    } else if (target.placement.verdict == Verdict::Forward) {
+        const std::string &region = regionNames[target.placement.index];
+        const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
+        target.daemon = *daemon;
+        regions_.sentAway(region, service, facts.promptTokens);
+    }
+    return target;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/gateway.h
@@ -0,0 +1,119 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The request path of a daemon on one event loop: takes requests, places them, carries them to upstreams and other regions.
+#pragma once
+
+#include "portpaddle/base/rcu_cell.h"
+#include "portpaddle/gateway/caller_session.h"
+#include "portpaddle/gateway/cold_gate.h"
+#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/region_table.h"
+#include "portpaddle/gateway/retry_slice.h"
+#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/gateway/upstream_loads.h"
+
+#include <memory>
+#include <string>
+
+namespace Portpaddle {
+
+class Metrics;
+class RandomSource;
+
+/// Who this daemon is.
+struct GatewayIdentity
+{
+    std::string id;
+    std::string region;
+    std::string dataCentre;
+};
+
+/// Bounds that the deployment sets.
+struct GatewayTerms
+{
+    double retryRatio = 0.1;
+    double extraRetriesPerWindow = 10;
+    std::chrono::milliseconds retryWindow{ 10'000 };
+    double coldOvershoot = 1;
+    double coldSlack = 0;
+    /// Daemons over which the bounds are divided: those that may live at once.
+    unsigned plannedDaemons = 8;
+    std::size_t bodyMemoryBytes = 64 * 1024 * 1024;
+};
+
+/// A target chosen for one attempt.
+struct Target
+{
+    Placement placement;
+    /// Set for an upstream of the own region.
+    std::optional<UpstreamRecord> upstream;
+    /// Set for a daemon of another region.
+    std::optional<DaemonRecord> daemon;
+};
+
+/// Belongs to one event loop; only the view is written by another thread.
+class Gateway : public RequestHandler
+{
+public:
+    Gateway(Executor executor, GatewayIdentity identity, HeaderNames names, const RcuCell<FleetView> &view, RandomSource &random,
+            Metrics &metrics);
+
+    Task<void> serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned) override;
+    CallerLimits limits() const override;
+    const HeaderNames &names() const override;
+    bool closing() const override;
+    bool reserveBody(std::size_t bytes) override;
+    void releaseBody(std::size_t bytes) override;
+
+    void setTerms(const GatewayTerms &terms);
+    /// A newer view was published.
+    void viewChanged();
+    void takeDigest(const Wire::LoadDigestT &digest);
+    Wire::LoadDigestT digest();
+    /// Housekeeping, a few times a second.
+    void tick();
+    /// From now on answers close their connections.
+    void beginDrain();
+    std::size_t inProgress() const;
+    std::shared_ptr<const FleetView> view() const;
+    const RegionTable &regions() const;
+    const GatewayIdentity &identity() const;
+    /// A configuration is known and no stop has begun.
+    bool ready() const;
+    /// Whether callers may be sent to @p daemon.
+    bool isUsable(const DaemonRecord &daemon, SteadyTime now) const;
+
+private:
+    friend class Exchange;
+
+    /// Chooses where @p request may go among what @p tried leaves.
+    Target choose(const CallerRequest &request, const Route &route, const std::string &service,
+                  const std::vector<std::string> &tried, SteadyTime now);
+    std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
+                                                   const std::vector<std::string> &tried,
+                                                   std::vector<const UpstreamRecord *> &records, SteadyTime now);
+    LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
+    std::size_t connectionShare(const ServiceSpec &spec) const;
+    void addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now);
+
+    Executor executor_;
+    GatewayIdentity identity_;
+    HeaderNames names_;
+    const RcuCell<FleetView> &cell_;
+    std::shared_ptr<const FleetView> view_;
+    RandomSource &random_;
+    Metrics &metrics_;
+    GatewayTerms terms_;
+    ConnectionPool pool_;
+    UpstreamLoads loads_;
+    RetrySlice retries_;
+    ColdGate cold_;
+    RegionTable regions_;
+    std::size_t bodyBytes_ = 0;
+    std::size_t inProgress_ = 0;
+    std::uint64_t digestSequence_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -0,0 +1,184 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/gateway_server.h"
+
+#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/net/endpoint.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{ 100 };
+// Daemons of the own region hear of load at every tick; with more than this many, in turns.
+constexpr std::size_t localPeersPerTick = 4;
+// Daemons of other regions hear less often: the news cost bytes between regions and only steer what is sent away.
+constexpr std::size_t ticksBetweenRemoteDigests = 3;
+constexpr std::size_t remotePeersPerRound = 3;
+
+boost::asio::ip::udp::endpoint datagramEndpoint(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return { endpoint.address(), endpoint.port() };
+}
+
+} // namespace
+
+GatewayServer::GatewayServer(boost::asio::io_context &loop, Gateway &gateway, GatewayServerConfig config)
+    : loop_(loop)
+    , gateway_(gateway)
+    , config_(std::move(config))
+    , callers_(loop.get_executor(), SessionPeer::Caller, gateway, config_.mostSessions)
+    , daemons_(loop.get_executor(), SessionPeer::Daemon, gateway, config_.mostSessions)
+    , datagrams_(loop.get_executor())
+    , ticks_(loop.get_executor())
+{
+}
+
+Status GatewayServer::start()
+{
+    Status status = callers_.listen(config_.entryAddress);
+    if (isOk(status)) {
+        status = daemons_.listen(config_.linkAddress);
+    }
+    if (isOk(status)) {
+        status = openDatagrams();
+    }
+    scheduleTick();
+    return status;
+}
+
+Status GatewayServer::serveBeside(const std::string &address, RequestHandler &handler)
+{
+    beside_.push_back(
+        std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, handler, config_.mostSessions));
+    return beside_.back()->listen(address);
+}
+
+void GatewayServer::onTick(std::function<void()> hook)
+{
+    hook_ = std::move(hook);
+}
+
+void GatewayServer::stopGracefully()
+{
+    if (stoppingSince_) {
+        return;
+    }
+    stoppingSince_ = std::chrono::steady_clock::now();
+    gateway_.beginDrain();
+}
+
+void GatewayServer::scheduleTick()
+{
+    ticks_.expires_after(tickInterval);
+    ticks_.async_wait([this](NetError error) {
+        if (!error) {
+            tick();
+            scheduleTick();
+        }
+    });
+}
+
+void GatewayServer::tick()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    ++tickNumber_;
+    gateway_.tick();
+    sendDigests();
+    if (hook_) {
+        hook_();
+    }
+    if (stoppingSince_) {
+        continueStopping(now);
+    }
+}
+
+void GatewayServer::continueStopping(SteadyTime now)
+{
+    const auto since = now - *stoppingSince_;
+    if (since >= config_.stopBound) {
+        loop_.stop();
+        return;
+    }
+    if (since < config_.acceptWhileStopping) {
+        return;
+    }
+    callers_.stopAccepting();
+    callers_.closeIdle();
+    daemons_.closeIdle();
+    if (callers_.open() == 0 && gateway_.inProgress() == 0) {
+        loop_.stop();
+    }
+}
+
+Status GatewayServer::openDatagrams()
+{
+    const auto endpoint = parseEndpoint(config_.linkAddress);
+    NetError error;
+    datagrams_.open(boost::asio::ip::udp::v4(), error);
+    if (!error && endpoint) {
+        datagrams_.bind(datagramEndpoint(*endpoint), error);
+    }
+    if (error) {
+        return Error{ ErrorCode::Internal,
+                      "cannot receive datagrams on " + config_.linkAddress + ": " + error.message(),
+                      RunState::NotRun,
+                      {} };
+    }
+    datagrams_.non_blocking(true, error);
+    receiveDatagram();
+    return success();
+}
+
+void GatewayServer::receiveDatagram()
+{
+    datagrams_.async_receive_from(boost::asio::buffer(received_), sender_, [this](NetError error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const Result<Wire::LoadDigestT> digest = decodeDigest(std::span(received_.data(), size));
+            if (isOk(digest)) {
+                gateway_.takeDigest(valueOf(digest));
+            }
+        }
+        receiveDatagram();
+    });
+}
+
+void GatewayServer::sendDigests()
+{
+    const std::shared_ptr<const FleetView> view = gateway_.view();
+    std::vector<const DaemonRecord *> local;
+    std::vector<const DaemonRecord *> remote;
+    for (const DaemonRecord &daemon : view->daemons) {
+        if (daemon.id == gateway_.identity().id) {
+            continue;
+        }
+        (daemon.region == gateway_.identity().region ? local : remote).push_back(&daemon);
+    }
+    const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest());
+    const auto send = [&](const DaemonRecord &daemon) {
+        const auto endpoint = parseEndpoint(daemon.linkAddress);
+        NetError lost;
+        // A datagram that cannot be sent is as good as one that is lost: the next follows soon.
+        if (endpoint) {
+            datagrams_.send_to(boost::asio::buffer(bytes), datagramEndpoint(*endpoint), 0, lost);
+        }
+    };
+    for (std::size_t count = std::min(local.size(), localPeersPerTick); count > 0; --count) {
+        send(*local[localTurn_++ % local.size()]);
+    }
+    if (tickNumber_ % ticksBetweenRemoteDigests == 0) {
+        for (std::size_t count = std::min(remote.size(), remotePeersPerRound); count > 0; --count) {
+            send(*remote[remoteTurn_++ % remote.size()]);
+        }
+    }
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -0,0 +1,75 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The event loop of a daemon: listeners for callers, daemons and the platform's questions, load digests, housekeeping, stopping.
+#pragma once
+
+#include "portpaddle/gateway/gateway.h"
+#include "portpaddle/gateway/session_listener.h"
+
+#include <boost/asio/basic_datagram_socket.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace Portpaddle {
+
+/// Where a daemon listens, and how it stops.
+struct GatewayServerConfig
+{
+    std::string entryAddress;
+    /// Daemons reach each other here, by TCP and UDP.
+    std::string linkAddress;
+    std::size_t mostSessions = 2'000;
+    /// From the order to stop: new connections are taken until then,
+    std::chrono::milliseconds acceptWhileStopping{ 4'500 };
+    /// and everything ends then.
+    std::chrono::milliseconds stopBound{ 7'500 };
+};
+
+/// Runs on the thread that calls run().
+class GatewayServer
+{
+public:
+    GatewayServer(boost::asio::io_context &loop, Gateway &gateway, GatewayServerConfig config);
+
+    Status start();
+    /// Serves further questions beside the callers', for example readiness.
+    Status serveBeside(const std::string &address, RequestHandler &handler);
+    /// Finishes what is in progress, then stops the loop. Call on the loop.
+    void stopGracefully();
+    /// Called on the loop several times a second.
+    void onTick(std::function<void()> hook);
+
+private:
+    using DatagramSocket = boost::asio::basic_datagram_socket<boost::asio::ip::udp, Executor>;
+
+    void scheduleTick();
+    void tick();
+    void continueStopping(SteadyTime now);
+    Status openDatagrams();
+    void receiveDatagram();
+    void sendDigests();
+
+    boost::asio::io_context &loop_;
+    Gateway &gateway_;
+    GatewayServerConfig config_;
+    SessionListener callers_;
+    SessionListener daemons_;
+    std::vector<std::unique_ptr<SessionListener>> beside_;
+    DatagramSocket datagrams_;
+    boost::asio::ip::udp::endpoint sender_;
+    std::array<std::uint8_t, 2'048> received_{};
+    SteadyTimer ticks_;
+    std::function<void()> hook_;
+    std::optional<SteadyTime> stoppingSince_;
+    std::size_t tickNumber_ = 0;
+    std::size_t remoteTurn_ = 0;
+    std::size_t localTurn_ = 0;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/header_names.h
@@ -0,0 +1,44 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Names of the HTTP headers that carry what the gateway reads and sets; an adapter replaces them by those of its platform.
+#pragma once
+
+#include <string>
+
+namespace Portpaddle {
+
+/// One name for each meaning.
+struct HeaderNames
+{
+    /// Identifies one try of a caller; returned with its answer.
+    std::string requestId = "X-Request-Id";
+    /// Milliseconds that the caller still waits.
+    std::string timeLeft = "X-Request-Timeout-Ms";
+    std::string model = "X-Model";
+    /// "PROMPT,MOST_OUT" in tokens.
+    std::string tokenCounts = "X-Token-Counts";
+    /// "ID:TOKENS,..." of the prompt's parts in order.
+    std::string promptParts = "X-Prompt-Parts";
+    std::string lastEventId = "Last-Event-ID";
+    /// Signature of an upstream over its answer.
+    std::string signature = "X-Signature";
+    /// The life of the upstream that shall run the request.
+    std::string expectedUpstream = "X-Expected-Upstream";
+    /// An upstream says that it did not run the request.
+    std::string notRun = "X-Not-Run";
+    /// "RUNNING,WAITING,SLOTS" of an upstream.
+    std::string load = "X-Load";
+    std::string priority = "X-Priority";
+    /// Milliseconds that an upstream remains cold.
+    std::string coldFor = "X-Cold-Ms";
+    /// Set by daemons only; removed from what callers send.
+    std::string memoryHold = "X-Memory-Hold";
+    std::string pinFor = "X-Pin-Ms";
+    std::string memoryBackup = "X-Memory-Backup";
+    std::string memoryFrom = "X-Memory-From";
+    std::string memoryFetch = "X-Memory-Fetch";
+    std::string expectedVersion = "X-Expected-Version";
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -0,0 +1,103 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/key_follower.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace Portpaddle {
+
+namespace {
+
+// How long one call waits for changes: each waiting call is paid for, a longer one notices a stopping process later.
+constexpr Millis waitTime{ 8'000 };
+// After a failure; doubled up to the longest. A store that is back must be noticed within a second.
+constexpr Millis firstPause{ 100 };
+constexpr Millis longestPause{ 400 };
+constexpr unsigned mostDoublings = 4;
+
+} // namespace
+
+KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener)
+    : prefix_(std::move(prefix)), store_(store), listener_(listener)
+{
+}
+
+KeyFollower::~KeyFollower()
+{
+    stop();
+}
+
+void KeyFollower::start()
+{
+    thread_ = Thread("follow", [this] { run(); });
+}
+
+void KeyFollower::stop()
+{
+    stopping_ = true;
+    thread_.join();
+}
+
+void KeyFollower::run()
+{
+    while (!stopping_) {
+        if (listed_ || list()) {
+            follow();
+        }
+    }
+}
+
+bool KeyFollower::list()
+{
+    const Result<KeyListing> listing = store_.listAll(prefix_);
+    if (!isOk(listing)) {
+        noteFailure(errorOf(listing));
+        return false;
+    }
+    noteSuccess();
+    listener_.listed(valueOf(listing).items);
+    revision_ = valueOf(listing).revision;
+    listed_ = true;
+    return true;
+}
+
+void KeyFollower::follow()
+{
+    const Result<KeyChanges> reply = store_.follow(prefix_, revision_, waitTime);
+    if (!isOk(reply)) {
+        listed_ = errorOf(reply).code != ErrorCode::HistoryGone;
+        if (listed_) {
+            noteFailure(errorOf(reply));
+        }
+        return;
+    }
+    noteSuccess();
+    for (const KeyChange &change : valueOf(reply).changes) {
+        listener_.changed(change);
+    }
+    revision_ = std::max(revision_, valueOf(reply).revision);
+}
+
+void KeyFollower::noteFailure(const Error &error)
+{
+    if (!lost_) {
+        lost_ = true;
+        listener_.storeLost(error);
+    }
+    const Millis pause = std::min(longestPause, firstPause * (1U << std::min(failures_, mostDoublings)));
+    ++failures_;
+    std::this_thread::sleep_for(pause);
+}
+
+void KeyFollower::noteSuccess()
+{
+    failures_ = 0;
+    if (lost_) {
+        lost_ = false;
+        listener_.storeBack();
+    }
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/key_follower.h
@@ -0,0 +1,57 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Follows all keys under a prefix of the store, over outages and forgotten history.
+#pragma once
+
+#include "portpaddle/base/thread.h"
+#include "portpaddle/interfaces/watched_store.h"
+
+#include <atomic>
+#include <memory>
+
+namespace Portpaddle {
+
+/// Told of keys, on the follower's thread.
+class KeyListener
+{
+public:
+    virtual ~KeyListener() = default;
+    /// All keys; what was told before and is missing here is gone.
+    virtual void listed(const std::vector<KeyValue> &items) = 0;
+    virtual void changed(const KeyChange &change) = 0;
+    virtual void storeLost(const Error &error) = 0;
+    virtual void storeBack() = 0;
+};
+
+/// Runs a thread until the process ends or stop() is called.
+class KeyFollower
+{
+public:
+    /// @p store and @p listener must outlive the follower.
+    KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener);
+    ~KeyFollower();
+
+    void start();
+    /// Returns when the call in progress, if any, has ended.
+    void stop();
+
+private:
+    void run();
+    bool list();
+    void follow();
+    void noteFailure(const Error &error);
+    void noteSuccess();
+
+    std::string prefix_;
+    WatchedStore &store_;
+    KeyListener &listener_;
+    std::uint64_t revision_ = 0;
+    bool listed_ = false;
+    bool lost_ = true;
+    unsigned failures_ = 0;
+    std::atomic<bool> stopping_{ false };
+    Thread thread_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/load_digest.h
@@ -0,0 +1,28 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// What daemons tell each other of load, and its encoding.
+#pragma once
+
+#include "portpaddle/base/error.h"
+#include "portpaddle/wire/load_generated.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Portpaddle {
+
+/// Datagrams stay below the usual path MTU.
+inline constexpr std::size_t largestLoadDatagram = 1'400;
+/// Bounds of a digest; with them the largest one fits the datagram.
+inline constexpr std::size_t mostDigestUpstreams = 24;
+inline constexpr std::size_t mostDigestParts = 20;
+inline constexpr std::size_t mostDigestServices = 8;
+
+std::vector<std::uint8_t> encodeDigest(const Wire::LoadDigestT &digest);
+/// BadRequest if @p bytes is no digest or exceeds a bound.
+Result<Wire::LoadDigestT> decodeDigest(std::span<const std::uint8_t> bytes);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/placement.cpp
@@ -0,0 +1,106 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace Portpaddle {
+
+namespace {
+
+// Between two pieces of a prompt an engine makes one token for each running request; the page of the engines gives 3.2 ms for a
+// step and measured steps grow by some hundredths of a millisecond for each request in the batch.
+constexpr double stepMs = 3.2;
+constexpr double stepMsPerRunning = 0.05;
+// Prompt tokens read between two steps, as seen from the time that prompts of 12,000 tokens take beside full batches.
+constexpr double tokensPerStep = 512;
+// Candidates closer than this are equal; chance decides, so that daemons that see the same do not all choose the same.
+constexpr double sameMs = 2.0;
+
+/// Time until memory and a slot are free.
+double admissionMs(const UpstreamCandidate &candidate, const PlacementRequest &request)
+{
+    const double overSlots = std::max(0.0, candidate.running + 1 - candidate.slots);
+    double waits = overSlots / candidate.slots * candidate.serviceMs;
+    if (candidate.memoryTotal > 0) {
+        const double overMemory = candidate.memoryUsed + request.memoryTokens - candidate.memoryTotal;
+        waits = std::max(waits, overMemory / candidate.memoryTotal * candidate.serviceMs);
+    }
+    return std::max(0.0, waits);
+}
+
+struct Best
+{
+    std::uint32_t index = 0;
+    double score = std::numeric_limits<double>::infinity();
+    double predictedMs = 0;
+    unsigned equals = 0;
+};
+
+/// Keeps the better one; among equals each is as likely.
+void consider(Best &best, std::uint32_t index, double score, double predictedMs, RandomSource &random)
+{
+    if (score > best.score + sameMs) {
+        return;
+    }
+    const bool better = score < best.score - sameMs;
+    best.equals = better ? 1 : best.equals + 1;
+    if (better || random.below(best.equals) == 0) {
+        best.index = index;
+        best.score = score;
+        best.predictedMs = predictedMs;
+    }
+}
+
+} // namespace
+
+double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request)
+{
+    const double ownTokens = std::max(0.0, request.promptTokens - candidate.cachedTokens);
+    const double reading = (candidate.pendingTokens + ownTokens) / candidate.tokensPerMs;
+    const double steps = 1 + (candidate.pendingTokens + ownTokens) / tokensPerStep;
+    const double perStep = stepMs + stepMsPerRunning * candidate.running;
+    return admissionMs(candidate, request) + reading + steps * perStep;
+}
+
+Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
+                std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random)
+{
+    Best local;
+    LossReason barred = LossReason::NoCapacity;
+    for (const UpstreamCandidate &candidate : upstreams) {
+        if (candidate.barred != LossReason::None) {
+            barred = candidate.barred;
+            continue;
+        }
+        const double predicted = predictedFirstTokenMs(candidate, request);
+        const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
+        const double score = predicted + weights.readingShare * ownReading + weights.failureMs * candidate.failureShare;
+        consider(local, candidate.index, score, predicted, random);
+    }
+    Best away;
+    for (const RegionCandidate &candidate : regions) {
+        const double ownReading = request.promptTokens / candidate.tokensPerMs;
+        const double predicted = candidate.waitMs + candidate.distanceMs + ownReading;
+        const double score = predicted + weights.awayMs + weights.readingShare * ownReading;
+        consider(away, candidate.index, score, predicted, random);
+    }
+    Placement placement;
+    placement.reason = barred;
+    const bool localInTime = local.equals > 0 && local.predictedMs < request.targetLeftMs;
+    if (local.equals > 0 && (away.equals == 0 || localInTime || local.score <= away.score)) {
+        placement.verdict = Verdict::Serve;
+        placement.index = local.index;
+        placement.predictedMs = local.predictedMs;
+    } else if (away.equals > 0) {
+        placement.verdict = Verdict::Forward;
+        placement.index = away.index;
+        placement.predictedMs = away.predictedMs;
+    }
+    return placement;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/placement.h
@@ -0,0 +1,89 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Where one request goes: a pure function of what is known of upstreams and other regions.
+#pragma once
+
+#include "portpaddle/interfaces/random_source.h"
+#include "portpaddle/routing/decision.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace Portpaddle {
+
+/// What is known of one upstream of the own region. Times in milliseconds.
+struct UpstreamCandidate
+{
+    std::uint32_t index = 0;
+    /// Prompt tokens of all requests sent there that it has still to read.
+    double pendingTokens = 0;
+    /// Requests there, of all daemons.
+    double running = 0;
+    double slots = 1;
+    /// Memory in tokens that these requests need, and all there is; zero where unknown.
+    double memoryUsed = 0;
+    double memoryTotal = 0;
+    /// Leading tokens of this prompt that it probably keeps.
+    double cachedTokens = 0;
+    /// Prompt tokens that it reads in a millisecond.
+    double tokensPerMs = 1;
+    /// How long a request occupies one of its slots.
+    double serviceMs = 1;
+    /// Share of recent answers that failed, 0 to 1.
+    double failureShare = 0;
+    /// Nothing may be sent there now.
+    LossReason barred = LossReason::None;
+};
+
+/// What another region told of a service.
+struct RegionCandidate
+{
+    std::uint32_t index = 0;
+    /// How long a new request waits there before its own prompt is read.
+    double waitMs = 0;
+    double tokensPerMs = 1;
+    /// Both ways of the link.
+    double distanceMs = 0;
+};
+
+/// What matters of the request.
+struct PlacementRequest
+{
+    double promptTokens = 0;
+    double memoryTokens = 0;
+    double targetMs = 0;
+    double timeLeftMs = 0;
+    /// What remains of the target.
+    double targetLeftMs = 0;
+};
+
+/// Costs that the choice weighs.
+struct PlacementWeights
+{
+    /// What sending a request to another region costs besides time, as milliseconds of delay.
+    double awayMs = 150;
+    /// What a failed answer costs, as milliseconds of delay.
+    double failureMs = 1'500;
+    /// What reading one prompt token afresh costs other requests, as a share of the time it takes.
+    double readingShare = 1.0;
+};
+
+/// The outcome; times in milliseconds.
+struct Placement
+{
+    Verdict verdict = Verdict::Refuse;
+    std::uint32_t index = 0;
+    double predictedMs = 0;
+    LossReason reason = LossReason::NoCapacity;
+};
+
+/// Time from sending to the first token at @p candidate.
+double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request);
+
+/// Decides between the upstreams of the own region and other regions.
+Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
+                std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -0,0 +1,122 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/region_table.h"
+
+#include "portpaddle/interfaces/random_source.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace {
+
+// Both ways between regions; links there take some 55 ms one way.
+constexpr double distanceMs = 115;
+// News of another region come a few times a second; older ones mean that the link is cut.
+constexpr std::chrono::milliseconds newsAge{ 1'500 };
+constexpr std::chrono::milliseconds heardAge{ 2'000 };
+constexpr std::chrono::milliseconds shunTime{ 1'000 };
+// A daemon that vanished may be back within this time and spend its share of a bound at once.
+constexpr std::chrono::milliseconds rememberAge{ 20'000 };
+
+} // namespace
+
+std::uint64_t serviceKey(const std::string &service)
+{
+    return XXH3_64bits(service.data(), service.size());
+}
+
+void RegionTable::setOwnRegion(std::string region)
+{
+    ownRegion_ = std::move(region);
+}
+
+void RegionTable::takeDigest(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    Peer &peer = peers_[digest.daemon];
+    if (digest.sequence <= peer.sequence && now - peer.heard < heardAge) {
+        return;
+    }
+    peer.region = digest.region;
+    peer.sequence = digest.sequence;
+    peer.leaving = digest.leaving;
+    peer.heard = now;
+    if (digest.region == ownRegion_) {
+        return;
+    }
+    for (const Wire::ServiceWait &service : digest.services) {
+        regions_[digest.region][service.service()] = ServiceNews{ double(service.wait_ms()), service.tokens_per_ms(), 0, now };
+    }
+}
+
+void RegionTable::unreachable(const std::string &daemon, SteadyTime now)
+{
+    peers_[daemon].shunnedUntil = now + shunTime;
+}
+
+bool RegionTable::fellSilent(const std::string &daemon, SteadyTime now) const
+{
+    const auto found = peers_.find(daemon);
+    return found != peers_.end() && now - found->second.heard > heardAge;
+}
+
+bool RegionTable::saysLeaving(const std::string &daemon) const
+{
+    const auto found = peers_.find(daemon);
+    return found != peers_.end() && found->second.leaving;
+}
+
+unsigned RegionTable::daemonsInOwnRegion(SteadyTime now) const
+{
+    unsigned count = 1;
+    for (const auto &[id, peer] : peers_) {
+        count += peer.region == ownRegion_ && now - peer.heard < rememberAge ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<RegionCandidate> RegionTable::candidates(const std::string &service, SteadyTime now,
+                                                     std::vector<std::string> &regionNames) const
+{
+    std::vector<RegionCandidate> result;
+    const std::uint64_t key = serviceKey(service);
+    for (const auto &[region, services] : regions_) {
+        const auto news = services.find(key);
+        if (news == services.end() || now - news->second.at > newsAge || news->second.tokensPerMs <= 0) {
+            continue;
+        }
+        RegionCandidate candidate;
+        candidate.index = static_cast<std::uint32_t>(regionNames.size());
+        candidate.waitMs = news->second.waitMs + news->second.sentSince / news->second.tokensPerMs;
+        candidate.tokensPerMs = news->second.tokensPerMs;
+        candidate.distanceMs = distanceMs;
+        regionNames.push_back(region);
+        result.push_back(candidate);
+    }
+    return result;
+}
+
+const DaemonRecord *RegionTable::pick(const FleetView &view, const std::string &region, SteadyTime now,
+                                      RandomSource &random) const
+{
+    std::vector<const DaemonRecord *> usable;
+    for (const DaemonRecord &daemon : view.daemons) {
+        const auto peer = peers_.find(daemon.id);
+        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge && !peer->second.leaving
+            && peer->second.shunnedUntil < now;
+        if (daemon.region == region && alive && !daemon.leaving) {
+            usable.push_back(&daemon);
+        }
+    }
+    return usable.empty() ? nullptr : usable[random.below(usable.size())];
+}
+
+void RegionTable::sentAway(const std::string &region, const std::string &service, double tokens)
+{
+    regions_[region][serviceKey(service)].sentSince += tokens;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/region_table.h
@@ -0,0 +1,69 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// What other daemons told of themselves and their regions.
+#pragma once
+
+#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/placement.h"
+#include "portpaddle/wire/load_generated.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Portpaddle {
+
+class RandomSource;
+
+/// The key under which digests name a service.
+std::uint64_t serviceKey(const std::string &service);
+
+/// Belongs to one event loop.
+class RegionTable
+{
+public:
+    void setOwnRegion(std::string region);
+    void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// A daemon did not answer a request; it is not asked again until it is heard from.
+    void unreachable(const std::string &daemon, SteadyTime now);
+    /// The daemon was heard of before and is not any more.
+    bool fellSilent(const std::string &daemon, SteadyTime now) const;
+    /// The daemon said that it stops.
+    bool saysLeaving(const std::string &daemon) const;
+    /// Daemons heard of in the own region, this one included, while each was heard within the memory of the table.
+    unsigned daemonsInOwnRegion(SteadyTime now) const;
+
+    /// Other regions that serve @p service now; indexes count in @p regionNames.
+    std::vector<RegionCandidate> candidates(const std::string &service, SteadyTime now,
+                                            std::vector<std::string> &regionNames) const;
+    /// A daemon of @p region to send a request to; null when none is known to live.
+    const DaemonRecord *pick(const FleetView &view, const std::string &region, SteadyTime now, RandomSource &random) const;
+    /// Counts a request sent there since the last news.
+    void sentAway(const std::string &region, const std::string &service, double tokens);
+
+private:
+    struct Peer
+    {
+        std::string region;
+        std::uint64_t sequence = 0;
+        bool leaving = false;
+        SteadyTime heard{};
+        SteadyTime shunnedUntil{};
+    };
+
+    struct ServiceNews
+    {
+        double waitMs = 0;
+        double tokensPerMs = 0;
+        double sentSince = 0;
+        SteadyTime at{};
+    };
+
+    std::string ownRegion_;
+    std::unordered_map<std::string, Peer> peers_;
+    /// By region, then by service key.
+    std::unordered_map<std::string, std::unordered_map<std::uint64_t, ServiceNews>> regions_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/service_map.cpp
@@ -0,0 +1,89 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/service_map.h"
+
+#include "portpaddle/base/name_table.h"
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace {
+
+constexpr NameTable<RouteKind, 3> kindNames{ { "idempotent", "non_idempotent", "stream" } };
+
+} // namespace
+
+std::string_view nameOf(RouteKind kind)
+{
+    return kindNames[kind];
+}
+
+bool Route::mayRunTwice() const
+{
+    return kind == RouteKind::Idempotent || resumable;
+}
+
+bool Route::allowsRegion(std::string_view region) const
+{
+    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+}
+
+const std::string &Route::serviceFor(std::uint64_t requestHash) const
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &entry : services) {
+        total += entry.weight;
+    }
+    if (total == 0) {
+        return services.front().service;
+    }
+    std::uint64_t rest = requestHash % total;
+    for (const WeightedService &entry : services) {
+        if (rest < entry.weight) {
+            return entry.service;
+        }
+        rest -= entry.weight;
+    }
+    return services.back().service;
+}
+
+bool ServiceSpec::isModelEngine() const
+{
+    return memoryTokens > 0;
+}
+
+void ServiceMap::index()
+{
+    byHost_.clear();
+    for (const Route &route : routes) {
+        byHost_[route.host].push_back(&route);
+    }
+    for (auto &[host, entries] : byHost_) {
+        std::sort(entries.begin(), entries.end(),
+                  [](const Route *a, const Route *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
+    }
+}
+
+const Route *ServiceMap::find(std::string_view host, std::string_view path) const
+{
+    const auto found = byHost_.find(std::string(host));
+    if (found == byHost_.end()) {
+        return nullptr;
+    }
+    for (const Route *route : found->second) {
+        if (path.starts_with(route->pathPrefix)) {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceSpec *ServiceMap::service(const std::string &name) const
+{
+    const auto found = services.find(name);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/service_map.h
@@ -0,0 +1,97 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Routes and services that are in force: which service a host and path lead to, and under which limits.
+#pragma once
+
+#include "portpaddle/interfaces/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Portpaddle {
+
+/// What may be repeated on a route.
+enum class RouteKind { Idempotent, NonIdempotent, Stream };
+std::string_view nameOf(RouteKind kind);
+
+/// One of the services that share a route's requests.
+struct WeightedService
+{
+    std::string service;
+    unsigned weight = 1;
+};
+
+/// One route; times as the operator wants them.
+struct Route
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix;
+    RouteKind kind = RouteKind::NonIdempotent;
+    Millis timeout{ 0 };
+    Millis targetLatency{ 0 };
+    /// Upstreams that one request may be sent to.
+    unsigned attempts = 1;
+    /// Zero is the most urgent.
+    unsigned priority = 5;
+    /// A stream that may go on at another upstream after its last event.
+    bool resumable = false;
+    /// Regions that may serve it; empty means all.
+    std::vector<std::string> homeRegions;
+    std::vector<WeightedService> services;
+
+    bool mayRunTwice() const;
+    bool allowsRegion(std::string_view region) const;
+    /// The service for a request; the same @p requestHash gives the same service.
+    const std::string &serviceFor(std::uint64_t requestHash) const;
+};
+
+/// What is known in advance of the upstreams of one service.
+struct ServiceSpec
+{
+    std::string name;
+    std::string healthPath;
+    /// Connections that one upstream accepts from all daemons together.
+    unsigned connectionLimit = 0;
+    Millis coldStart{ 0 };
+    /// Requests a second that a cold upstream bears; zero means no bound.
+    double coldPerSecond = 0;
+    /// Zero where the service is not a model engine.
+    std::uint64_t memoryTokens = 0;
+    unsigned tokensPerEvent = 1;
+    bool isModelEngine() const;
+};
+
+/// Bounds on what a caller may send.
+struct CallerLimits
+{
+    std::uint32_t headerBytes = 16'384;
+    std::uint64_t bodyBytes = 4'194'304;
+    Millis headerTimeout{ 3'000 };
+    Millis idleTimeout{ 15'000 };
+};
+
+/// One version of the operator's configuration.
+class ServiceMap
+{
+public:
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::unordered_map<std::string, ServiceSpec> services;
+    CallerLimits limits;
+
+    /// Builds the index; call once after filling the fields.
+    void index();
+    /// The route with the longest prefix of @p path among those of @p host; null when there is none.
+    const Route *find(std::string_view host, std::string_view path) const;
+    const ServiceSpec *service(const std::string &name) const;
+
+private:
+    std::unordered_map<std::string, std::vector<const Route *>> byHost_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/session_listener.cpp
@@ -0,0 +1,109 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/session_listener.h"
+
+#include "portpaddle/net/endpoint.h"
+
+namespace Portpaddle {
+
+namespace {
+
+// Several hundred callers may connect within one scheduling pause of a small VM.
+constexpr int backlog = 1024;
+// When descriptors run out, accepting again at once would only spin.
+constexpr std::chrono::milliseconds pauseAfterFailure{ 20 };
+
+Error listenError(const std::string &address, const NetError &error)
+{
+    return Error{ ErrorCode::Internal, "cannot listen on " + address + ": " + error.message(), RunState::NotRun, {} };
+}
+
+} // namespace
+
+SessionListener::SessionListener(Executor executor, SessionPeer peer, RequestHandler &handler, std::size_t mostSessions)
+    : executor_(executor), peer_(peer), handler_(handler), mostSessions_(mostSessions), acceptor_(executor), pause_(executor)
+{
+}
+
+Status SessionListener::listen(const std::string &address)
+{
+    const std::optional<boost::asio::ip::tcp::endpoint> endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return listenError(address, boost::asio::error::invalid_argument);
+    }
+    NetError error;
+    acceptor_.open(endpoint->protocol(), error);
+    if (!error) {
+        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(*endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(backlog, error);
+    }
+    if (error) {
+        return listenError(address, error);
+    }
+    acceptNext();
+    return success();
+}
+
+void SessionListener::acceptNext()
+{
+    acceptor_.async_accept([this](NetError error, Socket socket) {
+        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (error) {
+            pause_.expires_after(pauseAfterFailure);
+            pause_.async_wait([this](NetError cancelled) {
+                if (!cancelled && acceptor_.is_open()) {
+                    acceptNext();
+                }
+            });
+            return;
+        }
+        // Beyond the bound the connection is closed at once: callers try another daemon.
+        if (sessions_.size() < mostSessions_ || open() < mostSessions_) {
+            const auto session = std::make_shared<CallerSession>(std::move(socket), peer_, handler_);
+            sessions_.push_back(session);
+            session->start();
+        }
+        acceptNext();
+    });
+}
+
+void SessionListener::stopAccepting()
+{
+    NetError ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+}
+
+void SessionListener::closeIdle()
+{
+    for (const std::weak_ptr<CallerSession> &entry : sessions_) {
+        if (const std::shared_ptr<CallerSession> session = entry.lock()) {
+            session->closeIfIdle();
+        }
+    }
+}
+
+void SessionListener::closeAll()
+{
+    for (const std::weak_ptr<CallerSession> &entry : sessions_) {
+        if (const std::shared_ptr<CallerSession> session = entry.lock()) {
+            session->close();
+        }
+    }
+}
+
+std::size_t SessionListener::open()
+{
+    sessions_.remove_if([](const std::weak_ptr<CallerSession> &entry) { return entry.expired(); });
+    return sessions_.size();
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -0,0 +1,356 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/upstream_attempt.h"
+
+#include "portpaddle/gateway/connection_headers.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned statusMisdirected = 421;
+constexpr std::uint32_t mostAnswerHeaderBytes = 64 * 1024;
+// Answers that are not streams are held until they are whole, so that a torn one can be asked for again.
+constexpr std::size_t mostWholeBytes = 8 * 1024 * 1024;
+// Of a surplus or refused answer that is read only to be dropped.
+constexpr std::size_t mostDroppedBytes = 64 * 1024;
+// How long a connection is kept where the upstream does not say; the shortest idle bounds of common servers are 5 s.
+constexpr std::chrono::milliseconds defaultKeep{ 4'000 };
+// A connection is given up this long before the upstream may close it.
+constexpr std::chrono::milliseconds keepMargin{ 1'000 };
+
+AttemptReport failure(AttemptEnd end, ErrorCode code, std::string message)
+{
+    AttemptReport report;
+    report.end = end;
+    report.error = Error{ code, std::move(message), end == AttemptEnd::NotRun ? RunState::NotRun : RunState::MayHaveRun, {} };
+    report.sent = true;
+    return report;
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses that promise that the request did not run; an upstream that says so without the proof is not believed.
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+/// The time that an answer's Keep-Alive gives, less a margin.
+std::chrono::milliseconds keepTime(const http::fields &fields)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string_view value = view(fields[http::field::keep_alive]);
+    const std::size_t at = value.find(key);
+    if (at == std::string_view::npos) {
+        return defaultKeep;
+    }
+    unsigned seconds = 0;
+    std::from_chars(value.data() + at + key.size(), value.data() + value.size(), seconds);
+    const std::chrono::milliseconds told = std::chrono::seconds(seconds);
+    return std::max(told - keepMargin, told / 2);
+}
+
+} // namespace
+
+boost::beast::http::fields passableFields(const http::fields &fields)
+{
+    http::fields result;
+    for (const auto &field : fields) {
+        if (!concernsConnection(field.name(), view(field.name_string()), fields)) {
+            result.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    return result;
+}
+
+UpstreamAttempt::UpstreamAttempt(ConnectionPool &pool, const HeaderNames &names, const CallerRequest &request,
+                                 CallerWriter &writer, StreamProgress &progress)
+    : pool_(pool), names_(names), request_(request), writer_(writer), progress_(progress)
+{
+}
+
+void UpstreamAttempt::interrupt()
+{
+    interrupted_ = true;
+    if (opening_ != nullptr) {
+        opening_->interrupt();
+    }
+    if (connection_) {
+        connection_->interrupt();
+    }
+}
+
+Task<AttemptReport> UpstreamAttempt::run(const AttemptPlan &plan, const AttemptEvents &events)
+{
+    AttemptReport report;
+    const bool opened = co_await open(plan, report);
+    if (!opened) {
+        co_return report;
+    }
+    events.sending();
+    report = co_await talk(plan, events);
+    if (reusable_ && connection_->quiet() && !interrupted_) {
+        pool_.keep(plan.peer, std::move(connection_));
+    } else {
+        connection_.reset();
+        pool_.ended(plan.peer);
+    }
+    co_return report;
+}
+
+Task<bool> UpstreamAttempt::open(const AttemptPlan &plan, AttemptReport &report)
+{
+    connection_ = pool_.takeIdle(plan.peer, std::chrono::steady_clock::now());
+    if (connection_) {
+        co_return true;
+    }
+    NetError error;
+    connection_ = co_await pool_.connect(plan.peer, plan.address, plan.connectTimeout, &opening_, error);
+    if (connection_ && interrupted_) {
+        connection_.reset();
+        pool_.ended(plan.peer);
+        error = boost::asio::error::operation_aborted;
+    }
+    if (!connection_) {
+        report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "no connection: " + error.message());
+        report.sent = false;
+        co_return false;
+    }
+    co_return true;
+}
+
+UpstreamAttempt::Message UpstreamAttempt::compose(const AttemptPlan &plan) const
+{
+    const HttpRequest &original = request_.message;
+    Message message;
+    message.method_string(original.method_string());
+    message.target(original.target());
+    message.version(11);
+    for (const auto &field : original) {
+        const bool own = isSetBySystem(view(field.name_string()), names_);
+        if (!own && !concernsConnection(field.name(), view(field.name_string()), original)) {
+            message.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    message.set(names_.timeLeft, std::to_string(plan.timeLeft.count()));
+    message.set(names_.priority, std::to_string(plan.priority));
+    if (!plan.expectedUpstream.empty()) {
+        message.set(names_.expectedUpstream, plan.expectedUpstream);
+    }
+    if (!progress_.events.lastId().empty()) {
+        message.set(names_.lastEventId, progress_.events.lastId());
+    }
+    message.body() = boost::beast::span<const char>(original.body().data(), original.body().size());
+    const bool hasBody = original.has_content_length() || original.chunked() || !original.body().empty();
+    if (hasBody) {
+        message.content_length(original.body().size());
+    }
+    return message;
+}
+
+Task<AttemptReport> UpstreamAttempt::talk(const AttemptPlan &plan, const AttemptEvents &events)
+{
+    NetError error;
+    const Message message = compose(plan);
+    // An upstream may answer before it has read a long body: its answer counts, so a failed write alone decides nothing.
+    co_await http::async_write(connection_->socket, message, awaitingInto(error));
+    std::optional<Parser> parser;
+    NetError readError;
+    const bool gotHead = co_await readHead(parser, readError);
+    if (!gotHead) {
+        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "no answer: " + (error ? error : readError).message());
+    }
+    const http::fields &fields = parser->get();
+    const unsigned status = parser->get().result_int();
+    const std::string_view load = view(fields[names_.load]);
+    if (!load.empty()) {
+        events.loadReported(load);
+    }
+    const bool notRun
+        = !fields[names_.notRun].empty() || status == statusMisdirected || view(fields[relayOutcomeHeader]) == relayNotRun;
+    AttemptReport report;
+    if (notRun) {
+        std::string dropped;
+        const bool whole = co_await readRest(*parser, dropped, readError);
+        settle(*parser, whole, plan);
+        report
+            = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "upstream did not run it, status " + std::to_string(status));
+        const std::string_view after = view(fields[http::field::retry_after]);
+        if (!after.empty()) {
+            report.error.retryAfter = Millis(static_cast<std::int64_t>(std::strtod(std::string(after).c_str(), nullptr) * 1000));
+        }
+        co_return report;
+    }
+    if (plan.streamed && isSuccess(status)) {
+        report = co_await passStream(*parser, events);
+    } else {
+        report = co_await readWhole(*parser);
+    }
+    settle(*parser, report.end == AttemptEnd::Complete || report.failedAnswer.has_value(), plan);
+    co_return report;
+}
+
+Task<bool> UpstreamAttempt::readHead(std::optional<Parser> &parser, NetError &error)
+{
+    while (true) {
+        parser.emplace();
+        parser->header_limit(mostAnswerHeaderBytes);
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        if (request_.message.method() == http::verb::head) {
+            parser->skip(true);
+        }
+        co_await http::async_read_header(connection_->socket, connection_->buffer, *parser, awaitingInto(error));
+        if (error) {
+            co_return false;
+        }
+        if (parser->get().result_int() < 200) {
+            continue;
+        }
+        const std::string_view id = view(parser->get()[names_.requestId]);
+        if (id.empty() || id == request_.id) {
+            co_return true;
+        }
+        // A late answer to an earlier request of this connection: ours comes after it.
+        std::string dropped;
+        const bool whole = co_await readRest(*parser, dropped, error);
+        if (!whole || !parser->keep_alive()) {
+            co_return false;
+        }
+    }
+}
+
+/// Reads a short body to its end; false if it is torn or too long.
+Task<bool> UpstreamAttempt::readRest(Parser &parser, std::string &body, NetError &error)
+{
+    while (!parser.is_done()) {
+        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        body.append(parser.get().body());
+        parser.get().body().clear();
+        if (error || body.size() > mostDroppedBytes) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+Task<AttemptReport> UpstreamAttempt::readWhole(Parser &parser)
+{
+    NetError error;
+    while (!parser.is_done()) {
+        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        if (error) {
+            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer broke off: " + error.message());
+        }
+        if (parser.get().body().size() > mostWholeBytes) {
+            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is too large");
+        }
+    }
+    co_return judgeWhole(parser, std::move(parser.get().body()));
+}
+
+/// What a whole answer means: one that must not be shown as it is becomes a failure.
+AttemptReport UpstreamAttempt::judgeWhole(Parser &parser, std::string body) const
+{
+    const http::fields &fields = parser.get();
+    const unsigned status = parser.get().result_int();
+    const bool signedAnswer = names_.signature.empty() || !fields[names_.signature].empty();
+    if (isSuccess(status) && (!signedAnswer || !fields[http::field::content_encoding].empty())) {
+        return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is not the upstream's own");
+    }
+    if (promisesNotRun(status)) {
+        return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "unproved refusal, status " + std::to_string(status));
+    }
+    AttemptReport report;
+    report.sent = true;
+    report.failedAnswer = WholeAnswer{ status, passableFields(fields), std::move(body) };
+    report.end = status >= 500 ? AttemptEnd::Broken : AttemptEnd::Complete;
+    if (status >= 500) {
+        report.error
+            = Error{ ErrorCode::UpstreamFailed, "upstream answered " + std::to_string(status), RunState::MayHaveRun, {} };
+    }
+    return report;
+}
+
+Task<AttemptReport> UpstreamAttempt::passStream(Parser &parser, const AttemptEvents &events)
+{
+    const http::fields &fields = parser.get();
+    const bool signedAnswer = names_.signature.empty() || !fields[names_.signature].empty();
+    if (!signedAnswer || !fields[http::field::content_encoding].empty()) {
+        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is not the upstream's own");
+    }
+    NetError error;
+    bool first = true;
+    while (!parser.is_done()) {
+        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        const std::string bytes = std::move(parser.get().body());
+        parser.get().body().clear();
+        if (first && !bytes.empty()) {
+            first = false;
+            events.firstEvent();
+        }
+        const bool taken = co_await passEvents(parser, bytes);
+        if (!taken) {
+            co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "caller left");
+        }
+        if (error) {
+            progress_.events.dropPartial();
+            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "stream broke off: " + error.message());
+        }
+    }
+    if (!progress_.events.partial().empty()) {
+        progress_.events.dropPartial();
+        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "stream ended within an event");
+    }
+    AttemptReport report;
+    report.sent = true;
+    co_return report;
+}
+
+/// Hands whole events to the caller; the head goes out with the first.
+Task<bool> UpstreamAttempt::passEvents(Parser &parser, std::string_view bytes)
+{
+    const std::string whole = progress_.events.take(bytes);
+    const bool due = !whole.empty() || parser.is_done();
+    if (due && !progress_.begun) {
+        progress_.begun = true;
+        const bool begun = co_await writer_.begin(parser.get().result_int(), passableFields(parser.get()));
+        if (!begun) {
+            co_return false;
+        }
+    }
+    if (whole.empty()) {
+        co_return true;
+    }
+    co_return co_await writer_.piece(whole);
+}
+
+/// Notes whether the connection can serve another request.
+void UpstreamAttempt::settle(Parser &parser, bool whole, const AttemptPlan &)
+{
+    reusable_ = whole && parser.is_done() && parser.keep_alive() && !parser.need_eof() && connection_->buffer.size() == 0;
+    if (reusable_) {
+        connection_->usableUntil = std::chrono::steady_clock::now() + keepTime(parser.get());
+    }
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -0,0 +1,107 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// One sending of a request to an upstream or to a daemon of another region, and the passing on of what it answers.
+#pragma once
+
+#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/gateway/caller_writer.h"
+#include "portpaddle/gateway/event_splitter.h"
+#include "portpaddle/gateway/service_map.h"
+#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/interfaces/attempt_target.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace Portpaddle {
+
+/// Between daemons: says on an answer that no upstream ran the request and none will.
+inline constexpr const char *relayOutcomeHeader = "X-Portpaddle-Outcome";
+inline constexpr const char *relayNotRun = "not_run";
+
+/// What of a stream has reached the caller.
+struct StreamProgress
+{
+    bool begun = false;
+    EventSplitter events;
+};
+
+/// Whom to ask and how.
+struct AttemptPlan
+{
+    /// Key in the connection pool.
+    std::string peer;
+    std::string address;
+    /// Set for an upstream: the life that shall run it.
+    std::string expectedUpstream;
+    std::chrono::milliseconds connectTimeout{ 500 };
+    std::chrono::milliseconds timeLeft{ 0 };
+    unsigned priority = 5;
+    bool streamed = false;
+};
+
+/// How an attempt ended; the answer is kept where it was whole but failed.
+struct AttemptReport
+{
+    AttemptEnd end = AttemptEnd::Complete;
+    Error error;
+    std::optional<WholeAnswer> failedAnswer;
+    /// The request left this daemon.
+    bool sent = false;
+};
+
+/// Told of what an attempt shows of its target.
+struct AttemptEvents
+{
+    std::function<void()> sending;
+    std::function<void()> firstEvent;
+    std::function<void(std::string_view load)> loadReported;
+};
+
+/// Lives for one attempt.
+class UpstreamAttempt
+{
+public:
+    UpstreamAttempt(ConnectionPool &pool, const HeaderNames &names, const CallerRequest &request, CallerWriter &writer,
+                    StreamProgress &progress);
+
+    Task<AttemptReport> run(const AttemptPlan &plan, const AttemptEvents &events);
+    /// Ends the connection now; run() comes back soon.
+    void interrupt();
+
+private:
+    using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    Task<bool> open(const AttemptPlan &plan, AttemptReport &report);
+    Message compose(const AttemptPlan &plan) const;
+    Task<AttemptReport> talk(const AttemptPlan &plan, const AttemptEvents &events);
+    /// Reads heads until one belongs to this request; false with the error set.
+    Task<bool> readHead(std::optional<Parser> &parser, NetError &error);
+    Task<AttemptReport> passStream(Parser &parser, const AttemptEvents &events);
+    Task<AttemptReport> readWhole(Parser &parser);
+    Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
+    Task<bool> passEvents(Parser &parser, std::string_view bytes);
+    AttemptReport judgeWhole(Parser &parser, std::string body) const;
+    void settle(Parser &parser, bool whole, const AttemptPlan &plan);
+
+    ConnectionPool &pool_;
+    const HeaderNames &names_;
+    const CallerRequest &request_;
+    CallerWriter &writer_;
+    StreamProgress &progress_;
+    std::unique_ptr<UpstreamConnection> connection_;
+    UpstreamConnection *opening_ = nullptr;
+    bool interrupted_ = false;
+    /// The answer ended as it should and nothing follows it.
+    bool reusable_ = false;
+};
+
+/// Headers of an answer that may be passed on.
+boost::beast::http::fields passableFields(const boost::beast::http::fields &fields);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -0,0 +1,114 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The load of each upstream as this daemon estimates it, from its own sends, other daemons' digests and what answers show.
+#pragma once
+
+#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/placement.h"
+#include "portpaddle/wire/load_generated.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Portpaddle {
+
+/// One request at an upstream, from its sending to its end.
+struct LoadTicket
+{
+    std::string upstream;
+    double pendingTokens = 0;
+    double memoryTokens = 0;
+    double predictedMs = 0;
+    SteadyTime sentAt;
+    bool reading = false;
+};
+
+/// How a request at an upstream ended.
+enum class LoadOutcome { Answered, Failed, NotRun, Cancelled };
+
+/// Remembers which parts of prompts an upstream read lately. Ages are counted in tokens read since, as its memory evicts.
+class PrefixMemory
+{
+public:
+    void note(std::uint64_t chainHash, unsigned tokens);
+    /// Leading tokens of @p parts that should still be there when it keeps @p capacityTokens.
+    double keptTokens(const std::vector<PromptPart> &parts, double capacityTokens) const;
+
+private:
+    struct Entry
+    {
+        double clock = 0;
+    };
+
+    void trim();
+
+    std::unordered_map<std::uint64_t, Entry> entries_;
+    double clock_ = 0;
+};
+
+/// Belongs to one event loop.
+class UpstreamLoads
+{
+public:
+    /// Forgets upstreams that are not in @p view.
+    void keepOnly(const FleetView &view);
+
+    LoadTicket sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt, double predictedMs,
+                    SteadyTime now);
+    void firstToken(LoadTicket &ticket, SteadyTime now);
+    /// Bytes arrived from the upstream: it is alive.
+    void heard(const std::string &upstream, SteadyTime now);
+    void ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now);
+    void connectFailed(const std::string &upstream, SteadyTime now);
+
+    void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// Own shares and the parts placed since the last call.
+    void fillDigest(Wire::LoadDigestT &digest);
+
+    UpstreamCandidate describe(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
+                               SteadyTime now) const;
+    /// Requests of this daemon that are at @p upstream.
+    unsigned ownRunning(const std::string &upstream) const;
+
+private:
+    struct PeerShare
+    {
+        double pendingTokens = 0;
+        double memoryTokens = 0;
+        double running = 0;
+        SteadyTime at;
+    };
+
+    struct State
+    {
+        double pendingTokens = 0;
+        double memoryTokens = 0;
+        unsigned running = 0;
+        std::unordered_map<std::string, PeerShare> peers;
+        PrefixMemory prefixes;
+        double tokensPerMs = 0;
+        double serviceMs = 0;
+        double failureShare = 0;
+        unsigned failuresInRow = 0;
+        SteadyTime avoidUntil{};
+        SteadyTime lastHeard{};
+        /// When the oldest request went out that nothing was heard after.
+        SteadyTime silentSince{};
+    };
+
+    State &stateOf(const std::string &upstream);
+    void failed(State &state, SteadyTime now);
+
+    std::unordered_map<std::string, State> states_;
+    std::unordered_map<std::uint64_t, std::string> idsByHash_;
+    std::deque<Wire::PlacedPart> placed_;
+};
+
+/// The key under which digests name an upstream.
+std::uint64_t upstreamKey(const std::string &id);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -0,0 +1,53 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// A key-value store with leases whose changes can be followed.
+#pragma once
+
+#include "portpaddle/interfaces/platform.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Portpaddle {
+
+/// All keys under a prefix; a read after another may see later ones.
+struct KeyListing
+{
+    std::vector<KeyValue> items;
+    /// Follow changes from here.
+    std::uint64_t revision = 0;
+};
+
+/// One change; the value is empty where the key was removed.
+struct KeyChange
+{
+    KeyValue item;
+    bool removed = false;
+};
+
+/// Changes in the order in which they happened.
+struct KeyChanges
+{
+    std::vector<KeyChange> changes;
+    std::uint64_t revision = 0;
+};
+
+/// Calls block; each is safe from any thread.
+class WatchedStore
+{
+public:
+    virtual ~WatchedStore() = default;
+    virtual Result<KeyListing> listAll(const std::string &prefix) = 0;
+    /// Waits up to @p timeout for changes after @p revision; HistoryGone means that the keys must be listed again.
+    virtual Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) = 0;
+    virtual Result<LeaseGrant> grantLease(Millis timeToLive) = 0;
+    /// NotFound when the lease is over.
+    virtual Status keepLease(std::uint64_t lease) = 0;
+    virtual Status endLease(std::uint64_t lease) = 0;
+    /// Writes whatever the key holds.
+    virtual Result<std::uint64_t> write(const std::string &key, const std::string &value, std::uint64_t lease) = 0;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/net/asio.h
@@ -0,0 +1,44 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The parts of Asio that the event-driven transport uses, bound to one executor type.
+#pragma once
+
+// Asio 1.74 relies on std::exchange without including it; g++ 12 needs this line first.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+
+namespace Portpaddle {
+
+using Executor = boost::asio::io_context::executor_type;
+using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Executor>;
+using SteadyTime = std::chrono::steady_clock::time_point;
+using SteadyTimer
+    = boost::asio::basic_waitable_timer<std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, Executor>;
+using NetError = boost::system::error_code;
+
+/// A coroutine on an event loop.
+template<typename T>
+using Task = boost::asio::awaitable<T, Executor>;
+
+/// Completion token that resumes the awaiting coroutine.
+inline constexpr boost::asio::use_awaitable_t<Executor> awaiting;
+
+/// Like awaiting, with the outcome in @p error instead of an exception.
+inline auto awaitingInto(NetError &error)
+{
+    return boost::asio::redirect_error(awaiting, error);
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/net/endpoint.h
@@ -0,0 +1,17 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Texts of the form IP:PORT as endpoints.
+#pragma once
+
+#include "portpaddle/net/asio.h"
+
+#include <optional>
+#include <string>
+
+namespace Portpaddle {
+
+/// No value unless @p text is an IPv4 address, a colon and a port.
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &text);
+
+} // namespace Portpaddle
