Keep the bound on cold upstreams over concurrent choices and restarts; hand regions over while they restart

A daemon took requests 4.3 s after SIGTERM that could not end in time (LOST).

Conclusion: bounds are taken at the choice; a stopping daemon takes callers for 1.3 s, or up to 2.8 s where no other serves its region.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusTimeout = 408;
 constexpr unsigned statusTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
 constexpr unsigned statusUnavailable = 503;
--- a/src/portpaddle/gateway/cold_gate.cpp
+++ b/src/portpaddle/gateway/cold_gate.cpp
@@ -14,6 +14,10 @@
 
 } // namespace
 
+ColdGate::ColdGate(SteadyTime startedAt) : startedAt_(startedAt)
+{
+}
+
 void ColdGate::setTerms(const ColdTerms &terms)
 {
     terms_ = terms;
@@ -21,6 +25,10 @@
 
 bool ColdGate::allows(const std::string &upstream, double perSecond, SteadyTime now)
 {
+    // A daemon that restarts within a second has spent its share already, and so have all others that lost power with it.
+    if (now < startedAt_ + window) {
+        return false;
+    }
     const double share = std::floor((perSecond * terms_.overshoot + terms_.slack) / terms_.daemons);
     std::deque<SteadyTime> &times = sends_[upstream];
     while (!times.empty() && times.front() + window < now) {
@@ -29,7 +37,7 @@
     return static_cast<double>(times.size()) + 1 <= share;
 }
 
-void ColdGate::sent(const std::string &upstream, SteadyTime now)
+void ColdGate::take(const std::string &upstream, SteadyTime now)
 {
     sends_[upstream].push_back(now);
 }
--- a/src/portpaddle/gateway/cold_gate.h
+++ b/src/portpaddle/gateway/cold_gate.h
@@ -27,13 +27,18 @@
 class ColdGate
 {
 public:
+    /// @p startedAt is the start of this process: what an earlier one sent just before is not known.
+    explicit ColdGate(SteadyTime startedAt);
+
     void setTerms(const ColdTerms &terms);
     /// Whether one more request may be sent now to @p upstream, which bears @p perSecond.
     bool allows(const std::string &upstream, double perSecond, SteadyTime now);
-    void sent(const std::string &upstream, SteadyTime now);
+    /// Takes one of the sends; call when the upstream is chosen, before the connection is there.
+    void take(const std::string &upstream, SteadyTime now);
     void forget(const std::string &upstream);
 
 private:
+    SteadyTime startedAt_;
     ColdTerms terms_;
     std::unordered_map<std::string, std::deque<SteadyTime>> sends_;
 };
--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -16,7 +16,8 @@
 
 // A daemon that died disappears from the list after this. Shorter leases lapse when a loaded VM pauses.
 constexpr Millis usualLease{ 3'500 };
-constexpr Millis step{ 100 };
+constexpr Millis pauseStep{ 100 };
+constexpr Millis shortStep{ 5 };
 // Three renewals fit a lease, so that two may be lost.
 constexpr unsigned stepsBetweenRenewals = 11;
 constexpr unsigned stepsAfterFailure = 3;
@@ -29,7 +30,8 @@
                         { "region", record.region },
                         { "data_centre", record.dataCentre },
                         { "entry", record.entryAddress },
-                        { "link", record.linkAddress } };
+                        { "link", record.linkAddress },
+                        { "leaving", record.leaving } };
     return json.dump();
 }
 
@@ -43,24 +45,26 @@
         record.dataCentre = json.at("data_centre").get<std::string>();
         record.entryAddress = json.at("entry").get<std::string>();
         record.linkAddress = json.at("link").get<std::string>();
+        record.leaving = json.value("leaving", false);
         return record;
     } catch (const Json::exception &exception) {
         return Error{ ErrorCode::SettingsInvalid, std::string("a daemon's record: ") + exception.what(), RunState::NotRun, {} };
     }
 }
 
-DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease,
+DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
                                        std::function<bool()> stillListed)
-    : store_(store)
-    , record_(std::move(record))
-    , leaseTime_(std::max(usualLease, shortestLease))
-    , stillListed_(std::move(stillListed))
+    : store_(store),
+      record_(std::move(record)),
+      leaseTime_(std::max(usualLease, shortestLease)),
+      ready_(std::move(ready)),
+      stillListed_(std::move(stillListed))
 {
 }
 
 DaemonRegistration::~DaemonRegistration()
 {
-    withdraw();
+    withdrawn_ = true;
     thread_.join();
 }
 
@@ -69,9 +73,17 @@
     thread_ = Thread("register", [this] { run(); });
 }
 
-void DaemonRegistration::withdraw()
+void DaemonRegistration::beginLeaving()
+{
+    leaving_ = true;
+}
+
+void DaemonRegistration::withdraw(Millis longest)
 {
     withdrawn_ = true;
+    for (Millis waited{ 0 }; waited < longest && !ended_; waited += shortStep) {
+        std::this_thread::sleep_for(shortStep);
+    }
 }
 
 bool DaemonRegistration::enter()
@@ -89,24 +101,35 @@
     return true;
 }
 
+bool DaemonRegistration::step()
+{
+    if (lease_ == noLease) {
+        return !ready_() || enter();
+    }
+    if (leaving_ && !record_.leaving) {
+        record_.leaving = true;
+        return isOk(store_.write(daemonRecordPrefix + record_.id, encodeDaemonRecord(record_), lease_));
+    }
+    const Status kept = store_.keepLease(lease_);
+    // A write of an earlier life may have replaced the record and lapsed with its lease: the list tells.
+    const bool over = isOk(kept) ? !stillListed_() : errorOf(kept).code == ErrorCode::NotFound;
+    if (over) {
+        lease_ = noLease;
+        return enter();
+    }
+    return isOk(kept);
+}
+
 void DaemonRegistration::run()
 {
     while (!withdrawn_) {
-        bool well = true;
-        if (lease_ == noLease) {
-            well = enter();
-        } else {
-            const Status kept = store_.keepLease(lease_);
-            well = isOk(kept);
-            // A write of an earlier life may have replaced the record and lapsed with its lease: the list tells.
-            const bool over = !well && errorOf(kept).code == ErrorCode::NotFound;
-            if (over || (well && !stillListed_())) {
-                lease_ = noLease;
-                continue;
-            }
-        }
+        const bool well = step() && lease_ != noLease;
         for (unsigned steps = well ? stepsBetweenRenewals : stepsAfterFailure; steps > 0 && !withdrawn_; --steps) {
-            std::this_thread::sleep_for(step);
+            const bool news = leaving_ && !record_.leaving;
+            if (news && well) {
+                break;
+            }
+            std::this_thread::sleep_for(pauseStep);
         }
     }
     if (lease_ != noLease) {
@@ -114,6 +137,7 @@
         (void)store_.endLease(lease_);
         lease_ = noLease;
     }
+    ended_ = true;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/daemon_registration.h
+++ b/src/portpaddle/gateway/daemon_registration.h
@@ -23,25 +23,33 @@
 class DaemonRegistration
 {
 public:
-    /// @p stillListed tells whether the store's list names this daemon.
-    DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> stillListed);
+    /// Enters the list once @p ready; @p stillListed tells whether the store's list names this daemon.
+    DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
+                       std::function<bool()> stillListed);
     ~DaemonRegistration();
 
     void start();
-    /// The record is taken away soon; does not wait for it.
-    void withdraw();
+    /// The record says soon that the daemon leaves; does not wait for it.
+    void beginLeaving();
+    /// Takes the record away; does not wait for the store longer than @p longest.
+    void withdraw(Millis longest);
 
 private:
     void run();
     /// Grants a lease and writes the record under it.
     bool enter();
+    /// One round; false after a failure.
+    bool step();
 
     WatchedStore &store_;
     DaemonRecord record_;
     Millis leaseTime_;
+    std::function<bool()> ready_;
     std::function<bool()> stillListed_;
     std::uint64_t lease_ = noLease;
+    std::atomic<bool> leaving_{ false };
     std::atomic<bool> withdrawn_{ false };
+    std::atomic<bool> ended_{ false };
     Thread thread_;
 };
 
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -192,9 +192,6 @@
         if (local) {
             const ServiceSpec *spec = services_->service(service_);
             ticket = gateway_.loads_.sent(*target.upstream, *spec, request_.prompt, target.placement.predictedMs, now);
-            if (target.upstream->coldUntil > now) {
-                gateway_.cold_.sent(target.upstream->id, now);
-            }
         } else {
             gateway_.metrics_.count(Counter::SentAway);
         }
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -35,6 +35,7 @@
     , random_(random)
     , metrics_(metrics)
     , pool_(executor)
+    , cold_(std::chrono::steady_clock::now())
 {
     regions_.setOwnRegion(identity_.region);
 }
@@ -108,7 +109,7 @@
     digest.daemon = identity_.id;
     digest.region = identity_.region;
     digest.sequence = ++digestSequence_;
-    digest.leaving = draining_;
+    digest.phase = ownPhase();
     digest.config_version = view_->services ? view_->services->version : 0;
     loads_.fillDigest(digest);
     addServiceWaits(digest, std::chrono::steady_clock::now());
@@ -149,6 +150,11 @@
     draining_ = true;
 }
 
+void Gateway::beginClosing()
+{
+    closed_ = true;
+}
+
 std::size_t Gateway::inProgress() const
 {
     return inProgress_;
@@ -174,12 +180,35 @@
     return view_->services != nullptr && !draining_;
 }
 
-bool Gateway::isUsable(const DaemonRecord &daemon, SteadyTime now) const
+Wire::DaemonPhase Gateway::ownPhase() const
+{
+    if (closed_) {
+        return Wire::DaemonPhase::Closing;
+    }
+    if (draining_) {
+        return Wire::DaemonPhase::Stopping;
+    }
+    return ready() ? Wire::DaemonPhase::Serving : Wire::DaemonPhase::Starting;
+}
+
+Wire::DaemonPhase Gateway::phaseOf(const DaemonRecord &daemon, SteadyTime now) const
 {
     if (daemon.id == identity_.id) {
-        return ready();
+        return ownPhase();
+    }
+    if (regions_.fellSilent(daemon.id, now)) {
+        return Wire::DaemonPhase::Closing;
     }
-    return !daemon.leaving && !regions_.saysLeaving(daemon.id) && !regions_.fellSilent(daemon.id, now);
+    const Wire::DaemonPhase said = regions_.phaseOf(daemon.id);
+    return daemon.leaving && said == Wire::DaemonPhase::Serving ? Wire::DaemonPhase::Stopping : said;
+}
+
+bool Gateway::othersServeRegion(SteadyTime now) const
+{
+    return std::any_of(view_->daemons.begin(), view_->daemons.end(), [this, now](const DaemonRecord &daemon) {
+        return daemon.id != identity_.id && daemon.region == identity_.region
+            && phaseOf(daemon, now) == Wire::DaemonPhase::Serving;
+    });
 }
 
 std::size_t Gateway::connectionShare(const ServiceSpec &spec) const
@@ -265,6 +294,9 @@
     }
     if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
+        if (target.upstream->coldUntil > now) {
+            cold_.take(target.upstream->id, now);
+        }
     } else if (target.placement.verdict == Verdict::Forward) {
         const std::string &region = regionNames[target.placement.index];
         const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -75,14 +75,18 @@
     void tick();
     /// From now on answers close their connections.
     void beginDrain();
+    /// No caller is taken any more.
+    void beginClosing();
+    /// Another daemon of the own region takes callers.
+    bool othersServeRegion(SteadyTime now) const;
     std::size_t inProgress() const;
     std::shared_ptr<const FleetView> view() const;
     const RegionTable &regions() const;
     const GatewayIdentity &identity() const;
     /// A configuration is known and no stop has begun.
     bool ready() const;
-    /// Whether callers may be sent to @p daemon.
-    bool isUsable(const DaemonRecord &daemon, SteadyTime now) const;
+    /// What callers may expect of @p daemon.
+    Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
 
 private:
     friend class Exchange;
@@ -95,6 +99,7 @@
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
+    Wire::DaemonPhase ownPhase() const;
     void addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now);
 
     Executor executor_;
@@ -114,6 +119,7 @@
     std::size_t inProgress_ = 0;
     std::uint64_t digestSequence_ = 0;
     bool draining_ = false;
+    bool closed_ = false;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -105,9 +105,11 @@
         loop_.stop();
         return;
     }
-    if (since < config_.acceptWhileStopping) {
+    const bool needed = since < config_.longestAccept && !gateway_.othersServeRegion(now);
+    if (since < config_.acceptWhileStopping || needed) {
         return;
     }
+    gateway_.beginClosing();
     callers_.stopAccepting();
     callers_.closeIdle();
     daemons_.closeIdle();
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -25,8 +25,10 @@
     /// Daemons reach each other here, by TCP and UDP.
     std::string linkAddress;
     std::size_t mostSessions = 2'000;
-    /// From the order to stop: new connections are taken until then,
-    std::chrono::milliseconds acceptWhileStopping{ 4'500 };
+    /// From the order to stop: callers are taken until then,
+    std::chrono::milliseconds acceptWhileStopping{ 1'300 };
+    /// or until another daemon of the region serves, but not longer than this,
+    std::chrono::milliseconds longestAccept{ 2'800 };
     /// and everything ends then.
     std::chrono::milliseconds stopBound{ 7'500 };
 };
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -42,7 +42,7 @@
     }
     peer.region = digest.region;
     peer.sequence = digest.sequence;
-    peer.leaving = digest.leaving;
+    peer.phase = digest.phase;
     peer.heard = now;
     if (digest.region == ownRegion_) {
         return;
@@ -63,10 +63,10 @@
     return found != peers_.end() && now - found->second.heard > heardAge;
 }
 
-bool RegionTable::saysLeaving(const std::string &daemon) const
+Wire::DaemonPhase RegionTable::phaseOf(const std::string &daemon) const
 {
     const auto found = peers_.find(daemon);
-    return found != peers_.end() && found->second.leaving;
+    return found == peers_.end() ? Wire::DaemonPhase::Serving : found->second.phase;
 }
 
 unsigned RegionTable::daemonsInOwnRegion(SteadyTime now) const
@@ -105,7 +105,7 @@
     std::vector<const DaemonRecord *> usable;
     for (const DaemonRecord &daemon : view.daemons) {
         const auto peer = peers_.find(daemon.id);
-        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge && !peer->second.leaving
+        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge && peer->second.phase == Wire::DaemonPhase::Serving
             && peer->second.shunnedUntil < now;
         if (daemon.region == region && alive && !daemon.leaving) {
             usable.push_back(&daemon);
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -29,8 +29,8 @@
     void unreachable(const std::string &daemon, SteadyTime now);
     /// The daemon was heard of before and is not any more.
     bool fellSilent(const std::string &daemon, SteadyTime now) const;
-    /// The daemon said that it stops.
-    bool saysLeaving(const std::string &daemon) const;
+    /// What the daemon last said of itself; Serving before anything was heard.
+    Wire::DaemonPhase phaseOf(const std::string &daemon) const;
     /// Daemons heard of in the own region, this one included, while each was heard within the memory of the table.
     unsigned daemonsInOwnRegion(SteadyTime now) const;
 
@@ -47,7 +47,7 @@
     {
         std::string region;
         std::uint64_t sequence = 0;
-        bool leaving = false;
+        Wire::DaemonPhase phase = Wire::DaemonPhase::Serving;
         SteadyTime heard{};
         SteadyTime shunnedUntil{};
     };
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -26,6 +26,42 @@
 struct LoadDigestBuilder;
 struct LoadDigestT;
 
+enum class DaemonPhase : uint8_t {
+  Starting = 0,
+  Serving = 1,
+  Stopping = 2,
+  Closing = 3,
+  MIN = Starting,
+  MAX = Closing
+};
+
+inline const DaemonPhase (&EnumValuesDaemonPhase())[4] {
+  static const DaemonPhase values[] = {
+    DaemonPhase::Starting,
+    DaemonPhase::Serving,
+    DaemonPhase::Stopping,
+    DaemonPhase::Closing
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesDaemonPhase() {
+  static const char * const names[5] = {
+    "Starting",
+    "Serving",
+    "Stopping",
+    "Closing",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameDaemonPhase(DaemonPhase e) {
+  if (flatbuffers::IsOutRange(e, DaemonPhase::Starting, DaemonPhase::Closing)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesDaemonPhase()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamShare FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t key_;
@@ -138,7 +174,7 @@
   std::string daemon{};
   std::string region{};
   uint64_t sequence = 0;
-  bool leaving = false;
+  Portpaddle::Wire::DaemonPhase phase = Portpaddle::Wire::DaemonPhase::Starting;
   uint64_t config_version = 0;
   std::vector<Portpaddle::Wire::UpstreamShare> upstreams{};
   std::vector<Portpaddle::Wire::PlacedPart> placed{};
@@ -152,7 +188,7 @@
     VT_DAEMON = 4,
     VT_REGION = 6,
     VT_SEQUENCE = 8,
-    VT_LEAVING = 10,
+    VT_PHASE = 10,
     VT_CONFIG_VERSION = 12,
     VT_UPSTREAMS = 14,
     VT_PLACED = 16,
@@ -167,8 +203,8 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  Portpaddle::Wire::DaemonPhase phase() const {
+    return static_cast<Portpaddle::Wire::DaemonPhase>(GetField<uint8_t>(VT_PHASE, 0));
   }
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -189,7 +225,7 @@
            VerifyOffset(verifier, VT_REGION) &&
            verifier.VerifyString(region()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_UPSTREAMS) &&
            verifier.VerifyVector(upstreams()) &&
@@ -217,8 +253,8 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(LoadDigest::VT_SEQUENCE, sequence, 0);
   }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(LoadDigest::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  void add_phase(Portpaddle::Wire::DaemonPhase phase) {
+    fbb_.AddElement<uint8_t>(LoadDigest::VT_PHASE, static_cast<uint8_t>(phase), 0);
   }
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(LoadDigest::VT_CONFIG_VERSION, config_version, 0);
@@ -248,7 +284,7 @@
     flatbuffers::Offset<flatbuffers::String> daemon = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t sequence = 0,
-    bool leaving = false,
+    Portpaddle::Wire::DaemonPhase phase = Portpaddle::Wire::DaemonPhase::Starting,
     uint64_t config_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamShare *>> upstreams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::PlacedPart *>> placed = 0,
@@ -261,7 +297,7 @@
   builder_.add_upstreams(upstreams);
   builder_.add_region(region);
   builder_.add_daemon(daemon);
-  builder_.add_leaving(leaving);
+  builder_.add_phase(phase);
   return builder_.Finish();
 }
 
@@ -270,7 +306,7 @@
     const char *daemon = nullptr,
     const char *region = nullptr,
     uint64_t sequence = 0,
-    bool leaving = false,
+    Portpaddle::Wire::DaemonPhase phase = Portpaddle::Wire::DaemonPhase::Starting,
     uint64_t config_version = 0,
     const std::vector<Portpaddle::Wire::UpstreamShare> *upstreams = nullptr,
     const std::vector<Portpaddle::Wire::PlacedPart> *placed = nullptr,
@@ -285,7 +321,7 @@
       daemon__,
       region__,
       sequence,
-      leaving,
+      phase,
       config_version,
       upstreams__,
       placed__,
@@ -306,7 +342,7 @@
   { auto _e = daemon(); if (_e) _o->daemon = _e->str(); }
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = phase(); _o->phase = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = *_e->Get(_i); } } }
   { auto _e = placed(); if (_e) { _o->placed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->placed[_i] = *_e->Get(_i); } } }
@@ -324,7 +360,7 @@
   auto _daemon = _o->daemon.empty() ? 0 : _fbb.CreateString(_o->daemon);
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _sequence = _o->sequence;
-  auto _leaving = _o->leaving;
+  auto _phase = _o->phase;
   auto _config_version = _o->config_version;
   auto _upstreams = _o->upstreams.size() ? _fbb.CreateVectorOfStructs(_o->upstreams) : 0;
   auto _placed = _o->placed.size() ? _fbb.CreateVectorOfStructs(_o->placed) : 0;
@@ -334,7 +370,7 @@
       _daemon,
       _region,
       _sequence,
-      _leaving,
+      _phase,
       _config_version,
       _upstreams,
       _placed,
