--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -52,13 +52,13 @@
     }
 }
 
-DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
-                                       std::function<bool()> stillListed)
-    : store_(store),
-      record_(std::move(record)),
-      leaseTime_(std::max(usualLease, shortestLease)),
-      ready_(std::move(ready)),
-      stillListed_(std::move(stillListed))
+DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease,
+                                       std::function<bool()> ready, std::function<bool()> stillListed)
+    : store_(store)
+    , record_(std::move(record))
+    , leaseTime_(std::max(usualLease, shortestLease))
+    , ready_(std::move(ready))
+    , stillListed_(std::move(stillListed))
 {
 }
 
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -105,8 +105,8 @@
     std::vector<const DaemonRecord *> usable;
     for (const DaemonRecord &daemon : view.daemons) {
         const auto peer = peers_.find(daemon.id);
-        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge && peer->second.phase == Wire::DaemonPhase::Serving
-            && peer->second.shunnedUntil < now;
+        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge
+            && peer->second.phase == Wire::DaemonPhase::Serving && peer->second.shunnedUntil < now;
         if (daemon.region == region && alive && !daemon.leaving) {
             usable.push_back(&daemon);
         }
