--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -103,7 +103,7 @@
     }
 }
 
-Wire::LoadDigestT Gateway::digest()
+Wire::LoadDigestT Gateway::digest(DigestReach reach)
 {
     Wire::LoadDigestT digest;
     digest.daemon = identity_.id;
@@ -111,7 +111,10 @@
     digest.sequence = ++digestSequence_;
     digest.phase = ownPhase();
     digest.config_version = view_->services ? view_->services->version : 0;
-    loads_.fillDigest(digest);
+    if (reach == DigestReach::OwnRegion) {
+        loads_.fillDigest(digest);
+    }
+    loads_.fillPlaced(digest, reach);
     addServiceWaits(digest, std::chrono::steady_clock::now());
     return digest;
 }
@@ -126,14 +129,17 @@
         std::vector<const UpstreamRecord *> records;
         double shortest = std::numeric_limits<double>::max();
         double speed = 0;
+        std::uint16_t count = 0;
         for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
             if (candidate.barred == LossReason::None) {
                 shortest = std::min(shortest, predictedFirstTokenMs(candidate, {}));
                 speed += candidate.tokensPerMs;
+                ++count;
             }
         }
-        if (speed > 0 && digest.services.size() < mostDigestServices) {
-            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(shortest), static_cast<float>(speed));
+        if (count > 0 && digest.services.size() < mostDigestServices) {
+            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(shortest), count,
+                                         static_cast<float>(speed / count));
         }
     }
 }
@@ -277,7 +283,7 @@
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
     if (!request.relayed) {
-        regions = regions_.candidates(service, now, regionNames);
+        regions = regions_.candidates(service, *spec, request.prompt, now, regionNames);
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
             return !route.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
@@ -301,7 +307,7 @@
         const std::string &region = regionNames[target.placement.index];
         const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
         target.daemon = *daemon;
-        regions_.sentAway(region, service, facts.promptTokens);
+        regions_.sentAway(region, service, request.prompt);
     }
     return target;
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -70,7 +70,7 @@
     /// A newer view was published.
     void viewChanged();
     void takeDigest(const Wire::LoadDigestT &digest);
-    Wire::LoadDigestT digest();
+    Wire::LoadDigestT digest(DigestReach reach);
     /// Housekeeping, a few times a second.
     void tick();
     /// From now on answers close their connections.
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -164,8 +164,7 @@
         }
         (daemon.region == gateway_.identity().region ? local : remote).push_back(&daemon);
     }
-    const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest());
-    const auto send = [&](const DaemonRecord &daemon) {
+    const auto send = [&](const DaemonRecord &daemon, const std::vector<std::uint8_t> &bytes) {
         const auto endpoint = parseEndpoint(daemon.linkAddress);
         NetError lost;
         // A datagram that cannot be sent is as good as one that is lost: the next follows soon.
@@ -173,12 +172,16 @@
             datagrams_.send_to(boost::asio::buffer(bytes), datagramEndpoint(*endpoint), 0, lost);
         }
     };
-    for (std::size_t count = std::min(local.size(), localPeersPerTick); count > 0; --count) {
-        send(*local[localTurn_++ % local.size()]);
+    if (!local.empty()) {
+        const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest(DigestReach::OwnRegion));
+        for (std::size_t count = std::min(local.size(), localPeersPerTick); count > 0; --count) {
+            send(*local[localTurn_++ % local.size()], bytes);
+        }
     }
-    if (tickNumber_ % ticksBetweenRemoteDigests == 0) {
+    if (tickNumber_ % ticksBetweenRemoteDigests == 0 && !remote.empty()) {
+        const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest(DigestReach::OtherRegions));
         for (std::size_t count = std::min(remote.size(), remotePeersPerRound); count > 0; --count) {
-            send(*remote[remoteTurn_++ % remote.size()]);
+            send(*remote[remoteTurn_++ % remote.size()], bytes);
         }
     }
 }
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -19,6 +19,8 @@
 constexpr double tokensPerStep = 512;
 // Candidates closer than this are equal; chance decides, so that daemons that see the same do not all choose the same.
 constexpr double sameMs = 2.0;
+// A prediction below this part of what is left of the target is taken as safe.
+constexpr double surelyInTime = 0.5;
 
 /// Time until memory and a slot are free.
 double admissionMs(const UpstreamCandidate &candidate, const PlacementRequest &request)
@@ -32,6 +34,15 @@
     return std::max(0.0, waits);
 }
 
+/// How likely the target is missed: predictions are off by about half either way.
+double lateness(double predictedMs, double targetLeftMs)
+{
+    if (targetLeftMs <= 0) {
+        return 1;
+    }
+    return std::clamp(predictedMs / targetLeftMs - surelyInTime, 0.0, 1.0);
+}
+
 struct Best
 {
     std::uint32_t index = 0;
@@ -78,20 +89,21 @@
         }
         const double predicted = predictedFirstTokenMs(candidate, request);
         const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
-        const double score = predicted + weights.readingShare * ownReading + weights.failureMs * candidate.failureShare;
+        const double score = predicted + weights.readingShare * ownReading + weights.failureMs * candidate.failureShare
+            + weights.lateMs * lateness(predicted, request.targetLeftMs);
         consider(local, candidate.index, score, predicted, random);
     }
     Best away;
     for (const RegionCandidate &candidate : regions) {
-        const double ownReading = request.promptTokens / candidate.tokensPerMs;
+        const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
         const double predicted = candidate.waitMs + candidate.distanceMs + ownReading;
-        const double score = predicted + weights.awayMs + weights.readingShare * ownReading;
+        const double score = predicted + weights.awayMs + weights.readingShare * ownReading
+            + weights.lateMs * lateness(predicted, request.targetLeftMs);
         consider(away, candidate.index, score, predicted, random);
     }
     Placement placement;
     placement.reason = barred;
-    const bool localInTime = local.equals > 0 && local.predictedMs < request.targetLeftMs;
-    if (local.equals > 0 && (away.equals == 0 || localInTime || local.score <= away.score)) {
+    if (local.equals > 0 && (away.equals == 0 || local.score <= away.score)) {
         placement.verdict = Verdict::Serve;
         placement.index = local.index;
         placement.predictedMs = local.predictedMs;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -43,7 +43,10 @@
     std::uint32_t index = 0;
     /// How long a new request waits there before its own prompt is read.
     double waitMs = 0;
+    /// Prompt tokens that one upstream there reads in a millisecond.
     double tokensPerMs = 1;
+    /// Leading tokens of this prompt that an upstream there probably keeps.
+    double cachedTokens = 0;
     /// Both ways of the link.
     double distanceMs = 0;
 };
@@ -66,8 +69,11 @@
     double awayMs = 150;
     /// What a failed answer costs, as milliseconds of delay.
     double failureMs = 1'500;
-    /// What reading one prompt token afresh costs other requests, as a share of the time it takes.
-    double readingShare = 1.0;
+    /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
+    /// forget other parts for them. As a multiple of the time that reading takes.
+    double readingShare = 4.0;
+    /// What missing the target costs, as milliseconds of delay.
+    double lateMs = 1'500;
 };
 
 /// The outcome; times in milliseconds.
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds newsAge{ 1'500 };
 constexpr std::chrono::milliseconds heardAge{ 2'000 };
 constexpr std::chrono::milliseconds shunTime{ 1'000 };
+// The memory of parts counts only shared ones here; those that belong to one request push them out of the engines' memory. At
+// about half of the tokens each, this part of it remains for shared ones.
+constexpr double sharedPartShare = 0.3;
 // A daemon that vanished may be back within this time and spend its share of a bound at once.
 constexpr std::chrono::milliseconds rememberAge{ 20'000 };
 
@@ -47,8 +50,13 @@
     if (digest.region == ownRegion_) {
         return;
     }
+    Region &region = regions_[digest.region];
     for (const Wire::ServiceWait &service : digest.services) {
-        regions_[digest.region][service.service()] = ServiceNews{ double(service.wait_ms()), service.tokens_per_ms(), 0, now };
+        region.services[service.service()]
+            = ServiceNews{ double(service.wait_ms()), double(service.upstreams()), service.tokens_per_ms(), 0, now };
+    }
+    for (const Wire::PlacedPart &part : digest.placed) {
+        region.prefixes.note(part.chain(), part.tokens());
     }
 }
 
@@ -78,19 +86,21 @@
     return count;
 }
 
-std::vector<RegionCandidate> RegionTable::candidates(const std::string &service, SteadyTime now,
+std::vector<RegionCandidate> RegionTable::candidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt, SteadyTime now,
                                                      std::vector<std::string> &regionNames) const
 {
     std::vector<RegionCandidate> result;
     const std::uint64_t key = serviceKey(service);
-    for (const auto &[region, services] : regions_) {
-        const auto news = services.find(key);
-        if (news == services.end() || now - news->second.at > newsAge || news->second.tokensPerMs <= 0) {
+    for (const auto &[region, known] : regions_) {
+        const auto news = known.services.find(key);
+        if (news == known.services.end() || now - news->second.at > newsAge || news->second.tokensPerMs <= 0) {
             continue;
         }
+        const double capacity = sharedPartShare * static_cast<double>(spec.memoryTokens) * news->second.upstreams;
         RegionCandidate candidate;
         candidate.index = static_cast<std::uint32_t>(regionNames.size());
-        candidate.waitMs = news->second.waitMs + news->second.sentSince / news->second.tokensPerMs;
+        candidate.waitMs = news->second.waitMs + news->second.sentSince / (news->second.tokensPerMs * news->second.upstreams);
+        candidate.cachedTokens = known.prefixes.keptTokens(prompt.parts, capacity);
         candidate.tokensPerMs = news->second.tokensPerMs;
         candidate.distanceMs = distanceMs;
         regionNames.push_back(region);
@@ -114,9 +124,13 @@
     return usable.empty() ? nullptr : usable[random.below(usable.size())];
 }
 
-void RegionTable::sentAway(const std::string &region, const std::string &service, double tokens)
+void RegionTable::sentAway(const std::string &region, const std::string &service, const PromptFacts &prompt)
 {
-    regions_[region][serviceKey(service)].sentSince += tokens;
+    Region &known = regions_[region];
+    known.services[serviceKey(service)].sentSince += prompt.promptTokens;
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+        known.prefixes.note(prompt.parts[index].chainHash, prompt.parts[index].tokens);
+    }
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -6,6 +6,7 @@
 
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/placement.h"
+#include "portpaddle/gateway/prefix_memory.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <string>
@@ -35,12 +36,12 @@
     unsigned daemonsInOwnRegion(SteadyTime now) const;
 
     /// Other regions that serve @p service now; indexes count in @p regionNames.
-    std::vector<RegionCandidate> candidates(const std::string &service, SteadyTime now,
-                                            std::vector<std::string> &regionNames) const;
+    std::vector<RegionCandidate> candidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
+                                            SteadyTime now, std::vector<std::string> &regionNames) const;
     /// A daemon of @p region to send a request to; null when none is known to live.
     const DaemonRecord *pick(const FleetView &view, const std::string &region, SteadyTime now, RandomSource &random) const;
     /// Counts a request sent there since the last news.
-    void sentAway(const std::string &region, const std::string &service, double tokens);
+    void sentAway(const std::string &region, const std::string &service, const PromptFacts &prompt);
 
 private:
     struct Peer
@@ -55,6 +56,7 @@
     struct ServiceNews
     {
         double waitMs = 0;
+        double upstreams = 0;
         double tokensPerMs = 0;
         double sentSince = 0;
         SteadyTime at{};
@@ -62,8 +64,14 @@
 
     std::string ownRegion_;
     std::unordered_map<std::string, Peer> peers_;
-    /// By region, then by service key.
-    std::unordered_map<std::string, std::unordered_map<std::uint64_t, ServiceNews>> regions_;
+    struct Region
+    {
+        std::unordered_map<std::uint64_t, ServiceNews> services;
+        /// Parts that some upstream there has read.
+        PrefixMemory prefixes;
+    };
+
+    std::unordered_map<std::string, Region> regions_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -19,7 +19,6 @@
 constexpr double assumedServiceMs = 25;
 // Part of the memory that cached parts can count on; the rest serves running requests.
 constexpr double cacheShare = 0.7;
-constexpr std::size_t mostRememberedParts = 8'192;
 // Digests come several times a second; a peer that was silent for this long is not counted any more.
 constexpr std::chrono::milliseconds peerShareAge{ 1'500 };
 constexpr double learningRate = 0.1;
@@ -50,44 +49,6 @@
     return XXH3_64bits(id.data(), id.size());
 }
 
-void PrefixMemory::note(std::uint64_t chainHash, unsigned tokens)
-{
-    const auto [entry, added] = entries_.try_emplace(chainHash);
-    if (added) {
-        clock_ += tokens;
-    }
-    entry->second.clock = clock_;
-    if (entries_.size() > mostRememberedParts) {
-        trim();
-    }
-}
-
-/// Drops the older half.
-void PrefixMemory::trim()
-{
-    std::vector<double> clocks;
-    clocks.reserve(entries_.size());
-    for (const auto &[hash, entry] : entries_) {
-        clocks.push_back(entry.clock);
-    }
-    const auto middle = clocks.begin() + static_cast<std::ptrdiff_t>(clocks.size() / 2);
-    std::nth_element(clocks.begin(), middle, clocks.end());
-    std::erase_if(entries_, [bound = *middle](const auto &item) { return item.second.clock < bound; });
-}
-
-double PrefixMemory::keptTokens(const std::vector<PromptPart> &parts, double capacityTokens) const
-{
-    double kept = 0;
-    for (const PromptPart &part : parts) {
-        const auto found = entries_.find(part.chainHash);
-        if (found == entries_.end() || clock_ - found->second.clock > capacityTokens) {
-            break;
-        }
-        kept += part.tokens;
-    }
-    return kept;
-}
-
 UpstreamLoads::State &UpstreamLoads::stateOf(const std::string &upstream)
 {
     const auto [entry, added] = states_.try_emplace(upstream);
@@ -122,9 +83,11 @@
     for (const PromptPart &part : prompt.parts) {
         state.prefixes.note(part.chainHash, part.tokens);
     }
-    if (prompt.parts.size() > 1) {
-        for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
-            placed_.emplace_back(upstreamKey(upstream.id), prompt.parts[index].chainHash, prompt.parts[index].tokens);
+    // The last part belongs to this request alone.
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+        const Wire::PlacedPart part(upstreamKey(upstream.id), prompt.parts[index].chainHash, prompt.parts[index].tokens);
+        for (std::deque<Wire::PlacedPart> &queue : placed_) {
+            queue.push_back(part);
         }
     }
     state.pendingTokens += ticket.pendingTokens;
@@ -221,13 +184,18 @@
                                           static_cast<std::uint16_t>(state.running));
         }
     }
-    while (!placed_.empty() && digest.placed.size() < mostDigestParts) {
-        digest.placed.push_back(placed_.front());
-        placed_.pop_front();
+}
+
+void UpstreamLoads::fillPlaced(Wire::LoadDigestT &digest, DigestReach reach)
+{
+    std::deque<Wire::PlacedPart> &queue = placed_.at(static_cast<std::size_t>(reach));
+    while (!queue.empty() && digest.placed.size() < mostDigestParts) {
+        digest.placed.push_back(queue.front());
+        queue.pop_front();
     }
     // More parts than the digests carry: the oldest are the least useful.
-    while (placed_.size() > mostDigestParts) {
-        placed_.pop_front();
+    while (queue.size() > mostDigestParts) {
+        queue.pop_front();
     }
 }
 
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -7,8 +7,10 @@
 #include "portpaddle/gateway/caller_request.h"
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/placement.h"
+#include "portpaddle/gateway/prefix_memory.h"
 #include "portpaddle/wire/load_generated.h"
 
+#include <array>
 #include <deque>
 #include <string>
 #include <unordered_map>
@@ -27,29 +29,12 @@
     bool reading = false;
 };
 
+/// Who receives a digest.
+enum class DigestReach { OwnRegion, OtherRegions };
+
 /// How a request at an upstream ended.
 enum class LoadOutcome { Answered, Failed, NotRun, Cancelled };
 
-/// Remembers which parts of prompts an upstream read lately. Ages are counted in tokens read since, as its memory evicts.
-class PrefixMemory
-{
-public:
-    void note(std::uint64_t chainHash, unsigned tokens);
-    /// Leading tokens of @p parts that should still be there when it keeps @p capacityTokens.
-    double keptTokens(const std::vector<PromptPart> &parts, double capacityTokens) const;
-
-private:
-    struct Entry
-    {
-        double clock = 0;
-    };
-
-    void trim();
-
-    std::unordered_map<std::uint64_t, Entry> entries_;
-    double clock_ = 0;
-};
-
 /// Belongs to one event loop.
 class UpstreamLoads
 {
@@ -66,8 +51,10 @@
     void connectFailed(const std::string &upstream, SteadyTime now);
 
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
-    /// Own shares and the parts placed since the last call.
+    /// What this daemon has sent and is not answered yet.
     void fillDigest(Wire::LoadDigestT &digest);
+    /// The parts placed since the last call for @p reach.
+    void fillPlaced(Wire::LoadDigestT &digest, DigestReach reach);
 
     UpstreamCandidate describe(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
                                SteadyTime now) const;
@@ -105,7 +92,8 @@
 
     std::unordered_map<std::string, State> states_;
     std::unordered_map<std::uint64_t, std::string> idsByHash_;
-    std::deque<Wire::PlacedPart> placed_;
+    /// Parts not told yet, by reach of the digest.
+    std::array<std::deque<Wire::PlacedPart>, 2> placed_;
 };
 
 /// The key under which digests name an upstream.
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -144,18 +144,31 @@
  private:
   uint64_t service_;
   uint32_t wait_ms_;
+  uint16_t upstreams_;
+  int16_t padding0__;
   float tokens_per_ms_;
+  int32_t padding1__;
 
  public:
   ServiceWait()
       : service_(0),
         wait_ms_(0),
-        tokens_per_ms_(0) {
+        upstreams_(0),
+        padding0__(0),
+        tokens_per_ms_(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
   }
-  ServiceWait(uint64_t _service, uint32_t _wait_ms, float _tokens_per_ms)
+  ServiceWait(uint64_t _service, uint32_t _wait_ms, uint16_t _upstreams, float _tokens_per_ms)
       : service_(flatbuffers::EndianScalar(_service)),
         wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
-        tokens_per_ms_(flatbuffers::EndianScalar(_tokens_per_ms)) {
+        upstreams_(flatbuffers::EndianScalar(_upstreams)),
+        padding0__(0),
+        tokens_per_ms_(flatbuffers::EndianScalar(_tokens_per_ms)),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
@@ -163,11 +176,14 @@
   uint32_t wait_ms() const {
     return flatbuffers::EndianScalar(wait_ms_);
   }
+  uint16_t upstreams() const {
+    return flatbuffers::EndianScalar(upstreams_);
+  }
   float tokens_per_ms() const {
     return flatbuffers::EndianScalar(tokens_per_ms_);
   }
 };
-FLATBUFFERS_STRUCT_END(ServiceWait, 16);
+FLATBUFFERS_STRUCT_END(ServiceWait, 24);
 
 struct LoadDigestT : public flatbuffers::NativeTable {
   typedef LoadDigest TableType;
