--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -28,6 +28,8 @@
 constexpr Millis localConnectTimeout{ 400 };
 constexpr Millis remoteConnectTimeout{ 800 };
 constexpr Millis roomPoll{ 20 };
+// The least urgent that upstreams know.
+constexpr unsigned latePriority = 9;
 // Part of the aim that a request may wait for room; a refusal within a quarter still leaves time to come back.
 constexpr double waitShare = 0.2;
 constexpr Millis longestWait{ 300 };
@@ -179,7 +181,7 @@
     plan.expectedUpstream = local ? target.upstream->id : std::string();
     plan.connectTimeout = std::min(local ? localConnectTimeout : remoteConnectTimeout, timeLeft());
     plan.timeLeft = timeLeft();
-    plan.priority = std::min(route_->priority, 9U);
+    plan.priority = target.placement.urgency == Urgency::Late ? latePriority : std::min(route_->priority, latePriority - 1);
     plan.streamed = route_->kind == RouteKind::Stream;
     predictedMs_ = target.placement.predictedMs;
     tried_.push_back(local ? target.upstream->id : target.daemon->region);
@@ -191,7 +193,7 @@
         const SteadyTime now = std::chrono::steady_clock::now();
         if (local) {
             const ServiceSpec *spec = services_->service(service_);
-            ticket = gateway_.loads_.sent(*target.upstream, *spec, request_.prompt, target.placement.predictedMs, now);
+            ticket = gateway_.loads_.sent(*target.upstream, *spec, request_.prompt, target.placement, now);
         } else {
             gateway_.metrics_.count(Counter::SentAway);
         }
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -269,6 +269,7 @@
         return target;
     }
     PlacementRequest facts;
+    facts.urgency = route.priority == 0 ? Urgency::Urgent : Urgency::Usual;
     facts.promptTokens = request.prompt.promptTokens;
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
     facts.targetMs = static_cast<double>(route.targetLatency.count());
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/gateway/placement.h"
 
+#include "portpaddle/base/name_table.h"
+
 #include <algorithm>
 #include <limits>
 #include <optional>
@@ -17,6 +19,10 @@
 constexpr double stepMsPerRunning = 0.05;
 // Prompt tokens read between two steps, as seen from the time that prompts of 12,000 tokens take beside full batches.
 constexpr double tokensPerStep = 512;
+constexpr double tokensInProgress = 2'000;
+constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "late" } };
+// A prediction beyond this part of what is left of the target is taken as a miss.
+constexpr double surelyLate = 1.3;
 // Candidates closer than this are equal; chance decides, so that daemons that see the same do not all choose the same.
 constexpr double sameMs = 2.0;
 // A prediction below this part of what is left of the target is taken as safe.
@@ -68,11 +74,28 @@
 
 } // namespace
 
+std::string_view nameOf(Urgency urgency)
+{
+    return urgencyNames[urgency];
+}
+
+double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency)
+{
+    double tokens = 0;
+    for (std::size_t level = 0; level < urgencyCount; ++level) {
+        const bool before = level <= static_cast<std::size_t>(urgency);
+        // What is being read already is finished first, whatever its urgency.
+        tokens += before ? candidate.pendingTokens.at(level) : std::min(candidate.pendingTokens.at(level), tokensInProgress);
+    }
+    return tokens;
+}
+
 double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request)
 {
     const double ownTokens = std::max(0.0, request.promptTokens - candidate.cachedTokens);
-    const double reading = (candidate.pendingTokens + ownTokens) / candidate.tokensPerMs;
-    const double steps = 1 + (candidate.pendingTokens + ownTokens) / tokensPerStep;
+    const double ahead = tokensAhead(candidate, request.urgency);
+    const double reading = (ahead + ownTokens) / candidate.tokensPerMs;
+    const double steps = 1 + (ahead + ownTokens) / tokensPerStep;
     const double perStep = stepMs + stepMsPerRunning * candidate.running;
     return admissionMs(candidate, request) + reading + steps * perStep;
 }
@@ -112,6 +135,7 @@
         placement.index = away.index;
         placement.predictedMs = away.predictedMs;
     }
+    placement.urgency = placement.predictedMs > surelyLate * request.targetLeftMs ? Urgency::Late : request.urgency;
     return placement;
 }
 
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -7,18 +7,27 @@
 #include "portpaddle/interfaces/random_source.h"
 #include "portpaddle/routing/decision.h"
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <string_view>
 
 namespace Portpaddle {
 
+/// Classes in which upstreams read prompts: all of one before the next.
+enum class Urgency { Urgent, Usual, Late };
+inline constexpr std::size_t urgencyCount = 3;
+std::string_view nameOf(Urgency urgency);
+
+/// Prompt tokens still to read, by urgency.
+using PendingTokens = std::array<double, urgencyCount>;
+
 /// What is known of one upstream of the own region. Times in milliseconds.
 struct UpstreamCandidate
 {
     std::uint32_t index = 0;
     /// Prompt tokens of all requests sent there that it has still to read.
-    double pendingTokens = 0;
+    PendingTokens pendingTokens{};
     /// Requests there, of all daemons.
     double running = 0;
     double slots = 1;
@@ -56,6 +65,7 @@
 {
     double promptTokens = 0;
     double memoryTokens = 0;
+    Urgency urgency = Urgency::Usual;
     double targetMs = 0;
     double timeLeftMs = 0;
     /// What remains of the target.
@@ -66,12 +76,12 @@
 struct PlacementWeights
 {
     /// What sending a request to another region costs besides time, as milliseconds of delay.
-    double awayMs = 150;
+    double awayMs = 100;
     /// What a failed answer costs, as milliseconds of delay.
     double failureMs = 1'500;
     /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
     /// forget other parts for them. As a multiple of the time that reading takes.
-    double readingShare = 4.0;
+    double readingShare = 8.0;
     /// What missing the target costs, as milliseconds of delay.
     double lateMs = 1'500;
 };
@@ -82,9 +92,14 @@
     Verdict verdict = Verdict::Refuse;
     std::uint32_t index = 0;
     double predictedMs = 0;
+    /// Late where the target is missed anyway, so that others still meet theirs.
+    Urgency urgency = Urgency::Usual;
     LossReason reason = LossReason::NoCapacity;
 };
 
+/// Tokens that @p candidate reads before those of a new request of @p urgency.
+double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency);
+
 /// Time from sending to the first token at @p candidate.
 double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request);
 
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -68,14 +68,14 @@
     }
 }
 
-LoadTicket UpstreamLoads::sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
-                               double predictedMs, SteadyTime now)
+LoadTicket UpstreamLoads::sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt, const Placement &placement, SteadyTime now)
 {
     State &state = stateOf(upstream.id);
     LoadTicket ticket;
     ticket.upstream = upstream.id;
     ticket.sentAt = now;
-    ticket.predictedMs = predictedMs;
+    ticket.predictedMs = placement.predictedMs;
+    ticket.urgency = placement.urgency;
     ticket.reading = true;
     const double kept = state.prefixes.keptTokens(prompt.parts, cacheShare * static_cast<double>(spec.memoryTokens));
     ticket.pendingTokens = std::max(0.0, prompt.promptTokens - kept);
@@ -90,7 +90,7 @@
             queue.push_back(part);
         }
     }
-    state.pendingTokens += ticket.pendingTokens;
+    state.pendingTokens.at(static_cast<std::size_t>(ticket.urgency)) += ticket.pendingTokens;
     state.memoryTokens += ticket.memoryTokens;
     if (state.running == 0 || state.silentSince < state.lastHeard) {
         state.silentSince = now;
@@ -99,14 +99,23 @@
     return ticket;
 }
 
+void UpstreamLoads::finishReading(State &state, LoadTicket &ticket)
+{
+    if (!ticket.reading) {
+        return;
+    }
+    ticket.reading = false;
+    double &pending = state.pendingTokens.at(static_cast<std::size_t>(ticket.urgency));
+    pending = std::max(0.0, pending - ticket.pendingTokens);
+}
+
 void UpstreamLoads::firstToken(LoadTicket &ticket, SteadyTime now)
 {
     if (!ticket.reading) {
         return;
     }
     State &state = stateOf(ticket.upstream);
-    ticket.reading = false;
-    state.pendingTokens = std::max(0.0, state.pendingTokens - ticket.pendingTokens);
+    finishReading(state, ticket);
     heard(ticket.upstream, now);
     const double took = millisBetween(ticket.sentAt, now) - fixedStepMs;
     if (ticket.pendingTokens >= smallestMeasuredTokens && state.running == 1 && took > 0) {
@@ -134,10 +143,7 @@
 void UpstreamLoads::ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now)
 {
     State &state = stateOf(ticket.upstream);
-    if (ticket.reading) {
-        state.pendingTokens = std::max(0.0, state.pendingTokens - ticket.pendingTokens);
-        ticket.reading = false;
-    }
+    finishReading(state, ticket);
     state.memoryTokens = std::max(0.0, state.memoryTokens - ticket.memoryTokens);
     state.running -= state.running > 0 ? 1 : 0;
     if (outcome == LoadOutcome::Answered) {
@@ -164,7 +170,10 @@
         const auto id = idsByHash_.find(share.key());
         if (id != idsByHash_.end()) {
             states_[id->second].peers[digest.daemon]
-                = PeerShare{ double(share.pending_tokens()), double(share.memory_tokens()), double(share.running()), now };
+                = PeerShare{ { double(share.urgent_tokens()), double(share.usual_tokens()), double(share.late_tokens()) },
+                             double(share.memory_tokens()),
+                             double(share.running()),
+                             now };
         }
     }
     for (const Wire::PlacedPart &part : digest.placed) {
@@ -179,9 +188,11 @@
 {
     for (const auto &[id, state] : states_) {
         if (state.running > 0 && digest.upstreams.size() < mostDigestUpstreams) {
-            digest.upstreams.emplace_back(upstreamKey(id), static_cast<std::uint32_t>(state.pendingTokens),
-                                          static_cast<std::uint32_t>(state.memoryTokens),
-                                          static_cast<std::uint16_t>(state.running));
+            const auto tokens = [&state = state](Urgency urgency) {
+                return static_cast<std::uint32_t>(state.pendingTokens.at(static_cast<std::size_t>(urgency)));
+            };
+            digest.upstreams.emplace_back(upstreamKey(id), tokens(Urgency::Urgent), tokens(Urgency::Usual), tokens(Urgency::Late),
+                                          static_cast<std::uint32_t>(state.memoryTokens), static_cast<std::uint16_t>(state.running));
         }
     }
 }
@@ -217,7 +228,9 @@
     candidate.memoryUsed = state.memoryTokens;
     for (const auto &[peer, share] : state.peers) {
         if (now - share.at < peerShareAge) {
-            candidate.pendingTokens += share.pendingTokens;
+            for (std::size_t level = 0; level < urgencyCount; ++level) {
+                candidate.pendingTokens.at(level) += share.pendingTokens.at(level);
+            }
             candidate.running += share.running;
             candidate.memoryUsed += share.memoryTokens;
         }
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -22,6 +22,7 @@
 struct LoadTicket
 {
     std::string upstream;
+    Urgency urgency = Urgency::Usual;
     double pendingTokens = 0;
     double memoryTokens = 0;
     double predictedMs = 0;
@@ -42,8 +43,7 @@
     /// Forgets upstreams that are not in @p view.
     void keepOnly(const FleetView &view);
 
-    LoadTicket sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt, double predictedMs,
-                    SteadyTime now);
+    LoadTicket sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt, const Placement &placement, SteadyTime now);
     void firstToken(LoadTicket &ticket, SteadyTime now);
     /// Bytes arrived from the upstream: it is alive.
     void heard(const std::string &upstream, SteadyTime now);
@@ -64,7 +64,7 @@
 private:
     struct PeerShare
     {
-        double pendingTokens = 0;
+        PendingTokens pendingTokens{};
         double memoryTokens = 0;
         double running = 0;
         SteadyTime at;
@@ -72,7 +72,7 @@
 
     struct State
     {
-        double pendingTokens = 0;
+        PendingTokens pendingTokens{};
         double memoryTokens = 0;
         unsigned running = 0;
         std::unordered_map<std::string, PeerShare> peers;
@@ -88,6 +88,7 @@
     };
 
     State &stateOf(const std::string &upstream);
+    static void finishReading(State &state, LoadTicket &ticket);
     void failed(State &state, SteadyTime now);
 
     std::unordered_map<std::string, State> states_;
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -65,7 +65,9 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamShare FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t key_;
-  uint32_t pending_tokens_;
+  uint32_t urgent_tokens_;
+  uint32_t usual_tokens_;
+  uint32_t late_tokens_;
   uint32_t memory_tokens_;
   uint16_t running_;
   int16_t padding0__;  int32_t padding1__;
@@ -73,7 +75,9 @@
  public:
   UpstreamShare()
       : key_(0),
-        pending_tokens_(0),
+        urgent_tokens_(0),
+        usual_tokens_(0),
+        late_tokens_(0),
         memory_tokens_(0),
         running_(0),
         padding0__(0),
@@ -81,9 +85,11 @@
     (void)padding0__;
     (void)padding1__;
   }
-  UpstreamShare(uint64_t _key, uint32_t _pending_tokens, uint32_t _memory_tokens, uint16_t _running)
+  UpstreamShare(uint64_t _key, uint32_t _urgent_tokens, uint32_t _usual_tokens, uint32_t _late_tokens, uint32_t _memory_tokens, uint16_t _running)
       : key_(flatbuffers::EndianScalar(_key)),
-        pending_tokens_(flatbuffers::EndianScalar(_pending_tokens)),
+        urgent_tokens_(flatbuffers::EndianScalar(_urgent_tokens)),
+        usual_tokens_(flatbuffers::EndianScalar(_usual_tokens)),
+        late_tokens_(flatbuffers::EndianScalar(_late_tokens)),
         memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)),
         running_(flatbuffers::EndianScalar(_running)),
         padding0__(0),
@@ -94,8 +100,14 @@
   uint64_t key() const {
     return flatbuffers::EndianScalar(key_);
   }
-  uint32_t pending_tokens() const {
-    return flatbuffers::EndianScalar(pending_tokens_);
+  uint32_t urgent_tokens() const {
+    return flatbuffers::EndianScalar(urgent_tokens_);
+  }
+  uint32_t usual_tokens() const {
+    return flatbuffers::EndianScalar(usual_tokens_);
+  }
+  uint32_t late_tokens() const {
+    return flatbuffers::EndianScalar(late_tokens_);
   }
   uint32_t memory_tokens() const {
     return flatbuffers::EndianScalar(memory_tokens_);
@@ -104,7 +116,7 @@
     return flatbuffers::EndianScalar(running_);
   }
 };
-FLATBUFFERS_STRUCT_END(UpstreamShare, 24);
+FLATBUFFERS_STRUCT_END(UpstreamShare, 32);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacedPart FLATBUFFERS_FINAL_CLASS {
  private:
