--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -62,6 +62,7 @@
 {
     CallerRequest request;
     request.arrivedAt = arrivedAt;
+    request.receivedAt = arrivedAt;
     const auto id = message[names.requestId];
     request.id.assign(id.data(), id.size());
     request.idHash = XXH3_64bits(request.id.data(), request.id.size());
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -47,8 +47,11 @@
     std::string host;
     HttpRequest message;
     PromptFacts prompt;
+    /// When it reached the first daemon.
     SteadyTime arrivedAt;
-    /// Absent where the caller named none.
+    /// When it reached this daemon.
+    SteadyTime receivedAt;
+    /// Counted from receivedAt; absent where the caller named none.
     std::optional<Millis> timeLeft;
     /// It came from another daemon, which did the routing between regions.
     bool relayed = false;
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/gateway/caller_session.h"
 
+#include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/socket_options.h"
 
 #include <boost/asio/write.hpp>
@@ -12,6 +13,9 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <charconv>
+
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
@@ -37,6 +41,16 @@
     return statusBadRequest;
 }
 
+/// How old a daemon says that the request is; more than a minute is not believed.
+std::chrono::milliseconds relayedAge(const HttpRequest &message)
+{
+    constexpr std::int64_t oldest = 60'000;
+    const auto text = message[relayAgeHeader];
+    std::int64_t age = 0;
+    std::from_chars(text.data(), text.data() + text.size(), age);
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(age, 0, oldest));
+}
+
 bool isProtocolError(NetError error)
 {
     return error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
@@ -187,6 +201,9 @@
     serving_ = true;
     CallerRequest request = decodeRequest(std::move(message), handler_.names(), requestStarted_);
     request.relayed = peer_ == SessionPeer::Daemon;
+    if (request.relayed) {
+        request.arrivedAt -= relayedAge(request.message);
+    }
     watchCaller();
     co_await handler_.serve(std::move(request), *this, abandoned_);
     abandoned_ = nullptr;
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -28,6 +28,8 @@
 constexpr Millis localConnectTimeout{ 400 };
 constexpr Millis remoteConnectTimeout{ 800 };
 constexpr Millis roomPoll{ 20 };
+// One way between regions, about.
+constexpr Millis remoteTravel{ 55 };
 // The least urgent that upstreams know.
 constexpr unsigned latePriority = 9;
 // Part of the aim that a request may wait for room; a refusal within a quarter still leaves time to come back.
@@ -45,12 +47,22 @@
 
 } // namespace
 
+struct Exchange::AttemptWatch
+{
+    std::string upstream;
+    /// Nothing was heard from the upstream after this.
+    SteadyTime since;
+    /// Null once the attempt has ended.
+    UpstreamAttempt *sending = nullptr;
+};
+
 Exchange::Exchange(Gateway &gateway, CallerRequest request, CallerWriter &writer)
     : gateway_(gateway)
     , request_(std::move(request))
     , writer_(writer)
     , deadlineTimer_(gateway.executor_)
     , roomTimer_(gateway.executor_)
+    , silenceTimer_(gateway.executor_)
 {
 }
 
@@ -84,7 +96,7 @@
 {
     deadline_ = request_.arrivedAt + route_->timeout;
     if (request_.timeLeft) {
-        deadline_ = std::min(deadline_, request_.arrivedAt + *request_.timeLeft);
+        deadline_ = std::min(deadline_, request_.receivedAt + *request_.timeLeft);
     }
     deadlineTimer_.expires_at(deadline_ + deadlineGrace);
     deadlineTimer_.async_wait([weak = weak_from_this()](NetError error) {
@@ -181,6 +193,9 @@
     plan.expectedUpstream = local ? target.upstream->id : std::string();
     plan.connectTimeout = std::min(local ? localConnectTimeout : remoteConnectTimeout, timeLeft());
     plan.timeLeft = timeLeft();
+    if (!local) {
+        plan.age = since(request_.arrivedAt) + remoteTravel;
+    }
     plan.priority = target.placement.urgency == Urgency::Late ? latePriority : std::min(route_->priority, latePriority - 1);
     plan.streamed = route_->kind == RouteKind::Stream;
     predictedMs_ = target.placement.predictedMs;
@@ -203,12 +218,23 @@
             gateway_.loads_.firstToken(ticket, std::chrono::steady_clock::now());
         }
     };
+    events.heard = [&] {
+        if (local) {
+            gateway_.loads_.heard(target.upstream->id, std::chrono::steady_clock::now());
+        }
+    };
     events.loadReported = [](std::string_view) {};
 
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
+    const auto watch = std::make_shared<AttemptWatch>(AttemptWatch{ plan.peer, std::chrono::steady_clock::now(), &sending });
+    if (local && route_->mayRunTwice()) {
+        watchSilence(watch);
+    }
     AttemptReport report = co_await sending.run(plan, events);
     current_ = nullptr;
+    watch->sending = nullptr;
+    silenceTimer_.cancel();
 
     const SteadyTime now = std::chrono::steady_clock::now();
     const bool interrupted = interruption_ != Interruption::None;
@@ -231,6 +257,30 @@
     co_return report;
 }
 
+void Exchange::watchSilence(const std::shared_ptr<AttemptWatch> &watch)
+{
+    silenceTimer_.expires_after(upstreamSilenceBound);
+    silenceTimer_.async_wait([weak = weak_from_this(), watch](NetError error) {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (error || !self || watch->sending == nullptr) {
+            return;
+        }
+        // An upstream that answers others is alive: this request waits its turn there.
+        if (self->gateway_.loads_.heardSince(watch->upstream, watch->since) || !self->anotherMayFollow()) {
+            watch->since = std::chrono::steady_clock::now();
+            self->watchSilence(watch);
+            return;
+        }
+        watch->sending->interrupt();
+    });
+}
+
+bool Exchange::anotherMayFollow() const
+{
+    const bool continues = !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
+    return continues && !request_.relayed && sends_ < route_->attempts;
+}
+
 bool Exchange::mayRepeat(const AttemptReport &report)
 {
     const bool ended = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone;
@@ -244,10 +294,7 @@
     if (report.end == AttemptEnd::Broken && !route_->mayRunTwice()) {
         return false;
     }
-    if (progress_.begun && (!route_->resumable || progress_.events.lastId().empty())) {
-        return false;
-    }
-    if (request_.relayed || sends_ >= route_->attempts) {
+    if (!anotherMayFollow()) {
         return false;
     }
     return gateway_.retries_.takeRepeat(service_, std::chrono::steady_clock::now());
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -23,6 +23,8 @@
 
 private:
     enum class Interruption { None, CallerLeft, Deadline };
+    /// What one attempt leaves for the next decision.
+    struct AttemptWatch;
 
     /// Finds the route in the newest configuration; answers and returns false when there is none.
     Task<bool> findRoute();
@@ -30,6 +32,9 @@
     void interrupt(Interruption reason);
     Task<void> attempts();
     Task<AttemptReport> attempt(const Target &target);
+    /// Ends an attempt at an upstream that hangs, where another one may follow.
+    void watchSilence(const std::shared_ptr<AttemptWatch> &watch);
+    bool anotherMayFollow() const;
     /// Whether another attempt may follow @p report.
     bool mayRepeat(const AttemptReport &report);
     /// Waits a moment for room; false when the request has waited long enough.
@@ -51,6 +56,7 @@
     SteadyTime deadline_;
     SteadyTimer deadlineTimer_;
     SteadyTimer roomTimer_;
+    SteadyTimer silenceTimer_;
     UpstreamAttempt *current_ = nullptr;
     Interruption interruption_ = Interruption::None;
     /// Upstreams and regions asked so far.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -43,9 +43,9 @@
 Task<void> Gateway::serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned)
 {
     ++inProgress_;
-    Exchange exchange(*this, std::move(request), writer);
-    abandoned = [&exchange] { exchange.callerLeft(); };
-    co_await exchange.run();
+    const auto exchange = std::make_shared<Exchange>(*this, std::move(request), writer);
+    abandoned = [exchange] { exchange->callerLeft(); };
+    co_await exchange->run();
     abandoned = nullptr;
     --inProgress_;
 }
@@ -91,6 +91,11 @@
     loads_.keepOnly(*view_);
 }
 
+void Gateway::setDigestInterval(std::chrono::milliseconds interval)
+{
+    regions_.setDigestInterval(interval);
+}
+
 void Gateway::takeDigest(const Wire::LoadDigestT &digest)
 {
     const SteadyTime now = std::chrono::steady_clock::now();
@@ -248,6 +253,7 @@
         }
         UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
         candidate.index = static_cast<std::uint32_t>(records.size());
+        candidate.needsConnection = pool_.idle(id) == 0;
         const LossReason barred = bar(upstream, spec, now);
         if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
             candidate.barred = LossReason::AlreadyTried;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -69,6 +69,7 @@
     void setTerms(const GatewayTerms &terms);
     /// A newer view was published.
     void viewChanged();
+    void setDigestInterval(std::chrono::milliseconds interval);
     void takeDigest(const Wire::LoadDigestT &digest);
     Wire::LoadDigestT digest(DigestReach reach);
     /// Housekeeping, a few times a second.
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -172,6 +172,8 @@
             datagrams_.send_to(boost::asio::buffer(bytes), datagramEndpoint(*endpoint), 0, lost);
         }
     };
+    const std::size_t rounds = (local.size() + localPeersPerTick - 1) / localPeersPerTick;
+    gateway_.setDigestInterval(tickInterval * static_cast<int>(std::max<std::size_t>(1, rounds)));
     if (!local.empty()) {
         const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest(DigestReach::OwnRegion));
         for (std::size_t count = std::min(local.size(), localPeersPerTick); count > 0; --count) {
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -113,7 +113,7 @@
         const double predicted = predictedFirstTokenMs(candidate, request);
         const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
         const double score = predicted + weights.readingShare * ownReading + weights.failureMs * candidate.failureShare
-            + weights.lateMs * lateness(predicted, request.targetLeftMs);
+            + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0);
         consider(local, candidate.index, score, predicted, random);
     }
     Best away;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -42,6 +42,8 @@
     double serviceMs = 1;
     /// Share of recent answers that failed, 0 to 1.
     double failureShare = 0;
+    /// No kept connection is free.
+    bool needsConnection = false;
     /// Nothing may be sent there now.
     LossReason barred = LossReason::None;
 };
@@ -82,6 +84,8 @@
     /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
     /// forget other parts for them. As a multiple of the time that reading takes.
     double readingShare = 8.0;
+    /// What a new connection costs the upstream, as milliseconds of delay; its handshake takes a slot for about a millisecond.
+    double connectMs = 40;
     /// What missing the target costs, as milliseconds of delay.
     double lateMs = 1'500;
 };
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds newsAge{ 1'500 };
 constexpr std::chrono::milliseconds heardAge{ 2'000 };
 constexpr std::chrono::milliseconds shunTime{ 1'000 };
+// Datagrams are lost now and then and small VMs pause; this many in a row are not.
+constexpr int missedDigests = 7;
+constexpr std::chrono::milliseconds shortestSilence{ 800 };
 // The memory of parts counts only shared ones here; those that belong to one request push them out of the engines' memory. At
 // about half of the tokens each, this part of it remains for shared ones.
 constexpr double sharedPartShare = 0.3;
@@ -65,10 +68,24 @@
     peers_[daemon].shunnedUntil = now + shunTime;
 }
 
+void RegionTable::setDigestInterval(std::chrono::milliseconds interval)
+{
+    digestInterval_ = interval;
+}
+
+std::chrono::milliseconds RegionTable::silenceBound() const
+{
+    return std::clamp<std::chrono::milliseconds>(digestInterval_ * missedDigests, shortestSilence, heardAge);
+}
+
 bool RegionTable::fellSilent(const std::string &daemon, SteadyTime now) const
 {
     const auto found = peers_.find(daemon);
-    return found != peers_.end() && now - found->second.heard > heardAge;
+    if (found == peers_.end()) {
+        return false;
+    }
+    const bool near = found->second.region == ownRegion_;
+    return now - found->second.heard > (near ? silenceBound() : heardAge);
 }
 
 Wire::DaemonPhase RegionTable::phaseOf(const std::string &daemon) const
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -26,6 +26,8 @@
 public:
     void setOwnRegion(std::string region);
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// How often daemons of the own region hear from each other.
+    void setDigestInterval(std::chrono::milliseconds interval);
     /// A daemon did not answer a request; it is not asked again until it is heard from.
     void unreachable(const std::string &daemon, SteadyTime now);
     /// The daemon was heard of before and is not any more.
@@ -62,7 +64,11 @@
         SteadyTime at{};
     };
 
+    /// How long a daemon of the own region may be silent.
+    std::chrono::milliseconds silenceBound() const;
+
     std::string ownRegion_;
+    std::chrono::milliseconds digestInterval_{ 100 };
     std::unordered_map<std::string, Peer> peers_;
     struct Region
     {
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -154,6 +154,9 @@
     }
     message.set(names_.timeLeft, std::to_string(plan.timeLeft.count()));
     message.set(names_.priority, std::to_string(plan.priority));
+    if (plan.age) {
+        message.set(relayAgeHeader, std::to_string(plan.age->count()));
+    }
     if (!plan.expectedUpstream.empty()) {
         message.set(names_.expectedUpstream, plan.expectedUpstream);
     }
@@ -308,6 +311,7 @@
             first = false;
             events.firstEvent();
         }
+        events.heard();
         const bool taken = co_await passEvents(parser, bytes);
         if (!taken) {
             co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "caller left");
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -22,6 +22,8 @@
 /// Between daemons: says on an answer that no upstream ran the request and none will.
 inline constexpr const char *relayOutcomeHeader = "X-Portpaddle-Outcome";
 inline constexpr const char *relayNotRun = "not_run";
+/// Between daemons: milliseconds that the request has spent on its way so far.
+inline constexpr const char *relayAgeHeader = "X-Portpaddle-Age-Ms";
 
 /// What of a stream has reached the caller.
 struct StreamProgress
@@ -40,6 +42,8 @@
     std::string expectedUpstream;
     std::chrono::milliseconds connectTimeout{ 500 };
     std::chrono::milliseconds timeLeft{ 0 };
+    /// Set for a daemon of another region: how old the request will be there.
+    std::optional<std::chrono::milliseconds> age;
     unsigned priority = 5;
     bool streamed = false;
 };
@@ -59,6 +63,8 @@
 {
     std::function<void()> sending;
     std::function<void()> firstEvent;
+    /// Bytes of the answer arrived.
+    std::function<void()> heard;
     std::function<void(std::string_view load)> loadReported;
 };
 
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -27,7 +27,6 @@
 constexpr std::chrono::milliseconds shortestAvoidance{ 300 };
 constexpr std::chrono::milliseconds longestAvoidance{ 3'000 };
 // An upstream that owes answers and sends nothing for this long is taken to hang, until something is heard.
-constexpr std::chrono::milliseconds silenceBound{ 1'200 };
 // Learned speeds count only prompts whose reading outweighs the steps around it.
 constexpr double smallestMeasuredTokens = 1'000;
 constexpr double fixedStepMs = 8;
@@ -92,7 +91,7 @@
     }
     state.pendingTokens.at(static_cast<std::size_t>(ticket.urgency)) += ticket.pendingTokens;
     state.memoryTokens += ticket.memoryTokens;
-    if (state.running == 0 || state.silentSince < state.lastHeard) {
+    if (state.running == 0 || state.silentSince <= state.lastHeard) {
         state.silentSince = now;
     }
     ++state.running;
@@ -129,6 +128,17 @@
     stateOf(upstream).lastHeard = now;
 }
 
+bool UpstreamLoads::isSilent(const State &state, SteadyTime now)
+{
+    return state.running > 0 && state.silentSince > state.lastHeard && now - state.silentSince > upstreamSilenceBound;
+}
+
+bool UpstreamLoads::heardSince(const std::string &upstream, SteadyTime time) const
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && found->second.lastHeard >= time;
+}
+
 void UpstreamLoads::failed(State &state, SteadyTime now)
 {
     state.failureShare += failureLearningRate * (1 - state.failureShare);
@@ -145,13 +155,14 @@
     State &state = stateOf(ticket.upstream);
     finishReading(state, ticket);
     state.memoryTokens = std::max(0.0, state.memoryTokens - ticket.memoryTokens);
+    const bool wasSilent = isSilent(state, now);
     state.running -= state.running > 0 ? 1 : 0;
     if (outcome == LoadOutcome::Answered) {
         state.failuresInRow = 0;
         state.failureShare -= failureLearningRate * state.failureShare;
         state.serviceMs = blend(state.serviceMs, millisBetween(ticket.sentAt, now), learningRate);
         state.lastHeard = now;
-    } else if (outcome == LoadOutcome::Failed) {
+    } else if (outcome == LoadOutcome::Failed || (outcome == LoadOutcome::Cancelled && wasSilent)) {
         failed(state, now);
     }
 }
@@ -239,8 +250,7 @@
     candidate.tokensPerMs = state.tokensPerMs > 0 ? state.tokensPerMs : assumedTokensPerMs;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = state.failureShare;
-    const bool silent = state.running > 0 && state.silentSince > state.lastHeard && now - state.silentSince > silenceBound;
-    if (now < state.avoidUntil || silent) {
+    if (now < state.avoidUntil || isSilent(state, now)) {
         candidate.barred = LossReason::Unhealthy;
     }
     return candidate;
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -33,6 +33,10 @@
 /// Who receives a digest.
 enum class DigestReach { OwnRegion, OtherRegions };
 
+/// An upstream that owes answers and sends nothing at all for this long is taken to hang, until something is heard. Busy ones
+/// send a token to some stream every few milliseconds.
+inline constexpr std::chrono::milliseconds upstreamSilenceBound{ 600 };
+
 /// How a request at an upstream ended.
 enum class LoadOutcome { Answered, Failed, NotRun, Cancelled };
 
@@ -47,6 +51,7 @@
     void firstToken(LoadTicket &ticket, SteadyTime now);
     /// Bytes arrived from the upstream: it is alive.
     void heard(const std::string &upstream, SteadyTime now);
+    bool heardSince(const std::string &upstream, SteadyTime time) const;
     void ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now);
     void connectFailed(const std::string &upstream, SteadyTime now);
 
@@ -88,6 +93,7 @@
     };
 
     State &stateOf(const std::string &upstream);
+    static bool isSilent(const State &state, SteadyTime now);
     static void finishReading(State &state, LoadTicket &ticket);
     void failed(State &state, SteadyTime now);
 
