--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -75,10 +75,12 @@
         socket_.get_executor(), [self = shared_from_this()]() -> Task<void> { co_await self->run(); }, boost::asio::detached);
 }
 
+/// Cancels the wait instead of closing the socket: a request whose bytes have arrived already is served.
 void CallerSession::closeIfIdle()
 {
-    if (!serving_ && buffer_.size() == 0) {
-        close();
+    if (awaitingRequest_) {
+        NetError ignored;
+        socket_.cancel(ignored);
     }
 }
 
@@ -104,6 +106,17 @@
     });
 }
 
+void CallerSession::endIdleAfter(std::chrono::milliseconds time)
+{
+    const unsigned round = ++timerRound_;
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this(), round](NetError error) {
+        if (!error && round == self->timerRound_) {
+            self->closeIfIdle();
+        }
+    });
+}
+
 Task<void> CallerSession::run()
 {
     while (keepOpen_ && socket_.is_open()) {
@@ -130,8 +143,10 @@
     const CallerLimits limits = handler_.limits();
     NetError error;
     if (buffer_.size() == 0) {
-        closeAfter(limits.idleTimeout);
+        endIdleAfter(limits.idleTimeout);
+        awaitingRequest_ = true;
         const std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
+        awaitingRequest_ = false;
         if (error) {
             co_return false;
         }
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -42,7 +42,7 @@
     CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler);
 
     void start();
-    /// Closes the connection if no request is in progress.
+    /// Ends the connection if nothing of a request has arrived.
     void closeIfIdle();
     void close();
     bool isOpen() const;
@@ -65,6 +65,7 @@
     Task<void> stopWatching();
     void callerLeft();
     void closeAfter(std::chrono::milliseconds time);
+    void endIdleAfter(std::chrono::milliseconds time);
 
     Socket socket_;
     SessionPeer peer_;
@@ -75,6 +76,8 @@
     SteadyTime requestStarted_;
     std::function<void()> abandoned_;
     bool serving_ = false;
+    /// Nothing of a next request has arrived.
+    bool awaitingRequest_ = false;
     bool watching_ = false;
     bool keepOpen_ = true;
     bool headOnly_ = false;
--- a/tests/gateway/request_path_tests.cpp
+++ b/tests/gateway/request_path_tests.cpp
@@ -10,6 +10,8 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <optional>
+#include <set>
 
 using namespace Portpaddle;
 
@@ -348,6 +350,31 @@
     CHECK(upstream.seen().size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Request path, idle connections closed all the time, never drop a request that was taken")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    closeIdleOnEveryTurn(true);
+    std::set<std::string> answered;
+    for (int round = 0; round < 400; ++round) {
+        const std::string id = "id" + std::to_string(round);
+        std::optional<RawCaller> caller;
+        // While the loop is held, so that the request is there before the connection is accepted.
+        onLoop([&](Gateway &) {
+            caller.emplace(address());
+            caller->send(request("/plain/a", id));
+        });
+        if (caller->receive().status == 200) {
+            answered.insert(id);
+        }
+    }
+    closeIdleOnEveryTurn(false);
+    CHECK(answered.size() > 0);
+    for (const SeenRequest &seen : upstream.seen()) {
+        CHECK(answered.contains(idOf(seen)));
+    }
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Request path, two requests on one connection, are answered in turn")
 {
     ScriptedUpstream upstream(echo);
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -212,6 +212,22 @@
     done.get_future().wait();
 }
 
+void GatewaySite::closeIdleOnEveryTurn(bool on)
+{
+    closingIdle_ = on;
+    if (on) {
+        boost::asio::post(loop_, [this] { closeIdleAgain(); });
+    }
+}
+
+void GatewaySite::closeIdleAgain()
+{
+    listener_->closeIdle();
+    if (closingIdle_) {
+        boost::asio::post(loop_, [this] { closeIdleAgain(); });
+    }
+}
+
 std::string GatewaySite::address() const
 {
     return listener_->address();
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -66,6 +67,8 @@
     void publishRoutes();
     /// Runs @p work on the gateway's loop and waits for it.
     void onLoop(std::function<void(Gateway &)> work);
+    /// From now on closes the callers' idle connections between any two steps of the loop.
+    void closeIdleOnEveryTurn(bool on);
     std::string address() const;
     /// Sends one request and reads its answer.
     SeenAnswer ask(const std::string &path, const std::string &id, const std::string &moreHeaders = {},
@@ -74,6 +77,9 @@
                                const std::string &body = {});
 
 private:
+    void closeIdleAgain();
+
+    std::atomic<bool> closingIdle_{ false };
     boost::asio::io_context loop_{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{ loop_.get_executor() };
     RcuCell<FleetView> view_;
