--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 30> catalogue{ {
+constexpr std::array<LogEventDescription, 31> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -46,6 +46,8 @@
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream gets work again, slowly." },
     { LogEvent::UpstreamChanged, "upstream_changed", "info", "An upstream registered or changed its record." },
     { LogEvent::UpstreamGone, "upstream_gone", "info", "The record of an upstream was removed." },
+    { LogEvent::EvacuationChanged, "evacuation_changed", "info",
+      "An operator empties a data centre of requests, or takes that back." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -39,6 +39,7 @@
     UpstreamReadmitted = 4102,
     UpstreamChanged = 4103,
     UpstreamGone = 4104,
+    EvacuationChanged = 4105,
     ClaimConflict = 4201,
     DrainOrdered = 5001,
     OrderSent = 5101,
--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -14,12 +14,13 @@
 
 using Json = nlohmann::json;
 
-// A daemon that died disappears from the list after this. Shorter leases lapse when a loaded VM pauses.
-constexpr Millis usualLease{ 3'500 };
+// A daemon that died disappears from the list after this; daemons of its region notice its silence long before. Each renewal is paid
+// for.
+constexpr Millis usualLease{ 6'500 };
 constexpr Millis pauseStep{ 100 };
 constexpr Millis shortStep{ 5 };
 // Three renewals fit a lease, so that two may be lost.
-constexpr unsigned stepsBetweenRenewals = 11;
+constexpr unsigned stepsBetweenRenewals = 21;
 constexpr unsigned stepsAfterFailure = 3;
 
 } // namespace
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
 #include <limits>
@@ -17,6 +18,8 @@
 constexpr unsigned spareDaemons = 1;
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
+// Part of a prompt's shared tokens that its home is expected to keep before anything is known of it.
+constexpr double expectedAtHome = 0.6;
 
 double millisLeft(SteadyTime until, SteadyTime now)
 {
@@ -89,6 +92,12 @@
 {
     view_ = cell_.read();
     loads_.keepOnly(*view_);
+    local_.clear();
+    for (const auto &[id, upstream] : view_->upstreams) {
+        if (upstream.region == identity_.region) {
+            local_[upstream.service].push_back(&upstream);
+        }
+    }
 }
 
 void Gateway::setDigestInterval(std::chrono::milliseconds interval)
@@ -247,10 +256,13 @@
                                                         std::vector<const UpstreamRecord *> &records, SteadyTime now)
 {
     std::vector<UpstreamCandidate> candidates;
-    for (const auto &[id, upstream] : view_->upstreams) {
-        if (upstream.service != service || upstream.region != identity_.region) {
-            continue;
-        }
+    const auto local = local_.find(service);
+    if (local == local_.end()) {
+        return candidates;
+    }
+    for (const UpstreamRecord *record : local->second) {
+        const UpstreamRecord &upstream = *record;
+        const std::string &id = upstream.id;
         UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
         candidate.index = static_cast<std::uint32_t>(records.size());
         candidate.needsConnection = pool_.idle(id) == 0;
@@ -263,9 +275,39 @@
         records.push_back(&upstream);
         candidates.push_back(candidate);
     }
+    expectAtHome(candidates, records, prompt);
     return candidates;
 }
 
+void Gateway::expectAtHome(std::vector<UpstreamCandidate> &candidates, const std::vector<const UpstreamRecord *> &records,
+                           const PromptFacts &prompt)
+{
+    if (prompt.parts.size() < 2) {
+        return;
+    }
+    // The first parts are common to many prompts and lie everywhere; the last shared one tells prompts apart.
+    const double shared = static_cast<double>(prompt.promptTokens) - prompt.parts.back().tokens;
+    const bool known = std::any_of(candidates.begin(), candidates.end(), [shared](const UpstreamCandidate &candidate) {
+        return candidate.cachedTokens >= shared && candidate.barred == LossReason::None;
+    });
+    if (known) {
+        return;
+    }
+    const std::uint64_t topic = prompt.parts[prompt.parts.size() - 2].chainHash;
+    UpstreamCandidate *home = nullptr;
+    double greatest = -std::numeric_limits<double>::infinity();
+    for (UpstreamCandidate &candidate : candidates) {
+        const double draw = rendezvousDraw(topic, upstreamKey(records[candidate.index]->id), 1);
+        if (draw > greatest) {
+            greatest = draw;
+            home = &candidate;
+        }
+    }
+    if (home != nullptr) {
+        home->cachedTokens = std::max(home->cachedTokens, expectedAtHome * shared);
+    }
+}
+
 Target Gateway::choose(const CallerRequest &request, const Route &route, const std::string &service,
                        const std::vector<std::string> &tried, SteadyTime now)
 {
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -98,6 +98,9 @@
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
+    /// Raises what the engine is expected to keep that all daemons choose for a prompt when they know nothing of it.
+    static void expectAtHome(std::vector<UpstreamCandidate> &candidates, const std::vector<const UpstreamRecord *> &records,
+                             const PromptFacts &prompt);
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
     Wire::DaemonPhase ownPhase() const;
@@ -116,6 +119,8 @@
     RetrySlice retries_;
     ColdGate cold_;
     RegionTable regions_;
+    /// Upstreams of the own region by service; points into the view.
+    std::unordered_map<std::string, std::vector<const UpstreamRecord *>> local_;
     std::size_t bodyBytes_ = 0;
     std::size_t inProgress_ = 0;
     std::uint64_t digestSequence_ = 0;
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // How long one call waits for changes: each waiting call is paid for, a longer one notices a stopping process later.
-constexpr Millis waitTime{ 8'000 };
+constexpr Millis waitTime{ 25'000 };
 // After a failure; doubled up to the longest. A store that is back must be noticed within a second.
 constexpr Millis firstPause{ 100 };
 constexpr Millis longestPause{ 400 };
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -4,8 +4,7 @@
 #include "portpaddle/gateway/region_table.h"
 
 #include "portpaddle/interfaces/random_source.h"
-
-#include <xxhash.h>
+#include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
 
@@ -32,7 +31,7 @@
 
 std::uint64_t serviceKey(const std::string &service)
 {
-    return XXH3_64bits(service.data(), service.size());
+    return stableHash(service);
 }
 
 void RegionTable::setOwnRegion(std::string region)
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/gateway/load_digest.h"
 
-#include <xxhash.h>
+#include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
 
@@ -45,7 +45,7 @@
 
 std::uint64_t upstreamKey(const std::string &id)
 {
-    return XXH3_64bits(id.data(), id.size());
+    return stableHash(id);
 }
 
 UpstreamLoads::State &UpstreamLoads::stateOf(const std::string &upstream)
