--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -14,8 +14,8 @@
 
 using Json = nlohmann::json;
 
-// A daemon that died disappears from the list after this; daemons of its region notice its silence long before. Each renewal is paid
-// for.
+// A daemon that died disappears from the list after this; daemons of its region notice its silence long before. Each renewal is
+// paid for.
 constexpr Millis usualLease{ 6'500 };
 constexpr Millis pauseStep{ 100 };
 constexpr Millis shortStep{ 5 };
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
@@ -45,6 +46,12 @@
 
 Task<void> Gateway::serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned)
 {
+    if (request.relayed && request.message.target() == statePath) {
+        WholeAnswer state;
+        state.body = stateProvider_ ? stateProvider_() : std::string();
+        co_await writer.whole(std::move(state));
+        co_return;
+    }
     ++inProgress_;
     const auto exchange = std::make_shared<Exchange>(*this, std::move(request), writer);
     abandoned = [exchange] { exchange->callerLeft(); };
@@ -88,6 +95,11 @@
     retries_.setTerms({ terms.retryRatio, terms.extraRetriesPerWindow, terms.retryWindow, terms.plannedDaemons });
 }
 
+void Gateway::setStateProvider(std::function<std::string()> provider)
+{
+    stateProvider_ = std::move(provider);
+}
+
 void Gateway::viewChanged()
 {
     view_ = cell_.read();
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -67,6 +67,8 @@
     void releaseBody(std::size_t bytes) override;
 
     void setTerms(const GatewayTerms &terms);
+    /// Answers other daemons that ask for what the store last told.
+    void setStateProvider(std::function<std::string()> provider);
     /// A newer view was published.
     void viewChanged();
     void setDigestInterval(std::chrono::milliseconds interval);
@@ -121,6 +123,7 @@
     RegionTable regions_;
     /// Upstreams of the own region by service; points into the view.
     std::unordered_map<std::string, std::vector<const UpstreamRecord *>> local_;
+    std::function<std::string()> stateProvider_;
     std::size_t bodyBytes_ = 0;
     std::size_t inProgress_ = 0;
     std::uint64_t digestSequence_ = 0;
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -16,11 +16,13 @@
 constexpr Millis firstPause{ 100 };
 constexpr Millis longestPause{ 400 };
 constexpr unsigned mostDoublings = 4;
+// A configuration must be in force within a few seconds; a state of some hundred routes has 100 KB.
+constexpr Millis betweenPeerQuestions{ 1'000 };
 
 } // namespace
 
-KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener)
-    : prefix_(std::move(prefix)), store_(store), listener_(listener)
+KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers)
+    : prefix_(std::move(prefix)), store_(store), listener_(listener), peers_(peers)
 {
 }
 
@@ -88,9 +90,24 @@
     }
     const Millis pause = std::min(longestPause, firstPause * (1U << std::min(failures_, mostDoublings)));
     ++failures_;
+    askPeers();
     std::this_thread::sleep_for(pause);
 }
 
+/// While the store is away other daemons may still reach it.
+void KeyFollower::askPeers()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (peers_ == nullptr || now - askedPeersAt_ < betweenPeerQuestions) {
+        return;
+    }
+    askedPeersAt_ = now;
+    const Result<std::vector<KeyValue>> items = peers_->fetch();
+    if (isOk(items)) {
+        listener_.handedOn(valueOf(items));
+    }
+}
+
 void KeyFollower::noteSuccess()
 {
     failures_ = 0;
--- a/src/portpaddle/gateway/key_follower.h
+++ b/src/portpaddle/gateway/key_follower.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/thread.h"
+#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/interfaces/watched_store.h"
 
 #include <atomic>
@@ -22,14 +23,16 @@
     virtual void changed(const KeyChange &change) = 0;
     virtual void storeLost(const Error &error) = 0;
     virtual void storeBack() = 0;
+    /// What another daemon last heard of the store; adds to what is known, removes nothing.
+    virtual void handedOn(const std::vector<KeyValue> &items) = 0;
 };
 
 /// Runs a thread until the process ends or stop() is called.
 class KeyFollower
 {
 public:
-    /// @p store and @p listener must outlive the follower.
-    KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener);
+    /// @p store and @p listener must outlive the follower, and @p peers if it is given: they are asked while the store is away.
+    KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers = nullptr);
     ~KeyFollower();
 
     void start();
@@ -41,11 +44,14 @@
     bool list();
     void follow();
     void noteFailure(const Error &error);
+    void askPeers();
     void noteSuccess();
 
     std::string prefix_;
     WatchedStore &store_;
     KeyListener &listener_;
+    const PeerStateClient *peers_;
+    std::chrono::steady_clock::time_point askedPeersAt_{};
     std::uint64_t revision_ = 0;
     bool listed_ = false;
     bool lost_ = true;
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -16,6 +16,7 @@
 #include "support/scripted_store.h"
 
 #include <doctest/doctest.h>
+#include <httplib.h>
 #include <rapidcheck.h>
 
 using namespace Portpaddle;
@@ -303,6 +304,14 @@
         ++returns;
     }
 
+    void handedOn(const std::vector<KeyValue> &items) override
+    {
+        const std::lock_guard lock(mutex);
+        for (const KeyValue &item : items) {
+            keys.insert(item.key);
+        }
+    }
+
     bool has(const std::string &key)
     {
         const std::lock_guard lock(mutex);
@@ -349,6 +358,38 @@
     CHECK(listener.losses == 0);
 }
 
+TEST_CASE("Key follower, store away from the start, takes what a peer hands on and then the store's own list")
+{
+    httplib::Server peer;
+    peer.Get(statePath, [](const httplib::Request &, httplib::Response &response) {
+        response.set_content(encodeState("other", { { "p/known", "1", 4 } }), "application/octet-stream");
+    });
+    const int port = peer.bind_to_any_port("127.0.0.1");
+    Thread server("peer", [&] { peer.listen_after_bind(); });
+    const PeerStateClient peers([port] {
+        return std::vector<std::string>{ "127.0.0.1:1", "127.0.0.1:" + std::to_string(port) };
+    });
+    ScriptedStore store;
+    store.set("p/own", "1");
+    store.setFailing(true);
+    RecordingListener listener;
+    KeyFollower follower("p/", store, listener, &peers);
+    follower.start();
+    CHECK(eventually([&] { return listener.has("p/known"); }));
+    store.setFailing(false);
+    CHECK(eventually([&] { return listener.has("p/own") && !listener.has("p/known"); }));
+    follower.stop();
+    peer.stop();
+}
+
+TEST_CASE("Fleet state, bytes of a hostile peer, are refused or harmless")
+{
+    rc::check([](const std::string &bytes) { (void)decodeState(bytes); });
+    const auto decoded = decodeState(encodeState("d", { { "k", "v", 7 } }));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).at(0).revision == 7);
+}
+
 TEST_CASE("Daemon registration, lease that ran out, enters again and leaves in the end")
 {
     ScriptedStore store;
