--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/exchange.h"
 
 #include "portpaddle/base/metrics.h"
+#include "portpaddle/gateway/memory_move.h"
 
 #include <fmt/format.h>
 
@@ -28,6 +29,8 @@
 constexpr Millis localConnectTimeout{ 400 };
 constexpr Millis remoteConnectTimeout{ 800 };
 constexpr Millis roomPoll{ 20 };
+// A move that takes longer has met a queue of others, or an engine that is gone.
+constexpr Millis longestMove{ 1'500 };
 // One way between regions, about.
 constexpr Millis remoteTravel{ 55 };
 // The least urgent that upstreams know.
@@ -63,6 +66,7 @@
     , deadlineTimer_(gateway.executor_)
     , roomTimer_(gateway.executor_)
     , silenceTimer_(gateway.executor_)
+    , moveEnded_(gateway.executor_)
 {
 }
 
@@ -171,6 +175,10 @@
             break;
         }
         report = co_await attempt(target);
+        if (report.end == AttemptEnd::Broken && moveState_ != MoveState::None) {
+            std::optional<AttemptReport> continued = co_await continueMoved();
+            report = continued ? std::move(*continued) : std::move(report);
+        }
         if (!mayRepeat(report)) {
             break;
         }
@@ -198,6 +206,8 @@
     }
     plan.priority = target.placement.urgency == Urgency::Late ? latePriority : std::min(route_->priority, latePriority - 1);
     plan.streamed = route_->kind == RouteKind::Stream;
+    plan.memoryFrom = memoryFrom_;
+    memoryFrom_.clear();
     predictedMs_ = target.placement.predictedMs;
     tried_.push_back(local ? target.upstream->id : target.daemon->region);
 
@@ -207,8 +217,7 @@
         ++sends_;
         const SteadyTime now = std::chrono::steady_clock::now();
         if (local) {
-            const ServiceSpec *spec = services_->service(service_);
-            ticket = gateway_.loads_.sent(*target.upstream, *spec, request_.prompt, target.placement, now);
+            ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, now);
         } else {
             gateway_.metrics_.count(Counter::SentAway);
         }
@@ -231,7 +240,14 @@
     if (local && route_->mayRunTwice()) {
         watchSilence(watch);
     }
+    const bool movable = local && plan.streamed && target.spec->movesMemory && moveState_ == MoveState::None;
+    if (movable) {
+        gateway_.streams_[plan.peer].insert(this);
+    }
     AttemptReport report = co_await sending.run(plan, events);
+    if (movable) {
+        gateway_.streams_[plan.peer].erase(this);
+    }
     current_ = nullptr;
     watch->sending = nullptr;
     silenceTimer_.cancel();
@@ -257,6 +273,45 @@
     co_return report;
 }
 
+void Exchange::moveAway(const UpstreamRecord &source)
+{
+    if (moveState_ != MoveState::None || progress_.events.lastId().empty() || interruption_ != Interruption::None) {
+        return;
+    }
+    moveState_ = MoveState::Moving;
+    boost::asio::co_spawn(
+        gateway_.executor_, [self = shared_from_this(), source]() -> Task<void> { co_await self->move(source); },
+        boost::asio::detached);
+}
+
+Task<void> Exchange::move(UpstreamRecord source)
+{
+    moveTarget_ = gateway_.choose(request_, *route_, service_, tried_, std::chrono::steady_clock::now());
+    std::optional<std::string> from;
+    if (moveTarget_.placement.verdict == Verdict::Serve) {
+        const Millis longest = std::min(longestMove, timeLeft());
+        from = co_await moveMemory(gateway_.pool_, *gateway_.orders_, request_.id, source, *moveTarget_.upstream, longest);
+    }
+    moveState_ = from ? MoveState::Moved : MoveState::Failed;
+    memoryFrom_ = from.value_or(std::string());
+    moveEnded_.cancel();
+}
+
+Task<std::optional<AttemptReport>> Exchange::continueMoved()
+{
+    if (moveState_ == MoveState::Moving) {
+        NetError ignored;
+        moveEnded_.expires_after(longestMove);
+        co_await moveEnded_.async_wait(awaitingInto(ignored));
+    }
+    if (moveState_ != MoveState::Moved || interruption_ != Interruption::None) {
+        co_return std::nullopt;
+    }
+    gateway_.metrics_.count(Counter::Resumes);
+    log(LogEvent::RequestResumed, 0, "memory moved from " + memoryFrom_);
+    co_return co_await attempt(moveTarget_);
+}
+
 void Exchange::watchSilence(const std::shared_ptr<AttemptWatch> &watch)
 {
     silenceTimer_.expires_after(upstreamSilenceBound);
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -20,6 +20,8 @@
 
     Task<void> run();
     void callerLeft();
+    /// Moves a stream in progress away from @p source, which is about to end.
+    void moveAway(const UpstreamRecord &source);
 
 private:
     enum class Interruption { None, CallerLeft, Deadline };
@@ -30,7 +32,13 @@
     Task<bool> findRoute();
     void startDeadline();
     void interrupt(Interruption reason);
+    /// The state of a move of this run's memory.
+    enum class MoveState { None, Moving, Moved, Failed };
+
     Task<void> attempts();
+    Task<void> move(UpstreamRecord source);
+    /// Goes on where the memory was moved to; no value if it was not.
+    Task<std::optional<AttemptReport>> continueMoved();
     Task<AttemptReport> attempt(const Target &target);
     /// Ends an attempt at an upstream that hangs, where another one may follow.
     void watchSilence(const std::shared_ptr<AttemptWatch> &watch);
@@ -57,6 +65,10 @@
     SteadyTimer deadlineTimer_;
     SteadyTimer roomTimer_;
     SteadyTimer silenceTimer_;
+    SteadyTimer moveEnded_;
+    MoveState moveState_ = MoveState::None;
+    Target moveTarget_;
+    std::string memoryFrom_;
     UpstreamAttempt *current_ = nullptr;
     Interruption interruption_ = Interruption::None;
     /// Upstreams and regions asked so far.
--- a/src/portpaddle/gateway/fleet_keeper.cpp
+++ b/src/portpaddle/gateway/fleet_keeper.cpp
@@ -42,9 +42,12 @@
     if (known != upstreams_.end()) {
         // Leaving is final for one life: an older record that arrives late must not undo it.
         record.leaving = record.leaving || known->second.record.leaving;
-        if (!record.goneAt) {
-            record.goneAt = known->second.record.goneAt;
-        }
+        // The first announcement counts: a repeated one would move the end into the future.
+        record.goneAt = known->second.record.goneAt ? known->second.record.goneAt : record.goneAt;
+        record.leavingSince = known->second.record.leavingSince;
+    }
+    if (record.leaving && !record.leavingSince) {
+        record.leavingSince = std::chrono::steady_clock::now();
     }
     const std::string id = record.id;
     upstreams_[id] = Held<UpstreamRecord>{ std::move(record), std::nullopt };
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -29,6 +29,8 @@
     unsigned slots = 1;
     /// It takes no new requests; sticky for this life.
     bool leaving = false;
+    /// When this daemon heard that it leaves.
+    std::optional<SteadyTime> leavingSince;
     /// When it will be gone whatever it runs; set where the platform announced it.
     std::optional<SteadyTime> goneAt;
     /// Until then it bears few requests a second.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -17,6 +17,9 @@
 
 // Daemons of a region that may be added or come back while others still count.
 constexpr unsigned spareDaemons = 1;
+// Before an upstream ends its runs are moved: a copy takes some ten milliseconds, several follow one another, and the tick is 100
+// ms.
+constexpr std::chrono::milliseconds moveLead{ 500 };
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
 // Part of a prompt's shared tokens that its home is expected to keep before anything is known of it.
@@ -95,6 +98,32 @@
     retries_.setTerms({ terms.retryRatio, terms.extraRetriesPerWindow, terms.retryWindow, terms.plannedDaemons });
 }
 
+void Gateway::setOrders(const UpstreamOrders *orders)
+{
+    orders_ = orders;
+}
+
+void Gateway::saveRuns(SteadyTime now)
+{
+    if (orders_ == nullptr) {
+        return;
+    }
+    for (const auto &[id, exchanges] : streams_) {
+        const auto upstream = view_->upstreams.find(id);
+        if (upstream == view_->upstreams.end() || !upstream->second.leavingSince) {
+            continue;
+        }
+        const UpstreamRecord &record = upstream->second;
+        const SteadyTime end = record.goneAt.value_or(*record.leavingSince + terms_.drainBound);
+        if (now + moveLead < end || now > end + moveLead) {
+            continue;
+        }
+        for (Exchange *exchange : exchanges) {
+            exchange->moveAway(record);
+        }
+    }
+}
+
 void Gateway::setStateProvider(std::function<std::string()> provider)
 {
     stateProvider_ = std::move(provider);
@@ -174,6 +203,7 @@
 {
     const SteadyTime now = std::chrono::steady_clock::now();
     pool_.sweep(now);
+    saveRuns(now);
     cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, regions_.daemonsInOwnRegion(now) + spareDaemons });
 }
 
@@ -328,6 +358,7 @@
     if (spec == nullptr) {
         return target;
     }
+    target.spec = std::shared_ptr<const ServiceSpec>(view_->services, spec);
     PlacementRequest facts;
     facts.urgency = route.priority == 0 ? Urgency::Urgent : Urgency::Usual;
     facts.promptTokens = request.prompt.promptTokens;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -14,12 +14,15 @@
 #include "portpaddle/gateway/upstream_loads.h"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Portpaddle {
 
+class Exchange;
 class Metrics;
 class RandomSource;
+class UpstreamOrders;
 
 /// Who this daemon is.
 struct GatewayIdentity
@@ -39,6 +42,8 @@
     double coldSlack = 0;
     /// Daemons over which the bounds are divided: those that may live at once.
     unsigned plannedDaemons = 8;
+    /// From its announcement a leaving upstream serves at least this long.
+    std::chrono::milliseconds drainBound{ 3'000 };
     std::size_t bodyMemoryBytes = 64 * 1024 * 1024;
 };
 
@@ -46,6 +51,8 @@
 struct Target
 {
     Placement placement;
+    /// Of the service; null where it is unknown.
+    std::shared_ptr<const ServiceSpec> spec;
     /// Set for an upstream of the own region.
     std::optional<UpstreamRecord> upstream;
     /// Set for a daemon of another region.
@@ -67,6 +74,8 @@
     void releaseBody(std::size_t bytes) override;
 
     void setTerms(const GatewayTerms &terms);
+    /// Without orders the memory of runs is not moved.
+    void setOrders(const UpstreamOrders *orders);
     /// Answers other daemons that ask for what the store last told.
     void setStateProvider(std::function<std::string()> provider);
     /// A newer view was published.
@@ -123,6 +132,12 @@
     RegionTable regions_;
     /// Upstreams of the own region by service; points into the view.
     std::unordered_map<std::string, std::vector<const UpstreamRecord *>> local_;
+    /// Moves runs away from upstreams that are about to end.
+    void saveRuns(SteadyTime now);
+
+    const UpstreamOrders *orders_ = nullptr;
+    /// Streams in progress by upstream of the own region.
+    std::unordered_map<std::string, std::set<Exchange *>> streams_;
     std::function<std::string()> stateProvider_;
     std::size_t bodyBytes_ = 0;
     std::size_t inProgress_ = 0;
--- /dev/null
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -0,0 +1,84 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/memory_move.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout{ 300 };
+
+/// Ends a connection after a time, unless it is destroyed before.
+class ConnectionTimeout
+{
+public:
+    ConnectionTimeout(Executor executor, UpstreamConnection &connection, std::chrono::milliseconds time)
+        : timer_(executor), connection_(std::make_shared<UpstreamConnection *>(&connection))
+    {
+        timer_.expires_after(time);
+        timer_.async_wait([connection = connection_](NetError error) {
+            if (!error && *connection != nullptr) {
+                (*connection)->interrupt();
+            }
+        });
+    }
+
+    ~ConnectionTimeout()
+    {
+        *connection_ = nullptr;
+        timer_.cancel();
+    }
+
+    ConnectionTimeout(const ConnectionTimeout &) = delete;
+    ConnectionTimeout &operator=(const ConnectionTimeout &) = delete;
+
+private:
+    SteadyTimer timer_;
+    std::shared_ptr<UpstreamConnection *> connection_;
+};
+
+} // namespace
+
+Task<std::optional<std::string>> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
+                                            const UpstreamRecord &source, const UpstreamRecord &target,
+                                            std::chrono::milliseconds longest)
+{
+    NetError error;
+    UpstreamConnection *opening = nullptr;
+    std::unique_ptr<UpstreamConnection> connection = pool.takeIdle(source.id, std::chrono::steady_clock::now());
+    if (!connection) {
+        connection = co_await pool.connect(source.id, source.address, connectTimeout, &opening, error);
+    }
+    if (!connection) {
+        co_return std::nullopt;
+    }
+    std::optional<std::string> copy;
+    {
+        const ConnectionTimeout timeout(connection->socket.get_executor(), *connection, longest);
+        HttpRequest message = orders.stopAndMove(requestId, target.address);
+        message.prepare_payload();
+        co_await http::async_write(connection->socket, message, awaitingInto(error));
+        http::response<http::string_body> answer;
+        if (!error) {
+            co_await http::async_read(connection->socket, connection->buffer, answer, awaitingInto(error));
+        }
+        if (!error) {
+            copy = orders.copyName(answer.result_int(), answer.body());
+        }
+    }
+    // The engine ends soon: its connections are not worth keeping.
+    connection.reset();
+    pool.ended(source.id);
+    if (!copy) {
+        co_return std::nullopt;
+    }
+    co_return source.address + "/" + *copy;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/gateway/service_map.h
+++ b/src/portpaddle/gateway/service_map.h
@@ -63,6 +63,8 @@
     /// Zero where the service is not a model engine.
     std::uint64_t memoryTokens = 0;
     unsigned tokensPerEvent = 1;
+    /// Its engines move the memory of runs to each other.
+    bool movesMemory = false;
     bool isModelEngine() const;
 };
 
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -154,6 +154,9 @@
     }
     message.set(names_.timeLeft, std::to_string(plan.timeLeft.count()));
     message.set(names_.priority, std::to_string(plan.priority));
+    if (!plan.memoryFrom.empty()) {
+        message.set(names_.memoryFrom, plan.memoryFrom);
+    }
     if (plan.age) {
         message.set(relayAgeHeader, std::to_string(plan.age->count()));
     }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -42,6 +42,8 @@
     std::string expectedUpstream;
     std::chrono::milliseconds connectTimeout{ 500 };
     std::chrono::milliseconds timeLeft{ 0 };
+    /// Where the memory of this run was moved from.
+    std::string memoryFrom;
     /// Set for a daemon of another region: how old the request will be there.
     std::optional<std::chrono::milliseconds> age;
     unsigned priority = 5;
--- a/tests/gateway/request_path_tests.cpp
+++ b/tests/gateway/request_path_tests.cpp
@@ -3,12 +3,14 @@
 
 // The path of a request through a gateway, against upstreams that answer well, badly or not at all.
 
+#include "portpaddle/gateway/upstream_orders.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
 #include <optional>
 #include <set>
@@ -321,6 +323,101 @@
     CHECK(first.seen().size() + second.seen().size() == 2);
 }
 
+namespace {
+
+/// Orders in words of the test's own.
+class PlainOrders : public UpstreamOrders
+{
+public:
+    HttpRequest stopAndMove(const std::string &requestId, const std::string &targetAddress) const override
+    {
+        HttpRequest message(boost::beast::http::verb::post, "/move", 11);
+        message.set(boost::beast::http::field::host, "engine");
+        message.set("X-Request-Id", requestId);
+        message.body() = targetAddress;
+        return message;
+    }
+
+    std::optional<std::string> copyName(unsigned status, const std::string &body) const override
+    {
+        return status == 200 ? std::optional(body) : std::nullopt;
+    }
+};
+
+/// Two engines that move memory; the first to be asked ends soon.
+class MoveFixture : public GatewaySite
+{
+public:
+    MoveFixture()
+    {
+        routes.services["s"].movesMemory = true;
+        publishRoutes();
+        onLoop([this](Gateway &gateway) { gateway.setOrders(&orders); });
+        const auto script = [this](const SeenRequest &request) { return answer(request); };
+        engines[0] = std::make_unique<ScriptedUpstream>(script);
+        engines[1] = std::make_unique<ScriptedUpstream>(script);
+        addUpstream("u0", engines[0]->address());
+        addUpstream("u1", engines[1]->address());
+    }
+
+    ScriptedAnswer answer(const SeenRequest &request)
+    {
+        if (request.requestLine.starts_with("POST /move")) {
+            moved = true;
+            return { moveAnswer };
+        }
+        if (request.headers.contains("x-memory-from")) {
+            continuedFrom = request.headers.at("x-memory-from");
+            const unsigned last = static_cast<unsigned>(std::stoi(request.headers.at("last-event-id")));
+            return { streamHead(idOf(request)) + eventChunk(last + 1, 6) + lastChunk };
+        }
+        return { streamHead(idOf(request)) + eventChunk(1, 3), Then::Close,
+                 [this] { eventually([this] { return moved.load(); }); } };
+    }
+
+    SeenAnswer askWhileOneEnds()
+    {
+        RawCaller caller(address());
+        caller.send(request("/stream/a", "id1"));
+        eventually([this] { return engines[0]->seen().size() + engines[1]->seen().size() == 1; });
+        const std::size_t first = engines[0]->seen().empty() ? 1 : 0;
+        source = engines[first]->address();
+        announceEnd("u" + std::to_string(first), source);
+        // The first events reach the gateway soon after the request was seen.
+        eventually([&] {
+            onLoop([](Gateway &gateway) { gateway.tick(); });
+            return moved.load();
+        });
+        return caller.receive();
+    }
+
+    PlainOrders orders;
+    std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
+    std::string moveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
+    std::string continuedFrom;
+    std::string source;
+    std::atomic<bool> moved{ false };
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(MoveFixture, "Request path, engine that announces its end, has its stream continued from moved memory")
+{
+    const SeenAnswer answer = askWhileOneEnds();
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 6));
+    CHECK(continuedFrom == source + "/h7");
+}
+
+TEST_CASE_FIXTURE(MoveFixture, "Request path, move that fails, leaves the stream visibly incomplete")
+{
+    moveAnswer = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    const SeenAnswer answer = askWhileOneEnds();
+    CHECK_FALSE(answer.whole);
+    CHECK(answer.body == events(1, 3));
+    CHECK(continuedFrom.empty());
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Request path, unframed stream that is reset, does not look complete")
 {
     ScriptedUpstream upstream([](const SeenRequest &request) {
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -49,6 +49,18 @@
     return route;
 }
 
+UpstreamRecord makeUpstream(const std::string &id, const std::string &address)
+{
+    UpstreamRecord record;
+    record.id = id;
+    record.service = "s";
+    record.address = address;
+    record.dataCentre = "north-1";
+    record.region = "north";
+    record.slots = 4;
+    return record;
+}
+
 } // namespace
 
 RawCaller::RawCaller(const std::string &address)
@@ -191,13 +203,15 @@
 
 void GatewaySite::addUpstream(const std::string &id, const std::string &address)
 {
-    UpstreamRecord record;
-    record.id = id;
-    record.service = "s";
-    record.address = address;
-    record.dataCentre = "north-1";
-    record.region = "north";
-    record.slots = 4;
+    keeper_->changeUpstream(makeUpstream(id, address));
+    onLoop([](Gateway &) {});
+}
+
+void GatewaySite::announceEnd(const std::string &id, const std::string &address)
+{
+    UpstreamRecord record = makeUpstream(id, address);
+    record.leaving = true;
+    record.goneAt = std::chrono::steady_clock::now() + Millis(200);
     keeper_->changeUpstream(record);
     onLoop([](Gateway &) {});
 }
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -62,6 +62,8 @@
     ~GatewaySite();
 
     void addUpstream(const std::string &id, const std::string &address);
+    /// The upstream takes no more requests and is gone in a moment.
+    void announceEnd(const std::string &id, const std::string &address);
     /// Changes the routes before they are published; call publishRoutes() after.
     ServiceMap routes;
     void publishRoutes();
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -168,6 +168,7 @@
         }
         const ScriptedAnswer answer = script_(*request);
         (void)send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+        answer.afterWriting();
         if (answer.then == ScriptedAnswer::Then::Hang) {
             while (readMore(socket, buffer)) { }
             ++closedByPeer_;
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -32,6 +32,8 @@
     /// Written as they are.
     std::string bytes;
     enum class Then { KeepOpen, Close, Reset, Hang } then = Then::KeepOpen;
+    /// Called when the bytes are written, before what follows; may wait.
+    std::function<void()> afterWriting = [] {};
 };
 
 /// Serves each connection on a thread of its own.
