Notice a waiting call to the store whose answer was lost

Ruled out: a cut link, which keep-alive probes end within 4 s; shorter waits cost 0.4 calls a second and daemon. A read of the newest revision, a tenth of a call, every 1.2 s now tells.

--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -16,13 +16,17 @@
 constexpr Millis firstPause{ 100 };
 constexpr Millis longestPause{ 400 };
 constexpr unsigned mostDoublings = 4;
+// Two rounds find a lost answer well within the few seconds that a configuration may take; each costs a tenth of a call.
+constexpr Millis verifyInterval{ 1'200 };
+constexpr Millis verifyStep{ 100 };
 // A configuration must be in force within a few seconds; a state of some hundred routes has 100 KB.
 constexpr Millis betweenPeerQuestions{ 1'000 };
 
 } // namespace
 
-KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers)
-    : prefix_(std::move(prefix)), store_(store), listener_(listener), peers_(peers)
+KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers,
+                         WatchedStore *verifier)
+    : prefix_(std::move(prefix)), store_(store), listener_(listener), peers_(peers), verifier_(verifier)
 {
 }
 
@@ -34,12 +38,16 @@
 void KeyFollower::start()
 {
     thread_ = Thread("follow", [this] { run(); });
+    if (verifier_ != nullptr) {
+        verifierThread_ = Thread("verify", [this] { verify(); });
+    }
 }
 
 void KeyFollower::stop()
 {
     stopping_ = true;
     thread_.join();
+    verifierThread_.join();
 }
 
 void KeyFollower::run()
@@ -79,7 +87,28 @@
     for (const KeyChange &change : valueOf(reply).changes) {
         listener_.changed(change);
     }
-    revision_ = std::max(revision_, valueOf(reply).revision);
+    revision_ = std::max(revision_.load(), valueOf(reply).revision);
+}
+
+/// A store may lose the answer to a waiting call and keep the connection: then changes pass by while the call still waits.
+void KeyFollower::verify()
+{
+    std::uint64_t behindAt = 0;
+    while (!stopping_) {
+        for (Millis slept{ 0 }; slept < verifyInterval && !stopping_; slept += verifyStep) {
+            std::this_thread::sleep_for(verifyStep);
+        }
+        const std::uint64_t known = revision_;
+        const Result<std::uint64_t> newest = verifier_->newestRevision();
+        const bool behind = listed_ && isOk(newest) && valueOf(newest) > revision_;
+        // Behind twice at the same revision: the answer is not on its way any more.
+        if (behind && behindAt == known) {
+            store_.interrupt();
+            behindAt = 0;
+        } else {
+            behindAt = behind ? known : 0;
+        }
+    }
 }
 
 void KeyFollower::noteFailure(const Error &error)
--- a/src/portpaddle/gateway/key_follower.h
+++ b/src/portpaddle/gateway/key_follower.h
@@ -32,7 +32,9 @@
 {
 public:
     /// @p store and @p listener must outlive the follower, and @p peers if it is given: they are asked while the store is away.
-    KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers = nullptr);
+    /// With @p verifier, another connection to the same store, a waiting call whose answer was lost is noticed and repeated.
+    KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers = nullptr,
+                WatchedStore *verifier = nullptr);
     ~KeyFollower();
 
     void start();
@@ -45,6 +47,7 @@
     void follow();
     void noteFailure(const Error &error);
     void askPeers();
+    void verify();
     void noteSuccess();
 
     std::string prefix_;
@@ -52,12 +55,14 @@
     KeyListener &listener_;
     const PeerStateClient *peers_;
     std::chrono::steady_clock::time_point askedPeersAt_{};
-    std::uint64_t revision_ = 0;
-    bool listed_ = false;
+    WatchedStore *verifier_;
+    std::atomic<std::uint64_t> revision_{ 0 };
+    std::atomic<bool> listed_{ false };
     bool lost_ = true;
     unsigned failures_ = 0;
     std::atomic<bool> stopping_{ false };
     Thread thread_;
+    Thread verifierThread_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -42,6 +42,10 @@
     virtual Result<KeyListing> listAll(const std::string &prefix) = 0;
     /// Waits up to @p timeout for changes after @p revision; HistoryGone means that the keys must be listed again.
     virtual Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) = 0;
+    /// The revision of the newest change; may be seconds old, and costs little.
+    virtual Result<std::uint64_t> newestRevision() = 0;
+    /// Makes a call in progress on another thread fail.
+    virtual void interrupt() = 0;
     virtual Result<LeaseGrant> grantLease(Millis timeToLive) = 0;
     /// NotFound when the lease is over.
     virtual Status keepLease(std::uint64_t lease) = 0;
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -343,6 +343,19 @@
     CHECK(listener.listings == 1);
 }
 
+TEST_CASE("Key follower, answer of a waiting call that was lost, is noticed and asked for again")
+{
+    ScriptedStore store;
+    store.set("p/a", "1");
+    RecordingListener listener;
+    KeyFollower follower("p/", store, listener, nullptr, &store);
+    follower.start();
+    CHECK(eventually([&] { return listener.has("p/a"); }));
+    store.loseNextAnswer();
+    store.set("p/b", "1");
+    CHECK(eventually([&] { return listener.has("p/b"); }));
+}
+
 TEST_CASE("Key follower, history that the store forgot, lists again")
 {
     ScriptedStore store;
--- a/tests/support/scripted_store.h
+++ b/tests/support/scripted_store.h
@@ -110,6 +110,12 @@
             }
             return failing_ || revision < forgottenTo_ || !changes.changes.empty();
         });
+        if (losing_ && !changes.changes.empty()) {
+            losing_ = false;
+            lost_ = true;
+            changed_.wait(lock, [&] { return !lost_; });
+            return down();
+        }
         if (failing_) {
             return down();
         }
@@ -120,6 +126,26 @@
         return changes;
     }
 
+    /// The next waiting call that has changes to tell hangs until it is interrupted, as if its answer had been lost.
+    void loseNextAnswer()
+    {
+        const std::lock_guard lock(mutex_);
+        losing_ = true;
+    }
+
+    Result<std::uint64_t> newestRevision() override
+    {
+        const std::lock_guard lock(mutex_);
+        return failing_ ? Result<std::uint64_t>(down()) : Result<std::uint64_t>(revision_);
+    }
+
+    void interrupt() override
+    {
+        const std::lock_guard lock(mutex_);
+        lost_ = false;
+        changed_.notify_all();
+    }
+
     Result<LeaseGrant> grantLease(Millis timeToLive) override
     {
         const std::lock_guard lock(mutex_);
@@ -198,6 +224,8 @@
     std::uint64_t nextLease_ = 0;
     unsigned calls_ = 0;
     bool failing_ = false;
+    bool losing_ = false;
+    bool lost_ = false;
 };
 
 } // namespace Portpaddle
