Gather changes of the store for half a second; let requests wait for the first configuration

After a power loss 17 requests were refused in the 0.2 s before the configuration was known; they wait up to 300 ms now.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -130,10 +130,22 @@
     gateway_.metrics_.observe(Timer::WholeRequest, static_cast<double>(since(request_.arrivedAt).count()));
 }
 
+Task<bool> Exchange::awaitConfiguration()
+{
+    while (!gateway_.view()->services && since(request_.receivedAt) < gateway_.terms_.configurationWait
+           && interruption_ == Interruption::None) {
+        NetError ignored;
+        roomTimer_.expires_after(roomPoll);
+        co_await roomTimer_.async_wait(awaitingInto(ignored));
+    }
+    co_return gateway_.view()->services != nullptr;
+}
+
 Task<bool> Exchange::findRoute()
 {
+    const bool configured = co_await awaitConfiguration();
     services_ = gateway_.view()->services;
-    if (!services_) {
+    if (!configured) {
         co_await refuse(ErrorCode::Stopping, "no configuration is known yet", returnBeforeConfiguration);
         co_return false;
     }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -28,6 +28,8 @@
     /// What one attempt leaves for the next decision.
     struct AttemptWatch;
 
+    /// Waits a moment for the first configuration after a start; false if there is none.
+    Task<bool> awaitConfiguration();
     /// Finds the route in the newest configuration; answers and returns false when there is none.
     Task<bool> findRoute();
     void startDeadline();
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -17,9 +17,6 @@
 
 // Daemons of a region that may be added or come back while others still count.
 constexpr unsigned spareDaemons = 1;
-// Before an upstream ends its runs are moved: a copy takes some ten milliseconds, several follow one another, and the tick is 100
-// ms.
-constexpr std::chrono::milliseconds moveLead{ 500 };
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
 // Part of a prompt's shared tokens that its home is expected to keep before anything is known of it.
@@ -115,7 +112,7 @@
         }
         const UpstreamRecord &record = upstream->second;
         const SteadyTime end = record.goneAt.value_or(*record.leavingSince + terms_.drainBound);
-        if (now + moveLead < end || now > end + moveLead) {
+        if (now + terms_.moveLead < end || now > end + terms_.moveLead) {
             continue;
         }
         for (Exchange *exchange : exchanges) {
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -42,6 +42,11 @@
     double coldSlack = 0;
     /// Daemons over which the bounds are divided: those that may live at once.
     unsigned plannedDaemons = 8;
+    /// How long a request waits for the first configuration after a start. The store answers in milliseconds where it is well.
+    std::chrono::milliseconds configurationWait{ 300 };
+    /// Runs are moved this long before their upstream ends: a copy takes some ten milliseconds, several follow one another, and
+    /// the tick is 100 ms.
+    std::chrono::milliseconds moveLead{ 500 };
     /// From its announcement a leaving upstream serves at least this long.
     std::chrono::milliseconds drainBound{ 3'000 };
     std::size_t bodyMemoryBytes = 64 * 1024 * 1024;
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -16,6 +16,9 @@
 constexpr Millis firstPause{ 100 };
 constexpr Millis longestPause{ 400 };
 constexpr unsigned mostDoublings = 4;
+// Changes come in bursts and each waiting call is paid for: the next one takes what gathered meanwhile. Upstreams that leave and
+// configurations allow three seconds.
+constexpr Millis gatherPause{ 500 };
 // Two rounds find a lost answer well within the few seconds that a configuration may take; each costs a tenth of a call.
 constexpr Millis verifyInterval{ 1'200 };
 constexpr Millis verifyStep{ 100 };
@@ -88,6 +91,9 @@
         listener_.changed(change);
     }
     revision_ = std::max(revision_.load(), valueOf(reply).revision);
+    if (!valueOf(reply).changes.empty() && !stopping_) {
+        std::this_thread::sleep_for(gatherPause);
+    }
 }
 
 /// A store may lose the answer to a waiting call and keep the connection: then changes pass by while the call still waits.
