Divide the retry budget by the size of the fleet; remove what nothing reads, one list of HTTP statuses

The divisor is now the most daemons ever known at once. Removed: headers, fields and a callback that nothing read.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/caller_session.h"
 
 #include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/net/http_status.h"
 #include "portpaddle/net/socket_options.h"
 
 #include <boost/asio/write.hpp>
@@ -22,10 +23,6 @@
 
 namespace {
 
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusTooLarge = 413;
-constexpr unsigned statusHeaderTooLarge = 431;
-constexpr unsigned statusUnavailable = 503;
 // Bytes of following requests that are taken in while one is served; further ones wait in the kernel.
 constexpr std::size_t mostReadAhead = 16 * 1024;
 constexpr std::size_t readAheadStep = 2 * 1024;
@@ -33,12 +30,12 @@
 unsigned statusOfReadError(NetError error)
 {
     if (error == http::error::body_limit) {
-        return statusTooLarge;
+        return HttpStatus::tooLarge;
     }
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return statusHeaderTooLarge;
+        return HttpStatus::headerTooLarge;
     }
-    return statusBadRequest;
+    return HttpStatus::badRequest;
 }
 
 /// How old a daemon says that the request is; more than a minute is not believed.
@@ -210,7 +207,7 @@
     if (!handler_.reserveBody(held)) {
         keepOpen_ = false;
         WholeAnswer answer;
-        answer.status = statusUnavailable;
+        answer.status = HttpStatus::unavailable;
         answer.fields.set(http::field::retry_after, "1");
         co_await whole(std::move(answer));
         co_return;
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/memory_move.h"
+#include "portpaddle/net/http_status.h"
 
 #include <fmt/format.h>
 
@@ -17,11 +18,6 @@
 
 namespace {
 
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusBadGateway = 502;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusGatewayTimeout = 504;
 // An upstream gives up at the time it was told; its own answer may still come in this time.
 constexpr Millis deadlineGrace{ 60 };
 // An upstream that has less than this left cannot answer.
@@ -150,14 +146,14 @@
         co_return false;
     }
     if (request_.id.empty()) {
-        co_await fail(statusBadRequest, "the request has no id");
+        co_await fail(HttpStatus::badRequest, "the request has no id");
         co_return false;
     }
     const auto target = request_.message.target();
     const std::string_view path = std::string_view(target.data(), target.size());
     route_ = services_->find(request_.host, path.substr(0, path.find('?')));
     if (route_ == nullptr) {
-        co_await fail(statusNotFound, "no route leads there");
+        co_await fail(HttpStatus::notFound, "no route leads there");
         co_return false;
     }
     const bool stays = std::any_of(route_->services.begin(), route_->services.end(),
@@ -253,7 +249,6 @@
             gateway_.loads_.heard(target.upstream->id, std::chrono::steady_clock::now());
         }
     };
-    events.loadReported = [](std::string_view) {};
 
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
@@ -418,7 +413,7 @@
         co_return;
     }
     const bool late = interruption_ == Interruption::Deadline || timeLeft() <= shortestAttempt;
-    co_await fail(late ? statusGatewayTimeout : statusBadGateway, report.error.message);
+    co_await fail(late ? HttpStatus::gatewayTimeout : HttpStatus::badGateway, report.error.message);
 }
 
 /// One line with what decided: the settings' version, the targets asked, the prediction and what came of it.
@@ -448,9 +443,9 @@
 Task<void> Exchange::refuse(ErrorCode code, std::string message, Millis retryAfter)
 {
     gateway_.metrics_.count(Counter::Refusals);
-    log(LogEvent::RequestRefused, statusUnavailable, message);
+    log(LogEvent::RequestRefused, HttpStatus::unavailable, message);
     WholeAnswer answer;
-    answer.status = statusUnavailable;
+    answer.status = HttpStatus::unavailable;
     answer.fields.set(http::field::content_type, "text/plain");
     answer.fields.set(http::field::retry_after, fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
     answer.fields.set(gateway_.names_.requestId, request_.id);
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -92,7 +92,18 @@
 void Gateway::setTerms(const GatewayTerms &terms)
 {
     terms_ = terms;
-    retries_.setTerms({ terms.retryRatio, terms.extraRetriesPerWindow, terms.retryWindow, terms.plannedDaemons });
+    shareRetries();
+}
+
+/// Daemons that vanished may be cut off and spend their share all the same: the divisor never shrinks.
+unsigned Gateway::retryDivisor() const
+{
+    return static_cast<unsigned>(std::max<std::size_t>(terms_.fewestDaemons, mostDaemons_ + spareDaemons));
+}
+
+void Gateway::shareRetries()
+{
+    retries_.setTerms({ terms_.retryRatio, terms_.extraRetriesPerWindow, terms_.retryWindow, retryDivisor() });
 }
 
 void Gateway::setOrders(const UpstreamOrders *orders)
@@ -130,6 +141,8 @@
 {
     view_ = cell_.read();
     loads_.keepOnly(*view_);
+    mostDaemons_ = std::max(mostDaemons_, view_->daemons.size());
+    shareRetries();
     local_.clear();
     for (const auto &[id, upstream] : view_->upstreams) {
         if (upstream.region == identity_.region) {
@@ -367,9 +380,7 @@
     facts.urgency = route.priority == 0 ? Urgency::Urgent : Urgency::Usual;
     facts.promptTokens = request.prompt.promptTokens;
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
-    facts.targetMs = static_cast<double>(route.targetLatency.count());
     facts.targetLeftMs = millisLeft(request.arrivedAt + route.targetLatency, now);
-    facts.timeLeftMs = millisLeft(request.arrivedAt + route.timeout, now);
 
     std::vector<const UpstreamRecord *> records;
     std::vector<UpstreamCandidate> upstreams;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -40,8 +40,8 @@
     std::chrono::milliseconds retryWindow{ 10'000 };
     double coldOvershoot = 1;
     double coldSlack = 0;
-    /// Daemons over which the bounds are divided: those that may live at once.
-    unsigned plannedDaemons = 8;
+    /// Daemons over which the retry budget is divided at least; the most that were known at once count where they are more.
+    unsigned fewestDaemons = 8;
     /// How long a request waits for the first configuration after a start. The store answers in milliseconds where it is well.
     std::chrono::milliseconds configurationWait{ 300 };
     /// Runs are moved this long before their upstream ends: a copy takes some ten milliseconds, several follow one another, and
@@ -106,6 +106,8 @@
     const GatewayIdentity &identity() const;
     /// A configuration is known and no stop has begun.
     bool ready() const;
+    /// Daemons over which the retry budget is divided; never shrinks.
+    unsigned retryDivisor() const;
     /// What callers may expect of @p daemon.
     Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
 
@@ -121,6 +123,7 @@
     /// Raises what the engine is expected to keep that all daemons choose for a prompt when they know nothing of it.
     static void expectAtHome(std::vector<UpstreamCandidate> &candidates, const std::vector<const UpstreamRecord *> &records,
                              const PromptFacts &prompt);
+    void shareRetries();
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
     Wire::DaemonPhase ownPhase() const;
@@ -151,6 +154,8 @@
     std::size_t bodyBytes_ = 0;
     std::size_t inProgress_ = 0;
     std::uint64_t digestSequence_ = 0;
+    /// The most daemons known at once.
+    std::size_t mostDaemons_ = 0;
     bool draining_ = false;
     SteadyTime anyRequestUntil_{};
     SteadyTime drainEnd_{};
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -15,7 +15,6 @@
     std::string requestId = "X-Request-Id";
     /// Milliseconds that the caller still waits.
     std::string timeLeft = "X-Request-Timeout-Ms";
-    std::string model = "X-Model";
     /// "PROMPT,MOST_OUT" in tokens.
     std::string tokenCounts = "X-Token-Counts";
     /// "ID:TOKENS,..." of the prompt's parts in order.
@@ -27,11 +26,7 @@
     std::string expectedUpstream = "X-Expected-Upstream";
     /// An upstream says that it did not run the request.
     std::string notRun = "X-Not-Run";
-    /// "RUNNING,WAITING,SLOTS" of an upstream.
-    std::string load = "X-Load";
     std::string priority = "X-Priority";
-    /// Milliseconds that an upstream remains cold.
-    std::string coldFor = "X-Cold-Ms";
     /// Set by daemons only; removed from what callers send.
     std::string memoryHold = "X-Memory-Hold";
     std::string pinFor = "X-Pin-Ms";
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -68,8 +68,6 @@
     double promptTokens = 0;
     double memoryTokens = 0;
     Urgency urgency = Urgency::Usual;
-    double targetMs = 0;
-    double timeLeftMs = 0;
     /// What remains of the target.
     double targetLeftMs = 0;
 };
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 
 #include "portpaddle/gateway/connection_headers.h"
+#include "portpaddle/net/http_status.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
@@ -19,7 +20,6 @@
 
 namespace {
 
-constexpr unsigned statusMisdirected = 421;
 constexpr std::uint32_t mostAnswerHeaderBytes = 64 * 1024;
 // Answers that are not streams are held until they are whole, so that a torn one can be asked for again.
 constexpr std::size_t mostWholeBytes = 8 * 1024 * 1024;
@@ -47,7 +47,8 @@
 /// Statuses that promise that the request did not run; an upstream that says so without the proof is not believed.
 bool promisesNotRun(unsigned status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == HttpStatus::requestTimeout || status == HttpStatus::misdirected || status == HttpStatus::tooMany
+        || status == HttpStatus::unavailable;
 }
 
 std::string_view view(boost::beast::string_view text)
@@ -188,17 +189,13 @@
     }
     const http::fields &fields = parser->get();
     const unsigned status = parser->get().result_int();
-    const std::string_view load = view(fields[names_.load]);
-    if (!load.empty()) {
-        events.loadReported(load);
-    }
     const bool notRun
-        = !fields[names_.notRun].empty() || status == statusMisdirected || view(fields[relayOutcomeHeader]) == relayNotRun;
+        = !fields[names_.notRun].empty() || status == HttpStatus::misdirected || view(fields[relayOutcomeHeader]) == relayNotRun;
     AttemptReport report;
     if (notRun) {
         std::string dropped;
         const bool whole = co_await readRest(*parser, dropped, readError);
-        settle(*parser, whole, plan);
+        settle(*parser, whole);
         report
             = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "upstream did not run it, status " + std::to_string(status));
         const std::string_view after = view(fields[http::field::retry_after]);
@@ -212,7 +209,7 @@
     } else {
         report = co_await readWhole(*parser);
     }
-    settle(*parser, report.end == AttemptEnd::Complete || report.failedAnswer.has_value(), plan);
+    settle(*parser, report.end == AttemptEnd::Complete || report.failedAnswer.has_value());
     co_return report;
 }
 
@@ -352,7 +349,7 @@
 }
 
 /// Notes whether the connection can serve another request.
-void UpstreamAttempt::settle(Parser &parser, bool whole, const AttemptPlan &)
+void UpstreamAttempt::settle(Parser &parser, bool whole)
 {
     reusable_ = whole && parser.is_done() && parser.keep_alive() && !parser.need_eof() && connection_->buffer.size() == 0;
     if (reusable_) {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -67,7 +67,6 @@
     std::function<void()> firstEvent;
     /// Bytes of the answer arrived.
     std::function<void()> heard;
-    std::function<void(std::string_view load)> loadReported;
 };
 
 /// Lives for one attempt.
@@ -95,7 +94,7 @@
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
     Task<bool> passEvents(Parser &parser, std::string_view bytes);
     AttemptReport judgeWhole(Parser &parser, std::string body) const;
-    void settle(Parser &parser, bool whole, const AttemptPlan &plan);
+    void settle(Parser &parser, bool whole);
 
     ConnectionPool &pool_;
     const HeaderNames &names_;
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -258,10 +258,4 @@
     return candidate;
 }
 
-unsigned UpstreamLoads::ownRunning(const std::string &upstream) const
-{
-    const auto found = states_.find(upstream);
-    return found == states_.end() ? 0 : found->second.running;
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -64,8 +64,6 @@
 
     UpstreamCandidate describe(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
                                SteadyTime now) const;
-    /// Requests of this daemon that are at @p upstream.
-    unsigned ownRunning(const std::string &upstream) const;
 
 private:
     struct PeerShare
--- /dev/null
+++ b/src/portpaddle/net/http_status.h
@@ -0,0 +1,21 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// The HTTP statuses that the gateway gives or reads.
+#pragma once
+
+namespace Portpaddle::HttpStatus {
+
+inline constexpr unsigned ok = 200;
+inline constexpr unsigned badRequest = 400;
+inline constexpr unsigned notFound = 404;
+inline constexpr unsigned requestTimeout = 408;
+inline constexpr unsigned tooLarge = 413;
+inline constexpr unsigned misdirected = 421;
+inline constexpr unsigned tooMany = 429;
+inline constexpr unsigned headerTooLarge = 431;
+inline constexpr unsigned badGateway = 502;
+inline constexpr unsigned unavailable = 503;
+inline constexpr unsigned gatewayTimeout = 504;
+
+} // namespace Portpaddle::HttpStatus
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -211,6 +211,18 @@
     CHECK(entries({ daemonIn("n1", "north"), daemonIn("self", "south") }) == std::vector<std::string>{ "self" });
 }
 
+TEST_CASE_FIXTURE(EntriesFixture, "Retry budget, more daemons than planned, is divided by all that were ever known at once")
+{
+    std::vector<DaemonRecord> daemons;
+    for (int index = 0; index < 61; ++index) {
+        daemons.push_back(daemonIn("d" + std::to_string(index), "north"));
+    }
+    entries(daemons);
+    CHECK(gateway.retryDivisor() >= 61);
+    entries({ daemons.front() });
+    CHECK(gateway.retryDivisor() >= 61);
+}
+
 TEST_CASE("Event splitter, any cut of the bytes, gives the same events")
 {
     rc::check([] {
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -35,9 +35,7 @@
         }
         request.promptTokens = 12'000;
         request.memoryTokens = 12'400;
-        request.targetMs = 1'000;
         request.targetLeftMs = 1'000;
-        request.timeLeftMs = 10'000;
         away.tokensPerMs = 100;
         away.distanceMs = 115;
     }
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -159,7 +159,7 @@
                                          random_, metrics_);
     terms.retryRatio = 1;
     terms.extraRetriesPerWindow = 100;
-    terms.plannedDaemons = 1;
+    terms.fewestDaemons = 1;
     terms.moveLead = std::chrono::hours(1);
     gateway_->setTerms(terms);
     keeper_ = std::make_unique<FleetKeeper>(view_, [this] { boost::asio::post(loop_, [this] { gateway_->viewChanged(); }); });
