--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -5,6 +5,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -58,6 +59,11 @@
 
 } // namespace
 
+double PromptFacts::sharedTokens() const
+{
+    return parts.empty() ? 0 : std::max(0.0, static_cast<double>(promptTokens) - parts.back().tokens);
+}
+
 CallerRequest decodeRequest(HttpRequest message, const HeaderNames &names, SteadyTime arrivedAt)
 {
     CallerRequest request;
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -34,6 +34,9 @@
     std::vector<PromptPart> parts;
     unsigned promptTokens = 0;
     unsigned mostTokensOut = 0;
+
+    /// Tokens of all parts but the last, which belongs to this request alone.
+    double sharedTokens() const;
 };
 
 /// Bounds of the decoded prompt headers; longer lists are cut, which costs cache hits only.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/gateway/prompt_homes.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
@@ -19,9 +20,6 @@
 constexpr unsigned spareDaemons = 1;
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
-// Part of a prompt's shared tokens that its home is expected to keep before anything is known of it.
-constexpr double expectedAtHome = 0.6;
-
 double millisLeft(SteadyTime until, SteadyTime now)
 {
     return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
@@ -168,20 +166,28 @@
     }
 }
 
-Wire::LoadDigestT Gateway::digest(DigestReach reach)
+void Gateway::beginDigestRound(DigestReach reach)
 {
-    Wire::LoadDigestT digest;
-    digest.daemon = identity_.id;
-    digest.region = identity_.region;
-    digest.sequence = ++digestSequence_;
-    digest.phase = ownPhase();
-    digest.config_version = view_->services ? view_->services->version : 0;
+    roundParts_.at(static_cast<std::size_t>(reach)) = loads_.takePlaced(reach);
+}
+
+std::vector<Wire::LoadDigestT> Gateway::digests(DigestReach reach)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    Wire::LoadDigestT header;
+    header.daemon = identity_.id;
+    header.region = identity_.region;
+    header.sequence = digestSequence_ + 1;
+    header.phase = ownPhase();
+    header.config_version = view_->services ? view_->services->version : 0;
+    addServiceWaits(header, now);
+    std::vector<Wire::UpstreamShare> shares;
     if (reach == DigestReach::OwnRegion) {
-        loads_.fillDigest(digest);
+        shares = loads_.shares(now);
     }
-    loads_.fillPlaced(digest, reach);
-    addServiceWaits(digest, std::chrono::steady_clock::now());
-    return digest;
+    std::vector<Wire::LoadDigestT> result = splitIntoDigests(header, shares, roundParts_.at(static_cast<std::size_t>(reach)));
+    digestSequence_ += result.size();
+    return result;
 }
 
 void Gateway::addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now)
@@ -192,19 +198,21 @@
     const PromptFacts none;
     for (const auto &[name, spec] : view_->services->services) {
         std::vector<const UpstreamRecord *> records;
-        double shortest = std::numeric_limits<double>::max();
+        double waitMs = 0;
         double speed = 0;
+        double running = 0;
         std::uint16_t count = 0;
         for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
             if (candidate.barred == LossReason::None) {
-                shortest = std::min(shortest, predictedFirstTokenMs(candidate, {}));
-                speed += candidate.tokensPerMs;
+                waitMs += predictedFirstTokenMs(candidate, {});
+                speed += candidate.tokensPerMs / candidate.slowness;
+                running += candidate.running;
                 ++count;
             }
         }
         if (count > 0 && digest.services.size() < mostDigestServices) {
-            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(shortest), count,
-                                         static_cast<float>(speed / count));
+            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(waitMs / count), count,
+                                         static_cast<float>(speed / count), static_cast<float>(running / count));
         }
     }
 }
@@ -334,37 +342,24 @@
         records.push_back(&upstream);
         candidates.push_back(candidate);
     }
-    expectAtHome(candidates, records, prompt);
     return candidates;
 }
 
-void Gateway::expectAtHome(std::vector<UpstreamCandidate> &candidates, const std::vector<const UpstreamRecord *> &records,
-                           const PromptFacts &prompt)
+void Gateway::expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
+                            const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
+                            const std::vector<std::string> &regionNames) const
 {
-    if (prompt.parts.size() < 2) {
-        return;
-    }
-    // The first parts are common to many prompts and lie everywhere; the last shared one tells prompts apart.
-    const double shared = static_cast<double>(prompt.promptTokens) - prompt.parts.back().tokens;
-    const bool known = std::any_of(candidates.begin(), candidates.end(), [shared](const UpstreamCandidate &candidate) {
-        return candidate.cachedTokens >= shared && candidate.barred == LossReason::None;
-    });
-    if (known) {
-        return;
-    }
-    const std::uint64_t topic = prompt.parts[prompt.parts.size() - 2].chainHash;
-    UpstreamCandidate *home = nullptr;
-    double greatest = -std::numeric_limits<double>::infinity();
-    for (UpstreamCandidate &candidate : candidates) {
-        const double draw = rendezvousDraw(topic, upstreamKey(records[candidate.index]->id), 1);
-        if (draw > greatest) {
-            greatest = draw;
-            home = &candidate;
+    std::vector<HomeCandidate> homes;
+    for (UpstreamCandidate &upstream : upstreams) {
+        if (upstream.barred == LossReason::None) {
+            homes.push_back({ &upstream, upstreamKey(records[upstream.index]->id) });
         }
     }
-    if (home != nullptr) {
-        home->cachedTokens = std::max(home->cachedTokens, expectedAtHome * shared);
+    std::vector<HomeRegion> homeRegions{ { nullptr, stableHash(identity_.region), static_cast<double>(homes.size()) } };
+    for (RegionCandidate &region : regions) {
+        homeRegions.push_back({ &region, stableHash(regionNames[region.index]), region.upstreams });
     }
+    Portpaddle::expectAtHomes(prompt, homeRegions, std::move(homes));
 }
 
 Target Gateway::choose(const CallerRequest &request, const Route &route, const std::string &service,
@@ -397,6 +392,7 @@
                 || regions_.pick(*view_, region, now, random_) == nullptr;
         });
     }
+    expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
     target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
         // All that is left looks ill: the best of them is still better than none.
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -87,7 +87,10 @@
     void viewChanged();
     void setDigestInterval(std::chrono::milliseconds interval);
     void takeDigest(const Wire::LoadDigestT &digest);
-    Wire::LoadDigestT digest(DigestReach reach);
+    /// Parts of prompts placed until now are told in the digests that follow, up to the next call.
+    void beginDigestRound(DigestReach reach);
+    /// What to tell now, each to be sent in a datagram of its own.
+    std::vector<Wire::LoadDigestT> digests(DigestReach reach);
     /// Housekeeping, a few times a second.
     void tick();
     /// From now on answers close their connections. Requests that come after @p anyUntil are refused unless they surely end
@@ -120,9 +123,10 @@
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
-    /// Raises what the engine is expected to keep that all daemons choose for a prompt when they know nothing of it.
-    static void expectAtHome(std::vector<UpstreamCandidate> &candidates, const std::vector<const UpstreamRecord *> &records,
-                             const PromptFacts &prompt);
+    /// Raises what the homes of a prompt are expected to keep.
+    void expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
+                       const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
+                       const std::vector<std::string> &regionNames) const;
     void shareRetries();
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
@@ -154,6 +158,8 @@
     std::size_t bodyBytes_ = 0;
     std::size_t inProgress_ = 0;
     std::uint64_t digestSequence_ = 0;
+    /// Parts that the digests of this round tell, by reach.
+    std::array<std::vector<Wire::PlacedPart>, 2> roundParts_;
     /// The most daemons known at once.
     std::size_t mostDaemons_ = 0;
     bool draining_ = false;
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -16,7 +16,9 @@
 
 constexpr std::chrono::milliseconds tickInterval{ 100 };
 // Daemons of the own region hear of load at every tick; with more than this many, in turns.
-constexpr std::size_t localPeersPerTick = 4;
+constexpr std::size_t fewestLocalPeers = 4;
+// All of them have heard after this many ticks: in that time an engine takes some four long prompts at its peak.
+constexpr std::size_t ticksOfLocalRound = 3;
 // Daemons of other regions hear less often: the news cost bytes between regions and only steer what is sent away.
 constexpr std::size_t ticksBetweenRemoteDigests = 3;
 constexpr std::size_t remotePeersPerRound = 3;
@@ -89,7 +91,7 @@
     const SteadyTime now = std::chrono::steady_clock::now();
     ++tickNumber_;
     gateway_.tick();
-    sendDigests();
+    tellLoad();
     if (hook_) {
         hook_();
     }
@@ -153,7 +155,7 @@
     });
 }
 
-void GatewayServer::sendDigests()
+void GatewayServer::tellLoad()
 {
     const std::shared_ptr<const FleetView> view = gateway_.view();
     std::vector<const DaemonRecord *> local;
@@ -164,27 +166,64 @@
         }
         (daemon.region == gateway_.identity().region ? local : remote).push_back(&daemon);
     }
-    const auto send = [&](const DaemonRecord &daemon, const std::vector<std::uint8_t> &bytes) {
-        const auto endpoint = parseEndpoint(daemon.linkAddress);
+    sendLocalDigests(local);
+    if (tickNumber_ % ticksBetweenRemoteDigests == 0) {
+        sendRemoteDigests(remote);
+    }
+}
+
+void GatewayServer::sendLocalDigests(const std::vector<const DaemonRecord *> &daemons)
+{
+    if (daemons.empty()) {
+        return;
+    }
+    const std::size_t perTick = std::max(fewestLocalPeers, (daemons.size() + ticksOfLocalRound - 1) / ticksOfLocalRound);
+    const std::size_t rounds = (daemons.size() + perTick - 1) / perTick;
+    gateway_.setDigestInterval(tickInterval * static_cast<int>(rounds));
+    if (localTurn_ >= daemons.size()) {
+        localTurn_ = 0;
+    }
+    if (localTurn_ == 0) {
+        gateway_.beginDigestRound(DigestReach::OwnRegion);
+    }
+    const std::size_t end = std::min(daemons.size(), localTurn_ + perTick);
+    const auto datagrams = encodedDigests(DigestReach::OwnRegion);
+    for (; localTurn_ < end; ++localTurn_) {
+        sendTo(*daemons[localTurn_], datagrams);
+    }
+}
+
+void GatewayServer::sendRemoteDigests(const std::vector<const DaemonRecord *> &daemons)
+{
+    if (daemons.empty()) {
+        return;
+    }
+    gateway_.beginDigestRound(DigestReach::OtherRegions);
+    const auto datagrams = encodedDigests(DigestReach::OtherRegions);
+    for (std::size_t count = std::min(daemons.size(), remotePeersPerRound); count > 0; --count) {
+        sendTo(*daemons[remoteTurn_++ % daemons.size()], datagrams);
+    }
+}
+
+std::vector<std::vector<std::uint8_t>> GatewayServer::encodedDigests(DigestReach reach)
+{
+    std::vector<std::vector<std::uint8_t>> datagrams;
+    for (const Wire::LoadDigestT &digest : gateway_.digests(reach)) {
+        datagrams.push_back(encodeDigest(digest));
+    }
+    return datagrams;
+}
+
+void GatewayServer::sendTo(const DaemonRecord &daemon, const std::vector<std::vector<std::uint8_t>> &datagrams)
+{
+    const auto endpoint = parseEndpoint(daemon.linkAddress);
+    if (!endpoint) {
+        return;
+    }
+    for (const std::vector<std::uint8_t> &datagram : datagrams) {
         NetError lost;
         // A datagram that cannot be sent is as good as one that is lost: the next follows soon.
-        if (endpoint) {
-            datagrams_.send_to(boost::asio::buffer(bytes), datagramEndpoint(*endpoint), 0, lost);
-        }
-    };
-    const std::size_t rounds = (local.size() + localPeersPerTick - 1) / localPeersPerTick;
-    gateway_.setDigestInterval(tickInterval * static_cast<int>(std::max<std::size_t>(1, rounds)));
-    if (!local.empty()) {
-        const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest(DigestReach::OwnRegion));
-        for (std::size_t count = std::min(local.size(), localPeersPerTick); count > 0; --count) {
-            send(*local[localTurn_++ % local.size()], bytes);
-        }
-    }
-    if (tickNumber_ % ticksBetweenRemoteDigests == 0 && !remote.empty()) {
-        const std::vector<std::uint8_t> bytes = encodeDigest(gateway_.digest(DigestReach::OtherRegions));
-        for (std::size_t count = std::min(remote.size(), remotePeersPerRound); count > 0; --count) {
-            send(*remote[remoteTurn_++ % remote.size()], bytes);
-        }
+        datagrams_.send_to(boost::asio::buffer(datagram), datagramEndpoint(*endpoint), 0, lost);
     }
 }
 
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -57,7 +57,11 @@
     void continueStopping(SteadyTime now);
     Status openDatagrams();
     void receiveDatagram();
-    void sendDigests();
+    void tellLoad();
+    void sendLocalDigests(const std::vector<const DaemonRecord *> &daemons);
+    void sendRemoteDigests(const std::vector<const DaemonRecord *> &daemons);
+    std::vector<std::vector<std::uint8_t>> encodedDigests(DigestReach reach);
+    void sendTo(const DaemonRecord &daemon, const std::vector<std::vector<std::uint8_t>> &datagrams);
 
     boost::asio::io_context &loop_;
     Gateway &gateway_;
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/gateway/load_digest.cpp
@@ -3,8 +3,40 @@
 
 #include "portpaddle/gateway/load_digest.h"
 
+#include <algorithm>
+
 namespace Portpaddle {
 
+namespace {
+
+/// Cuts up to @p most entries off the front of @p rest.
+template<typename Entry>
+std::vector<Entry> takeFront(std::span<const Entry> &rest, std::size_t most)
+{
+    const std::span<const Entry> front = rest.first(std::min(most, rest.size()));
+    rest = rest.subspan(front.size());
+    return { front.begin(), front.end() };
+}
+
+} // namespace
+
+std::vector<Wire::LoadDigestT> splitIntoDigests(const Wire::LoadDigestT &header, std::span<const Wire::UpstreamShare> shares,
+                                                std::span<const Wire::PlacedPart> parts)
+{
+    std::vector<Wire::LoadDigestT> result;
+    do {
+        Wire::LoadDigestT digest = header;
+        digest.sequence += result.size();
+        if (!result.empty()) {
+            digest.services.clear();
+        }
+        digest.upstreams = takeFront(shares, mostDigestUpstreams);
+        digest.placed = takeFront(parts, mostDigestParts);
+        result.push_back(std::move(digest));
+    } while (!shares.empty() || !parts.empty());
+    return result;
+}
+
 std::vector<std::uint8_t> encodeDigest(const Wire::LoadDigestT &digest)
 {
     flatbuffers::FlatBufferBuilder builder(largestLoadDatagram);
--- a/src/portpaddle/gateway/load_digest.h
+++ b/src/portpaddle/gateway/load_digest.h
@@ -17,10 +17,14 @@
 /// Datagrams stay below the usual path MTU.
 inline constexpr std::size_t largestLoadDatagram = 1'400;
 /// Bounds of a digest; with them the largest one fits the datagram.
-inline constexpr std::size_t mostDigestUpstreams = 24;
-inline constexpr std::size_t mostDigestParts = 14;
+inline constexpr std::size_t mostDigestUpstreams = 32;
+inline constexpr std::size_t mostDigestParts = 24;
 inline constexpr std::size_t mostDigestServices = 4;
 
+/// As many digests as it takes to tell everything, each to be sent in a datagram of its own. @p header has the sender, the
+/// sequence of the first digest, and what only that one tells.
+std::vector<Wire::LoadDigestT> splitIntoDigests(const Wire::LoadDigestT &header, std::span<const Wire::UpstreamShare> shares,
+                                                std::span<const Wire::PlacedPart> parts);
 std::vector<std::uint8_t> encodeDigest(const Wire::LoadDigestT &digest);
 /// BadRequest if @p bytes is no digest or exceeds a bound.
 Result<Wire::LoadDigestT> decodeDigest(std::span<const std::uint8_t> bytes);
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -17,8 +17,10 @@
 // step and measured steps grow by some hundredths of a millisecond for each request in the batch.
 constexpr double stepMs = 3.2;
 constexpr double stepMsPerRunning = 0.05;
-// Prompt tokens read between two steps, as seen from the time that prompts of 12,000 tokens take beside full batches.
-constexpr double tokensPerStep = 512;
+// Prompt tokens read between two steps; engines read prompts in pieces of about this size.
+constexpr double tokensPerStep = 2'048;
+// From the last piece of a prompt to its first token, whatever the load; seen on idle engines.
+constexpr double firstTokenMs = 45;
 constexpr double tokensInProgress = 2'000;
 constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "late" } };
 // A prediction beyond this part of what is left of the target is taken as a miss.
@@ -49,6 +51,12 @@
     return std::clamp(predictedMs / targetLeftMs - surelyInTime, 0.0, 1.0);
 }
 
+/// What reading a prompt for so long costs besides its own time.
+double readingCost(double readingMs, double running, const PlacementWeights &weights)
+{
+    return (weights.readingShare + weights.readingPerRunning * running) * readingMs;
+}
+
 struct Best
 {
     std::uint32_t index = 0;
@@ -97,7 +105,8 @@
     const double reading = (ahead + ownTokens) / candidate.tokensPerMs;
     const double steps = 1 + (ahead + ownTokens) / tokensPerStep;
     const double perStep = stepMs + stepMsPerRunning * candidate.running;
-    return admissionMs(candidate, request) + reading + steps * perStep;
+    const double fixed = request.promptTokens > 0 ? firstTokenMs : 0;
+    return fixed + admissionMs(candidate, request) + candidate.slowness * (reading + steps * perStep);
 }
 
 Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
@@ -111,16 +120,18 @@
             continue;
         }
         const double predicted = predictedFirstTokenMs(candidate, request);
-        const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
-        const double score = predicted + weights.readingShare * ownReading + weights.failureMs * candidate.failureShare
-            + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0);
+        const double ownReading
+            = candidate.slowness * std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
+        const double score = predicted + readingCost(ownReading, candidate.running, weights)
+            + weights.failureMs * candidate.failureShare + weights.lateMs * lateness(predicted, request.targetLeftMs)
+            + (candidate.needsConnection ? weights.connectMs : 0);
         consider(local, candidate.index, score, predicted, random);
     }
     Best away;
     for (const RegionCandidate &candidate : regions) {
         const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
-        const double predicted = candidate.waitMs + candidate.distanceMs + ownReading;
-        const double score = predicted + weights.awayMs + weights.readingShare * ownReading
+        const double predicted = candidate.waitMs + candidate.distanceMs + ownReading + firstTokenMs;
+        const double score = predicted + weights.awayMs + readingCost(ownReading, candidate.running, weights)
             + weights.lateMs * lateness(predicted, request.targetLeftMs);
         consider(away, candidate.index, score, predicted, random);
     }
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -36,8 +36,10 @@
     double memoryTotal = 0;
     /// Leading tokens of this prompt that it probably keeps.
     double cachedTokens = 0;
-    /// Prompt tokens that it reads in a millisecond.
+    /// Prompt tokens that engines of its kind read in a millisecond.
     double tokensPerMs = 1;
+    /// How many times longer than predicted its first tokens take.
+    double slowness = 1;
     /// How long a request occupies one of its slots.
     double serviceMs = 1;
     /// Share of recent answers that failed, 0 to 1.
@@ -56,8 +58,12 @@
     double waitMs = 0;
     /// Prompt tokens that one upstream there reads in a millisecond.
     double tokensPerMs = 1;
+    /// Requests on one upstream there.
+    double running = 0;
     /// Leading tokens of this prompt that an upstream there probably keeps.
     double cachedTokens = 0;
+    /// Upstreams that take requests there.
+    double upstreams = 0;
     /// Both ways of the link.
     double distanceMs = 0;
 };
@@ -81,7 +87,9 @@
     double failureMs = 1'500;
     /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
     /// forget other parts for them. As a multiple of the time that reading takes.
-    double readingShare = 8.0;
+    double readingShare = 25.0;
+    /// The same for each request that runs there: its tokens wait behind each piece of a prompt.
+    double readingPerRunning = 0.5;
     /// What a new connection costs the upstream, as milliseconds of delay; its handshake takes a slot for about a millisecond.
     double connectMs = 40;
     /// What missing the target costs, as milliseconds of delay.
--- a/src/portpaddle/gateway/prefix_memory.cpp
+++ b/src/portpaddle/gateway/prefix_memory.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/prefix_memory.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Portpaddle {
 
@@ -14,37 +15,41 @@
 
 } // namespace
 
-void PrefixMemory::note(std::uint64_t chainHash, unsigned tokens)
+void PrefixMemory::advance(double tokens)
 {
-    const auto [entry, added] = entries_.try_emplace(chainHash);
-    if (added) {
-        clock_ += tokens;
-    }
-    entry->second.clock = clock_;
-    if (entries_.size() > mostRememberedParts) {
+    clock_ += tokens;
+}
+
+double PrefixMemory::note(std::uint64_t chainHash)
+{
+    const auto [entry, added] = usedAt_.try_emplace(chainHash, clock_);
+    const double age = added ? std::numeric_limits<double>::infinity() : clock_ - entry->second;
+    entry->second = clock_;
+    if (usedAt_.size() > mostRememberedParts) {
         trim();
     }
+    return age;
 }
 
 /// Drops the older half.
 void PrefixMemory::trim()
 {
     std::vector<double> clocks;
-    clocks.reserve(entries_.size());
-    for (const auto &[hash, entry] : entries_) {
-        clocks.push_back(entry.clock);
+    clocks.reserve(usedAt_.size());
+    for (const auto &[hash, clock] : usedAt_) {
+        clocks.push_back(clock);
     }
     const auto middle = clocks.begin() + static_cast<std::ptrdiff_t>(clocks.size() / 2);
     std::nth_element(clocks.begin(), middle, clocks.end());
-    std::erase_if(entries_, [bound = *middle](const auto &item) { return item.second.clock < bound; });
+    std::erase_if(usedAt_, [bound = *middle](const auto &item) { return item.second < bound; });
 }
 
 double PrefixMemory::keptTokens(const std::vector<PromptPart> &parts, double capacityTokens) const
 {
     double kept = 0;
     for (const PromptPart &part : parts) {
-        const auto found = entries_.find(part.chainHash);
-        if (found == entries_.end() || clock_ - found->second.clock > capacityTokens) {
+        const auto found = usedAt_.find(part.chainHash);
+        if (found == usedAt_.end() || clock_ - found->second > capacityTokens) {
             break;
         }
         kept += part.tokens;
--- a/src/portpaddle/gateway/prefix_memory.h
+++ b/src/portpaddle/gateway/prefix_memory.h
@@ -16,19 +16,18 @@
 class PrefixMemory
 {
 public:
-    void note(std::uint64_t chainHash, unsigned tokens);
+    /// The upstream read @p tokens that it did not keep: whatever was not used since is older by as much.
+    void advance(double tokens);
+    /// The part was used just now. Gives its age in tokens before, infinite for one that is not remembered.
+    double note(std::uint64_t chainHash);
     /// Leading tokens of @p parts that should still be there when it keeps @p capacityTokens.
     double keptTokens(const std::vector<PromptPart> &parts, double capacityTokens) const;
 
 private:
-    struct Entry
-    {
-        double clock = 0;
-    };
-
     void trim();
 
-    std::unordered_map<std::uint64_t, Entry> entries_;
+    /// When each part was used last.
+    std::unordered_map<std::uint64_t, double> usedAt_;
     double clock_ = 0;
 };
 
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -54,11 +54,13 @@
     }
     Region &region = regions_[digest.region];
     for (const Wire::ServiceWait &service : digest.services) {
-        region.services[service.service()]
-            = ServiceNews{ double(service.wait_ms()), double(service.upstreams()), service.tokens_per_ms(), 0, now };
+        region.services[service.service()] = ServiceNews{
+            double(service.wait_ms()), double(service.upstreams()), service.tokens_per_ms(), service.running(), 0, now
+        };
     }
     for (const Wire::PlacedPart &part : digest.placed) {
-        region.prefixes.note(part.chain(), part.tokens());
+        region.prefixes.advance(part.tokens());
+        region.prefixes.note(part.chain());
     }
 }
 
@@ -118,7 +120,9 @@
         candidate.index = static_cast<std::uint32_t>(regionNames.size());
         candidate.waitMs = news->second.waitMs + news->second.sentSince / (news->second.tokensPerMs * news->second.upstreams);
         candidate.cachedTokens = known.prefixes.keptTokens(prompt.parts, capacity);
+        candidate.upstreams = news->second.upstreams;
         candidate.tokensPerMs = news->second.tokensPerMs;
+        candidate.running = news->second.running;
         candidate.distanceMs = distanceMs;
         regionNames.push_back(region);
         result.push_back(candidate);
@@ -146,7 +150,8 @@
     Region &known = regions_[region];
     known.services[serviceKey(service)].sentSince += prompt.promptTokens;
     for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
-        known.prefixes.note(prompt.parts[index].chainHash, prompt.parts[index].tokens);
+        known.prefixes.advance(prompt.parts[index].tokens);
+        known.prefixes.note(prompt.parts[index].chainHash);
     }
 }
 
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -60,6 +60,7 @@
         double waitMs = 0;
         double upstreams = 0;
         double tokensPerMs = 0;
+        double running = 0;
         double sentSince = 0;
         SteadyTime at{};
     };
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -8,17 +8,35 @@
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace Portpaddle {
 
 namespace {
 
 // Before an upstream has shown its speed. Engines of today read about 110 prompt tokens in a millisecond.
-constexpr double assumedTokensPerMs = 100;
-constexpr double slowestTokensPerMs = 5;
+constexpr double assumedTokensPerMs = 110;
+// Bounds of what is learned from the time of first tokens against its prediction.
+constexpr double fastest = 0.6;
+constexpr double slowest = 8;
 constexpr double assumedServiceMs = 25;
-// Part of the memory that cached parts can count on; the rest serves running requests.
-constexpr double cacheShare = 0.7;
+// Part of the memory that cached parts can count on even where requests seem to fill it: estimates of requests run high, since
+// few make as many tokens as they may.
+constexpr double leastCacheShare = 0.25;
+// Smaller parts are not told to other daemons: reading them again costs about a millisecond.
+constexpr unsigned smallestToldPart = 256;
+// A part that is used again is told again when this share of the memory has been read meanwhile.
+constexpr double toldAgainShare = 0.1;
+// Told in one round at most; the rest are found by their homes.
+constexpr std::size_t mostToldParts = 2 * mostDigestParts;
+// Units of tokens in digests, see wire/load.fbs.
+constexpr double tokensUnit = 64;
+// Read between two digests of one daemon at most; more means that it started anew.
+constexpr std::uint32_t mostStepTokens = 50'000'000;
+constexpr double memoryUnit = 256;
+// An upstream that all requests left is told idle for this long: some digests are lost.
+constexpr std::chrono::milliseconds idleTold{ 1'000 };
 // Digests come several times a second; a peer that was silent for this long is not counted any more.
 constexpr std::chrono::milliseconds peerShareAge{ 1'500 };
 constexpr double learningRate = 0.1;
@@ -29,13 +47,23 @@
 // An upstream that owes answers and sends nothing for this long is taken to hang, until something is heard.
 // Learned speeds count only prompts whose reading outweighs the steps around it.
 constexpr double smallestMeasuredTokens = 1'000;
-constexpr double fixedStepMs = 8;
 
 double blend(double old, double sample, double rate)
 {
     return old == 0 ? sample : old + rate * (sample - old);
 }
 
+/// Rounded up, so that a little is not nothing; bounded by what a digest can say.
+std::uint16_t inUnits(double tokens, double unit)
+{
+    return static_cast<std::uint16_t>(std::min(std::ceil(tokens / unit), double{ std::numeric_limits<std::uint16_t>::max() }));
+}
+
+std::uint32_t wrapped(double tokens)
+{
+    return static_cast<std::uint32_t>(static_cast<std::uint64_t>(tokens));
+}
+
 double millisBetween(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
@@ -43,16 +71,16 @@
 
 } // namespace
 
-std::uint64_t upstreamKey(const std::string &id)
+std::uint32_t upstreamKey(const std::string &id)
 {
-    return stableHash(id);
+    return static_cast<std::uint32_t>(stableHash(id));
 }
 
 UpstreamLoads::State &UpstreamLoads::stateOf(const std::string &upstream)
 {
     const auto [entry, added] = states_.try_emplace(upstream);
     if (added) {
-        idsByHash_[upstreamKey(upstream)] = upstream;
+        idsByKey_[upstreamKey(upstream)] = upstream;
     }
     return entry->second;
 }
@@ -61,7 +89,7 @@
 {
     std::erase_if(states_,
                   [&view](const auto &item) { return !view.upstreams.contains(item.first) && item.second.running == 0; });
-    std::erase_if(idsByHash_, [this](const auto &item) { return !states_.contains(item.second); });
+    std::erase_if(idsByKey_, [this](const auto &item) { return !states_.contains(item.second); });
     for (const auto &[id, record] : view.upstreams) {
         stateOf(id);
     }
@@ -77,19 +105,13 @@
     ticket.predictedMs = placement.predictedMs;
     ticket.urgency = placement.urgency;
     ticket.reading = true;
-    const double kept = state.prefixes.keptTokens(prompt.parts, cacheShare * static_cast<double>(spec.memoryTokens));
+    const double cacheTokens = cacheRoom(state, spec, now);
+    const double kept = state.prefixes.keptTokens(prompt.parts, cacheTokens);
     ticket.pendingTokens = std::max(0.0, prompt.promptTokens - kept);
     ticket.memoryTokens = prompt.promptTokens - kept + prompt.mostTokensOut;
-    for (const PromptPart &part : prompt.parts) {
-        state.prefixes.note(part.chainHash, part.tokens);
-    }
-    // The last part belongs to this request alone.
-    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
-        const Wire::PlacedPart part(upstreamKey(upstream.id), prompt.parts[index].chainHash, prompt.parts[index].tokens);
-        for (std::deque<Wire::PlacedPart> &queue : placed_) {
-            queue.push_back(part);
-        }
-    }
+    state.readTokens += ticket.pendingTokens;
+    state.prefixes.advance(ticket.pendingTokens);
+    notePlaced(state, upstream.id, prompt, cacheTokens);
     state.pendingTokens.at(static_cast<std::size_t>(ticket.urgency)) += ticket.pendingTokens;
     state.memoryTokens += ticket.memoryTokens;
     if (state.running == 0 || state.silentSince <= state.lastHeard) {
@@ -99,6 +121,35 @@
     return ticket;
 }
 
+double UpstreamLoads::cacheRoom(const State &state, const ServiceSpec &spec, SteadyTime now)
+{
+    double used = state.memoryTokens;
+    for (const auto &[peer, share] : state.peers) {
+        used += now - share.at < peerShareAge ? share.memoryTokens : 0;
+    }
+    const double total = static_cast<double>(spec.memoryTokens);
+    return std::max(leastCacheShare * total, total - used);
+}
+
+void UpstreamLoads::notePlaced(State &state, const std::string &upstream, const PromptFacts &prompt, double cacheTokens)
+{
+    for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
+        const PromptPart &part = prompt.parts[index];
+        const double age = state.prefixes.note(part.chainHash);
+        // The last part belongs to this request alone.
+        const bool shared = index + 1 < prompt.parts.size();
+        if (!shared || part.tokens < smallestToldPart || age < toldAgainShare * cacheTokens) {
+            continue;
+        }
+        for (std::deque<Wire::PlacedPart> &queue : placed_) {
+            queue.emplace_back(part.chainHash, upstreamKey(upstream), part.tokens);
+            if (queue.size() > mostToldParts) {
+                queue.pop_front();
+            }
+        }
+    }
+}
+
 void UpstreamLoads::finishReading(State &state, LoadTicket &ticket)
 {
     if (!ticket.reading) {
@@ -117,10 +168,10 @@
     State &state = stateOf(ticket.upstream);
     finishReading(state, ticket);
     heard(ticket.upstream, now);
-    const double took = millisBetween(ticket.sentAt, now) - fixedStepMs;
-    if (ticket.pendingTokens >= smallestMeasuredTokens && state.running == 1 && took > 0) {
-        const double speed = std::clamp(ticket.pendingTokens / took, slowestTokensPerMs, 2 * assumedTokensPerMs);
-        state.tokensPerMs = blend(state.tokensPerMs == 0 ? assumedTokensPerMs : state.tokensPerMs, speed, learningRate);
+    if (ticket.pendingTokens >= smallestMeasuredTokens && ticket.predictedMs > 0) {
+        const double ratio = std::clamp(millisBetween(ticket.sentAt, now) / ticket.predictedMs, fastest, slowest);
+        state.slowness *= std::pow(ratio, learningRate);
+        state.slowness = std::clamp(state.slowness, fastest, slowest);
     }
 }
 
@@ -158,6 +209,7 @@
     state.memoryTokens = std::max(0.0, state.memoryTokens - ticket.memoryTokens);
     const bool wasSilent = isSilent(state, now);
     state.running -= state.running > 0 ? 1 : 0;
+    state.lastEnd = now;
     if (outcome == LoadOutcome::Answered) {
         state.failuresInRow = 0;
         state.failureShare -= failureLearningRate * state.failureShare;
@@ -173,54 +225,63 @@
     failed(stateOf(upstream), now);
 }
 
-void UpstreamLoads::takeDigest(const Wire::LoadDigestT &digest, SteadyTime now)
+void UpstreamLoads::takeShare(const Wire::UpstreamShare &share, const std::string &daemon, SteadyTime now)
 {
-    for (auto &[id, state] : states_) {
-        state.peers.erase(digest.daemon);
+    const auto id = idsByKey_.find(share.key());
+    if (id == idsByKey_.end()) {
+        return;
     }
+    State &state = states_[id->second];
+    const auto [entry, added] = state.peers.try_emplace(daemon);
+    PeerShare &known = entry->second;
+    // Unsigned, so that a counter that wraps gives the right step; one that starts anew gives a huge one and is left out.
+    const std::uint32_t step = share.read_tokens() - known.readTokens;
+    if (!added && step < mostStepTokens) {
+        state.prefixes.advance(step);
+    }
+    known.pendingTokens = { tokensUnit * share.urgent(), tokensUnit * share.usual(), tokensUnit * share.late() };
+    known.memoryTokens = memoryUnit * share.memory();
+    known.running = share.running();
+    known.readTokens = share.read_tokens();
+    known.at = now;
+}
+
+void UpstreamLoads::takeDigest(const Wire::LoadDigestT &digest, SteadyTime now)
+{
     for (const Wire::UpstreamShare &share : digest.upstreams) {
-        const auto id = idsByHash_.find(share.key());
-        if (id != idsByHash_.end()) {
-            states_[id->second].peers[digest.daemon]
-                = PeerShare{ { double(share.urgent_tokens()), double(share.usual_tokens()), double(share.late_tokens()) },
-                             double(share.memory_tokens()),
-                             double(share.running()),
-                             now };
-        }
+        takeShare(share, digest.daemon, now);
     }
     for (const Wire::PlacedPart &part : digest.placed) {
-        const auto id = idsByHash_.find(part.upstream());
-        if (id != idsByHash_.end()) {
-            states_[id->second].prefixes.note(part.chain(), part.tokens());
+        const auto id = idsByKey_.find(part.upstream());
+        if (id != idsByKey_.end()) {
+            states_[id->second].prefixes.note(part.chain());
         }
     }
 }
 
-void UpstreamLoads::fillDigest(Wire::LoadDigestT &digest)
+std::vector<Wire::UpstreamShare> UpstreamLoads::shares(SteadyTime now) const
 {
+    std::vector<Wire::UpstreamShare> result;
     for (const auto &[id, state] : states_) {
-        if (state.running > 0 && digest.upstreams.size() < mostDigestUpstreams) {
-            const auto tokens = [&state = state](Urgency urgency) {
-                return static_cast<std::uint32_t>(state.pendingTokens.at(static_cast<std::size_t>(urgency)));
-            };
-            digest.upstreams.emplace_back(upstreamKey(id), tokens(Urgency::Urgent), tokens(Urgency::Usual), tokens(Urgency::Late),
-                                          static_cast<std::uint32_t>(state.memoryTokens),
-                                          static_cast<std::uint16_t>(state.running));
+        if (state.running == 0 && now - state.lastEnd > idleTold) {
+            continue;
         }
+        const auto pending = [&state = state](Urgency urgency) {
+            return inUnits(state.pendingTokens.at(static_cast<std::size_t>(urgency)), tokensUnit);
+        };
+        result.emplace_back(upstreamKey(id), wrapped(state.readTokens), pending(Urgency::Urgent), pending(Urgency::Usual),
+                            pending(Urgency::Late), inUnits(state.memoryTokens, memoryUnit),
+                            static_cast<std::uint16_t>(state.running));
     }
+    return result;
 }
 
-void UpstreamLoads::fillPlaced(Wire::LoadDigestT &digest, DigestReach reach)
+std::vector<Wire::PlacedPart> UpstreamLoads::takePlaced(DigestReach reach)
 {
     std::deque<Wire::PlacedPart> &queue = placed_.at(static_cast<std::size_t>(reach));
-    while (!queue.empty() && digest.placed.size() < mostDigestParts) {
-        digest.placed.push_back(queue.front());
-        queue.pop_front();
-    }
-    // More parts than the digests carry: the oldest are the least useful.
-    while (queue.size() > mostDigestParts) {
-        queue.pop_front();
-    }
+    std::vector<Wire::PlacedPart> result(queue.begin(), queue.end());
+    queue.clear();
+    return result;
 }
 
 UpstreamCandidate UpstreamLoads::describe(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
@@ -248,8 +309,8 @@
             candidate.memoryUsed += share.memoryTokens;
         }
     }
-    candidate.cachedTokens = state.prefixes.keptTokens(prompt.parts, cacheShare * candidate.memoryTotal);
-    candidate.tokensPerMs = state.tokensPerMs > 0 ? state.tokensPerMs : assumedTokensPerMs;
+    candidate.cachedTokens = state.prefixes.keptTokens(prompt.parts, cacheRoom(state, spec, now));
+    candidate.slowness = state.slowness;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = state.failureShare;
     if (now < state.avoidUntil || isSilent(state, now)) {
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -57,10 +57,10 @@
     void connectFailed(const std::string &upstream, SteadyTime now);
 
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
-    /// What this daemon has sent and is not answered yet.
-    void fillDigest(Wire::LoadDigestT &digest);
-    /// The parts placed since the last call for @p reach.
-    void fillPlaced(Wire::LoadDigestT &digest, DigestReach reach);
+    /// What this daemon has sent and is not answered yet, by upstream. One that all requests left is told a while longer.
+    std::vector<Wire::UpstreamShare> shares(SteadyTime now) const;
+    /// The parts placed since the last call for @p reach; only the newest where they are many.
+    std::vector<Wire::PlacedPart> takePlaced(DigestReach reach);
 
     UpstreamCandidate describe(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
                                SteadyTime now) const;
@@ -71,6 +71,8 @@
         PendingTokens pendingTokens{};
         double memoryTokens = 0;
         double running = 0;
+        /// Ever sent by that daemon; wraps.
+        std::uint32_t readTokens = 0;
         SteadyTime at;
     };
 
@@ -81,7 +83,12 @@
         unsigned running = 0;
         std::unordered_map<std::string, PeerShare> peers;
         PrefixMemory prefixes;
-        double tokensPerMs = 0;
+        /// Prompt tokens ever sent there to be read.
+        double readTokens = 0;
+        /// When the last request ended.
+        SteadyTime lastEnd{};
+        /// How many times longer than predicted first tokens took lately.
+        double slowness = 1;
         double serviceMs = 0;
         double failureShare = 0;
         unsigned failuresInRow = 0;
@@ -94,15 +101,19 @@
     State &stateOf(const std::string &upstream);
     static bool isSilent(const State &state, SteadyTime now);
     static void finishReading(State &state, LoadTicket &ticket);
+    /// Tokens of the memory that running requests of all daemons leave for cached parts.
+    static double cacheRoom(const State &state, const ServiceSpec &spec, SteadyTime now);
+    void takeShare(const Wire::UpstreamShare &share, const std::string &daemon, SteadyTime now);
+    void notePlaced(State &state, const std::string &upstream, const PromptFacts &prompt, double cacheTokens);
     void failed(State &state, SteadyTime now);
 
     std::unordered_map<std::string, State> states_;
-    std::unordered_map<std::uint64_t, std::string> idsByHash_;
+    std::unordered_map<std::uint32_t, std::string> idsByKey_;
     /// Parts not told yet, by reach of the digest.
     std::array<std::deque<Wire::PlacedPart>, 2> placed_;
 };
 
 /// The key under which digests name an upstream.
-std::uint64_t upstreamKey(const std::string &id);
+std::uint32_t upstreamKey(const std::string &id);
 
 } // namespace Portpaddle
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -62,95 +62,92 @@
   return EnumNamesDaemonPhase()[index];
 }
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamShare FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamShare FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t key_;
-  uint32_t urgent_tokens_;
-  uint32_t usual_tokens_;
-  uint32_t late_tokens_;
-  uint32_t memory_tokens_;
+  uint32_t key_;
+  uint32_t read_tokens_;
+  uint16_t urgent_;
+  uint16_t usual_;
+  uint16_t late_;
+  uint16_t memory_;
   uint16_t running_;
-  int16_t padding0__;  int32_t padding1__;
+  int16_t padding0__;
 
  public:
   UpstreamShare()
       : key_(0),
-        urgent_tokens_(0),
-        usual_tokens_(0),
-        late_tokens_(0),
-        memory_tokens_(0),
+        read_tokens_(0),
+        urgent_(0),
+        usual_(0),
+        late_(0),
+        memory_(0),
         running_(0),
-        padding0__(0),
-        padding1__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  UpstreamShare(uint64_t _key, uint32_t _urgent_tokens, uint32_t _usual_tokens, uint32_t _late_tokens, uint32_t _memory_tokens, uint16_t _running)
+  UpstreamShare(uint32_t _key, uint32_t _read_tokens, uint16_t _urgent, uint16_t _usual, uint16_t _late, uint16_t _memory, uint16_t _running)
       : key_(flatbuffers::EndianScalar(_key)),
-        urgent_tokens_(flatbuffers::EndianScalar(_urgent_tokens)),
-        usual_tokens_(flatbuffers::EndianScalar(_usual_tokens)),
-        late_tokens_(flatbuffers::EndianScalar(_late_tokens)),
-        memory_tokens_(flatbuffers::EndianScalar(_memory_tokens)),
+        read_tokens_(flatbuffers::EndianScalar(_read_tokens)),
+        urgent_(flatbuffers::EndianScalar(_urgent)),
+        usual_(flatbuffers::EndianScalar(_usual)),
+        late_(flatbuffers::EndianScalar(_late)),
+        memory_(flatbuffers::EndianScalar(_memory)),
         running_(flatbuffers::EndianScalar(_running)),
-        padding0__(0),
-        padding1__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  uint64_t key() const {
+  uint32_t key() const {
     return flatbuffers::EndianScalar(key_);
   }
-  uint32_t urgent_tokens() const {
-    return flatbuffers::EndianScalar(urgent_tokens_);
+  uint32_t read_tokens() const {
+    return flatbuffers::EndianScalar(read_tokens_);
+  }
+  uint16_t urgent() const {
+    return flatbuffers::EndianScalar(urgent_);
   }
-  uint32_t usual_tokens() const {
-    return flatbuffers::EndianScalar(usual_tokens_);
+  uint16_t usual() const {
+    return flatbuffers::EndianScalar(usual_);
   }
-  uint32_t late_tokens() const {
-    return flatbuffers::EndianScalar(late_tokens_);
+  uint16_t late() const {
+    return flatbuffers::EndianScalar(late_);
   }
-  uint32_t memory_tokens() const {
-    return flatbuffers::EndianScalar(memory_tokens_);
+  uint16_t memory() const {
+    return flatbuffers::EndianScalar(memory_);
   }
   uint16_t running() const {
     return flatbuffers::EndianScalar(running_);
   }
 };
-FLATBUFFERS_STRUCT_END(UpstreamShare, 32);
+FLATBUFFERS_STRUCT_END(UpstreamShare, 20);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacedPart FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t upstream_;
   uint64_t chain_;
+  uint32_t upstream_;
   uint32_t tokens_;
-  int32_t padding0__;
 
  public:
   PlacedPart()
-      : upstream_(0),
-        chain_(0),
-        tokens_(0),
-        padding0__(0) {
-    (void)padding0__;
+      : chain_(0),
+        upstream_(0),
+        tokens_(0) {
   }
-  PlacedPart(uint64_t _upstream, uint64_t _chain, uint32_t _tokens)
-      : upstream_(flatbuffers::EndianScalar(_upstream)),
-        chain_(flatbuffers::EndianScalar(_chain)),
-        tokens_(flatbuffers::EndianScalar(_tokens)),
-        padding0__(0) {
-    (void)padding0__;
-  }
-  uint64_t upstream() const {
-    return flatbuffers::EndianScalar(upstream_);
+  PlacedPart(uint64_t _chain, uint32_t _upstream, uint32_t _tokens)
+      : chain_(flatbuffers::EndianScalar(_chain)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        tokens_(flatbuffers::EndianScalar(_tokens)) {
   }
   uint64_t chain() const {
     return flatbuffers::EndianScalar(chain_);
   }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
   uint32_t tokens() const {
     return flatbuffers::EndianScalar(tokens_);
   }
 };
-FLATBUFFERS_STRUCT_END(PlacedPart, 24);
+FLATBUFFERS_STRUCT_END(PlacedPart, 16);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceWait FLATBUFFERS_FINAL_CLASS {
  private:
@@ -159,7 +156,7 @@
   uint16_t upstreams_;
   int16_t padding0__;
   float tokens_per_ms_;
-  int32_t padding1__;
+  float running_;
 
  public:
   ServiceWait()
@@ -168,19 +165,17 @@
         upstreams_(0),
         padding0__(0),
         tokens_per_ms_(0),
-        padding1__(0) {
+        running_(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  ServiceWait(uint64_t _service, uint32_t _wait_ms, uint16_t _upstreams, float _tokens_per_ms)
+  ServiceWait(uint64_t _service, uint32_t _wait_ms, uint16_t _upstreams, float _tokens_per_ms, float _running)
       : service_(flatbuffers::EndianScalar(_service)),
         wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
         upstreams_(flatbuffers::EndianScalar(_upstreams)),
         padding0__(0),
         tokens_per_ms_(flatbuffers::EndianScalar(_tokens_per_ms)),
-        padding1__(0) {
+        running_(flatbuffers::EndianScalar(_running)) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
@@ -194,6 +189,9 @@
   float tokens_per_ms() const {
     return flatbuffers::EndianScalar(tokens_per_ms_);
   }
+  float running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
 };
 FLATBUFFERS_STRUCT_END(ServiceWait, 24);
 
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -251,7 +251,7 @@
     digest.daemon = "d";
     digest.region = "north";
     digest.sequence = 9;
-    digest.upstreams.emplace_back(1, 2, 3, 4, 5, 6);
+    digest.upstreams.emplace_back(1, 2, 3, 4, 5, 6, 7);
     digest.placed.emplace_back(7, 8, 9);
     const auto decoded = decodeDigest(encodeDigest(digest));
     CHECK(isOk(decoded));
@@ -269,6 +269,35 @@
     CHECK(encodeDigest(digest).size() <= largestLoadDatagram);
 }
 
+TEST_CASE("Load digests, more upstreams and parts than one holds, are all told, each digest with its sender")
+{
+    Wire::LoadDigestT header;
+    header.daemon = "d";
+    header.sequence = 5;
+    header.services.resize(1);
+    const std::vector<Wire::UpstreamShare> shares(mostDigestUpstreams * 2 + 1);
+    const std::vector<Wire::PlacedPart> parts(mostDigestParts + 1);
+    const auto digests = splitIntoDigests(header, shares, parts);
+    REQUIRE(digests.size() == 3);
+    std::size_t upstreams = 0;
+    std::size_t placed = 0;
+    for (std::size_t index = 0; index < digests.size(); ++index) {
+        CHECK(digests[index].daemon == "d");
+        CHECK(digests[index].sequence == 5 + index);
+        CHECK(isOk(decodeDigest(encodeDigest(digests[index]))));
+        upstreams += digests[index].upstreams.size();
+        placed += digests[index].placed.size();
+    }
+    CHECK(upstreams == shares.size());
+    CHECK(placed == parts.size());
+    CHECK(digests[1].services.empty());
+}
+
+TEST_CASE("Load digests, nothing to tell of load, still one that shows the sender alive")
+{
+    CHECK(splitIntoDigests({}, {}, {}).size() == 1);
+}
+
 TEST_CASE("Load digest, bytes of a hostile peer, are refused or harmless")
 {
     rc::check([] {
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -10,6 +10,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <vector>
 
 using namespace Portpaddle;
@@ -127,22 +128,30 @@
 TEST_CASE("Prefix memory, leading parts, count until one is missing")
 {
     PrefixMemory memory;
-    memory.note(1, 100);
-    memory.note(3, 100);
+    memory.note(1);
+    memory.note(3);
     CHECK(memory.keptTokens({ { 1, 100 }, { 2, 100 }, { 3, 100 } }, 1'000) == 100);
 }
 
 TEST_CASE("Prefix memory, parts read long ago, are taken as evicted")
 {
     PrefixMemory memory;
-    memory.note(1, 100);
-    for (std::uint64_t other = 2; other < 20; ++other) {
-        memory.note(other, 100);
-    }
+    memory.note(1);
+    memory.advance(1'900);
     CHECK(memory.keptTokens({ { 1, 100 } }, 1'000) == 0);
     CHECK(memory.keptTokens({ { 1, 100 } }, 10'000) == 100);
 }
 
+TEST_CASE("Prefix memory, part that is used again, tells its age and is young again")
+{
+    PrefixMemory memory;
+    CHECK(std::isinf(memory.note(1)));
+    memory.advance(700);
+    CHECK(memory.note(1) == 700);
+    memory.advance(400);
+    CHECK(memory.keptTokens({ { 1, 100 } }, 500) == 100);
+}
+
 TEST_CASE("Loads, requests of other daemons, count until their digests stop")
 {
     UpstreamLoads mine;
@@ -159,16 +168,106 @@
     theirs.sent(engine, spec, prompt, Placement{}, now);
     Wire::LoadDigestT digest;
     digest.daemon = "other";
-    theirs.fillDigest(digest);
-    theirs.fillPlaced(digest, DigestReach::OwnRegion);
+    digest.upstreams = theirs.shares(now);
+    digest.placed = theirs.takePlaced(DigestReach::OwnRegion);
     mine.takeDigest(digest, now);
     const UpstreamCandidate seen = mine.describe(engine, spec, promptOf(5'000, 1, 11), now + 500ms);
-    CHECK(tokensAhead(seen, Urgency::Usual) == 12'000);
+    CHECK(tokensAhead(seen, Urgency::Usual) == doctest::Approx(12'000).epsilon(64.0 / 12'000));
     CHECK(seen.running == 1);
     CHECK(seen.cachedTokens == 5'000);
     CHECK(mine.describe(engine, spec, prompt, now + 5s).running == 0);
 }
 
+namespace {
+
+/// Two daemons that know one engine and tell each other.
+class DigestFixture
+{
+public:
+    DigestFixture()
+    {
+        engine.id = "e";
+        FleetView view;
+        view.upstreams["e"] = engine;
+        mine.keepOnly(view);
+        theirs.keepOnly(view);
+        spec.memoryTokens = 100'000;
+    }
+
+    void tell()
+    {
+        Wire::LoadDigestT digest;
+        digest.daemon = "other";
+        digest.upstreams = theirs.shares(now);
+        digest.placed = theirs.takePlaced(DigestReach::OwnRegion);
+        mine.takeDigest(digest, now);
+    }
+
+    UpstreamLoads mine;
+    UpstreamLoads theirs;
+    UpstreamRecord engine;
+    ServiceSpec spec;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(DigestFixture, "Loads, tokens that other daemons had read, age the parts that an upstream keeps")
+{
+    LoadTicket ticket = mine.sent(engine, spec, promptOf(5'000, 1, 11), Placement{}, now);
+    mine.ended(ticket, LoadOutcome::Answered, now);
+    tell();
+    for (unsigned own = 1; own <= 20; ++own) {
+        LoadTicket other = theirs.sent(engine, spec, promptOf(0, 9'000 + own, 12), Placement{}, now);
+        theirs.ended(other, LoadOutcome::Answered, now);
+        tell();
+    }
+    CHECK(mine.describe(engine, spec, promptOf(5'000, 2, 11), now).cachedTokens == 0);
+}
+
+TEST_CASE_FIXTURE(DigestFixture, "Loads, daemon that starts anew and counts from zero, ages nothing")
+{
+    theirs.sent(engine, spec, promptOf(0, 60'000, 12), Placement{}, now);
+    tell();
+    mine.sent(engine, spec, promptOf(5'000, 1, 11), Placement{}, now);
+    theirs = UpstreamLoads();
+    FleetView view;
+    view.upstreams["e"] = engine;
+    theirs.keepOnly(view);
+    theirs.sent(engine, spec, promptOf(0, 100, 13), Placement{}, now);
+    tell();
+    CHECK(mine.describe(engine, spec, promptOf(5'000, 2, 11), now).cachedTokens == 5'000);
+}
+
+TEST_CASE_FIXTURE(DigestFixture, "Loads, upstream that a daemon's requests left, is told idle")
+{
+    LoadTicket ticket = theirs.sent(engine, spec, promptOf(0, 9'000, 12), Placement{}, now);
+    tell();
+    CHECK(mine.describe(engine, spec, {}, now).running == 1);
+    theirs.ended(ticket, LoadOutcome::Answered, now);
+    tell();
+    CHECK(mine.describe(engine, spec, {}, now).running == 0);
+}
+
+TEST_CASE_FIXTURE(DigestFixture, "Loads, first tokens later than predicted, make an upstream slow and in time ones fast again")
+{
+    Placement placement;
+    placement.predictedMs = 100;
+    std::uint64_t topic = 100;
+    const auto answerAfter = [&](std::chrono::milliseconds took) {
+        LoadTicket ticket = mine.sent(engine, spec, promptOf(0, 9'000, ++topic), placement, now);
+        mine.firstToken(ticket, now + took);
+        mine.ended(ticket, LoadOutcome::Answered, now + took);
+    };
+    for (int round = 0; round < 30; ++round) {
+        answerAfter(400ms);
+    }
+    CHECK(mine.describe(engine, spec, {}, now).slowness > 3);
+    for (int round = 0; round < 60; ++round) {
+        answerAfter(50ms);
+    }
+    CHECK(mine.describe(engine, spec, {}, now).slowness < 1);
+}
+
 TEST_CASE("Loads, first token and end of a request, take its share away")
 {
     UpstreamLoads loads;
