--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -16,9 +16,9 @@
 constexpr Millis firstPause{ 100 };
 constexpr Millis longestPause{ 400 };
 constexpr unsigned mostDoublings = 4;
-// Changes come in bursts and each waiting call is paid for: the next one takes what gathered meanwhile. Upstreams that leave and
-// configurations allow three seconds.
-constexpr Millis gatherPause{ 500 };
+// Changes come in bursts and each waiting call is paid for: the next one takes what gathered meanwhile. Short enough where
+// upstreams that leave and configurations allow three seconds.
+constexpr Millis usualGatherPause{ 500 };
 // Two rounds find a lost answer well within the few seconds that a configuration may take; each costs a tenth of a call.
 constexpr Millis verifyInterval{ 1'200 };
 constexpr Millis verifyStep{ 100 };
@@ -29,7 +29,7 @@
 
 KeyFollower::KeyFollower(std::string prefix, WatchedStore &store, KeyListener &listener, const PeerStateClient *peers,
                          WatchedStore *verifier)
-    : prefix_(std::move(prefix)), store_(store), listener_(listener), peers_(peers), verifier_(verifier)
+    : prefix_(std::move(prefix)), store_(store), listener_(listener), peers_(peers), verifier_(verifier), gatherPause_(usualGatherPause)
 {
 }
 
@@ -38,6 +38,11 @@
     stop();
 }
 
+void KeyFollower::setGatherPause(Millis pause)
+{
+    gatherPause_ = pause;
+}
+
 void KeyFollower::start()
 {
     thread_ = Thread("follow", [this] { run(); });
@@ -92,7 +97,7 @@
     }
     revision_ = std::max(revision_.load(), valueOf(reply).revision);
     if (!valueOf(reply).changes.empty() && !stopping_) {
-        std::this_thread::sleep_for(gatherPause);
+        std::this_thread::sleep_for(gatherPause_);
     }
 }
 
--- a/src/portpaddle/gateway/key_follower.h
+++ b/src/portpaddle/gateway/key_follower.h
@@ -37,6 +37,8 @@
                 WatchedStore *verifier = nullptr);
     ~KeyFollower();
 
+    /// How long changes gather before the next waiting call takes them. Call before start().
+    void setGatherPause(Millis pause);
     void start();
     /// Returns when the call in progress, if any, has ended.
     void stop();
@@ -56,6 +58,7 @@
     const PeerStateClient *peers_;
     std::chrono::steady_clock::time_point askedPeersAt_{};
     WatchedStore *verifier_;
+    Millis gatherPause_;
     std::atomic<std::uint64_t> revision_{ 0 };
     std::atomic<bool> listed_{ false };
     bool lost_ = true;
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,64 @@
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Clients that keep their connections for as long as the daemon at the other end lives."""
+import asyncio
+
+import aiohttp
+
+DEADLINE = 4.0  # seconds that a client waits
+
+
+class Caller:
+    def __init__(self, soak, number):
+        self.soak = soak
+        self.number = number
+        self.sessions = {}  # name of a daemon: session with its one connection
+
+    async def run(self):
+        while not self.soak.ending:
+            await asyncio.sleep(self.soak.random.expovariate(self.soak.rate))
+            daemons = [daemon for daemon in self.soak.daemons if daemon.life > 0]
+            await self.ask(self.soak.random.choice(daemons), self.soak.random.choice(self.soak.routes))
+        for session in self.sessions.values():
+            await session.close()
+
+    async def ask(self, daemon, route):
+        """One attempt; returns whether it succeeded."""
+        soak = self.soak
+        attempt = soak.next_attempt()
+        soak.checks.sending(attempt, route)
+        life = daemon.life_id()
+        newest = soak.checks.highest.get(life, 0)
+        session = self.sessions.get(daemon.name)
+        if session is None:
+            session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1), auto_decompress=False)
+            self.sessions[daemon.name] = session
+        leaves = soak.random.random() < 0.03
+        headers = {"Host": route["host"], "Portpaddle-Attempt-Id": attempt,
+                   "Portpaddle-Deadline-Remaining": str(int(DEADLINE * 1000)),
+                   # Not a client's to set: must not reach an upstream.
+                   "Portpaddle-Hold": "h1", "Portpaddle-Pin-Duration": "4000"}
+        if route["kind"] == "stream":
+            headers["Portpaddle-Token-Counts"] = "1000,100"
+            headers["Portpaddle-Prompt-Prefix"] = f"{soak.random.randrange(8):x}:600,{attempt}:400"
+        body = bytearray()
+        url = f"http://{daemon.host}:{daemon.entry_proxy.port}{route['pathPrefix']}x"
+        try:
+            timeout = aiohttp.ClientTimeout(total=soak.random.uniform(0.01, 0.3) if leaves else DEADLINE + 0.5)
+            async with session.post(url, data=f"body of {attempt}".encode(), headers=headers, timeout=timeout) as answer:
+                try:
+                    async for piece in answer.content.iter_any():
+                        body += piece
+                except aiohttp.ClientPayloadError:
+                    soak.checks.broke_off(attempt, "torn")
+                    if route["kind"] == "stream":
+                        soak.checks.torn_stream(attempt, bytes(body))
+                    return False
+                soak.checks.answered(attempt, route, life, newest, answer.status, answer.headers, bytes(body))
+                return answer.status == 200
+        except asyncio.TimeoutError:
+            soak.checks.tally["left" if leaves else "deadline"] += 1
+            return False
+        except (aiohttp.ClientError, OSError) as error:
+            soak.checks.broke_off(attempt, type(error).__name__)
+            return False
--- /dev/null
+++ b/tests/soak/checks_tests.py
@@ -0,0 +1,123 @@
+#!/usr/bin/python3
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""The soak's checks: each broken promise is noticed, and what is allowed passes."""
+import unittest
+from types import SimpleNamespace
+
+from checks import Checks
+from upstreams import event, stream_length, whole_body
+
+ASK = {"name": "ask", "kind": "stream", "service": "engines", "pathPrefix": "/s/", "attempts": 2, "resumable": True}
+LONG = {"name": "long", "kind": "stream", "service": "engines", "pathPrefix": "/s/", "attempts": 1}
+PAY = {"name": "pay", "kind": "non_idempotent", "service": "app", "pathPrefix": "/s/", "attempts": 1}
+HOME = {**ASK, "homeRegions": ["south"]}
+PROBE = {"name": "probe", "kind": "idempotent", "service": "app", "pathPrefix": "/s/", "attempts": 2}
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = 100.0
+        soak = SimpleNamespace(now=lambda: self.clock, timing=True, planned_only=False, calm_since=lambda moment: True)
+        self.soak = soak
+        self.checks = Checks(soak)
+        self.engine = SimpleNamespace(id="e-1", service="engines", region="north", left_since=None)
+        self.app = SimpleNamespace(id="a-1", service="app", region="north", left_since=None)
+
+    def rules(self):
+        return [failure.split()[1].rstrip(":") for failure in self.checks.failures]
+
+    def arrive(self, upstream, attempt, route, headers=(), path="/s/x"):
+        if attempt not in self.checks.sent:
+            self.checks.sending(attempt, route)
+        self.checks.arrived(upstream, attempt, SimpleNamespace(path=path, headers=dict(headers)), f"body of {attempt}".encode())
+
+    def answer(self, attempt, route, status=200, body=None, newest=0):
+        text = whole_body(attempt, route["service"]) if body is None else body
+        self.checks.answered(attempt, route, "d/1", newest, status, {"Portpaddle-Server-Seal": "e." + attempt}, text.encode())
+
+    def stream(self, attempt):
+        return "".join(event(attempt, number) for number in range(1, stream_length(attempt) + 1))
+
+    def test_whole_answers_pass(self):
+        self.arrive(self.engine, "a1", ASK)
+        self.checks.ran(self.engine, "a1")
+        self.answer("a1", ASK, body=self.stream("a1"))
+        self.arrive(self.app, "a2", PAY)
+        self.checks.ran(self.app, "a2")
+        self.answer("a2", PAY)
+        self.checks.torn_stream("a1", self.stream("a1")[:40].encode())
+        self.assertEqual(self.rules(), [])
+
+    def test_second_run_of_what_may_not_repeat(self):
+        self.arrive(self.app, "a", PAY)
+        self.checks.ran(self.app, "a")
+        self.checks.ran(self.app, "a")
+        self.assertEqual(self.rules(), ["twice"])
+
+    def test_refusal_of_what_ran_or_runs_later(self):
+        self.arrive(self.app, "a", PAY)
+        self.checks.ran(self.app, "a")
+        self.answer("a", PAY, status=503)
+        self.arrive(self.app, "b", PAY)
+        self.answer("b", PAY, status=503)
+        self.checks.ran(self.app, "b")
+        self.assertEqual(self.rules(), ["refused", "refused"])
+
+    def test_answers_of_others_and_incomplete_ones(self):
+        self.answer("a", PAY, body=whole_body("b", "app"))
+        self.answer("c", ASK, body=self.stream("c")[:-3])
+        self.checks.torn_stream("c", self.stream("c")[5:40].encode())
+        self.assertEqual(self.rules(), ["mixed", "mixed", "order"])
+
+    def test_unknown_changed_and_forbidden_arrivals(self):
+        request = SimpleNamespace(path="/s/x", headers={})
+        self.checks.arrived(self.app, "nobody", request, b"")
+        self.arrive(self.app, "a", PAY, path="/elsewhere")
+        self.arrive(self.app, "b", PAY, headers={"Portpaddle-Hold": "h"})
+        self.assertEqual(self.rules(), ["unasked", "changed", "header"])
+
+    def test_homes_services_and_attempts(self):
+        self.arrive(self.engine, "a", HOME)
+        self.arrive(self.app, "b", ASK)
+        for name in ("e-1", "e-2"):
+            self.arrive(SimpleNamespace(**{**vars(self.engine), "id": name}), "c", LONG)
+        self.assertEqual(self.rules(), ["home", "route", "attempts"])
+
+    def test_leaving_upstream_after_its_bound(self):
+        self.engine.left_since = self.clock - 2
+        self.arrive(self.engine, "a", ASK)
+        self.assertEqual(self.rules(), [])
+        self.engine.left_since = self.clock - 5
+        self.arrive(self.engine, "b", ASK)
+        self.assertEqual(self.rules(), ["drain"])
+
+    def test_older_configuration_after_a_newer_one(self):
+        self.answer("a", {**PROBE, "since": 5})
+        self.answer("b", {**PROBE, "since": 3}, newest=0)
+        self.assertEqual(self.rules(), [])
+        self.answer("c", {**PROBE, "since": 3}, newest=5)
+        self.assertEqual(self.rules(), ["configuration"])
+
+    def test_more_repeats_than_the_budget(self):
+        for number in range(100):
+            self.checks.sending(f"a{number}", PROBE)
+        for number in range(80):
+            self.arrive(self.app, f"a{number}", PROBE)
+            self.arrive(self.app, f"a{number}", PROBE)
+        self.checks.check_repeats()
+        self.assertEqual(self.rules(), ["budget"])
+
+    def test_answer_lost_in_planned_work(self):
+        self.arrive(self.engine, "a", ASK)
+        self.checks.ran(self.engine, "a")
+        self.checks.broke_off("a", "torn")
+        self.assertEqual(self.rules(), [])
+        self.soak.planned_only = True
+        self.checks.broke_off("unrun", "torn")
+        self.checks.broke_off("a", "torn")
+        self.assertEqual(self.rules(), ["lost"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/daemons.py
@@ -0,0 +1,100 @@
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""The real daemons, each a process of its own, and their settings files."""
+import asyncio
+import json
+import os
+import signal
+import socket
+
+GRACE = 8  # seconds from the order to stop to the kill, as the settings say
+
+
+class Daemon:
+    def __init__(self, soak, name, region, data_centre, host, ports, store_port):
+        self.soak = soak
+        self.name, self.region, self.data_centre, self.host, self.ports = name, region, data_centre, host, ports
+        self.store_port = store_port
+        self.store_proxy = None
+        self.entry_proxy = None
+        self.process = None
+        self.life = 0
+        self.paused = False
+        self.watcher = None
+        self.log = open(os.path.join(soak.directory, name + ".log"), "ab")
+
+    def life_id(self):
+        return f"{self.name}/{self.life}"
+
+    def address(self, part):
+        return f"{self.host}:{self.ports[part]}"
+
+    def write_settings(self):
+        zones = {d.data_centre: d.region for d in self.soak.daemons}
+        settings = {
+            "nodeName": self.name, "ipAddress": self.host, "zone": self.data_centre, "region": self.region, "zones": zones,
+            "internalPorts": [self.ports["link"], self.ports["link"]],
+            "seeds": [f"{d.host}:{d.ports['link']}" for d in self.soak.daemons[:3]],
+            "listenAddresses": {"frontend": self.address("entry"), "readiness": self.address("readiness"),
+                                "control": "", "directory": self.address("directory")},
+            "limits": {"memoryMb": 260, "fileDescriptors": 4100},
+            "faultTolerance": {"machines": 2, "zones": 1, "regions": 1},
+            "bounds": {"drainMs": 3000, "graceS": GRACE, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtraAttempts": 54,
+                       "coldOvershoot": 1.5, "coldSlack": 3, "ttl_max_s": 5},
+            "platform": {"address": f"{self.host}:{self.store_proxy.port}", "ttlMinMs": 1000},
+        }
+        path = os.path.join(self.soak.directory, self.name + ".json")
+        with open(path, "w") as file:
+            json.dump({"settings": settings}, file)
+        return path
+
+    async def start(self):
+        self.life += 1
+        path = self.write_settings()
+        self.process = await asyncio.create_subprocess_exec(
+            self.soak.program, "--platform", env={**os.environ, "PORTPADDLE_NODE_FILE": path},
+            stdout=self.log, stderr=self.log)
+        self.watcher = asyncio.create_task(self._watch(self.process))
+
+    async def _watch(self, process):
+        status = await process.wait()
+        self.soak.process_ended(self, process, status)
+
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number):
+        if self.running():
+            self.process.send_signal(number)
+
+    def pause(self):
+        self.paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.paused = False
+        self.send(signal.SIGCONT)
+
+    async def stop(self):
+        """As the platform stops it: an order, then the kill."""
+        self.resume()
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(asyncio.shield(self.watcher), GRACE)
+        except asyncio.TimeoutError:
+            await self.kill()
+
+    async def kill(self):
+        self.send(signal.SIGKILL)
+        await self.watcher
+
+
+def free_ports(host, count):
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for probe in sockets:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in sockets]
+    finally:
+        for probe in sockets:
+            probe.close()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,181 @@
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""The seeded schedule of faults: several overlap, each is healed by itself."""
+import asyncio
+import signal
+from collections import Counter
+
+GAP = 0.5  # mean seconds between two faults
+LONGEST = 3.0  # seconds that one lasts
+
+
+# Work that must not cost a request.
+PLANNED = ("stop", "hang_up", "configure", "storm", "upstream_leaves")
+
+
+class Faults:
+    def __init__(self, soak):
+        self.soak = soak
+        self.random = soak.random
+        self.counts = Counter()
+        self.tasks = []
+        self.kinds = [self.pause, self.kill, self.kill_many, self.stop, self.hang_up, self.store_down, self.store_slow,
+                      self.store_loses, self.store_refuses, self.store_cut, self.forget, self.link_delay, self.link_reset,
+                      self.link_silent, self.entry_reset, self.spoil, self.upstream_crash, self.upstream_leaves,
+                      self.upstream_vanishes, self.configure, self.storm, self.evacuate]
+        if soak.planned_only:
+            self.kinds = [kind for kind in self.kinds if kind.__name__ in PLANNED]
+
+    async def run(self, seconds):
+        end = self.soak.now() + seconds
+        while self.soak.now() < end:
+            await asyncio.sleep(self.random.expovariate(1 / GAP))
+            kind = self.random.choice(self.kinds)
+            self.counts[kind.__name__] += 1
+            lasts = self.random.uniform(0.2, LONGEST)
+            if kind not in (self.configure, self.upstream_leaves, self.evacuate):
+                self.soak.disturb(lasts + 1)
+            self.tasks.append(asyncio.create_task(kind(lasts)))
+
+    async def heal(self):
+        """Waits for all that is in force to end."""
+        await asyncio.gather(*self.tasks)
+
+    def daemon(self):
+        return self.random.choice(self.soak.daemons)
+
+    def upstream(self):
+        return self.random.choice(self.soak.upstreams)
+
+    # Daemons.
+    async def pause(self, lasts):
+        daemon = self.daemon()
+        daemon.pause()
+        await asyncio.sleep(lasts)
+        daemon.resume()
+
+    async def restart(self, daemon, ending):
+        if not daemon.running() or daemon.process.pid in self.soak.expected_ends:
+            return
+        self.soak.expected_ends.add(daemon.process.pid)
+        await ending()
+        await asyncio.sleep(0.1)
+        await daemon.start()
+
+    async def kill(self, lasts):
+        daemon = self.daemon()
+        await self.restart(daemon, daemon.kill)
+
+    async def kill_many(self, lasts):
+        chosen = self.random.sample(self.soak.daemons, self.random.randint(2, len(self.soak.daemons)))
+        await asyncio.gather(*(self.restart(daemon, daemon.kill) for daemon in chosen))
+
+    async def stop(self, lasts):
+        self.soak.disturb(9)
+        daemon = self.daemon()
+        await self.restart(daemon, daemon.stop)
+
+    async def hang_up(self, lasts):
+        self.daemon().send(signal.SIGHUP)
+
+    # The store.
+    async def store_down(self, lasts):
+        self.soak.store.down = True
+        await asyncio.sleep(lasts)
+        self.soak.store.down = False
+
+    async def store_slow(self, lasts):
+        self.soak.store.delay = 0.4
+        await asyncio.sleep(lasts)
+        self.soak.store.delay = 0
+
+    async def store_loses(self, lasts):
+        self.soak.store.lose_answers = 0.4
+        await asyncio.sleep(lasts)
+        self.soak.store.lose_answers = 0
+
+    async def store_refuses(self, lasts):
+        daemon = self.daemon()
+        self.soak.store.refused[daemon.host] = self.random.choice([429, 503])
+        await asyncio.sleep(lasts)
+        self.soak.store.refused.pop(daemon.host, None)
+
+    async def store_cut(self, lasts):
+        proxy = self.daemon().store_proxy
+        proxy.silent_up, proxy.silent_down = self.random.choice([(True, True), (True, False), (False, True)])
+        await asyncio.sleep(lasts)
+        proxy.heal()
+
+    async def forget(self, lasts):
+        self.soak.store.forget_history()
+
+    # Connections.
+    def any_proxy(self):
+        return self.random.choice([one.proxy for one in self.soak.upstreams] + [one.entry_proxy for one in self.soak.daemons])
+
+    async def link_delay(self, lasts):
+        proxy = self.any_proxy()
+        proxy.delay = 0.05
+        await asyncio.sleep(lasts)
+        proxy.delay = 0
+
+    async def link_reset(self, lasts):
+        self.any_proxy().reset_all()
+
+    async def link_silent(self, lasts):
+        proxy = self.any_proxy()
+        proxy.silent_up, proxy.silent_down = self.random.choice([(True, True), (True, False), (False, True)])
+        await asyncio.sleep(lasts)
+        proxy.silent_up = proxy.silent_down = False
+
+    async def entry_reset(self, lasts):
+        self.daemon().entry_proxy.reset_all()
+
+    # Upstreams.
+    async def spoil(self, lasts):
+        upstream = self.upstream()
+        upstream.mode = self.random.choice(["errors", "lost", "torn", "extra", "shed", "slow"])
+        await asyncio.sleep(lasts)
+        upstream.mode = None
+
+    async def upstream_crash(self, lasts):
+        upstream = self.upstream()
+        upstream.crash()
+        await asyncio.sleep(lasts)
+        self.soak.store.remove(f"servers/{upstream.id}")
+        await upstream.begin(upstream.host, None)
+
+    async def upstream_leaves(self, lasts):
+        upstream = self.upstream()
+        life = upstream.id
+        upstream.register("draining")
+        await asyncio.sleep(4.5)
+        if upstream.id == life:
+            self.soak.store.remove(f"servers/{life}")
+            await asyncio.sleep(1)
+        if upstream.id == life:
+            await upstream.begin(upstream.host, None)
+
+    async def upstream_vanishes(self, lasts):
+        upstream = self.upstream()
+        life = upstream.id
+        self.soak.store.remove(f"servers/{life}")
+        upstream.left_since = self.soak.now()
+        await asyncio.sleep(4.5)
+        if upstream.id == life:
+            await upstream.begin(upstream.host, None)
+
+    # The operator.
+    async def configure(self, lasts):
+        self.soak.configure(drop_extra=self.random.random() < 0.3)
+
+    async def storm(self, lasts):
+        for _ in range(5):
+            self.soak.configure()
+            await asyncio.sleep(0.15)
+
+    async def evacuate(self, lasts):
+        upstream = self.upstream()
+        self.soak.store.write(f"op/evacuate/{upstream.data_centre}", "{}")
+        await asyncio.sleep(lasts)
+        self.soak.store.remove(f"op/evacuate/{upstream.data_centre}")
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,61 @@
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""A loopback proxy that delays, resets, silences or cuts one way what passes through it."""
+import asyncio
+
+
+class Proxy:
+    def __init__(self, target, source=None):
+        self.target = target  # (host, port)
+        self.source = source  # host that connections to the target come from
+        self.delay = 0.0
+        self.silent_up = False
+        self.silent_down = False
+        self.refusing = False
+        self.writers = set()
+        self.port = 0
+
+    async def start(self, host):
+        server = await asyncio.start_server(self._accepted, host, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def heal(self):
+        self.delay = 0.0
+        self.silent_up = self.silent_down = self.refusing = False
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _accepted(self, reader, writer):
+        if self.refusing:
+            writer.transport.abort()
+            return
+        try:
+            local = (self.source, 0) if self.source else None
+            up_reader, up_writer = await asyncio.open_connection(*self.target, local_addr=local)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(self._pass(reader, up_writer, lambda: self.silent_up),
+                             self._pass(up_reader, writer, lambda: self.silent_down))
+        self.writers -= {writer, up_writer}
+
+    async def _pass(self, reader, writer, silent):
+        try:
+            while True:
+                data = await reader.read(65_536)
+                # Bytes in a silenced direction wait, as behind a cut, and pass when it heals.
+                while silent():
+                    await asyncio.sleep(0.02)
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()
+            return
+        writer.close()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,204 @@
+#!/usr/bin/python3
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Runs real daemons on loopback under a seeded schedule of faults and checks what callers and upstreams see.
+
+Usage: soak.py PROGRAM [--seed N] [--for SECONDS] [--daemons N] [--planned] [--no-timing] [--keep DIRECTORY]
+"""
+import argparse
+import asyncio
+import logging
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from callers import Caller
+from checks import Checks
+from daemons import Daemon, free_ports
+from faults import Faults
+from proxy import Proxy
+from store import Store
+from upstreams import Upstream
+
+REGIONS = ("north", "south", "west")
+HANG_BOUND = 60  # only to turn a hang into a failure
+RECOVERY_PROBES = 60
+
+
+class Soak:
+    def __init__(self, options, directory):
+        self.options = options
+        self.program = options.program
+        self.directory = directory
+        self.random = random.Random(options.seed)
+        self.timing = options.timing
+        self.planned_only = options.planned
+        self.began = time.monotonic()
+        self.rate = options.rate / options.callers
+        self.store = Store()
+        self.store.random = random.Random(options.seed + 1)
+        self.checks = Checks(self)
+        self.daemons = []
+        self.upstreams = []
+        self.ending = False
+        self.expected_ends = set()
+        self.faulty_until = 0.0
+        self.faulty_since = []
+        self.attempts = 0
+        self.version = 0
+        self.routes = []
+        self.extra = 0
+
+    def now(self):
+        return time.monotonic() - self.began
+
+    def next_attempt(self):
+        self.attempts += 1
+        return f"{self.options.seed:04x}{self.attempts:08x}"
+
+    def calm_since(self, moment):
+        """No fault was in force at any time from @p moment on."""
+        return all(end < moment for _, end in self.faulty_since)
+
+    def disturb(self, seconds):
+        """Notes a fault that lasts so long from now."""
+        self.faulty_since.append((self.now(), self.now() + seconds))
+
+    def process_ended(self, daemon, process, status):
+        if process.pid in self.expected_ends or self.ending:
+            return
+        self.checks.fail("process", f"{daemon.life_id()} ended by itself with status {status}")
+
+    # The operator's configuration.
+    def configure(self, drop_extra=False):
+        self.version += 1 + self.random.randrange(4)
+        if drop_extra:
+            self.extra = 0
+        else:
+            self.extra = self.version
+        streams = {"kind": "stream", "service": "engines", "timeoutMs": 5000, "targetLatencyMs": 600, "priority": 0}
+        plain = {"timeoutMs": self.random.choice([2500, 3000, 4000]), "targetLatencyMs": 400, "priority": 2}
+        split = [{"service": "app", "weight": 1}, {"service": "app-b", "weight": self.random.randrange(1, 3)}]
+        self.routes = [
+            {"name": "ask", "host": "a.example", "pathPrefix": "/stream/", "attempts": 2, "resumable": True, **streams},
+            {"name": "long", "host": "a.example", "pathPrefix": "/stream/long/", "attempts": 1, **streams},
+            {"name": "home", "host": "a.example", "pathPrefix": "/stream/home/", "attempts": 2, "resumable": True,
+             "homeRegions": ["north", "south"], **streams},
+            {"name": "look", "host": "b.example", "pathPrefix": "/look/", "kind": "idempotent", "attempts": 2, "service": "app",
+             "split": split, **plain},
+            {"name": "pay", "host": "b.example", "pathPrefix": "/pay/", "kind": "non_idempotent", "attempts": 2,
+             "service": "app", **plain},
+        ]
+        routes = list(self.routes)
+        if self.extra:
+            probe = {"name": f"probe-{self.extra}", "host": "c.example", "pathPrefix": f"/probe{self.extra}/",
+                     "kind": "idempotent", "attempts": 2, "service": "app", "since": self.extra, **plain}
+            routes.append(probe)
+            self.routes.append(probe)
+        told = [{key: value for key, value in route.items() if key != "since"} for route in routes]
+        services = [{"name": "engines", "connectionLimit": 620, "coldStartS": 0, "coldPerS": 0,
+                     "engine": {"kvCapacityTokens": 600_000, "stride": 1, "moves": False}},
+                    {"name": "app", "connectionLimit": 100}, {"name": "app-b", "connectionLimit": 100}]
+        self.store.write("op/config", {"version": self.version, "routes": told, "services": services, "limits": {}})
+
+    async def build(self):
+        store_port = await self.store.start("127.0.0.1")
+        for region in REGIONS:
+            for service, count in (("engines", 2), ("app", 2), ("app-b", 1)):
+                for index in range(count):
+                    upstream = Upstream(self, f"{region}-{service}-{index}", service, region, region + "-1")
+                    self.upstreams.append(upstream)
+                    await upstream.begin("127.0.0.1", lambda target: Proxy(target))
+        for index in range(self.options.daemons):
+            region = REGIONS[index % len(REGIONS)]
+            host = f"127.0.{1 + index // 250}.{2 + index % 250}"
+            ports = dict(zip(("entry", "readiness", "directory", "link"), free_ports(host, 4)))
+            daemon = Daemon(self, f"d{index}", region, region + "-1", host, ports, store_port)
+            # Each daemon reaches the store from its own address, so that the store can turn single ones away.
+            daemon.store_proxy = Proxy(("127.0.0.1", store_port), source=host)
+            daemon.entry_proxy = Proxy((host, ports["entry"]))
+            await daemon.store_proxy.start(host)
+            await daemon.entry_proxy.start(host)
+            self.daemons.append(daemon)
+        self.configure()
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+
+    async def recovered(self):
+        """Whether every daemon serves every route again; bounded only against a hang."""
+        caller = Caller(self, -1)
+        end = time.monotonic() + HANG_BOUND
+        pending = [(daemon, route) for daemon in self.daemons for route in self.routes]
+        while pending and time.monotonic() < end:
+            served = await asyncio.gather(*(caller.ask(*pair) for pair in pending[:RECOVERY_PROBES]))
+            pending = [pair for pair, good in zip(pending, served) if not good] + pending[RECOVERY_PROBES:]
+            await asyncio.sleep(0.1)
+        for session in caller.sessions.values():
+            await session.close()
+        for daemon, route in pending[:5]:
+            self.checks.fail("recovery", f"{daemon.name} does not serve {route['name']}")
+
+    async def run(self):
+        await self.build()
+        await self.recovered()
+        callers = [asyncio.create_task(Caller(self, number).run()) for number in range(self.options.callers)]
+        faults = Faults(self)
+        await faults.run(self.options.seconds)
+        await faults.heal()
+        await self.recovered()
+        self.ending = True
+        await asyncio.wait(callers, timeout=HANG_BOUND)
+        if self.timing:
+            self.checks.check_repeats()
+        await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
+        return faults
+
+    def report(self, faults):
+        print(f"seed {self.options.seed}: {self.attempts} requests, {sum(self.checks.runs.values())} runs, "
+              f"answers {dict(self.checks.tally)}, faults {dict(faults.counts)}")
+        for failure in self.checks.failures:
+            print("FAILED", failure)
+
+
+def is_fault_of_ours(record):
+    """Connections that the soak resets are no news."""
+    return not (record.exc_info and issubclass(record.exc_info[0], ConnectionResetError))
+
+
+def parse():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program", help="the daemon, portpaddled")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--for", dest="seconds", type=float, default=20)
+    parser.add_argument("--daemons", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=30)
+    parser.add_argument("--rate", type=float, default=120, help="requests a second in all")
+    parser.add_argument("--no-timing", dest="timing", action="store_false", help="leave out checks that depend on time")
+    parser.add_argument("--planned", action="store_true", help="only work that must not cost a request")
+    parser.add_argument("--keep", help="directory for logs; kept only when a check fails")
+    return parser.parse_args()
+
+
+def main():
+    options = parse()
+    logging.getLogger("aiohttp.server").addFilter(is_fault_of_ours)
+    directory = tempfile.mkdtemp(prefix="portpaddle-soak-")
+    soak = Soak(options, directory)
+    try:
+        faults = asyncio.run(soak.run())
+    finally:
+        for daemon in soak.daemons:
+            if daemon.running():
+                os.kill(daemon.process.pid, signal.SIGKILL)
+    soak.report(faults)
+    if soak.checks.failures and options.keep:
+        shutil.copytree(directory, os.path.join(options.keep, f"seed-{options.seed}"), dirs_exist_ok=True)
+    shutil.rmtree(directory)
+    sys.exit(1 if soak.checks.failures else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,134 @@
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Upstreams that remember what they ran, and spoil answers on demand."""
+import asyncio
+import hashlib
+
+from aiohttp import web
+
+FULL = 64  # requests at once; more are declined unrun
+
+
+def whole_body(attempt, service):
+    """The answer to a plain request; clients compare it byte by byte."""
+    return f"{service}:{attempt}:" + hashlib.sha256(attempt.encode()).hexdigest() * 8
+
+
+def stream_length(attempt):
+    return 3 + int(hashlib.sha256(attempt.encode()).hexdigest()[:4], 16) % 25
+
+
+def event(attempt, number):
+    return f"id: {number}\ndata: {attempt}:{number}\n\n"
+
+
+class Upstream:
+    def __init__(self, soak, name, service, region, data_centre):
+        self.soak = soak
+        self.service = service
+        self.region = region
+        self.data_centre = data_centre
+        self.life = 0
+        self.name = name
+        self.proxy = None
+        self.running = 0
+        self.mode = None  # how answers are spoiled: errors, lost, torn, extra, shed, slow
+        self.left_since = None  # when its leaving was written
+        self.transports = set()
+        self.runner = None
+
+    @property
+    def id(self):
+        return f"{self.name}-{self.life}"
+
+    async def begin(self, host, proxy):
+        """A new life at the same address."""
+        self.life += 1
+        self.left_since = None
+        self.mode = None
+        if self.runner is None:
+            app = web.Application(client_max_size=8 << 20)
+            app.router.add_route("*", "/{tail:.*}", self.serve)
+            self.runner = web.AppRunner(app, access_log=None)
+            await self.runner.setup()
+            site = web.TCPSite(self.runner, host, 0)
+            await site.start()
+            self.proxy = proxy((host, site._server.sockets[0].getsockname()[1]))
+            await self.proxy.start(host)
+        self.proxy.heal()
+        self.host = host
+        self.register()
+
+    def register(self, state="ready"):
+        if state != "ready" and self.left_since is None:
+            self.left_since = self.soak.now()
+        self.soak.store.write(f"servers/{self.id}", {
+            "service": self.service, "address": f"{self.host}:{self.proxy.port}", "zone": self.data_centre, "version": 1,
+            "slots": FULL, "state": state, "coldRemainingMs": 0, "sequence": self.life})
+
+    def crash(self):
+        for transport in list(self.transports):
+            transport.abort()
+        self.proxy.refusing = True
+        self.proxy.reset_all()
+
+    async def serve(self, request):
+        if request.path == "/v1/report":
+            return web.json_response({"running": self.running})
+        attempt = request.headers.get("Portpaddle-Attempt-Id", "")
+        expected = request.headers.get("Portpaddle-Expected-Instance")
+        head = {"Portpaddle-Attempt-Id": attempt, "Keep-Alive": "timeout=5"}
+        if expected not in (None, self.id):
+            return web.Response(status=421, headers={**head, "Portpaddle-Not-Executed": "1"})
+        body = await request.read()
+        self.soak.checks.arrived(self, attempt, request, body)
+        if self.running >= FULL or self.mode == "shed":
+            return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1"})
+        self.running += 1
+        self.transports.add(request.transport)
+        try:
+            self.soak.checks.ran(self, attempt)
+            return await self.answer(request, attempt, head)
+        finally:
+            self.running -= 1
+            self.transports.discard(request.transport)
+
+    async def answer(self, request, attempt, head):
+        head["Portpaddle-Server-Seal"] = f"{self.id}.{attempt}"
+        if self.mode == "slow":
+            await asyncio.sleep(0.3)
+        if self.mode == "errors":
+            return web.Response(status=500, headers=head, text="failed")
+        if self.mode == "lost":
+            request.transport.abort()
+        if request.path.startswith("/stream"):
+            return await self.stream(request, attempt, head)
+        await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
+        text = whole_body(attempt, self.service)
+        if self.mode == "torn":
+            answer = web.StreamResponse(headers={**head, "Content-Length": str(len(text))})
+            await answer.prepare(request)
+            await answer.write(text[:50].encode())
+            request.transport.abort()
+            return answer
+        answer = web.Response(headers=head, text=text)
+        if self.mode == "extra":
+            await answer.prepare(request)
+            await answer.write_eof()
+            request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nPortpaddle-Attempt-Id: other\r\n\r\nextra")
+        return answer
+
+    async def stream(self, request, attempt, head):
+        answer = web.StreamResponse(headers={**head, "Content-Type": "text/event-stream"})
+        await answer.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        last = stream_length(attempt)
+        for number in range(first, last + 1):
+            await asyncio.sleep(0.02)
+            text = event(attempt, number)
+            if self.mode == "torn" and number > last // 2:
+                await answer.write(text[:9].encode())
+                request.transport.abort()
+                return answer
+            await answer.write(text.encode())
+        return answer
