--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -82,7 +82,7 @@
 struct PlacementWeights
 {
     /// What sending a request to another region costs besides time, as milliseconds of delay.
-    double awayMs = 60;
+    double awayMs = 20;
     /// What a failed answer costs, as milliseconds of delay.
     double failureMs = 1'500;
     /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
--- a/src/portpaddle/membership/gossip_node.cpp
+++ b/src/portpaddle/membership/gossip_node.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace Portpaddle {
 
@@ -48,6 +47,7 @@
     , clusterKey_(std::move(clusterKey))
     , random_(random)
     , members_(self, now)
+    , targets_(members_, random)
     , figures_(self.id, self.dataCentre)
     , startedAt_(now)
     , nextProbeAt_(now)
@@ -86,7 +86,7 @@
     }
     takeNewsOf(*message, now);
     noteSender(*message, now);
-    const bool local = isLocal(message->sender);
+    const bool local = members_.isLocal(message->sender);
     switch (message->kind) {
     case GossipKind::Ping:
         // A probe for somebody who had this address before is not answered: that somebody is gone.
@@ -102,8 +102,8 @@
         if (target != nullptr && relays_.size() < largestRelayTable) {
             const std::uint32_t sequence = ++sequence_;
             relays_[sequence] = Relay{ from, message->sequence, message->target };
-            send(newMessage(GossipKind::Ping, message->target, sequence), target->update.gossip, isLocal(message->target), now,
-                 out);
+            send(newMessage(GossipKind::Ping, message->target, sequence), target->update.gossip,
+                 members_.isLocal(message->target), now, out);
         }
         break;
     }
@@ -272,15 +272,15 @@
     }
     members_.forgetDead(config_.deadMemory, now);
     std::erase_if(relays_, [&](const auto &relay) { return relay.first + largestRelayTable < sequence_; });
-    const std::optional<std::string> local = nextLocalTarget();
+    const std::optional<std::string> local = targets_.nextLocal();
     if (local) {
         probeTarget(*local, false, now, out);
     }
-    const std::optional<std::string> remote = randomRemote();
+    const std::optional<std::string> remote = targets_.randomRemote();
     if (remote) {
         probeTarget(*remote, true, now, out);
     }
-    const std::optional<std::string> dead = period_ % deadProbeInterval == 0 ? randomDead() : std::nullopt;
+    const std::optional<std::string> dead = period_ % deadProbeInterval == 0 ? targets_.randomDead() : std::nullopt;
     if (dead) {
         probeTarget(*dead, true, now, out);
     }
@@ -306,7 +306,7 @@
             std::vector<std::string> helpers = members_.probed(members_.self().dataCentre);
             std::erase(helpers, probe.target);
             for (unsigned count = 0; count < indirectProbes && !helpers.empty(); ++count) {
-                const std::string helper = *pick(helpers);
+                const std::string helper = *targets_.pick(helpers);
                 std::erase(helpers, helper);
                 send(newMessage(GossipKind::PingRequest, probe.target, probe.sequence), members_.find(helper)->update.gossip,
                      true, now, out);
@@ -328,7 +328,7 @@
         message.members.push_back(update);
     }
     addOldNews(message);
-    send(std::move(message), update.gossip, isLocal(target), now, out);
+    send(std::move(message), update.gossip, members_.isLocal(target), now, out);
 }
 
 void GossipNode::addOldNews(GossipMessage &message)
@@ -347,7 +347,7 @@
     if (!items_.hasMemberNews() && (items_.size() == 0 || allowance_ < pushCost)) {
         return;
     }
-    const std::optional<std::string> target = pick(members_.probed(members_.self().dataCentre));
+    const std::optional<std::string> target = targets_.pick(members_.probed(members_.self().dataCentre));
     if (target) {
         send(newMessage(GossipKind::Push, {}, 0), members_.find(*target)->update.gossip, true, now, out);
     }
@@ -380,60 +380,6 @@
     out.push_back(Datagram{ newcomer, encodeGossip(message, clusterKey_, now) });
 }
 
-std::optional<std::string> GossipNode::nextLocalTarget()
-{
-    const std::vector<std::string> ids = members_.probed(members_.self().dataCentre);
-    if (ids.empty()) {
-        return std::nullopt;
-    }
-    while (true) {
-        if (probeOrder_.empty()) {
-            // A fresh random order each round bounds the time until everyone was probed.
-            probeOrder_.assign(ids.begin(), ids.end());
-            for (std::size_t index = probeOrder_.size() - 1; index > 0; --index) {
-                std::swap(probeOrder_[index], probeOrder_[random_.below(index + 1)]);
-            }
-        }
-        std::string next = std::move(probeOrder_.front());
-        probeOrder_.pop_front();
-        if (std::find(ids.begin(), ids.end(), next) != ids.end()) {
-            return next;
-        }
-    }
-}
-
-std::optional<std::string> GossipNode::randomRemote()
-{
-    std::set<std::string> dataCentres;
-    for (const std::string &id : members_.probed("")) {
-        if (!isLocal(id)) {
-            dataCentres.insert(members_.find(id)->update.dataCentre);
-        }
-    }
-    if (dataCentres.empty()) {
-        return std::nullopt;
-    }
-    // A data centre first, a member second: small ones are heard as often as large ones.
-    const auto chosen = std::next(dataCentres.begin(), static_cast<std::ptrdiff_t>(random_.below(dataCentres.size())));
-    return pick(members_.probed(*chosen));
-}
-
-std::optional<std::string> GossipNode::randomDead()
-{
-    std::vector<std::string> dead;
-    for (const auto &[id, record] : members_.records()) {
-        if (record.update.state == MemberState::Dead) {
-            dead.push_back(id);
-        }
-    }
-    return pick(dead);
-}
-
-std::optional<std::string> GossipNode::pick(const std::vector<std::string> &ids)
-{
-    return ids.empty() ? std::nullopt : std::optional{ ids[random_.below(ids.size())] };
-}
-
 void GossipNode::takeNewsOf(const GossipMessage &message, Millis now)
 {
     for (const MemberUpdate &update : message.members) {
@@ -444,7 +390,7 @@
         news_.settingsHolder = message.sender;
     }
     for (const UpstreamDigest &digest : message.upstreams) {
-        if (isLocal(message.sender) && figures_.take(digest)) {
+        if (members_.isLocal(message.sender) && figures_.take(digest)) {
             news_.upstreams.push_back(digest);
             items_.add(digest, tellingsHere());
         }
@@ -492,12 +438,6 @@
     dataCentreHeardAt_[record->update.dataCentre] = now;
 }
 
-bool GossipNode::isLocal(const std::string &id) const
-{
-    const MemberRecord *record = members_.find(id);
-    return record != nullptr && record->update.dataCentre == members_.self().dataCentre;
-}
-
 unsigned GossipNode::tellingsHere() const
 {
     return tellingsFor(localMembers().size());
--- a/src/portpaddle/membership/gossip_node.h
+++ b/src/portpaddle/membership/gossip_node.h
@@ -8,9 +8,9 @@
 #include "portpaddle/membership/gossip_items.h"
 #include "portpaddle/membership/gossip_message.h"
 #include "portpaddle/membership/member_list.h"
+#include "portpaddle/membership/probe_targets.h"
 #include "portpaddle/routing/blackboard.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -112,15 +112,10 @@
     /// Tells a newcomer of everyone, outside the budget: it happens once per start of a daemon.
     void introduceMembers(const SocketAddress &newcomer, Millis now, std::vector<Datagram> &out);
     void trySeeds(Millis now, std::vector<Datagram> &out);
-    std::optional<std::string> nextLocalTarget();
-    std::optional<std::string> randomRemote();
-    std::optional<std::string> randomDead();
-    std::optional<std::string> pick(const std::vector<std::string> &ids);
     void takeNewsOf(const GossipMessage &message, Millis now);
     void applyUpdate(const MemberUpdate &update, Millis now);
     void tellMember(const MemberUpdate &update);
     void noteSender(const GossipMessage &message, Millis now);
-    bool isLocal(const std::string &id) const;
     /// How often news for the own data centre, or for everyone, is told.
     unsigned tellingsHere() const;
     unsigned tellingsEverywhere() const;
@@ -130,10 +125,10 @@
     const std::string clusterKey_;
     RandomSource &random_;
     MemberList members_;
+    ProbeTargets targets_;
     FleetFigures figures_;
     GossipItems items_;
     std::vector<SocketAddress> seeds_;
-    std::deque<std::string> probeOrder_;
     std::vector<Probe> probes_;
     std::map<std::uint32_t, Relay> relays_;
     std::unordered_map<std::string, Millis> dataCentreHeardAt_;
--- a/src/portpaddle/membership/member_list.cpp
+++ b/src/portpaddle/membership/member_list.cpp
@@ -135,4 +135,10 @@
     return result;
 }
 
+bool MemberList::isLocal(const std::string &id) const
+{
+    const MemberRecord *record = find(id);
+    return record != nullptr && record->update.dataCentre == self().dataCentre;
+}
+
 } // namespace Portpaddle
--- a/src/portpaddle/membership/member_list.h
+++ b/src/portpaddle/membership/member_list.h
@@ -33,6 +33,8 @@
 
     const MemberUpdate &self() const;
     const std::map<std::string, MemberRecord> &records() const;
+    /// Whether @p id is known and lives in the own data centre.
+    bool isLocal(const std::string &id) const;
     const MemberRecord *find(const std::string &id) const;
 
     /// Takes what was told; after RefutesUs the own incarnation is higher and has to be told.
