Count sends over daemons, note lives that are over, let engines fetch kept parts from each other

Change: a 421 that names another life bars the old one for good; daemons tell each other how many upstreams a request was sent to, and one that came from another region may be sent a second time there if nobody ran it; an engine is told where kept parts can be fetched (same data centre only).

--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -58,6 +58,8 @@
     std::optional<Millis> timeLeft;
     /// It came from another daemon, which did the routing between regions.
     bool relayed = false;
+    /// Upstreams that other daemons sent it to before.
+    unsigned earlierSends = 0;
 };
 
 /// Decodes what @p message says; names as in @p names.
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -26,6 +26,8 @@
 // Bytes of following requests that are taken in while one is served; further ones wait in the kernel.
 constexpr std::size_t mostReadAhead = 16 * 1024;
 constexpr std::size_t readAheadStep = 2 * 1024;
+// Routes allow a few upstreams for one request.
+constexpr std::int64_t mostEarlierSends = 100;
 
 unsigned statusOfReadError(NetError error)
 {
@@ -38,14 +40,19 @@
     return HttpStatus::badRequest;
 }
 
-/// How old a daemon says that the request is; more than a minute is not believed.
+/// A number that another daemon tells of the request, zero where it does not; more than @p most is not believed.
+std::int64_t relayedNumber(const HttpRequest &message, const char *header, std::int64_t most)
+{
+    const auto text = message[header];
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return std::clamp<std::int64_t>(number, 0, most);
+}
+
 std::chrono::milliseconds relayedAge(const HttpRequest &message)
 {
-    constexpr std::int64_t oldest = 60'000;
-    const auto text = message[relayAgeHeader];
-    std::int64_t age = 0;
-    std::from_chars(text.data(), text.data() + text.size(), age);
-    return std::chrono::milliseconds(std::clamp<std::int64_t>(age, 0, oldest));
+    constexpr std::int64_t oldestMs = 60'000;
+    return std::chrono::milliseconds(relayedNumber(message, relayAgeHeader, oldestMs));
 }
 
 bool isProtocolError(NetError error)
@@ -220,6 +227,7 @@
     request.relayed = peer_ == SessionPeer::Daemon;
     if (request.relayed) {
         request.arrivedAt -= relayedAge(request.message);
+        request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, mostEarlierSends));
     }
     watchCaller();
     co_await handler_.serve(std::move(request), *this, abandoned_);
--- a/src/portpaddle/gateway/connection_headers.cpp
+++ b/src/portpaddle/gateway/connection_headers.cpp
@@ -51,6 +51,11 @@
             return true;
         }
     }
+    return isBetweenDaemons(name);
+}
+
+bool isBetweenDaemons(std::string_view name)
+{
     return name.size() > relayPrefix.size() && same(name.substr(0, relayPrefix.size()), relayPrefix);
 }
 
--- a/src/portpaddle/gateway/connection_headers.h
+++ b/src/portpaddle/gateway/connection_headers.h
@@ -17,5 +17,7 @@
 
 /// The header is set by daemons only; what a caller sent under its name is dropped.
 bool isSetBySystem(std::string_view name, const HeaderNames &names);
+/// Headers that daemons send each other; they reach neither callers nor upstreams.
+bool isBetweenDaemons(std::string_view name);
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -170,17 +170,18 @@
     if (!request_.relayed) {
         gateway_.retries_.firstSent(service_, started);
     }
+    sends_ = request_.earlierSends;
     AttemptReport report;
+    bool attempted = false;
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
         const Target target = gateway_.choose(request_, *route_, service_, tried_, std::chrono::steady_clock::now());
         if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
-            const bool mayWait = !progress_.begun && sends_ == 0;
+            const bool mayWait = !progress_.begun && sends_ == 0 && !request_.relayed;
             const bool again = mayWait ? co_await waitForRoom() : false;
             if (again) {
                 continue;
             }
-            report = sends_ > 0 ? std::move(report) : AttemptReport{};
-            if (sends_ == 0) {
+            if (!attempted) {
                 report.end = AttemptEnd::NotRun;
                 report.error = Error{
                     ErrorCode::NoUpstream, fmt::format("no room: {}", nameOf(target.placement.reason)), RunState::NotRun, {}
@@ -189,6 +190,7 @@
             break;
         }
         report = co_await attempt(target);
+        attempted = true;
         if (report.end == AttemptEnd::Broken && moveState_ != MoveState::None) {
             std::optional<AttemptReport> continued = co_await continueMoved();
             report = continued ? std::move(*continued) : std::move(report);
@@ -217,9 +219,14 @@
     plan.timeLeft = timeLeft();
     if (!local) {
         plan.age = since(request_.arrivedAt) + remoteTravel;
+        plan.earlierSends = sends_;
+    }
+    if (request_.relayed) {
+        plan.toldSends = ownSends() + 1;
     }
     plan.priority = target.placement.urgency == Urgency::Late ? latePriority : std::min(route_->priority, latePriority - 1);
     plan.streamed = route_->kind == RouteKind::Stream;
+    plan.fetchFrom = target.fetchFrom;
     plan.memoryFrom = memoryFrom_;
     memoryFrom_.clear();
     return plan;
@@ -230,10 +237,7 @@
 {
     AttemptEvents events;
     if (!target.upstream) {
-        events.sending = [this] {
-            ++sends_;
-            gateway_.metrics_.count(Counter::SentAway);
-        };
+        events.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
         events.firstEvent = [this] { noteFirstEvent(); };
         events.heard = [] {};
         return events;
@@ -270,7 +274,7 @@
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
     const auto watch = std::make_shared<AttemptWatch>(AttemptWatch{ plan.peer, std::chrono::steady_clock::now(), &sending });
-    if (local && route_->mayRunTwice()) {
+    if (local && route_->mayRunTwice() && !request_.relayed) {
         watchSilence(watch);
     }
     const bool movable = local && plan.streamed && target.spec->movesMemory && moveState_ == MoveState::None;
@@ -300,6 +304,9 @@
             gateway_.regions_.unreachable(target.daemon->id, now);
         }
     }
+    if (target.upstream && report.lifeOver) {
+        gateway_.loads_.lifeOver(target.upstream->id);
+    }
     if (!ticket.upstream.empty()) {
         const bool answered = report.end == AttemptEnd::Complete;
         const LoadOutcome ended = answered     ? LoadOutcome::Answered
@@ -308,9 +315,18 @@
                                                : LoadOutcome::Failed;
         gateway_.loads_.ended(ticket, ended, now);
     }
+    if (target.daemon && report.sent) {
+        // A daemon that was lost before it could say sent the request to one upstream, as almost all do.
+        sends_ += report.relayedSends.value_or(1);
+    }
     mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
 }
 
+unsigned Exchange::ownSends() const
+{
+    return sends_ - request_.earlierSends;
+}
+
 void Exchange::moveAway(const UpstreamRecord &source)
 {
     if (moveState_ != MoveState::None || progress_.events.lastId().empty() || interruption_ != Interruption::None) {
@@ -371,7 +387,7 @@
 bool Exchange::anotherMayFollow() const
 {
     const bool continues = !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
-    return continues && !request_.relayed && sends_ < route_->attempts;
+    return continues && sends_ < route_->attempts;
 }
 
 bool Exchange::mayRepeat(const AttemptReport &report)
@@ -387,6 +403,14 @@
     if (report.end == AttemptEnd::Broken && !route_->mayRunTwice()) {
         return false;
     }
+    if (report.end == AttemptEnd::Broken && request_.relayed) {
+        // The daemon that took the request from its caller knows more places to go on.
+        return false;
+    }
+    if (report.relayedSends == 0U) {
+        // No upstream has seen it.
+        return true;
+    }
     if (!anotherMayFollow()) {
         return false;
     }
@@ -425,7 +449,11 @@
     }
     if (report.failedAnswer) {
         const unsigned status = report.failedAnswer->status;
-        co_await writer_.whole(*report.failedAnswer);
+        WholeAnswer answer = *report.failedAnswer;
+        if (request_.relayed) {
+            answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
+        }
+        co_await writer_.whole(std::move(answer));
         log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
         co_return;
     }
@@ -473,6 +501,7 @@
     answer.fields.set(gateway_.names_.requestId, request_.id);
     if (request_.relayed) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
+        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
     }
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
     co_await writer_.whole(std::move(answer));
@@ -488,6 +517,9 @@
     if (request_.relayed && !mayHaveRun_) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
     }
+    if (request_.relayed) {
+        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
+    }
     answer.body = message + "\n";
     co_await writer_.whole(std::move(answer));
 }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -48,6 +48,8 @@
     void noteEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
     /// Ends an attempt at an upstream that hangs, where another one may follow.
     void watchSilence(const std::shared_ptr<AttemptWatch> &watch);
+    /// Upstreams that this daemon sent the request to.
+    unsigned ownSends() const;
     bool anotherMayFollow() const;
     /// Whether another attempt may follow @p report.
     bool mayRepeat(const AttemptReport &report);
@@ -79,6 +81,7 @@
     Interruption interruption_ = Interruption::None;
     /// Upstreams and regions asked so far.
     std::vector<std::string> tried_;
+    /// Upstreams that all daemons sent it to.
     unsigned sends_ = 0;
     double predictedMs_ = 0;
     /// Some upstream may have run it.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -20,6 +20,11 @@
 constexpr unsigned spareDaemons = 1;
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
+constexpr double bitsPerByte = 8;
+constexpr double bitsPerMsAtOneMbps = 1'000;
+// Before the first byte of a transfer between engines moves; they take some milliseconds to agree on it.
+constexpr double fetchSetupMs = 5;
+
 double millisLeft(SteadyTime until, SteadyTime now)
 {
     return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
@@ -357,6 +362,40 @@
     return candidates;
 }
 
+std::unordered_map<std::string, std::string> Gateway::offerFetching(const ServiceSpec &spec,
+                                                                    std::vector<UpstreamCandidate> &upstreams,
+                                                                    const std::vector<const UpstreamRecord *> &records) const
+{
+    std::unordered_map<std::string, std::string> sources;
+    if (spec.memoryBytesPerToken <= 0 || spec.memoryLinkMbps <= 0) {
+        return sources;
+    }
+    // Links between data centres are slow and dear: only engines of one data centre fetch from each other.
+    std::unordered_map<std::string, const UpstreamCandidate *> fullest;
+    for (const UpstreamCandidate &upstream : upstreams) {
+        const bool reachable = upstream.barred != LossReason::Unhealthy && upstream.barred != LossReason::Leaving
+            && upstream.barred != LossReason::AlreadyTried;
+        const UpstreamCandidate *&best = fullest[records[upstream.index]->dataCentre];
+        if (reachable && upstream.cachedTokens > (best == nullptr ? 0 : best->cachedTokens)) {
+            best = &upstream;
+        }
+    }
+    for (const auto &[dataCentre, source] : fullest) {
+        if (source != nullptr) {
+            sources[dataCentre] = records[source->index]->address;
+        }
+    }
+    const double msPerToken = spec.memoryBytesPerToken * bitsPerByte / (spec.memoryLinkMbps * bitsPerMsAtOneMbps);
+    for (UpstreamCandidate &upstream : upstreams) {
+        const UpstreamCandidate *source = fullest[records[upstream.index]->dataCentre];
+        if (source != nullptr && source != &upstream) {
+            upstream.fetchableTokens = source->cachedTokens;
+            upstream.fetchMs = fetchSetupMs + std::max(0.0, source->cachedTokens - upstream.cachedTokens) * msPerToken;
+        }
+    }
+    return sources;
+}
+
 void Gateway::expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
                             const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                             const std::vector<std::string> &regionNames) const
@@ -404,6 +443,7 @@
                 || regions_.pick(*view_, region, now, random_) == nullptr;
         });
     }
+    const std::unordered_map<std::string, std::string> sources = offerFetching(*spec, upstreams, records);
     expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
     target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
@@ -415,6 +455,9 @@
     }
     if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
+        if (target.placement.fetches) {
+            target.fetchFrom = sources.at(target.upstream->dataCentre);
+        }
         if (target.upstream->coldUntil > now) {
             cold_.take(target.upstream->id, now);
         }
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -24,6 +24,8 @@
     std::string signature = "X-Signature";
     /// The life of the upstream that shall run the request.
     std::string expectedUpstream = "X-Expected-Upstream";
+    /// The life of the upstream that answers.
+    std::string answeringUpstream = "X-Upstream";
     /// An upstream says that it did not run the request.
     std::string notRun = "X-Not-Run";
     std::string priority = "X-Priority";
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -22,6 +22,8 @@
 // From the last piece of a prompt to its first token, whatever the load; seen on idle engines.
 constexpr double firstTokenMs = 45;
 constexpr double tokensInProgress = 2'000;
+// Reading fewer tokens takes no longer than setting up a transfer.
+constexpr double fewestFetchedTokens = 256;
 constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "late" } };
 // A prediction beyond this part of what is left of the target is taken as a miss.
 constexpr double surelyLate = 1.3;
@@ -57,16 +59,24 @@
     return (weights.readingShare + weights.readingPerRunning * running) * readingMs;
 }
 
+/// Fetching saves enough tokens to be asked for.
+bool fetches(const UpstreamCandidate &candidate)
+{
+    return candidate.fetchableTokens >= candidate.cachedTokens + fewestFetchedTokens;
+}
+
 struct Best
 {
     std::uint32_t index = 0;
+    /// In the list of candidates.
+    std::size_t position = 0;
     double score = std::numeric_limits<double>::infinity();
     double predictedMs = 0;
     unsigned equals = 0;
 };
 
 /// Keeps the better one; among equals each is as likely.
-void consider(Best &best, std::uint32_t index, double score, double predictedMs, RandomSource &random)
+void consider(Best &best, std::size_t position, std::uint32_t index, double score, double predictedMs, RandomSource &random)
 {
     if (score > best.score + sameMs) {
         return;
@@ -75,6 +85,7 @@
     best.equals = better ? 1 : best.equals + 1;
     if (better || random.below(best.equals) == 0) {
         best.index = index;
+        best.position = position;
         best.score = score;
         best.predictedMs = predictedMs;
     }
@@ -98,15 +109,21 @@
     return tokens;
 }
 
+double keptTokens(const UpstreamCandidate &candidate)
+{
+    return std::max(candidate.cachedTokens, candidate.fetchableTokens);
+}
+
 double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request)
 {
-    const double ownTokens = std::max(0.0, request.promptTokens - candidate.cachedTokens);
+    const double ownTokens = std::max(0.0, request.promptTokens - keptTokens(candidate));
+    const double fetching = fetches(candidate) ? candidate.fetchMs : 0;
     const double ahead = tokensAhead(candidate, request.urgency);
     const double reading = (ahead + ownTokens) / candidate.tokensPerMs;
     const double steps = 1 + (ahead + ownTokens) / tokensPerStep;
     const double perStep = stepMs + stepMsPerRunning * candidate.running;
     const double fixed = request.promptTokens > 0 ? firstTokenMs : 0;
-    return fixed + admissionMs(candidate, request) + candidate.slowness * (reading + steps * perStep);
+    return fixed + admissionMs(candidate, request) + fetching + candidate.slowness * (reading + steps * perStep);
 }
 
 Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
@@ -121,11 +138,11 @@
         }
         const double predicted = predictedFirstTokenMs(candidate, request);
         const double ownReading
-            = candidate.slowness * std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
+            = candidate.slowness * std::max(0.0, request.promptTokens - keptTokens(candidate)) / candidate.tokensPerMs;
         const double score = predicted + readingCost(ownReading, candidate.running, weights)
-            + weights.failureMs * candidate.failureShare + weights.lateMs * lateness(predicted, request.targetLeftMs)
-            + (candidate.needsConnection ? weights.connectMs : 0);
-        consider(local, candidate.index, score, predicted, random);
+            + (fetches(candidate) ? weights.fetchingShare * candidate.fetchMs : 0) + weights.failureMs * candidate.failureShare
+            + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0);
+        consider(local, static_cast<std::size_t>(&candidate - upstreams.data()), candidate.index, score, predicted, random);
     }
     Best away;
     for (const RegionCandidate &candidate : regions) {
@@ -133,7 +150,7 @@
         const double predicted = candidate.waitMs + candidate.distanceMs + ownReading + firstTokenMs;
         const double score = predicted + weights.awayMs + readingCost(ownReading, candidate.running, weights)
             + weights.lateMs * lateness(predicted, request.targetLeftMs);
-        consider(away, candidate.index, score, predicted, random);
+        consider(away, static_cast<std::size_t>(&candidate - regions.data()), candidate.index, score, predicted, random);
     }
     Placement placement;
     placement.reason = barred;
@@ -141,6 +158,9 @@
         placement.verdict = Verdict::Serve;
         placement.index = local.index;
         placement.predictedMs = local.predictedMs;
+        const UpstreamCandidate &chosen = upstreams[local.position];
+        placement.keptTokens = keptTokens(chosen);
+        placement.fetches = fetches(chosen);
     } else if (away.equals > 0) {
         placement.verdict = Verdict::Forward;
         placement.index = away.index;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -36,6 +36,10 @@
     double memoryTotal = 0;
     /// Leading tokens of this prompt that it probably keeps.
     double cachedTokens = 0;
+    /// Leading tokens that it can have fetched from another engine's memory, those that it keeps included.
+    double fetchableTokens = 0;
+    /// How long that takes.
+    double fetchMs = 0;
     /// Prompt tokens that engines of its kind read in a millisecond.
     double tokensPerMs = 1;
     /// How many times longer than predicted its first tokens take.
@@ -90,6 +94,9 @@
     double readingShare = 25.0;
     /// The same for each request that runs there: its tokens wait behind each piece of a prompt.
     double readingPerRunning = 0.5;
+    /// What fetching kept parts from another engine costs besides this request's own time, as a multiple of the time it takes:
+    /// bytes on the engines' links, and the same parts held twice.
+    double fetchingShare = 4.0;
     /// What a new connection costs the upstream, as milliseconds of delay; its handshake takes a slot for about a millisecond.
     double connectMs = 40;
     /// What missing the target costs, as milliseconds of delay.
@@ -102,6 +109,10 @@
     Verdict verdict = Verdict::Refuse;
     std::uint32_t index = 0;
     double predictedMs = 0;
+    /// Leading tokens that are kept there, or fetched from another engine.
+    double keptTokens = 0;
+    /// Some of them are to be fetched.
+    bool fetches = false;
     /// Late where the target is missed anyway, so that others still meet theirs.
     Urgency urgency = Urgency::Usual;
     LossReason reason = LossReason::NoCapacity;
@@ -110,6 +121,9 @@
 /// Tokens that @p candidate reads before those of a new request of @p urgency.
 double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency);
 
+/// Leading tokens that @p candidate does not have to read.
+double keptTokens(const UpstreamCandidate &candidate);
+
 /// Time from sending to the first token at @p candidate.
 double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request);
 
--- a/src/portpaddle/gateway/service_map.h
+++ b/src/portpaddle/gateway/service_map.h
@@ -65,6 +65,10 @@
     unsigned tokensPerEvent = 1;
     /// Its engines move the memory of runs to each other.
     bool movesMemory = false;
+    /// What a token takes in an engine's memory; zero where engines do not fetch kept parts from each other.
+    double memoryBytesPerToken = 0;
+    /// Of the links between its engines, megabits a second.
+    double memoryLinkMbps = 0;
     bool isModelEngine() const;
 };
 
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -56,6 +56,15 @@
     return { text.data(), text.size() };
 }
 
+/// How many upstreams another daemon says that it asked; no value where it does not say.
+std::optional<unsigned> sendsTold(const http::fields &fields)
+{
+    const std::string_view text = view(fields[relaySendsHeader]);
+    unsigned sends = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), sends);
+    return parsed.ec == std::errc{} ? std::optional(sends) : std::nullopt;
+}
+
 /// The time that an answer's Keep-Alive gives, less a margin.
 std::chrono::milliseconds keepTime(const http::fields &fields)
 {
@@ -77,7 +86,8 @@
 {
     http::fields result;
     for (const auto &field : fields) {
-        if (!concernsConnection(field.name(), view(field.name_string()), fields)) {
+        if (!concernsConnection(field.name(), view(field.name_string()), fields)
+            && !isBetweenDaemons(view(field.name_string()))) {
             result.insert(field.name(), field.name_string(), field.value());
         }
     }
@@ -104,6 +114,7 @@
 Task<AttemptReport> UpstreamAttempt::run(const AttemptPlan &plan, const AttemptEvents &events)
 {
     AttemptReport report;
+    toldSends_ = plan.toldSends;
     const bool opened = co_await open(plan, report);
     if (!opened) {
         co_return report;
@@ -158,8 +169,12 @@
     if (!plan.memoryFrom.empty()) {
         message.set(names_.memoryFrom, plan.memoryFrom);
     }
+    if (!plan.fetchFrom.empty()) {
+        message.set(names_.memoryFetch, plan.fetchFrom);
+    }
     if (plan.age) {
         message.set(relayAgeHeader, std::to_string(plan.age->count()));
+        message.set(relaySendsHeader, std::to_string(plan.earlierSends));
     }
     if (!plan.expectedUpstream.empty()) {
         message.set(names_.expectedUpstream, plan.expectedUpstream);
@@ -189,6 +204,7 @@
     }
     const http::fields &fields = parser->get();
     const unsigned status = parser->get().result_int();
+    const std::optional<unsigned> relayedSends = sendsTold(fields);
     const bool notRun
         = !fields[names_.notRun].empty() || status == HttpStatus::misdirected || view(fields[relayOutcomeHeader]) == relayNotRun;
     AttemptReport report;
@@ -198,6 +214,9 @@
         settle(*parser, whole);
         report
             = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "upstream did not run it, status " + std::to_string(status));
+        const std::string_view life = view(fields[names_.answeringUpstream]);
+        report.relayedSends = relayedSends;
+        report.lifeOver = status == HttpStatus::misdirected && !life.empty() && life != plan.expectedUpstream;
         const std::string_view after = view(fields[http::field::retry_after]);
         if (!after.empty()) {
             report.error.retryAfter = Millis(static_cast<std::int64_t>(std::strtod(std::string(after).c_str(), nullptr) * 1000));
@@ -209,6 +228,7 @@
     } else {
         report = co_await readWhole(*parser);
     }
+    report.relayedSends = relayedSends;
     settle(*parser, report.end == AttemptEnd::Complete || report.failedAnswer.has_value());
     co_return report;
 }
@@ -337,7 +357,11 @@
     const bool due = !whole.empty() || parser.is_done();
     if (due && !progress_.begun) {
         progress_.begun = true;
-        const bool begun = co_await writer_.begin(parser.get().result_int(), passableFields(parser.get()));
+        http::fields fields = passableFields(parser.get());
+        if (toldSends_) {
+            fields.set(relaySendsHeader, std::to_string(*toldSends_));
+        }
+        const bool begun = co_await writer_.begin(parser.get().result_int(), std::move(fields));
         if (!begun) {
             co_return false;
         }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -24,6 +24,9 @@
 inline constexpr const char *relayNotRun = "not_run";
 /// Between daemons: milliseconds that the request has spent on its way so far.
 inline constexpr const char *relayAgeHeader = "X-Portpaddle-Age-Ms";
+/// Between daemons: upstreams that the request was sent to. On a request those before, on an answer those of the answering
+/// daemon.
+inline constexpr const char *relaySendsHeader = "X-Portpaddle-Sends";
 
 /// What of a stream has reached the caller.
 struct StreamProgress
@@ -44,8 +47,14 @@
     std::chrono::milliseconds timeLeft{ 0 };
     /// Where the memory of this run was moved from.
     std::string memoryFrom;
+    /// Address of the engine from which kept parts of the prompt are to be fetched.
+    std::string fetchFrom;
     /// Set for a daemon of another region: how old the request will be there.
     std::optional<std::chrono::milliseconds> age;
+    /// Upstreams that it was sent to before.
+    unsigned earlierSends = 0;
+    /// Set where the answer goes to another daemon: what it says of the upstreams asked here.
+    std::optional<unsigned> toldSends;
     unsigned priority = 5;
     bool streamed = false;
 };
@@ -58,6 +67,10 @@
     std::optional<WholeAnswer> failedAnswer;
     /// The request left this daemon.
     bool sent = false;
+    /// Another life answered at the address: the one that was asked is gone.
+    bool lifeOver = false;
+    /// Upstreams that a daemon of another region says it sent the request to.
+    std::optional<unsigned> relayedSends;
 };
 
 /// Told of what an attempt shows of its target.
@@ -104,6 +117,7 @@
     std::unique_ptr<UpstreamConnection> connection_;
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
+    std::optional<unsigned> toldSends_;
     /// The answer ended as it should and nothing follows it.
     bool reusable_ = false;
 };
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -107,10 +107,13 @@
     ticket.reading = true;
     const double cacheTokens = cacheRoom(state, spec, now);
     const double kept = state.prefixes.keptTokens(prompt.parts, cacheTokens);
-    ticket.pendingTokens = std::max(0.0, prompt.promptTokens - kept);
-    ticket.memoryTokens = prompt.promptTokens - kept + prompt.mostTokensOut;
-    state.readTokens += ticket.pendingTokens;
-    state.prefixes.advance(ticket.pendingTokens);
+    const double added = std::max(0.0, prompt.promptTokens - kept);
+    const double notRead = placement.fetches ? std::max(kept, placement.keptTokens) : kept;
+    ticket.pendingTokens = std::max(0.0, prompt.promptTokens - notRead);
+    ticket.memoryTokens = added + prompt.mostTokensOut;
+    // Fetched parts push older ones out of the memory as those do that are read.
+    state.readTokens += added;
+    state.prefixes.advance(added);
     notePlaced(state, upstream.id, prompt, cacheTokens);
     state.pendingTokens.at(static_cast<std::size_t>(ticket.urgency)) += ticket.pendingTokens;
     state.memoryTokens += ticket.memoryTokens;
@@ -225,6 +228,11 @@
     failed(stateOf(upstream), now);
 }
 
+void UpstreamLoads::lifeOver(const std::string &upstream)
+{
+    stateOf(upstream).over = true;
+}
+
 void UpstreamLoads::takeShare(const Wire::UpstreamShare &share, const std::string &daemon, SteadyTime now)
 {
     const auto id = idsByKey_.find(share.key());
@@ -313,7 +321,10 @@
     candidate.slowness = state.slowness;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = state.failureShare;
-    if (now < state.avoidUntil || isSilent(state, now)) {
+    if (state.over) {
+        // Its record stays in the store for some heartbeats after a crash.
+        candidate.barred = LossReason::Leaving;
+    } else if (now < state.avoidUntil || isSilent(state, now)) {
         candidate.barred = LossReason::Unhealthy;
     }
     return candidate;
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -55,6 +55,8 @@
     bool heardSince(const std::string &upstream, SteadyTime time) const;
     void ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now);
     void connectFailed(const std::string &upstream, SteadyTime now);
+    /// Another life answers at its address; final, like the end of every life.
+    void lifeOver(const std::string &upstream);
 
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
     /// What this daemon has sent and is not answered yet, by upstream. One that all requests left is told a while longer.
@@ -96,6 +98,7 @@
         SteadyTime lastHeard{};
         /// When the oldest request went out that nothing was heard after.
         SteadyTime silentSince{};
+        bool over = false;
     };
 
     State &stateOf(const std::string &upstream);
