Refuse what cannot end before its caller leaves; three classes of urgency; a policy setting for each mechanism

Recaps and chapters have different priorities at the engines and were predicted as one class. Change: time between tokens observed by upstream and told between regions; expected length from the caller's hint; a request that is predicted to have no first token before its caller leaves, or to end after its deadline, is refused at once. Waits are told by class. Cold upstreams are not offered to other regions.

--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -52,6 +52,11 @@
     if (comma != std::string_view::npos) {
         prompt.mostTokensOut = leadingNumber<unsigned>(counts.substr(comma + 1));
     }
+    const auto hint = message[names.lengthHint];
+    prompt.expectedTokensOut = leadingNumber<unsigned>(std::string_view(hint.data(), hint.size()));
+    if (prompt.expectedTokensOut == 0 || prompt.expectedTokensOut > prompt.mostTokensOut) {
+        prompt.expectedTokensOut = prompt.mostTokensOut;
+    }
     const auto parts = message[names.promptParts];
     prompt.parts = decodeParts(std::string_view(parts.data(), parts.size()));
     return prompt;
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -34,6 +34,8 @@
     std::vector<PromptPart> parts;
     unsigned promptTokens = 0;
     unsigned mostTokensOut = 0;
+    /// The caller's estimate, right in the median; the most where there is none.
+    unsigned expectedTokensOut = 0;
 
     /// Tokens of all parts but the last, which belongs to this request alone.
     double sharedTokens() const;
--- a/src/portpaddle/gateway/event_splitter.cpp
+++ b/src/portpaddle/gateway/event_splitter.cpp
@@ -46,6 +46,16 @@
     return whole;
 }
 
+std::size_t EventSplitter::count(std::string_view whole)
+{
+    std::size_t events = 0;
+    for (std::size_t at = whole.find(separator); at != std::string_view::npos;
+         at = whole.find(separator, at + separator.size())) {
+        ++events;
+    }
+    return events;
+}
+
 const std::string &EventSplitter::lastId() const
 {
     return lastId_;
--- a/src/portpaddle/gateway/event_splitter.h
+++ b/src/portpaddle/gateway/event_splitter.h
@@ -15,6 +15,8 @@
 public:
     /// Adds @p bytes; returns all events that are whole now, with their separators.
     std::string take(std::string_view bytes);
+    /// How many there are in @p whole, which ends with one.
+    static std::size_t count(std::string_view whole);
     /// The id of the last whole event; empty before the first.
     const std::string &lastId() const;
     /// Forgets a part of an event whose stream broke.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -174,9 +174,10 @@
     AttemptReport report;
     bool attempted = false;
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
-        const Target target = gateway_.choose(request_, *route_, service_, tried_, std::chrono::steady_clock::now());
+        const Target target = gateway_.choose(request_, *route_, service_, tried_, deadline_, std::chrono::steady_clock::now());
         if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
-            const bool mayWait = !progress_.begun && sends_ == 0 && !request_.relayed;
+            const bool mayWait
+                = !progress_.begun && sends_ == 0 && !request_.relayed && target.placement.reason != LossReason::TooLate;
             const bool again = mayWait ? co_await waitForRoom() : false;
             if (again) {
                 continue;
@@ -239,6 +240,7 @@
     if (!target.upstream) {
         events.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
         events.firstEvent = [this] { noteFirstEvent(); };
+        events.streamed = [this](std::size_t count) { eventsSeen_ += count; };
         events.heard = [] {};
         return events;
     }
@@ -253,13 +255,18 @@
         gateway_.metrics_.observe(Timer::PredictionError, std::abs(took - ticket.predictedMs));
         gateway_.loads_.firstToken(ticket, std::chrono::steady_clock::now());
     };
+    events.streamed = [this, &target, &ticket](std::size_t count) {
+        eventsSeen_ += count;
+        gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, std::chrono::steady_clock::now());
+    };
     events.heard = [this, &target] { gateway_.loads_.heard(target.upstream->id, std::chrono::steady_clock::now()); };
     return events;
 }
 
 void Exchange::noteFirstEvent()
 {
-    gateway_.metrics_.observe(Timer::FirstByte, static_cast<double>(since(request_.arrivedAt).count()));
+    firstEventMs_ = static_cast<double>(since(request_.arrivedAt).count());
+    gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
 
 Task<AttemptReport> Exchange::attempt(const Target &target)
@@ -340,7 +347,7 @@
 
 Task<void> Exchange::move(UpstreamRecord source)
 {
-    moveTarget_ = gateway_.choose(request_, *route_, service_, tried_, std::chrono::steady_clock::now());
+    moveTarget_ = gateway_.choose(request_, *route_, service_, tried_, deadline_, std::chrono::steady_clock::now());
     std::optional<std::string> from;
     if (moveTarget_.placement.verdict == Verdict::Serve) {
         const Millis longest = std::min(longestMove, timeLeft());
@@ -482,6 +489,10 @@
                { "asked", asked },
                { "sends", std::to_string(sends_) },
                { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
+               { "prompt_tokens", std::to_string(request_.prompt.promptTokens) },
+               { "tokens_out", std::to_string(request_.prompt.expectedTokensOut) },
+               { "first_event_ms", fmt::format("{:.0f}", firstEventMs_) },
+               { "events", std::to_string(eventsSeen_) },
                { "took_ms", std::to_string(since(request_.arrivedAt).count()) },
                { "relayed", request_.relayed ? "true" : "false" },
                { "status", std::to_string(status) },
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -84,6 +84,10 @@
     /// Upstreams that all daemons sent it to.
     unsigned sends_ = 0;
     double predictedMs_ = 0;
+    /// From arrival to the first event; zero before it.
+    double firstEventMs_ = 0;
+    /// Whole events of the answer so far.
+    std::size_t eventsSeen_ = 0;
     /// Some upstream may have run it.
     bool mayHaveRun_ = false;
 };
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -109,6 +109,12 @@
     retries_.setTerms({ terms_.retryRatio, terms_.extraRetriesPerWindow, terms_.retryWindow, retryDivisor() });
 }
 
+void Gateway::setPolicy(const PolicySettings &policy)
+{
+    policy_ = policy;
+    loads_.setPolicy(policy);
+}
+
 void Gateway::setOrders(const UpstreamOrders *orders)
 {
     orders_ = orders;
@@ -116,7 +122,7 @@
 
 void Gateway::saveRuns(SteadyTime now)
 {
-    if (orders_ == nullptr) {
+    if (orders_ == nullptr || !policy_.moves) {
         return;
     }
     for (const auto &[id, exchanges] : streams_) {
@@ -215,22 +221,36 @@
     const PromptFacts none;
     for (const auto &[name, spec] : view_->services->services) {
         std::vector<const UpstreamRecord *> records;
-        double waitMs = 0;
+        std::array<double, urgencyCount> waitMs{};
         double speed = 0;
         double running = 0;
+        double tokenMs = 0;
         std::uint16_t count = 0;
         for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
-            if (candidate.barred == LossReason::None) {
-                waitMs += predictedFirstTokenMs(candidate, {});
-                speed += candidate.tokensPerMs / candidate.slowness;
-                running += candidate.running;
-                ++count;
+            // What cold upstreams bear goes to callers of the own region.
+            if (candidate.barred != LossReason::None || (policy_.coldAtHome && records[candidate.index]->coldUntil > now)) {
+                continue;
             }
+            for (const Urgency urgency : { Urgency::Urgent, Urgency::Usual, Urgency::Patient }) {
+                PlacementRequest request;
+                request.urgency = urgency;
+                waitMs.at(static_cast<std::size_t>(urgency)) += predictedFirstTokenMs(candidate, request);
+            }
+            speed += candidate.tokensPerMs / candidate.slowness;
+            running += candidate.running;
+            tokenMs += predictedTokenMs(candidate);
+            ++count;
         }
-        if (count > 0 && digest.services.size() < mostDigestServices) {
-            digest.services.emplace_back(serviceKey(name), static_cast<std::uint32_t>(waitMs / count), count,
-                                         static_cast<float>(speed / count), static_cast<float>(running / count));
+        if (digest.services.size() >= mostDigestServices) {
+            break;
         }
+        const double share = count > 0 ? 1.0 / count : 0;
+        const auto wait = [&waitMs, share](Urgency urgency) {
+            return static_cast<std::uint32_t>(waitMs.at(static_cast<std::size_t>(urgency)) * share);
+        };
+        digest.services.emplace_back(serviceKey(name), wait(Urgency::Urgent), wait(Urgency::Usual), wait(Urgency::Patient), count,
+                                     static_cast<float>(speed * share), static_cast<float>(running * share),
+                                     static_cast<float>(tokenMs * share));
     }
 }
 
@@ -367,7 +387,7 @@
                                                                     const std::vector<const UpstreamRecord *> &records) const
 {
     std::unordered_map<std::string, std::string> sources;
-    if (spec.memoryBytesPerToken <= 0 || spec.memoryLinkMbps <= 0) {
+    if (!policy_.fetching || spec.memoryBytesPerToken <= 0 || spec.memoryLinkMbps <= 0) {
         return sources;
     }
     // Links between data centres are slow and dear: only engines of one data centre fetch from each other.
@@ -414,8 +434,9 @@
 }
 
 Target Gateway::choose(const CallerRequest &request, const Route &route, const std::string &service,
-                       const std::vector<std::string> &tried, SteadyTime now)
+                       const std::vector<std::string> &tried, SteadyTime deadline, SteadyTime now)
 {
+    const double timeLeftMs = millisLeft(deadline, now);
     Target target;
     const ServiceSpec *spec = view_->services ? view_->services->service(service) : nullptr;
     if (spec == nullptr) {
@@ -423,9 +444,14 @@
     }
     target.spec = std::shared_ptr<const ServiceSpec>(view_->services, spec);
     PlacementRequest facts;
-    facts.urgency = route.priority == 0 ? Urgency::Urgent : Urgency::Usual;
+    facts.urgency = urgencyOfRank(route.rank);
     facts.promptTokens = request.prompt.promptTokens;
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
+    facts.tokensOut = request.prompt.expectedTokensOut;
+    facts.firstTokenBoundMs = std::min(timeLeftMs, millisLeft(request.arrivedAt + route.firstEventPatience(), now));
+    facts.wholeBoundMs = timeLeftMs;
+    facts.lateLast = policy_.lateLast;
+    facts.targetMs = static_cast<double>(route.targetLatency.count());
     facts.targetLeftMs = millisLeft(request.arrivedAt + route.targetLatency, now);
 
     std::vector<const UpstreamRecord *> records;
@@ -436,7 +462,7 @@
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
     if (!request.relayed) {
-        regions = regions_.candidates(service, *spec, request.prompt, now, regionNames);
+        regions = regions_.candidates(service, *spec, request.prompt, facts.urgency, now, regionNames);
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
             return !route.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
@@ -444,14 +470,16 @@
         });
     }
     const std::unordered_map<std::string, std::string> sources = offerFetching(*spec, upstreams, records);
-    expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
-    target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
+    if (policy_.promptHomes) {
+        expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
+    }
+    target.placement = place(facts, upstreams, regions, policy_.weights, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
         // All that is left looks ill: the best of them is still better than none.
         for (UpstreamCandidate &candidate : upstreams) {
             candidate.barred = candidate.barred == LossReason::Unhealthy ? LossReason::None : candidate.barred;
         }
-        target.placement = place(facts, upstreams, regions, PlacementWeights{}, random_);
+        target.placement = place(facts, upstreams, regions, policy_.weights, random_);
     }
     if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "portpaddle/gateway/caller_session.h"
 #include "portpaddle/gateway/cold_gate.h"
 #include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/policy_settings.h"
 #include "portpaddle/gateway/region_table.h"
 #include "portpaddle/gateway/retry_slice.h"
 #include "portpaddle/gateway/upstream_connection.h"
@@ -81,6 +82,7 @@
     void releaseBody(std::size_t bytes) override;
 
     void setTerms(const GatewayTerms &terms);
+    void setPolicy(const PolicySettings &policy);
     /// Without orders the memory of runs is not moved.
     void setOrders(const UpstreamOrders *orders);
     /// Answers other daemons that ask for what the store last told.
@@ -119,9 +121,9 @@
 private:
     friend class Exchange;
 
-    /// Chooses where @p request may go among what @p tried leaves.
+    /// Chooses where @p request, which is of no use after @p deadline, may go among what @p tried leaves.
     Target choose(const CallerRequest &request, const Route &route, const std::string &service,
-                  const std::vector<std::string> &tried, SteadyTime now);
+                  const std::vector<std::string> &tried, SteadyTime deadline, SteadyTime now);
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
@@ -146,6 +148,7 @@
     RandomSource &random_;
     Metrics &metrics_;
     GatewayTerms terms_;
+    PolicySettings policy_;
     ConnectionPool pool_;
     UpstreamLoads loads_;
     RetrySlice retries_;
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -17,6 +17,8 @@
     std::string timeLeft = "X-Request-Timeout-Ms";
     /// "PROMPT,MOST_OUT" in tokens.
     std::string tokenCounts = "X-Token-Counts";
+    /// The caller's estimate of the tokens that the answer will have.
+    std::string lengthHint = "X-Length-Hint";
     /// "ID:TOKENS,..." of the prompt's parts in order.
     std::string promptParts = "X-Prompt-Parts";
     std::string lastEventId = "Last-Event-ID";
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -24,7 +24,7 @@
 constexpr double tokensInProgress = 2'000;
 // Reading fewer tokens takes no longer than setting up a transfer.
 constexpr double fewestFetchedTokens = 256;
-constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "late" } };
+constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "patient", "late" } };
 // A prediction beyond this part of what is left of the target is taken as a miss.
 constexpr double surelyLate = 1.3;
 // Candidates closer than this are equal; chance decides, so that daemons that see the same do not all choose the same.
@@ -65,6 +65,14 @@
     return candidate.fetchableTokens >= candidate.cachedTokens + fewestFetchedTokens;
 }
 
+/// Whether a request that is predicted so would end after its caller has left.
+bool isHopeless(const PlacementRequest &request, double firstTokenMs, double tokenMs, const PlacementWeights &weights)
+{
+    const double wholeMs = firstTokenMs + weights.wholeMargin * request.tokensOut * tokenMs;
+    return firstTokenMs > std::min(weights.firstTokenBound * request.targetMs, request.firstTokenBoundMs)
+        || wholeMs > request.wholeBoundMs;
+}
+
 struct Best
 {
     std::uint32_t index = 0;
@@ -98,6 +106,12 @@
     return urgencyNames[urgency];
 }
 
+Urgency urgencyOfRank(unsigned rank)
+{
+    constexpr auto last = static_cast<unsigned>(Urgency::Patient);
+    return static_cast<Urgency>(std::min(rank, last));
+}
+
 double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency)
 {
     double tokens = 0;
@@ -126,6 +140,11 @@
     return fixed + admissionMs(candidate, request) + fetching + candidate.slowness * (reading + steps * perStep);
 }
 
+double predictedTokenMs(const UpstreamCandidate &candidate)
+{
+    return std::max(candidate.tokenMs, stepMs + stepMsPerRunning * candidate.running);
+}
+
 Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
                 std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random)
 {
@@ -137,19 +156,30 @@
             continue;
         }
         const double predicted = predictedFirstTokenMs(candidate, request);
+        const double tokenMs = predictedTokenMs(candidate);
+        if (isHopeless(request, predicted, tokenMs, weights)) {
+            barred = LossReason::TooLate;
+            continue;
+        }
         const double ownReading
             = candidate.slowness * std::max(0.0, request.promptTokens - keptTokens(candidate)) / candidate.tokensPerMs;
         const double score = predicted + readingCost(ownReading, candidate.running, weights)
             + (fetches(candidate) ? weights.fetchingShare * candidate.fetchMs : 0) + weights.failureMs * candidate.failureShare
-            + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0);
+            + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0)
+            + weights.streamingShare * request.tokensOut * tokenMs;
         consider(local, static_cast<std::size_t>(&candidate - upstreams.data()), candidate.index, score, predicted, random);
     }
     Best away;
     for (const RegionCandidate &candidate : regions) {
         const double ownReading = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
         const double predicted = candidate.waitMs + candidate.distanceMs + ownReading + firstTokenMs;
+        if (isHopeless(request, predicted, candidate.tokenMs, weights)) {
+            barred = LossReason::TooLate;
+            continue;
+        }
         const double score = predicted + weights.awayMs + readingCost(ownReading, candidate.running, weights)
-            + weights.lateMs * lateness(predicted, request.targetLeftMs);
+            + weights.lateMs * lateness(predicted, request.targetLeftMs)
+            + weights.streamingShare * request.tokensOut * candidate.tokenMs;
         consider(away, static_cast<std::size_t>(&candidate - regions.data()), candidate.index, score, predicted, random);
     }
     Placement placement;
@@ -166,7 +196,8 @@
         placement.index = away.index;
         placement.predictedMs = away.predictedMs;
     }
-    placement.urgency = placement.predictedMs > surelyLate * request.targetLeftMs ? Urgency::Late : request.urgency;
+    const bool late = request.lateLast && placement.predictedMs > surelyLate * request.targetLeftMs;
+    placement.urgency = late ? Urgency::Late : request.urgency;
     return placement;
 }
 
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -9,15 +9,18 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string_view>
 
 namespace Portpaddle {
 
 /// Classes in which upstreams read prompts: all of one before the next.
-enum class Urgency { Urgent, Usual, Late };
-inline constexpr std::size_t urgencyCount = 3;
+enum class Urgency { Urgent, Usual, Patient, Late };
+inline constexpr std::size_t urgencyCount = 4;
 std::string_view nameOf(Urgency urgency);
+/// The class of requests whose route ranks at @p rank among the priorities in force, zero first.
+Urgency urgencyOfRank(unsigned rank);
 
 /// Prompt tokens still to read, by urgency.
 using PendingTokens = std::array<double, urgencyCount>;
@@ -44,6 +47,8 @@
     double tokensPerMs = 1;
     /// How many times longer than predicted its first tokens take.
     double slowness = 1;
+    /// Between two tokens of one stream there, as seen lately; zero where nothing was.
+    double tokenMs = 0;
     /// How long a request occupies one of its slots.
     double serviceMs = 1;
     /// Share of recent answers that failed, 0 to 1.
@@ -58,7 +63,7 @@
 struct RegionCandidate
 {
     std::uint32_t index = 0;
-    /// How long a new request waits there before its own prompt is read.
+    /// How long a new request of the same urgency waits there before its own prompt is read.
     double waitMs = 0;
     /// Prompt tokens that one upstream there reads in a millisecond.
     double tokensPerMs = 1;
@@ -68,6 +73,8 @@
     double cachedTokens = 0;
     /// Upstreams that take requests there.
     double upstreams = 0;
+    /// Between two tokens of one stream there.
+    double tokenMs = 0;
     /// Both ways of the link.
     double distanceMs = 0;
 };
@@ -78,8 +85,17 @@
     double promptTokens = 0;
     double memoryTokens = 0;
     Urgency urgency = Urgency::Usual;
+    /// It is read last where it misses its target anyway.
+    bool lateLast = true;
     /// What remains of the target.
     double targetLeftMs = 0;
+    /// The target as it is for a new request.
+    double targetMs = std::numeric_limits<double>::infinity();
+    /// Tokens that it is expected to make.
+    double tokensOut = 0;
+    /// How much longer its caller waits for the first token, and for the whole answer.
+    double firstTokenBoundMs = std::numeric_limits<double>::infinity();
+    double wholeBoundMs = std::numeric_limits<double>::infinity();
 };
 
 /// Costs that the choice weighs.
@@ -101,6 +117,13 @@
     double connectMs = 40;
     /// What missing the target costs, as milliseconds of delay.
     double lateMs = 1'500;
+    /// What a stream costs for each millisecond that it takes after its first token: it may break with its upstream.
+    double streamingShare = 0;
+    /// A request whose first token is predicted beyond this multiple of its target, or of the time that its caller waits, is
+    /// refused.
+    double firstTokenBound = 4.0;
+    /// A stream is refused where its tokens, predicted to take this many times longer, would not all come before its deadline.
+    double wholeMargin = 1.0;
 };
 
 /// The outcome; times in milliseconds.
@@ -127,6 +150,9 @@
 /// Time from sending to the first token at @p candidate.
 double predictedFirstTokenMs(const UpstreamCandidate &candidate, const PlacementRequest &request);
 
+/// Time between two tokens of a stream at @p candidate.
+double predictedTokenMs(const UpstreamCandidate &candidate);
+
 /// Decides between the upstreams of the own region and other regions.
 Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
                 std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random);
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -54,9 +54,15 @@
     }
     Region &region = regions_[digest.region];
     for (const Wire::ServiceWait &service : digest.services) {
-        region.services[service.service()] = ServiceNews{
-            double(service.wait_ms()), double(service.upstreams()), service.tokens_per_ms(), service.running(), 0, now
-        };
+        const double patientWaitMs = service.patient_wait_ms();
+        ServiceNews news;
+        news.waitMs = { double(service.urgent_wait_ms()), double(service.usual_wait_ms()), patientWaitMs, patientWaitMs };
+        news.upstreams = service.upstreams();
+        news.tokensPerMs = service.tokens_per_ms();
+        news.running = service.running();
+        news.tokenMs = service.token_ms();
+        news.at = now;
+        region.services[service.service()] = news;
     }
     for (const Wire::PlacedPart &part : digest.placed) {
         region.prefixes.advance(part.tokens());
@@ -105,24 +111,27 @@
 }
 
 std::vector<RegionCandidate> RegionTable::candidates(const std::string &service, const ServiceSpec &spec,
-                                                     const PromptFacts &prompt, SteadyTime now,
+                                                     const PromptFacts &prompt, Urgency urgency, SteadyTime now,
                                                      std::vector<std::string> &regionNames) const
 {
     std::vector<RegionCandidate> result;
     const std::uint64_t key = serviceKey(service);
     for (const auto &[region, known] : regions_) {
         const auto news = known.services.find(key);
-        if (news == known.services.end() || now - news->second.at > newsAge || news->second.tokensPerMs <= 0) {
+        if (news == known.services.end() || now - news->second.at > newsAge || news->second.upstreams <= 0
+            || news->second.tokensPerMs <= 0) {
             continue;
         }
         const double capacity = sharedPartShare * static_cast<double>(spec.memoryTokens) * news->second.upstreams;
         RegionCandidate candidate;
         candidate.index = static_cast<std::uint32_t>(regionNames.size());
-        candidate.waitMs = news->second.waitMs + news->second.sentSince / (news->second.tokensPerMs * news->second.upstreams);
+        candidate.waitMs = news->second.waitMs.at(static_cast<std::size_t>(urgency))
+            + news->second.sentSince / (news->second.tokensPerMs * news->second.upstreams);
         candidate.cachedTokens = known.prefixes.keptTokens(prompt.parts, capacity);
         candidate.upstreams = news->second.upstreams;
         candidate.tokensPerMs = news->second.tokensPerMs;
         candidate.running = news->second.running;
+        candidate.tokenMs = news->second.tokenMs;
         candidate.distanceMs = distanceMs;
         regionNames.push_back(region);
         result.push_back(candidate);
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -39,7 +39,7 @@
 
     /// Other regions that serve @p service now; indexes count in @p regionNames.
     std::vector<RegionCandidate> candidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
-                                            SteadyTime now, std::vector<std::string> &regionNames) const;
+                                            Urgency urgency, SteadyTime now, std::vector<std::string> &regionNames) const;
     /// A daemon of @p region to send a request to; null when none is known to live.
     const DaemonRecord *pick(const FleetView &view, const std::string &region, SteadyTime now, RandomSource &random) const;
     /// Counts a request sent there since the last news.
@@ -57,10 +57,11 @@
 
     struct ServiceNews
     {
-        double waitMs = 0;
+        std::array<double, urgencyCount> waitMs{};
         double upstreams = 0;
         double tokensPerMs = 0;
         double running = 0;
+        double tokenMs = 0;
         double sentSince = 0;
         SteadyTime at{};
     };
--- a/src/portpaddle/gateway/service_map.cpp
+++ b/src/portpaddle/gateway/service_map.cpp
@@ -6,6 +6,8 @@
 #include "portpaddle/base/name_table.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace Portpaddle {
 
@@ -13,6 +15,11 @@
 
 constexpr NameTable<RouteKind, 3> kindNames{ { "idempotent", "non_idempotent", "stream" } };
 
+// What the platform's page says of callers that wait for an event.
+constexpr Millis shortestPatience{ 2'000 };
+constexpr int patiencePerTarget = 4;
+constexpr int patiencePerPause = 8;
+
 } // namespace
 
 std::string_view nameOf(RouteKind kind)
@@ -25,6 +32,14 @@
     return kind == RouteKind::Idempotent || resumable;
 }
 
+Millis Route::firstEventPatience() const
+{
+    if (kind != RouteKind::Stream) {
+        return timeout;
+    }
+    return std::max({ shortestPatience, patiencePerTarget * targetLatency, patiencePerPause * longestPause });
+}
+
 bool Route::allowsRegion(std::string_view region) const
 {
     return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
@@ -57,7 +72,12 @@
 void ServiceMap::index()
 {
     byHost_.clear();
+    std::set<unsigned> priorities;
     for (const Route &route : routes) {
+        priorities.insert(route.priority);
+    }
+    for (Route &route : routes) {
+        route.rank = static_cast<unsigned>(std::distance(priorities.begin(), priorities.find(route.priority)));
         byHost_[route.host].push_back(&route);
     }
     for (auto &[host, entries] : byHost_) {
--- a/src/portpaddle/gateway/service_map.h
+++ b/src/portpaddle/gateway/service_map.h
@@ -34,10 +34,14 @@
     RouteKind kind = RouteKind::NonIdempotent;
     Millis timeout{ 0 };
     Millis targetLatency{ 0 };
+    /// Between two events of a stream that is in time.
+    Millis longestPause{ 0 };
     /// Upstreams that one request may be sent to.
     unsigned attempts = 1;
     /// Zero is the most urgent.
     unsigned priority = 5;
+    /// Different priorities of other routes that are more urgent; set by ServiceMap::index().
+    unsigned rank = 0;
     /// A stream that may go on at another upstream after its last event.
     bool resumable = false;
     /// Regions that may serve it; empty means all.
@@ -45,6 +49,8 @@
     std::vector<WeightedService> services;
 
     bool mayRunTwice() const;
+    /// How long callers wait for the first event of a stream before they leave.
+    Millis firstEventPatience() const;
     bool allowsRegion(std::string_view region) const;
     /// The service for a request; the same @p requestHash gives the same service.
     const std::string &serviceFor(std::uint64_t requestHash) const;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -332,7 +332,7 @@
             events.firstEvent();
         }
         events.heard();
-        const bool taken = co_await passEvents(parser, bytes);
+        const bool taken = co_await passEvents(parser, bytes, events);
         if (!taken) {
             co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "caller left");
         }
@@ -351,9 +351,12 @@
 }
 
 /// Hands whole events to the caller; the head goes out with the first.
-Task<bool> UpstreamAttempt::passEvents(Parser &parser, std::string_view bytes)
+Task<bool> UpstreamAttempt::passEvents(Parser &parser, std::string_view bytes, const AttemptEvents &events)
 {
     const std::string whole = progress_.events.take(bytes);
+    if (!whole.empty()) {
+        events.streamed(EventSplitter::count(whole));
+    }
     const bool due = !whole.empty() || parser.is_done();
     if (due && !progress_.begun) {
         progress_.begun = true;
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -78,6 +78,8 @@
 {
     std::function<void()> sending;
     std::function<void()> firstEvent;
+    /// So many whole events of a stream arrived.
+    std::function<void(std::size_t)> streamed;
     /// Bytes of the answer arrived.
     std::function<void()> heard;
 };
@@ -105,7 +107,7 @@
     Task<AttemptReport> passStream(Parser &parser, const AttemptEvents &events);
     Task<AttemptReport> readWhole(Parser &parser);
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
-    Task<bool> passEvents(Parser &parser, std::string_view bytes);
+    Task<bool> passEvents(Parser &parser, std::string_view bytes, const AttemptEvents &events);
     AttemptReport judgeWhole(Parser &parser, std::string body) const;
     void settle(Parser &parser, bool whole);
 
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -40,6 +40,10 @@
 // Digests come several times a second; a peer that was silent for this long is not counted any more.
 constexpr std::chrono::milliseconds peerShareAge{ 1'500 };
 constexpr double learningRate = 0.1;
+// Some dozen streams at an upstream show the time between tokens many times a second.
+constexpr double tokenMsLearningRate = 0.03;
+// After this time without events the batch has changed.
+constexpr std::chrono::milliseconds tokenMsAge{ 1'000 };
 constexpr double failureLearningRate = 0.15;
 constexpr unsigned failuresBeforeAvoiding = 2;
 constexpr std::chrono::milliseconds shortestAvoidance{ 300 };
@@ -85,6 +89,11 @@
     return entry->second;
 }
 
+void UpstreamLoads::setPolicy(const PolicySettings &policy)
+{
+    policy_ = policy;
+}
+
 void UpstreamLoads::keepOnly(const FleetView &view)
 {
     std::erase_if(states_,
@@ -141,7 +150,7 @@
         const double age = state.prefixes.note(part.chainHash);
         // The last part belongs to this request alone.
         const bool shared = index + 1 < prompt.parts.size();
-        if (!shared || part.tokens < smallestToldPart || age < toldAgainShare * cacheTokens) {
+        if (!policy_.toldParts || !shared || part.tokens < smallestToldPart || age < toldAgainShare * cacheTokens) {
             continue;
         }
         for (std::deque<Wire::PlacedPart> &queue : placed_) {
@@ -171,21 +180,34 @@
     State &state = stateOf(ticket.upstream);
     finishReading(state, ticket);
     heard(ticket.upstream, now);
-    if (ticket.pendingTokens >= smallestMeasuredTokens && ticket.predictedMs > 0) {
+    if (policy_.learnedSlowness && ticket.pendingTokens >= smallestMeasuredTokens && ticket.predictedMs > 0) {
         const double ratio = std::clamp(millisBetween(ticket.sentAt, now) / ticket.predictedMs, fastest, slowest);
         state.slowness *= std::pow(ratio, learningRate);
         state.slowness = std::clamp(state.slowness, fastest, slowest);
     }
 }
 
+void UpstreamLoads::streamed(LoadTicket &ticket, std::size_t events, unsigned tokensPerEvent, SteadyTime now)
+{
+    if (ticket.eventAt) {
+        State &state = stateOf(ticket.upstream);
+        const double sample = millisBetween(*ticket.eventAt, now) / static_cast<double>(events * std::max(1U, tokensPerEvent));
+        const bool fresh = now - state.tokenMsAt < tokenMsAge;
+        state.tokenMs = fresh ? blend(state.tokenMs, sample, tokenMsLearningRate) : sample;
+        state.tokenMsAt = now;
+    }
+    ticket.eventAt = now;
+}
+
 void UpstreamLoads::heard(const std::string &upstream, SteadyTime now)
 {
     stateOf(upstream).lastHeard = now;
 }
 
-bool UpstreamLoads::isSilent(const State &state, SteadyTime now)
+bool UpstreamLoads::isSilent(const State &state, SteadyTime now) const
 {
-    return state.running > 0 && state.silentSince > state.lastHeard && now - state.silentSince > upstreamSilenceBound;
+    return policy_.avoidSilent && state.running > 0 && state.silentSince > state.lastHeard
+        && now - state.silentSince > upstreamSilenceBound;
 }
 
 bool UpstreamLoads::heardSince(const std::string &upstream, SteadyTime time) const
@@ -198,7 +220,7 @@
 {
     state.failureShare += failureLearningRate * (1 - state.failureShare);
     ++state.failuresInRow;
-    if (state.failuresInRow < failuresBeforeAvoiding) {
+    if (!policy_.avoidFailing || state.failuresInRow < failuresBeforeAvoiding) {
         return;
     }
     const unsigned doublings = std::min(state.failuresInRow - failuresBeforeAvoiding, 4U);
@@ -247,7 +269,8 @@
     if (!added && step < mostStepTokens) {
         state.prefixes.advance(step);
     }
-    known.pendingTokens = { tokensUnit * share.urgent(), tokensUnit * share.usual(), tokensUnit * share.late() };
+    known.pendingTokens
+        = { tokensUnit * share.urgent(), tokensUnit * share.usual(), tokensUnit * share.patient(), tokensUnit * share.late() };
     known.memoryTokens = memoryUnit * share.memory();
     known.running = share.running();
     known.readTokens = share.read_tokens();
@@ -278,7 +301,7 @@
             return inUnits(state.pendingTokens.at(static_cast<std::size_t>(urgency)), tokensUnit);
         };
         result.emplace_back(upstreamKey(id), wrapped(state.readTokens), pending(Urgency::Urgent), pending(Urgency::Usual),
-                            pending(Urgency::Late), inUnits(state.memoryTokens, memoryUnit),
+                            pending(Urgency::Patient), pending(Urgency::Late), inUnits(state.memoryTokens, memoryUnit),
                             static_cast<std::uint16_t>(state.running));
     }
     return result;
@@ -319,6 +342,7 @@
     }
     candidate.cachedTokens = state.prefixes.keptTokens(prompt.parts, cacheRoom(state, spec, now));
     candidate.slowness = state.slowness;
+    candidate.tokenMs = now - state.tokenMsAt < tokenMsAge ? state.tokenMs : 0;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = state.failureShare;
     if (state.over) {
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -6,12 +6,13 @@
 
 #include "portpaddle/gateway/caller_request.h"
 #include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/gateway/policy_settings.h"
 #include "portpaddle/gateway/prefix_memory.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,8 @@
     double predictedMs = 0;
     SteadyTime sentAt;
     bool reading = false;
+    /// When its last event came, once one has.
+    std::optional<SteadyTime> eventAt;
 };
 
 /// Who receives a digest.
@@ -44,12 +47,15 @@
 class UpstreamLoads
 {
 public:
+    void setPolicy(const PolicySettings &policy);
     /// Forgets upstreams that are not in @p view.
     void keepOnly(const FleetView &view);
 
     LoadTicket sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
                     const Placement &placement, SteadyTime now);
     void firstToken(LoadTicket &ticket, SteadyTime now);
+    /// @p events whole ones of a stream came, of @p tokensPerEvent each.
+    void streamed(LoadTicket &ticket, std::size_t events, unsigned tokensPerEvent, SteadyTime now);
     /// Bytes arrived from the upstream: it is alive.
     void heard(const std::string &upstream, SteadyTime now);
     bool heardSince(const std::string &upstream, SteadyTime time) const;
@@ -92,6 +98,9 @@
         /// How many times longer than predicted first tokens took lately.
         double slowness = 1;
         double serviceMs = 0;
+        /// Between two tokens of a stream, lately.
+        double tokenMs = 0;
+        SteadyTime tokenMsAt{};
         double failureShare = 0;
         unsigned failuresInRow = 0;
         SteadyTime avoidUntil{};
@@ -102,7 +111,7 @@
     };
 
     State &stateOf(const std::string &upstream);
-    static bool isSilent(const State &state, SteadyTime now);
+    bool isSilent(const State &state, SteadyTime now) const;
     static void finishReading(State &state, LoadTicket &ticket);
     /// Tokens of the memory that running requests of all daemons leave for cached parts.
     static double cacheRoom(const State &state, const ServiceSpec &spec, SteadyTime now);
@@ -110,6 +119,7 @@
     void notePlaced(State &state, const std::string &upstream, const PromptFacts &prompt, double cacheTokens);
     void failed(State &state, SteadyTime now);
 
+    PolicySettings policy_;
     std::unordered_map<std::string, State> states_;
     std::unordered_map<std::uint32_t, std::string> idsByKey_;
     /// Parts not told yet, by reach of the digest.
--- a/src/portpaddle/routing/decision.h
+++ b/src/portpaddle/routing/decision.h
@@ -65,6 +65,7 @@
     Stale,
     ShareSpent,
     MarginNotReached,
+    TooLate,
 };
 
 std::string_view nameOf(Verdict verdict);
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -68,10 +68,10 @@
   uint32_t read_tokens_;
   uint16_t urgent_;
   uint16_t usual_;
+  uint16_t patient_;
   uint16_t late_;
   uint16_t memory_;
   uint16_t running_;
-  int16_t padding0__;
 
  public:
   UpstreamShare()
@@ -79,22 +79,20 @@
         read_tokens_(0),
         urgent_(0),
         usual_(0),
+        patient_(0),
         late_(0),
         memory_(0),
-        running_(0),
-        padding0__(0) {
-    (void)padding0__;
+        running_(0) {
   }
-  UpstreamShare(uint32_t _key, uint32_t _read_tokens, uint16_t _urgent, uint16_t _usual, uint16_t _late, uint16_t _memory, uint16_t _running)
+  UpstreamShare(uint32_t _key, uint32_t _read_tokens, uint16_t _urgent, uint16_t _usual, uint16_t _patient, uint16_t _late, uint16_t _memory, uint16_t _running)
       : key_(flatbuffers::EndianScalar(_key)),
         read_tokens_(flatbuffers::EndianScalar(_read_tokens)),
         urgent_(flatbuffers::EndianScalar(_urgent)),
         usual_(flatbuffers::EndianScalar(_usual)),
+        patient_(flatbuffers::EndianScalar(_patient)),
         late_(flatbuffers::EndianScalar(_late)),
         memory_(flatbuffers::EndianScalar(_memory)),
-        running_(flatbuffers::EndianScalar(_running)),
-        padding0__(0) {
-    (void)padding0__;
+        running_(flatbuffers::EndianScalar(_running)) {
   }
   uint32_t key() const {
     return flatbuffers::EndianScalar(key_);
@@ -108,6 +106,9 @@
   uint16_t usual() const {
     return flatbuffers::EndianScalar(usual_);
   }
+  uint16_t patient() const {
+    return flatbuffers::EndianScalar(patient_);
+  }
   uint16_t late() const {
     return flatbuffers::EndianScalar(late_);
   }
@@ -152,36 +153,56 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceWait FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t service_;
-  uint32_t wait_ms_;
+  uint32_t urgent_wait_ms_;
+  uint32_t usual_wait_ms_;
+  uint32_t patient_wait_ms_;
   uint16_t upstreams_;
   int16_t padding0__;
   float tokens_per_ms_;
   float running_;
+  float token_ms_;
+  int32_t padding1__;
 
  public:
   ServiceWait()
       : service_(0),
-        wait_ms_(0),
+        urgent_wait_ms_(0),
+        usual_wait_ms_(0),
+        patient_wait_ms_(0),
         upstreams_(0),
         padding0__(0),
         tokens_per_ms_(0),
-        running_(0) {
+        running_(0),
+        token_ms_(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
-  ServiceWait(uint64_t _service, uint32_t _wait_ms, uint16_t _upstreams, float _tokens_per_ms, float _running)
+  ServiceWait(uint64_t _service, uint32_t _urgent_wait_ms, uint32_t _usual_wait_ms, uint32_t _patient_wait_ms, uint16_t _upstreams, float _tokens_per_ms, float _running, float _token_ms)
       : service_(flatbuffers::EndianScalar(_service)),
-        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        urgent_wait_ms_(flatbuffers::EndianScalar(_urgent_wait_ms)),
+        usual_wait_ms_(flatbuffers::EndianScalar(_usual_wait_ms)),
+        patient_wait_ms_(flatbuffers::EndianScalar(_patient_wait_ms)),
         upstreams_(flatbuffers::EndianScalar(_upstreams)),
         padding0__(0),
         tokens_per_ms_(flatbuffers::EndianScalar(_tokens_per_ms)),
-        running_(flatbuffers::EndianScalar(_running)) {
+        running_(flatbuffers::EndianScalar(_running)),
+        token_ms_(flatbuffers::EndianScalar(_token_ms)),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
   }
-  uint32_t wait_ms() const {
-    return flatbuffers::EndianScalar(wait_ms_);
+  uint32_t urgent_wait_ms() const {
+    return flatbuffers::EndianScalar(urgent_wait_ms_);
+  }
+  uint32_t usual_wait_ms() const {
+    return flatbuffers::EndianScalar(usual_wait_ms_);
+  }
+  uint32_t patient_wait_ms() const {
+    return flatbuffers::EndianScalar(patient_wait_ms_);
   }
   uint16_t upstreams() const {
     return flatbuffers::EndianScalar(upstreams_);
@@ -192,8 +213,11 @@
   float running() const {
     return flatbuffers::EndianScalar(running_);
   }
+  float token_ms() const {
+    return flatbuffers::EndianScalar(token_ms_);
+  }
 };
-FLATBUFFERS_STRUCT_END(ServiceWait, 24);
+FLATBUFFERS_STRUCT_END(ServiceWait, 40);
 
 struct LoadDigestT : public flatbuffers::NativeTable {
   typedef LoadDigest TableType;
