--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -446,6 +446,7 @@
     PlacementRequest facts;
     facts.urgency = urgencyOfRank(route.rank);
     facts.promptTokens = request.prompt.promptTokens;
+    facts.sharedTokens = request.prompt.sharedTokens();
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
     facts.tokensOut = request.prompt.expectedTokensOut;
     facts.firstTokenBoundMs = std::min(timeLeftMs, millisLeft(request.arrivedAt + route.firstEventPatience(), now));
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -53,10 +53,13 @@
     return std::clamp(predictedMs / targetLeftMs - surelyInTime, 0.0, 1.0);
 }
 
-/// What reading a prompt for so long costs besides its own time.
-double readingCost(double readingMs, double running, const PlacementWeights &weights)
+/// What reading a prompt costs others, where @p kept of its tokens need not be read and one takes @p msPerToken.
+double readingCost(const PlacementRequest &request, double kept, double msPerToken, double running,
+                   const PlacementWeights &weights)
 {
-    return (weights.readingShare + weights.readingPerRunning * running) * readingMs;
+    const double readMs = std::max(0.0, request.promptTokens - kept) * msPerToken;
+    const double rereadMs = std::max(0.0, request.sharedTokens - kept) * msPerToken;
+    return weights.rereadingShare * rereadMs + weights.readingPerRunning * running * readMs;
 }
 
 /// Fetching saves enough tokens to be asked for.
@@ -66,10 +69,10 @@
 }
 
 /// Whether a request that is predicted so would end after its caller has left.
-bool isHopeless(const PlacementRequest &request, double firstTokenMs, double tokenMs, const PlacementWeights &weights)
+bool isHopeless(const PlacementRequest &request, double firstMs, double tokenMs, const PlacementWeights &weights)
 {
-    const double wholeMs = firstTokenMs + weights.wholeMargin * request.tokensOut * tokenMs;
-    return firstTokenMs > std::min(weights.firstTokenBound * request.targetMs, request.firstTokenBoundMs)
+    const double wholeMs = firstMs + weights.wholeMargin * request.tokensOut * tokenMs;
+    return firstMs > std::min(weights.firstTokenBound * request.targetMs, request.firstTokenBoundMs)
         || wholeMs > request.wholeBoundMs;
 }
 
@@ -161,9 +164,8 @@
             barred = LossReason::TooLate;
             continue;
         }
-        const double ownReading
-            = candidate.slowness * std::max(0.0, request.promptTokens - keptTokens(candidate)) / candidate.tokensPerMs;
-        const double score = predicted + readingCost(ownReading, candidate.running, weights)
+        const double msPerToken = candidate.slowness / candidate.tokensPerMs;
+        const double score = predicted + readingCost(request, keptTokens(candidate), msPerToken, candidate.running, weights)
             + (fetches(candidate) ? weights.fetchingShare * candidate.fetchMs : 0) + weights.failureMs * candidate.failureShare
             + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0)
             + weights.streamingShare * request.tokensOut * tokenMs;
@@ -177,7 +179,8 @@
             barred = LossReason::TooLate;
             continue;
         }
-        const double score = predicted + weights.awayMs + readingCost(ownReading, candidate.running, weights)
+        const double score = predicted + weights.awayMs
+            + readingCost(request, candidate.cachedTokens, 1 / candidate.tokensPerMs, candidate.running, weights)
             + weights.lateMs * lateness(predicted, request.targetLeftMs)
             + weights.streamingShare * request.tokensOut * candidate.tokenMs;
         consider(away, static_cast<std::size_t>(&candidate - regions.data()), candidate.index, score, predicted, random);
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -83,6 +83,8 @@
 struct PlacementRequest
 {
     double promptTokens = 0;
+    /// Leading ones that other prompts share.
+    double sharedTokens = 0;
     double memoryTokens = 0;
     Urgency urgency = Urgency::Usual;
     /// It is read last where it misses its target anyway.
@@ -105,11 +107,12 @@
     double awayMs = 20;
     /// What a failed answer costs, as milliseconds of delay.
     double failureMs = 1'500;
-    /// What reading prompt tokens afresh costs besides this request's own time: other prompts wait behind them, and engines
-    /// forget other parts for them. As a multiple of the time that reading takes.
-    double readingShare = 25.0;
-    /// The same for each request that runs there: its tokens wait behind each piece of a prompt.
-    double readingPerRunning = 0.5;
+    /// What reading shared parts of prompts again costs besides this request's own time, as a multiple of the time that it takes:
+    /// an engine's memory holds few of them, and each that is read pushes out another.
+    double rereadingShare = 10.0;
+    /// What reading costs for each request that runs there, as a multiple of the time that it takes: its tokens wait behind each
+    /// piece of a prompt.
+    double readingPerRunning = 0.4;
     /// What fetching kept parts from another engine costs besides this request's own time, as a multiple of the time it takes:
     /// bytes on the engines' links, and the same parts held twice.
     double fetchingShare = 4.0;
--- a/src/portpaddle/gateway/policy_settings.cpp
+++ b/src/portpaddle/gateway/policy_settings.cpp
@@ -18,12 +18,14 @@
     const char *name;
     double PlacementWeights::*member;
     double most;
+    const char *meaning;
 };
 
 struct SwitchSetting
 {
     const char *name;
     bool PolicySettings::*member;
+    const char *meaning;
 };
 
 // Delays of a minute outweigh everything; multiples of a thousand do as well.
@@ -31,28 +33,43 @@
 constexpr double mostMultiple = 1'000;
 
 constexpr std::array numbers{
-    NumberSetting{ "away_ms", &PlacementWeights::awayMs, mostMs },
-    NumberSetting{ "connect_ms", &PlacementWeights::connectMs, mostMs },
-    NumberSetting{ "failure_ms", &PlacementWeights::failureMs, mostMs },
-    NumberSetting{ "fetching_share", &PlacementWeights::fetchingShare, mostMultiple },
-    NumberSetting{ "first_token_bound", &PlacementWeights::firstTokenBound, mostMultiple },
-    NumberSetting{ "late_ms", &PlacementWeights::lateMs, mostMs },
-    NumberSetting{ "reading_per_running", &PlacementWeights::readingPerRunning, mostMultiple },
-    NumberSetting{ "reading_share", &PlacementWeights::readingShare, mostMultiple },
-    NumberSetting{ "streaming_share", &PlacementWeights::streamingShare, mostMultiple },
-    NumberSetting{ "whole_margin", &PlacementWeights::wholeMargin, mostMultiple },
+    NumberSetting{ "away_ms", &PlacementWeights::awayMs, mostMs,
+                   "What sending a request to another region costs besides its time, as milliseconds of delay." },
+    NumberSetting{ "connect_ms", &PlacementWeights::connectMs, mostMs,
+                   "What a new connection costs its upstream, as milliseconds of delay." },
+    NumberSetting{ "failure_ms", &PlacementWeights::failureMs, mostMs, "What a failed answer costs, as milliseconds of delay." },
+    NumberSetting{ "fetching_share", &PlacementWeights::fetchingShare, mostMultiple,
+                   "What fetching kept parts of a prompt from another engine costs besides its time, as a multiple of it." },
+    NumberSetting{ "first_token_bound", &PlacementWeights::firstTokenBound, mostMultiple,
+                   "A request whose first token is predicted beyond this multiple of its target is refused at once." },
+    NumberSetting{ "late_ms", &PlacementWeights::lateMs, mostMs, "What missing the target costs, as milliseconds of delay." },
+    NumberSetting{ "reading_per_running", &PlacementWeights::readingPerRunning, mostMultiple,
+                   "What reading a prompt costs each request that runs there, as a multiple of the time it takes." },
+    NumberSetting{ "rereading_share", &PlacementWeights::rereadingShare, mostMultiple,
+                   "What reading shared parts of a prompt again costs besides its time, as a multiple of it." },
+    NumberSetting{ "streaming_share", &PlacementWeights::streamingShare, mostMultiple,
+                   "What a stream costs for the time that it takes after its first token, as a multiple of it." },
+    NumberSetting{ "whole_margin", &PlacementWeights::wholeMargin, mostMultiple,
+                   "A stream is refused at once where, its tokens taking so many times longer than predicted, it would not end "
+                   "before its deadline." },
 };
 
 constexpr std::array switches{
-    SwitchSetting{ "avoid_failing", &PolicySettings::avoidFailing },
-    SwitchSetting{ "avoid_silent", &PolicySettings::avoidSilent },
-    SwitchSetting{ "cold_at_home", &PolicySettings::coldAtHome },
-    SwitchSetting{ "fetching", &PolicySettings::fetching },
-    SwitchSetting{ "late_last", &PolicySettings::lateLast },
-    SwitchSetting{ "learned_slowness", &PolicySettings::learnedSlowness },
-    SwitchSetting{ "moves", &PolicySettings::moves },
-    SwitchSetting{ "prompt_homes", &PolicySettings::promptHomes },
-    SwitchSetting{ "told_parts", &PolicySettings::toldParts },
+    SwitchSetting{ "avoid_failing", &PolicySettings::avoidFailing,
+                   "Upstreams that failed several times in a row are avoided for a while." },
+    SwitchSetting{ "avoid_silent", &PolicySettings::avoidSilent,
+                   "Upstreams that owe answers and say nothing are avoided until they are heard." },
+    SwitchSetting{ "cold_at_home", &PolicySettings::coldAtHome, "Cold upstreams are left to callers of their own region." },
+    SwitchSetting{ "fetching", &PolicySettings::fetching, "Engines fetch kept parts of prompts from each other." },
+    SwitchSetting{ "late_last", &PolicySettings::lateLast,
+                   "Requests that miss their target anyway are read after those that can meet it." },
+    SwitchSetting{ "learned_slowness", &PolicySettings::learnedSlowness,
+                   "The time of first tokens against its prediction is learned by upstream." },
+    SwitchSetting{ "moves", &PolicySettings::moves, "Runs are moved away from upstreams that announce their end." },
+    SwitchSetting{ "prompt_homes", &PolicySettings::promptHomes,
+                   "Shared parts of prompts have a region and upstreams where they are at home." },
+    SwitchSetting{ "told_parts", &PolicySettings::toldParts,
+                   "Daemons tell each other which parts of prompts they placed where." },
 };
 
 Error invalid(std::string message)
@@ -89,6 +106,21 @@
 
 } // namespace
 
+std::vector<PolicySettingDescription> policyCatalogue()
+{
+    const PolicySettings defaults;
+    std::vector<PolicySettingDescription> catalogue;
+    for (const NumberSetting &entry : numbers) {
+        catalogue.push_back({ entry.name, fmt::format("number from 0 to {}", entry.most),
+                              fmt::format("{}", defaults.weights.*(entry.member)), entry.meaning });
+    }
+    for (const SwitchSetting &entry : switches) {
+        catalogue.push_back({ entry.name, "switch", defaults.*(entry.member) ? "true" : "false", entry.meaning });
+    }
+    std::sort(catalogue.begin(), catalogue.end(), [](const auto &one, const auto &other) { return one.name < other.name; });
+    return catalogue;
+}
+
 Result<PolicySettings> parsePolicy(const nlohmann::json &json)
 {
     if (!json.is_object()) {
--- a/src/portpaddle/gateway/policy_settings.h
+++ b/src/portpaddle/gateway/policy_settings.h
@@ -9,6 +9,9 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
+#include <vector>
+
 namespace Portpaddle {
 
 /// All on unless an operator says otherwise. docs/settings.md lists the names.
@@ -35,6 +38,19 @@
     bool coldAtHome = true;
 };
 
+/// One setting as the reference page shows it.
+struct PolicySettingDescription
+{
+    std::string name;
+    /// "number from 0 to N" or "switch".
+    std::string type;
+    std::string defaultValue;
+    std::string meaning;
+};
+
+/// All settings by name.
+std::vector<PolicySettingDescription> policyCatalogue();
+
 /// Reads what @p json sets, by name; SettingsInvalid for an unknown name, a wrong type or a number out of its bounds.
 Result<PolicySettings> parsePolicy(const nlohmann::json &json);
 
--- a/src/reference/main.cpp
+++ b/src/reference/main.cpp
@@ -16,10 +16,11 @@
     const std::map<std::string, std::string (*)()> pages{ { "settings", settingsPage },
                                                           { "log-events", logEventsPage },
                                                           { "metrics", metricsPage },
-                                                          { "command-line", commandLinePage } };
+                                                          { "command-line", commandLinePage },
+                                                          { "policy", policyPage } };
     const auto page = argc == 2 ? pages.find(argv[1]) : pages.end();
     if (page == pages.end()) {
-        fmt::print(stderr, "portpaddle-reference: one of settings, log-events, metrics, command-line is needed\n");
+        fmt::print(stderr, "portpaddle-reference: one of settings, log-events, metrics, command-line, policy is needed\n");
         return 2;
     }
     fmt::print("{}", page->second());
--- a/src/reference/pages.cpp
+++ b/src/reference/pages.cpp
@@ -3,6 +3,8 @@
 
 #include "reference/pages.h"
 
+#include "portpaddle/gateway/policy_settings.h"
+
 #include "ctl/commands.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/metrics.h"
@@ -102,6 +104,19 @@
     return text + metricRows(counterCatalogue(), "counter") + metricRows(timerCatalogue(), "summary");
 }
 
+std::string policyPage()
+{
+    std::string text = heading("Policy settings");
+    text += "How a daemon on the users' platform weighs, and which mechanisms it uses: the object `policy` of\n"
+            "`deploy/settings.template`, read at the start and on SIGHUP. An unknown name or a value out of its bounds is an "
+            "error.\n\n"
+            "| name | type | default | meaning |\n| --- | --- | --- | --- |\n";
+    for (const PolicySettingDescription &entry : policyCatalogue()) {
+        text += fmt::format("| `{}` | {} | `{}` | {} |\n", entry.name, entry.type, entry.defaultValue, entry.meaning);
+    }
+    return text;
+}
+
 std::string commandLinePage()
 {
     std::string text = heading("Command line");
--- a/src/reference/pages.h
+++ b/src/reference/pages.h
@@ -12,5 +12,6 @@
 std::string logEventsPage();
 std::string metricsPage();
 std::string commandLinePage();
+std::string policyPage();
 
 } // namespace Portpaddle
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -255,7 +255,7 @@
     digest.daemon = "d";
     digest.region = "north";
     digest.sequence = 9;
-    digest.upstreams.emplace_back(1, 2, 3, 4, 5, 6, 7);
+    digest.upstreams.emplace_back(1, 2, 3, 4, 5, 6, 7, 8);
     digest.placed.emplace_back(7, 8, 9);
     const auto decoded = decodeDigest(encodeDigest(digest));
     CHECK(isOk(decoded));
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -35,6 +35,7 @@
             engines.push_back(engine);
         }
         request.promptTokens = 12'000;
+        request.sharedTokens = 5'400;
         request.memoryTokens = 12'400;
         request.targetLeftMs = 1'000;
         away.tokensPerMs = 100;
@@ -116,6 +117,83 @@
     CHECK(placed().reason == LossReason::ShareSpent);
 }
 
+TEST_CASE_FIXTURE(PlacementFixture, "Placement, first token later than its caller waits, refuses")
+{
+    for (UpstreamCandidate &engine : engines) {
+        engine.pendingTokens[0] = 500'000;
+    }
+    request.firstTokenBoundMs = 4'000;
+    CHECK(placed().verdict == Verdict::Refuse);
+    CHECK(placed().reason == LossReason::TooLate);
+    request.firstTokenBoundMs = 40'000;
+    CHECK(placed().verdict == Verdict::Serve);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture, "Placement, tokens too slow for the deadline, takes the engine where they are faster")
+{
+    engines[0].tokenMs = 46;
+    engines[1].tokenMs = 10;
+    engines[1].pendingTokens[0] = 20'000;
+    request.tokensOut = 300;
+    request.wholeBoundMs = 12'000;
+    CHECK(placed().index == 1);
+    engines[1].tokenMs = 46;
+    CHECK(placed().reason == LossReason::TooLate);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "Placement, parts kept by another engine of the data centre, are fetched instead of waited for")
+{
+    engines[1].cachedTokens = 5'400;
+    engines[1].pendingTokens[1] = 60'000;
+    engines[0].fetchableTokens = 5'400;
+    engines[0].fetchMs = 10;
+    const Placement placement = placed();
+    CHECK(placement.index == 0);
+    CHECK(placement.fetches);
+    CHECK(placement.keptTokens == 5'400);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture, "Placement, engine busy with streams, gets long prompts last")
+{
+    engines[0].running = 40;
+    CHECK(placed().index == 1);
+}
+
+TEST_CASE("Urgency, more ranks than classes, makes the last ones patient")
+{
+    CHECK(urgencyOfRank(0) == Urgency::Urgent);
+    CHECK(urgencyOfRank(1) == Urgency::Usual);
+    CHECK(urgencyOfRank(2) == Urgency::Patient);
+    CHECK(urgencyOfRank(7) == Urgency::Patient);
+}
+
+TEST_CASE("Upstream loads, events of a stream, show the time between tokens until they are old")
+{
+    UpstreamLoads loads;
+    UpstreamRecord engine;
+    engine.id = "e";
+    ServiceSpec spec;
+    spec.tokensPerEvent = 7;
+    const PromptFacts prompt = promptOf(100, 100, 1);
+    LoadTicket ticket = loads.sent(engine, spec, prompt, {}, now);
+    for (int event = 0; event < 20; ++event) {
+        loads.streamed(ticket, 1, spec.tokensPerEvent, now + event * 140ms);
+    }
+    const SteadyTime last = now + 19 * 140ms;
+    CHECK(loads.describe(engine, spec, prompt, last).tokenMs == doctest::Approx(20));
+    CHECK(loads.describe(engine, spec, prompt, last + 2s).tokenMs == 0);
+}
+
+TEST_CASE("Upstream loads, life that is over, takes nothing any more")
+{
+    UpstreamLoads loads;
+    UpstreamRecord engine;
+    engine.id = "e";
+    loads.lifeOver("e");
+    CHECK(loads.describe(engine, {}, {}, now).barred == LossReason::Leaving);
+}
+
 TEST_CASE_FIXTURE(PlacementFixture, "Placement, same arguments and seed, decides the same")
 {
     SeededRandom one(9);
--- /dev/null
+++ b/tests/gateway/relay_tests.cpp
@@ -0,0 +1,115 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Requests that pass from one region to another: who may send them once more, and what both daemons tell of it.
+
+#include "support/gateway_site.h"
+#include "support/scripted_upstream.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+using namespace Portpaddle;
+
+namespace {
+
+std::string idOf(const SeenRequest &request)
+{
+    return request.headers.at("x-request-id");
+}
+
+ScriptedAnswer echo(const SeenRequest &request)
+{
+    return { wholeAnswer(idOf(request), request.body) };
+}
+
+constexpr const char *notRunAnswer = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *otherLifeAnswer = "HTTP/1.1 421 Other\r\nX-Upstream: u9\r\nContent-Length: 0\r\n\r\n";
+
+/// What a daemon answers that sent a request to so many upstreams, none of which ran it.
+std::string relayRefusal(const std::string &sends)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: " + sends + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// So much of this prompt lies in the other region that it is asked first.
+constexpr const char *keptElsewhere = "X-Token-Counts: 20000,10\r\nX-Prompt-Parts: a:19000,b:1000\r\n";
+
+/// A daemon of another region, which is a script, and an upstream of the own one.
+class OtherRegionFixture : public GatewaySite
+{
+public:
+    OtherRegionFixture() : upstream(echo)
+    {
+        addUpstream("u1", upstream.address());
+    }
+
+    SeenAnswer askWhenRefusedElsewhere(const std::string &refusal)
+    {
+        daemon = std::make_unique<ScriptedUpstream>([refusal](const SeenRequest &) { return ScriptedAnswer{ refusal }; });
+        addRemoteDaemon("e1", "east", daemon->address(), keptElsewhere);
+        return ask("/single/a", "id1", keptElsewhere, "body");
+    }
+
+    ScriptedUpstream upstream;
+    std::unique_ptr<ScriptedUpstream> daemon;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewaySite, "Relayed request, no upstream that takes it, is refused at once with none asked")
+{
+    const SeenAnswer answer = askAsDaemon("/plain/a", "id1");
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("X-Portpaddle-Outcome: not_run") != std::string::npos);
+    CHECK(answer.head.find("X-Portpaddle-Sends: 0") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Relayed request, first upstream full, is sent to a second one")
+{
+    std::atomic<unsigned> asked{ 0 };
+    const auto script
+        = [&asked](const SeenRequest &request) { return asked++ == 0 ? ScriptedAnswer{ notRunAnswer } : echo(request); };
+    ScriptedUpstream first(script);
+    ScriptedUpstream second(script);
+    addUpstream("u1", first.address());
+    addUpstream("u2", second.address());
+    const SeenAnswer answer = askAsDaemon("/plain/a", "id1", {}, "body");
+    CHECK(answer.status == 200);
+    CHECK(answer.head.find("X-Portpaddle-Sends: 2") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Relayed request, sent as often as its route allows before, is not sent again")
+{
+    ScriptedUpstream upstream([](const SeenRequest &) { return ScriptedAnswer{ notRunAnswer }; });
+    ScriptedUpstream other(echo);
+    addUpstream("u1", upstream.address());
+    const SeenAnswer answer = askAsDaemon("/plain/a", "id1", "X-Portpaddle-Sends: 1\r\n");
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("X-Portpaddle-Sends: 1") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(OtherRegionFixture, "Request with one attempt, other region asked no upstream, is served at home")
+{
+    const SeenAnswer answer = askWhenRefusedElsewhere(relayRefusal("0"));
+    CHECK(daemon->seen().size() == 1);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "body");
+}
+
+TEST_CASE_FIXTURE(OtherRegionFixture, "Request with one attempt, other region asked an upstream, is refused")
+{
+    CHECK(askWhenRefusedElsewhere(relayRefusal("1")).status == 503);
+    CHECK(daemon->seen().size() == 1);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Upstream, another life answers at its address, is not asked again")
+{
+    ScriptedUpstream upstream([](const SeenRequest &) { return ScriptedAnswer{ otherLifeAnswer }; });
+    addUpstream("u1", upstream.address());
+    CHECK(ask("/single/a", "id1").status == 503);
+    CHECK(ask("/single/a", "id2").status == 503);
+    CHECK(upstream.seen().size() == 1);
+}
--- a/tests/introspective/docs_tests.cpp
+++ b/tests/introspective/docs_tests.cpp
@@ -43,6 +43,7 @@
     CHECK(contentsOf(sourceDirectory / "docs/log-events.md") == logEventsPage());
     CHECK(contentsOf(sourceDirectory / "docs/metrics.md") == metricsPage());
     CHECK(contentsOf(sourceDirectory / "docs/command-line.md") == commandLinePage());
+    CHECK(contentsOf(sourceDirectory / "docs/policy.md") == policyPage());
 }
 
 TEST_CASE("Documentation, links and source files that it names, exist")
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -164,7 +164,8 @@
     gateway_->setTerms(terms);
     keeper_ = std::make_unique<FleetKeeper>(view_, [this] { boost::asio::post(loop_, [this] { gateway_->viewChanged(); }); });
     listener_ = std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, *gateway_, 64);
-    if (!isOk(listener_->listen("127.0.0.1:0"))) {
+    daemonListener_ = std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Daemon, *gateway_, 64);
+    if (!isOk(listener_->listen("127.0.0.1:0")) || !isOk(daemonListener_->listen("127.0.0.1:0"))) {
         throw std::runtime_error("the gateway cannot listen");
     }
     routes.version = 1;
@@ -186,8 +187,10 @@
 GatewaySite::~GatewaySite()
 {
     boost::asio::post(loop_, [this] {
-        listener_->stopAccepting();
-        listener_->closeAll();
+        for (SessionListener *listener : { listener_.get(), daemonListener_.get() }) {
+            listener->stopAccepting();
+            listener->closeAll();
+        }
     });
     work_.reset();
     loop_.stop();
@@ -214,6 +217,33 @@
     onLoop([](Gateway &) {});
 }
 
+void GatewaySite::addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
+                                  const std::string &headers)
+{
+    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    NetError error;
+    parser.eager(true);
+    parser.put(boost::asio::buffer(request("/", id, headers)), error);
+    const CallerRequest prompted = decodeRequest(parser.release(), HeaderNames{}, SteadyTime{});
+    DaemonRecord record;
+    record.id = id;
+    record.region = region;
+    record.linkAddress = address;
+    keeper_->changeDaemon(record);
+    onLoop([&id, &region, &prompted](Gateway &gateway) {
+        Wire::LoadDigestT digest;
+        digest.daemon = id;
+        digest.region = region;
+        digest.sequence = 1;
+        digest.phase = Wire::DaemonPhase::Serving;
+        digest.services.emplace_back(serviceKey("s"), 0, 0, 0, 1, 100.0F, 0.0F, 4.0F);
+        for (const PromptPart &part : prompted.prompt.parts) {
+            digest.placed.emplace_back(part.chainHash, 1, part.tokens);
+        }
+        gateway.takeDigest(digest);
+    });
+}
+
 void GatewaySite::announceEnd(const std::string &id, const std::string &address)
 {
     UpstreamRecord record = makeUpstream(id, address);
@@ -269,4 +299,12 @@
     return caller.receive();
 }
 
+SeenAnswer GatewaySite::askAsDaemon(const std::string &path, const std::string &id, const std::string &moreHeaders,
+                                    const std::string &body)
+{
+    RawCaller caller(daemonListener_->address());
+    caller.send(request(path, id, moreHeaders, body));
+    return caller.receive();
+}
+
 } // namespace Portpaddle
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -64,6 +64,9 @@
     ~GatewaySite();
 
     void addUpstream(const std::string &id, const std::string &address);
+    /// A daemon of another region that tells of an idle upstream there, which keeps the prompt of a request with @p headers.
+    void addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
+                         const std::string &headers);
     /// The upstream takes no more requests and is gone in a moment.
     void announceEnd(const std::string &id, const std::string &address);
     /// Bounds without which verdicts would hang on the speed of the machine are out of the way; call setTerms() after a change.
@@ -80,6 +83,9 @@
     /// Sends one request and reads its answer.
     SeenAnswer ask(const std::string &path, const std::string &id, const std::string &moreHeaders = {},
                    const std::string &body = {});
+    /// The same as a daemon of another region does.
+    SeenAnswer askAsDaemon(const std::string &path, const std::string &id, const std::string &moreHeaders = {},
+                           const std::string &body = {});
     static std::string request(const std::string &path, const std::string &id, const std::string &moreHeaders = {},
                                const std::string &body = {});
 
@@ -95,6 +101,7 @@
     std::unique_ptr<Gateway> gateway_;
     std::unique_ptr<FleetKeeper> keeper_;
     std::unique_ptr<SessionListener> listener_;
+    std::unique_ptr<SessionListener> daemonListener_;
     Thread thread_;
 };
 
