Blur scores where many daemons choose at once; say why no second attempt followed; smaller parts

Cause: grown sites: twenty daemons of a region hear of each other every 300 ms and all see the same engine as the best one meanwhile. Refused requests did not say why no other attempt was made. Rules of repeating, offers of fetching and what other regions are told are components of their own; log lines name the reason (no_repeat).

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -391,37 +391,35 @@
     });
 }
 
+bool Exchange::canContinue() const
+{
+    return !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
+}
+
 bool Exchange::anotherMayFollow() const
 {
-    const bool continues = !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
-    return continues && sends_ < route_->attempts;
+    return canContinue() && sends_ < route_->attempts;
 }
 
 bool Exchange::mayRepeat(const AttemptReport &report)
 {
-    const bool ended = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone;
-    if (ended || interruption_ != Interruption::None) {
-        return false;
-    }
-    if (!report.sent) {
-        // Nothing left this daemon: another target costs nobody anything.
-        return true;
-    }
-    if (report.end == AttemptEnd::Broken && !route_->mayRunTwice()) {
-        return false;
-    }
-    if (report.end == AttemptEnd::Broken && request_.relayed) {
-        // The daemon that took the request from its caller knows more places to go on.
-        return false;
-    }
-    if (report.relayedSends == 0U) {
-        // No upstream has seen it.
-        return true;
-    }
-    if (!anotherMayFollow()) {
-        return false;
-    }
-    return gateway_.retries_.takeRepeat(service_, std::chrono::steady_clock::now());
+    RepeatFacts facts;
+    facts.ended
+        = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone || interruption_ != Interruption::None;
+    facts.sent = report.sent;
+    facts.mayHaveRun = report.end == AttemptEnd::Broken;
+    facts.mayRunTwice = route_->mayRunTwice();
+    facts.relayed = request_.relayed;
+    facts.unseen = report.relayedSends == 0U;
+    facts.cannotContinue = !canContinue();
+    facts.sends = sends_;
+    facts.attempts = route_->attempts;
+    const RepeatDecision decision = decideRepeat(facts);
+    repeatDenial_ = decision.denial;
+    if (decision.needsBudget && !gateway_.retries_.takeRepeat(service_, std::chrono::steady_clock::now())) {
+        repeatDenial_ = RepeatDenial::BudgetSpent;
+    }
+    return repeatDenial_ == RepeatDenial::None;
 }
 
 Task<bool> Exchange::waitForRoom()
@@ -488,6 +486,7 @@
                { "store_reachable", gateway_.view()->storeReachable ? "true" : "false" },
                { "asked", asked },
                { "sends", std::to_string(sends_) },
+               { "no_repeat", std::string(nameOf(repeatDenial_)) },
                { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
                { "prompt_tokens", std::to_string(request_.prompt.promptTokens) },
                { "tokens_out", std::to_string(request_.prompt.expectedTokensOut) },
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -6,6 +6,7 @@
 
 #include "portpaddle/base/log.h"
 #include "portpaddle/gateway/gateway.h"
+#include "portpaddle/gateway/repeat_rules.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 
 #include <memory>
@@ -50,6 +51,8 @@
     void watchSilence(const std::shared_ptr<AttemptWatch> &watch);
     /// Upstreams that this daemon sent the request to.
     unsigned ownSends() const;
+    /// Nothing has reached the caller yet, or the rest of the stream may come from another upstream.
+    bool canContinue() const;
     bool anotherMayFollow() const;
     /// Whether another attempt may follow @p report.
     bool mayRepeat(const AttemptReport &report);
@@ -83,6 +86,8 @@
     std::vector<std::string> tried_;
     /// Upstreams that all daemons sent it to.
     unsigned sends_ = 0;
+    /// Why no attempt followed the last one.
+    RepeatDenial repeatDenial_ = RepeatDenial::None;
     double predictedMs_ = 0;
     /// From arrival to the first event; zero before it.
     double firstEventMs_ = 0;
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -4,8 +4,10 @@
 #include "portpaddle/gateway/gateway.h"
 
 #include "portpaddle/gateway/exchange.h"
+#include "portpaddle/gateway/fetch_offers.h"
 #include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/gateway/prompt_homes.h"
+#include "portpaddle/gateway/service_summary.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
@@ -20,11 +22,6 @@
 constexpr unsigned spareDaemons = 1;
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
-constexpr double bitsPerByte = 8;
-constexpr double bitsPerMsAtOneMbps = 1'000;
-// Before the first byte of a transfer between engines moves; they take some milliseconds to agree on it.
-constexpr double fetchSetupMs = 5;
-
 double millisLeft(SteadyTime until, SteadyTime now)
 {
     return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
@@ -220,37 +217,19 @@
     }
     const PromptFacts none;
     for (const auto &[name, spec] : view_->services->services) {
+        if (digest.services.size() >= mostDigestServices) {
+            break;
+        }
         std::vector<const UpstreamRecord *> records;
-        std::array<double, urgencyCount> waitMs{};
-        double speed = 0;
-        double running = 0;
-        double tokenMs = 0;
-        std::uint16_t count = 0;
+        ServiceSummary summary;
         for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
             // What cold upstreams bear goes to callers of the own region.
-            if (candidate.barred != LossReason::None || (policy_.coldAtHome && records[candidate.index]->coldUntil > now)) {
-                continue;
-            }
-            for (const Urgency urgency : { Urgency::Urgent, Urgency::Usual, Urgency::Patient }) {
-                PlacementRequest request;
-                request.urgency = urgency;
-                waitMs.at(static_cast<std::size_t>(urgency)) += predictedFirstTokenMs(candidate, request);
+            const bool keptBack = policy_.coldAtHome && records[candidate.index]->coldUntil > now;
+            if (candidate.barred == LossReason::None && !keptBack) {
+                summary.add(candidate);
             }
-            speed += candidate.tokensPerMs / candidate.slowness;
-            running += candidate.running;
-            tokenMs += predictedTokenMs(candidate);
-            ++count;
         }
-        if (digest.services.size() >= mostDigestServices) {
-            break;
-        }
-        const double share = count > 0 ? 1.0 / count : 0;
-        const auto wait = [&waitMs, share](Urgency urgency) {
-            return static_cast<std::uint32_t>(waitMs.at(static_cast<std::size_t>(urgency)) * share);
-        };
-        digest.services.emplace_back(serviceKey(name), wait(Urgency::Urgent), wait(Urgency::Usual), wait(Urgency::Patient), count,
-                                     static_cast<float>(speed * share), static_cast<float>(running * share),
-                                     static_cast<float>(tokenMs * share));
+        digest.services.push_back(summary.told(serviceKey(name)));
     }
 }
 
@@ -382,40 +361,6 @@
     return candidates;
 }
 
-std::unordered_map<std::string, std::string> Gateway::offerFetching(const ServiceSpec &spec,
-                                                                    std::vector<UpstreamCandidate> &upstreams,
-                                                                    const std::vector<const UpstreamRecord *> &records) const
-{
-    std::unordered_map<std::string, std::string> sources;
-    if (!policy_.fetching || spec.memoryBytesPerToken <= 0 || spec.memoryLinkMbps <= 0) {
-        return sources;
-    }
-    // Links between data centres are slow and dear: only engines of one data centre fetch from each other.
-    std::unordered_map<std::string, const UpstreamCandidate *> fullest;
-    for (const UpstreamCandidate &upstream : upstreams) {
-        const bool reachable = upstream.barred != LossReason::Unhealthy && upstream.barred != LossReason::Leaving
-            && upstream.barred != LossReason::AlreadyTried;
-        const UpstreamCandidate *&best = fullest[records[upstream.index]->dataCentre];
-        if (reachable && upstream.cachedTokens > (best == nullptr ? 0 : best->cachedTokens)) {
-            best = &upstream;
-        }
-    }
-    for (const auto &[dataCentre, source] : fullest) {
-        if (source != nullptr) {
-            sources[dataCentre] = records[source->index]->address;
-        }
-    }
-    const double msPerToken = spec.memoryBytesPerToken * bitsPerByte / (spec.memoryLinkMbps * bitsPerMsAtOneMbps);
-    for (UpstreamCandidate &upstream : upstreams) {
-        const UpstreamCandidate *source = fullest[records[upstream.index]->dataCentre];
-        if (source != nullptr && source != &upstream) {
-            upstream.fetchableTokens = source->cachedTokens;
-            upstream.fetchMs = fetchSetupMs + std::max(0.0, source->cachedTokens - upstream.cachedTokens) * msPerToken;
-        }
-    }
-    return sources;
-}
-
 void Gateway::expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
                             const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                             const std::vector<std::string> &regionNames) const
@@ -470,17 +415,19 @@
                 || regions_.pick(*view_, region, now, random_) == nullptr;
         });
     }
-    const std::unordered_map<std::string, std::string> sources = offerFetching(*spec, upstreams, records);
+    const FetchSources sources = policy_.fetching ? offerFetching(*spec, upstreams, records) : FetchSources{};
     if (policy_.promptHomes) {
         expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
     }
-    target.placement = place(facts, upstreams, regions, policy_.weights, random_);
+    PlacementWeights weights = policy_.weights;
+    weights.spreadMs *= regions_.daemonsInOwnRegion(now) - 1;
+    target.placement = place(facts, upstreams, regions, weights, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
         // All that is left looks ill: the best of them is still better than none.
         for (UpstreamCandidate &candidate : upstreams) {
             candidate.barred = candidate.barred == LossReason::Unhealthy ? LossReason::None : candidate.barred;
         }
-        target.placement = place(facts, upstreams, regions, policy_.weights, random_);
+        target.placement = place(facts, upstreams, regions, weights, random_);
     }
     if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -127,9 +127,6 @@
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
-    /// Notes at each upstream what it can fetch from the memory of another one. Gives by data centre the address to fetch from.
-    std::unordered_map<std::string, std::string> offerFetching(const ServiceSpec &spec, std::vector<UpstreamCandidate> &upstreams,
-                                                               const std::vector<const UpstreamRecord *> &records) const;
     /// Raises what the homes of a prompt are expected to keep.
     void expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
                        const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -76,6 +76,13 @@
         || wholeMs > request.wholeBoundMs;
 }
 
+/// A random delay of up to @p spreadMs.
+double blur(double spreadMs, RandomSource &random)
+{
+    constexpr std::uint64_t steps = 1'024;
+    return spreadMs > 0 ? spreadMs * static_cast<double>(random.below(steps)) / static_cast<double>(steps) : 0;
+}
+
 struct Best
 {
     std::uint32_t index = 0;
@@ -168,7 +175,7 @@
         const double score = predicted + readingCost(request, keptTokens(candidate), msPerToken, candidate.running, weights)
             + (fetches(candidate) ? weights.fetchingShare * candidate.fetchMs : 0) + weights.failureMs * candidate.failureShare
             + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0)
-            + weights.streamingShare * request.tokensOut * tokenMs;
+            + weights.streamingShare * request.tokensOut * tokenMs + blur(weights.spreadMs, random);
         consider(local, static_cast<std::size_t>(&candidate - upstreams.data()), candidate.index, score, predicted, random);
     }
     Best away;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -109,7 +109,7 @@
     double failureMs = 1'500;
     /// What reading shared parts of prompts again costs besides this request's own time, as a multiple of the time that it takes:
     /// an engine's memory holds few of them, and each that is read pushes out another.
-    double rereadingShare = 10.0;
+    double rereadingShare = 20;
     /// What reading costs for each request that runs there, as a multiple of the time that it takes: its tokens wait behind each
     /// piece of a prompt.
     double readingPerRunning = 0.4;
@@ -120,6 +120,9 @@
     double connectMs = 40;
     /// What missing the target costs, as milliseconds of delay.
     double lateMs = 1'500;
+    /// Scores are blurred by up to this many milliseconds for each other daemon of the region, so that daemons that know the same
+    /// do not all choose the same before they hear of each other.
+    double spreadMs = 5;
     /// What a stream costs for each millisecond that it takes after its first token: it may break with its upstream.
     double streamingShare = 0;
     /// A request whose first token is predicted beyond this multiple of its target, or of the time that its caller waits, is
--- a/src/portpaddle/gateway/policy_settings.cpp
+++ b/src/portpaddle/gateway/policy_settings.cpp
@@ -47,6 +47,8 @@
                    "What reading a prompt costs each request that runs there, as a multiple of the time it takes." },
     NumberSetting{ "rereading_share", &PlacementWeights::rereadingShare, mostMultiple,
                    "What reading shared parts of a prompt again costs besides its time, as a multiple of it." },
+    NumberSetting{ "spread_ms", &PlacementWeights::spreadMs, mostMs,
+                   "By how much scores are blurred for each other daemon of the region, as milliseconds of delay." },
     NumberSetting{ "streaming_share", &PlacementWeights::streamingShare, mostMultiple,
                    "What a stream costs for the time that it takes after its first token, as a multiple of it." },
     NumberSetting{ "whole_margin", &PlacementWeights::wholeMargin, mostMultiple,
--- /dev/null
+++ b/src/portpaddle/gateway/repeat_rules.h
@@ -0,0 +1,45 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Whether a request may be sent once more after an attempt failed, and if not, why.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace Portpaddle {
+
+/// Why no other attempt follows.
+enum class RepeatDenial { None, Ended, MayHaveRun, EntryDecides, NotResumable, AttemptsUsed, BudgetSpent };
+std::string_view nameOf(RepeatDenial denial);
+
+/// What decides, but for the budget.
+struct RepeatFacts
+{
+    /// The answer is complete, or nobody waits for one any more.
+    bool ended = false;
+    /// The request left this daemon.
+    bool sent = false;
+    /// An upstream may have run it.
+    bool mayHaveRun = false;
+    bool mayRunTwice = false;
+    /// It came from another daemon.
+    bool relayed = false;
+    /// Another daemon took it and showed it to no upstream.
+    bool unseen = false;
+    /// A part of the answer has reached the caller, and the rest cannot follow from elsewhere.
+    bool cannotContinue = false;
+    unsigned sends = 0;
+    unsigned attempts = 1;
+};
+
+/// What follows; a repeat costs budget unless no upstream saw the request.
+struct RepeatDecision
+{
+    RepeatDenial denial = RepeatDenial::None;
+    bool needsBudget = false;
+};
+
+RepeatDecision decideRepeat(const RepeatFacts &facts);
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/gateway/service_summary.cpp
@@ -0,0 +1,37 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/gateway/service_summary.h"
+
+namespace Portpaddle {
+
+void ServiceSummary::add(const UpstreamCandidate &upstream)
+{
+    for (const Urgency urgency : { Urgency::Urgent, Urgency::Usual, Urgency::Patient }) {
+        PlacementRequest request;
+        request.urgency = urgency;
+        waitMs_.at(static_cast<std::size_t>(urgency)) += predictedFirstTokenMs(upstream, request);
+    }
+    tokensPerMs_ += upstream.tokensPerMs / upstream.slowness;
+    running_ += upstream.running;
+    tokenMs_ += predictedTokenMs(upstream);
+    ++count_;
+}
+
+Wire::ServiceWait ServiceSummary::told(std::uint64_t key) const
+{
+    const double share = count_ > 0 ? 1.0 / count_ : 0;
+    const auto wait = [this, share](Urgency urgency) {
+        return static_cast<std::uint32_t>(waitMs_.at(static_cast<std::size_t>(urgency)) * share);
+    };
+    return { key,
+             wait(Urgency::Urgent),
+             wait(Urgency::Usual),
+             wait(Urgency::Patient),
+             count_,
+             static_cast<float>(tokensPerMs_ * share),
+             static_cast<float>(running_ * share),
+             static_cast<float>(tokenMs_ * share) };
+}
+
+} // namespace Portpaddle
--- a/tests/gateway/bounds_tests.cpp
+++ b/tests/gateway/bounds_tests.cpp
@@ -4,6 +4,7 @@
 // Shares of system-wide bounds: retries and cold upstreams.
 
 #include "portpaddle/gateway/cold_gate.h"
+#include "portpaddle/gateway/repeat_rules.h"
 #include "portpaddle/gateway/retry_slice.h"
 
 #include <doctest/doctest.h>
@@ -98,3 +99,48 @@
     CHECK_FALSE(slice.takeRepeat("s", start + 2s));
     CHECK_FALSE(slice.takeRepeat("s", start + 12s));
 }
+
+namespace {
+
+RepeatFacts refusedOnce()
+{
+    RepeatFacts facts;
+    facts.sent = true;
+    facts.sends = 1;
+    facts.attempts = 2;
+    return facts;
+}
+
+} // namespace
+
+TEST_CASE("Repeat, refused by one of two upstreams, is allowed for budget")
+{
+    const RepeatDecision decision = decideRepeat(refusedOnce());
+    CHECK(decision.denial == RepeatDenial::None);
+    CHECK(decision.needsBudget);
+}
+
+TEST_CASE("Repeat, seen by no upstream, costs nothing even with attempts used")
+{
+    RepeatFacts facts = refusedOnce();
+    facts.unseen = true;
+    facts.attempts = 1;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::None);
+    CHECK_FALSE(decideRepeat(facts).needsBudget);
+}
+
+TEST_CASE("Repeat, each reason against it, is named")
+{
+    RepeatFacts facts = refusedOnce();
+    facts.attempts = 1;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::AttemptsUsed);
+    facts.cannotContinue = true;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::NotResumable);
+    facts.mayHaveRun = true;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::MayHaveRun);
+    facts.mayRunTwice = true;
+    facts.relayed = true;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::EntryDecides);
+    facts.ended = true;
+    CHECK(nameOf(decideRepeat(facts).denial) == "ended");
+}
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -4,6 +4,7 @@
 // Where a request goes: the pure choice, and what it is told of load and memory.
 
 #include "portpaddle/base/system_clock.h"
+#include "portpaddle/gateway/fetch_offers.h"
 #include "portpaddle/gateway/placement.h"
 #include "portpaddle/gateway/prefix_memory.h"
 #include "portpaddle/gateway/upstream_loads.h"
@@ -160,6 +161,31 @@
     CHECK(placed().index == 1);
 }
 
+TEST_CASE("Fetching, part kept in the data centre, is offered to the others there only")
+{
+    ServiceSpec spec;
+    spec.memoryBytesPerToken = 20'000;
+    spec.memoryLinkMbps = 160'000;
+    std::vector<UpstreamRecord> records(3);
+    records[0].address = "10.0.0.1:1";
+    records[2].dataCentre = "elsewhere";
+    std::vector<UpstreamCandidate> engines(3);
+    std::vector<const UpstreamRecord *> views;
+    for (std::uint32_t index = 0; index < engines.size(); ++index) {
+        engines[index].index = index;
+        views.push_back(&records[index]);
+    }
+    engines[0].cachedTokens = 5'000;
+    CHECK(offerFetching(spec, engines, views).at("") == "10.0.0.1:1");
+    CHECK(engines[0].fetchableTokens == 0);
+    CHECK(engines[1].fetchableTokens == 5'000);
+    CHECK(engines[1].fetchMs == doctest::Approx(10));
+    CHECK(engines[2].fetchableTokens == 0);
+    // An engine that is gone has nothing to give.
+    engines[0].barred = LossReason::Leaving;
+    CHECK(offerFetching(spec, engines, views).empty());
+}
+
 TEST_CASE("Urgency, more ranks than classes, makes the last ones patient")
 {
     CHECK(urgencyOfRank(0) == Urgency::Urgent);
