--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -174,7 +174,7 @@
     AttemptReport report;
     bool attempted = false;
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
-        const Target target = gateway_.choose(request_, *route_, service_, tried_, deadline_, std::chrono::steady_clock::now());
+        const Target target = chooseTarget();
         if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
             const bool mayWait
                 = !progress_.begun && sends_ == 0 && !request_.relayed && target.placement.reason != LossReason::TooLate;
@@ -209,6 +209,11 @@
     co_await finish(report);
 }
 
+Target Exchange::chooseTarget()
+{
+    return gateway_.choose(request_, { *route_, service_, tried_, deadline_, eventsSeen_ }, std::chrono::steady_clock::now());
+}
+
 AttemptPlan Exchange::planFor(const Target &target)
 {
     const bool local = target.upstream.has_value();
@@ -347,7 +352,7 @@
 
 Task<void> Exchange::move(UpstreamRecord source)
 {
-    moveTarget_ = gateway_.choose(request_, *route_, service_, tried_, deadline_, std::chrono::steady_clock::now());
+    moveTarget_ = chooseTarget();
     std::optional<std::string> from;
     if (moveTarget_.placement.verdict == Verdict::Serve) {
         const Millis longest = std::min(longestMove, timeLeft());
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -43,6 +43,7 @@
     /// Goes on where the memory was moved to; no value if it was not.
     Task<std::optional<AttemptReport>> continueMoved();
     Task<AttemptReport> attempt(const Target &target);
+    Target chooseTarget();
     AttemptPlan planFor(const Target &target);
     AttemptEvents eventsFor(const Target &target, LoadTicket &ticket);
     void noteFirstEvent();
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -201,10 +201,7 @@
     header.phase = ownPhase();
     header.config_version = view_->services ? view_->services->version : 0;
     addServiceWaits(header, now);
-    std::vector<Wire::UpstreamShare> shares;
-    if (reach == DigestReach::OwnRegion) {
-        shares = loads_.shares(now);
-    }
+    const auto shares = reach == DigestReach::OwnRegion ? loads_.shares(now) : std::vector<Wire::UpstreamShare>{};
     std::vector<Wire::LoadDigestT> result = splitIntoDigests(header, shares, roundParts_.at(static_cast<std::size_t>(reach)));
     digestSequence_ += result.size();
     return result;
@@ -378,12 +375,13 @@
     Portpaddle::expectAtHomes(prompt, homeRegions, std::move(homes));
 }
 
-Target Gateway::choose(const CallerRequest &request, const Route &route, const std::string &service,
-                       const std::vector<std::string> &tried, SteadyTime deadline, SteadyTime now)
+Target Gateway::choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
 {
-    const double timeLeftMs = millisLeft(deadline, now);
+    const Route &route = context.route;
+    const std::vector<std::string> &tried = context.tried;
+    const double timeLeftMs = millisLeft(context.deadline, now);
     Target target;
-    const ServiceSpec *spec = view_->services ? view_->services->service(service) : nullptr;
+    const ServiceSpec *spec = view_->services ? view_->services->service(context.service) : nullptr;
     if (spec == nullptr) {
         return target;
     }
@@ -393,7 +391,9 @@
     facts.promptTokens = request.prompt.promptTokens;
     facts.sharedTokens = request.prompt.sharedTokens();
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
-    facts.tokensOut = request.prompt.expectedTokensOut;
+    const double tokensSeen = static_cast<double>(context.eventsSeen) * spec->tokensPerEvent;
+    facts.tokensOut = std::max(0.0, request.prompt.expectedTokensOut - tokensSeen);
+    facts.begun = context.eventsSeen > 0;
     facts.firstTokenBoundMs = std::min(timeLeftMs, millisLeft(request.arrivedAt + route.firstEventPatience(), now));
     facts.wholeBoundMs = timeLeftMs;
     facts.lateLast = policy_.lateLast;
@@ -403,12 +403,12 @@
     std::vector<const UpstreamRecord *> records;
     std::vector<UpstreamCandidate> upstreams;
     if (route.allowsRegion(identity_.region)) {
-        upstreams = localCandidates(service, *spec, request.prompt, tried, records, now);
+        upstreams = localCandidates(context.service, *spec, request.prompt, tried, records, now);
     }
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
     if (!request.relayed) {
-        regions = regions_.candidates(service, *spec, request.prompt, facts.urgency, now, regionNames);
+        regions = regions_.candidates(context.service, *spec, request.prompt, facts.urgency, now, regionNames);
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
             return !route.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
@@ -441,7 +441,7 @@
         const std::string &region = regionNames[target.placement.index];
         const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
         target.daemon = *daemon;
-        regions_.sentAway(region, service, request.prompt);
+        regions_.sentAway(region, context.service, request.prompt);
     }
     return target;
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -121,9 +121,21 @@
 private:
     friend class Exchange;
 
-    /// Chooses where @p request, which is of no use after @p deadline, may go among what @p tried leaves.
-    Target choose(const CallerRequest &request, const Route &route, const std::string &service,
-                  const std::vector<std::string> &tried, SteadyTime deadline, SteadyTime now);
+    /// What a choice for a request depends on besides the request itself.
+    struct ChoiceContext
+    {
+        const Route &route;
+        const std::string &service;
+        /// Upstreams and regions that it is not to be sent to again.
+        const std::vector<std::string> &tried;
+        /// It is of no use after this.
+        SteadyTime deadline;
+        /// Whole events that its caller has already.
+        std::size_t eventsSeen = 0;
+    };
+
+    /// Chooses where @p request may go.
+    Target choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -71,6 +71,9 @@
 /// Whether a request that is predicted so would end after its caller has left.
 bool isHopeless(const PlacementRequest &request, double firstMs, double tokenMs, const PlacementWeights &weights)
 {
+    if (request.begun) {
+        return false;
+    }
     const double wholeMs = firstMs + weights.wholeMargin * request.tokensOut * tokenMs;
     return firstMs > std::min(weights.firstTokenBound * request.targetMs, request.firstTokenBoundMs)
         || wholeMs > request.wholeBoundMs;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -93,8 +93,10 @@
     double targetLeftMs = 0;
     /// The target as it is for a new request.
     double targetMs = std::numeric_limits<double>::infinity();
-    /// Tokens that it is expected to make.
+    /// Tokens that it is expected to make still.
     double tokensOut = 0;
+    /// Its caller has a part of the answer already: it is not refused for being late, since that would cut the answer off.
+    bool begun = false;
     /// How much longer its caller waits for the first token, and for the whole answer.
     double firstTokenBoundMs = std::numeric_limits<double>::infinity();
     double wholeBoundMs = std::numeric_limits<double>::infinity();
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -130,6 +130,15 @@
     CHECK(placed().verdict == Verdict::Serve);
 }
 
+TEST_CASE_FIXTURE(PlacementFixture, "Placement, answer begun, is continued even where it will be late")
+{
+    request.firstTokenBoundMs = 0;
+    request.wholeBoundMs = 0;
+    CHECK(placed().verdict == Verdict::Refuse);
+    request.begun = true;
+    CHECK(placed().verdict == Verdict::Serve);
+}
+
 TEST_CASE_FIXTURE(PlacementFixture, "Placement, tokens too slow for the deadline, takes the engine where they are faster")
 {
     engines[0].tokenMs = 46;
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -113,3 +113,31 @@
     CHECK(ask("/single/a", "id2").status == 503);
     CHECK(upstream.seen().size() == 1);
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stream, broken when new requests would be too late, goes on at another upstream")
+{
+    std::atomic<unsigned> asked{ 0 };
+    const auto script = [this, &asked](const SeenRequest &request) {
+        ScriptedAnswer answer;
+        if (asked++ == 0) {
+            answer.bytes = streamHead(idOf(request)) + eventChunk(1, 2);
+            answer.then = ScriptedAnswer::Then::Close;
+            answer.afterWriting = [this] {
+                PolicySettings nothingNew;
+                nothingNew.weights.firstTokenBound = 0;
+                onLoop([&nothingNew](Gateway &gateway) { gateway.setPolicy(nothingNew); });
+            };
+        } else {
+            answer.bytes = streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk;
+        }
+        return answer;
+    };
+    ScriptedUpstream first(script);
+    ScriptedUpstream second(script);
+    addUpstream("u1", first.address());
+    addUpstream("u2", second.address());
+    const SeenAnswer answer = ask("/resume/a", "id1");
+    CHECK(answer.whole);
+    CHECK(answer.body.find("id: 4") != std::string::npos);
+    CHECK(ask("/resume/a", "id2").status == 503);
+}
