Placement keeps the position of the best candidate only; one place tells the sends of an answer

The index of the best candidate follows from its position and was kept beside it. Three answers of an exchange set the number of sends by the same lines.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -396,6 +396,13 @@
     });
 }
 
+void Exchange::tellSends(WholeAnswer &answer) const
+{
+    if (request_.relayed) {
+        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
+    }
+}
+
 bool Exchange::canContinue() const
 {
     return !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
@@ -460,9 +467,7 @@
     if (report.failedAnswer) {
         const unsigned status = report.failedAnswer->status;
         WholeAnswer answer = *report.failedAnswer;
-        if (request_.relayed) {
-            answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
-        }
+        tellSends(answer);
         co_await writer_.whole(std::move(answer));
         log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
         co_return;
@@ -516,8 +521,8 @@
     answer.fields.set(gateway_.names_.requestId, request_.id);
     if (request_.relayed) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
-        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
     }
+    tellSends(answer);
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
     co_await writer_.whole(std::move(answer));
 }
@@ -532,9 +537,7 @@
     if (request_.relayed && !mayHaveRun_) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
     }
-    if (request_.relayed) {
-        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
-    }
+    tellSends(answer);
     answer.body = message + "\n";
     co_await writer_.whole(std::move(answer));
 }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -52,6 +52,8 @@
     void watchSilence(const std::shared_ptr<AttemptWatch> &watch);
     /// Upstreams that this daemon sent the request to.
     unsigned ownSends() const;
+    /// An answer to another daemon says how many upstreams were asked here.
+    void tellSends(WholeAnswer &answer) const;
     /// Nothing has reached the caller yet, or the rest of the stream may come from another upstream.
     bool canContinue() const;
     bool anotherMayFollow() const;
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -88,7 +88,6 @@
 
 struct Best
 {
-    std::uint32_t index = 0;
     /// In the list of candidates.
     std::size_t position = 0;
     double score = std::numeric_limits<double>::infinity();
@@ -97,7 +96,7 @@
 };
 
 /// Keeps the better one; among equals each is as likely.
-void consider(Best &best, std::size_t position, std::uint32_t index, double score, double predictedMs, RandomSource &random)
+void consider(Best &best, std::size_t position, double score, double predictedMs, RandomSource &random)
 {
     if (score > best.score + sameMs) {
         return;
@@ -105,7 +104,6 @@
     const bool better = score < best.score - sameMs;
     best.equals = better ? 1 : best.equals + 1;
     if (better || random.below(best.equals) == 0) {
-        best.index = index;
         best.position = position;
         best.score = score;
         best.predictedMs = predictedMs;
@@ -179,7 +177,7 @@
             + (fetches(candidate) ? weights.fetchingShare * candidate.fetchMs : 0) + weights.failureMs * candidate.failureShare
             + weights.lateMs * lateness(predicted, request.targetLeftMs) + (candidate.needsConnection ? weights.connectMs : 0)
             + weights.streamingShare * request.tokensOut * tokenMs + blur(weights.spreadMs, random);
-        consider(local, static_cast<std::size_t>(&candidate - upstreams.data()), candidate.index, score, predicted, random);
+        consider(local, static_cast<std::size_t>(&candidate - upstreams.data()), score, predicted, random);
     }
     Best away;
     for (const RegionCandidate &candidate : regions) {
@@ -193,20 +191,20 @@
             + readingCost(request, candidate.cachedTokens, 1 / candidate.tokensPerMs, candidate.running, weights)
             + weights.lateMs * lateness(predicted, request.targetLeftMs)
             + weights.streamingShare * request.tokensOut * candidate.tokenMs;
-        consider(away, static_cast<std::size_t>(&candidate - regions.data()), candidate.index, score, predicted, random);
+        consider(away, static_cast<std::size_t>(&candidate - regions.data()), score, predicted, random);
     }
     Placement placement;
     placement.reason = barred;
     if (local.equals > 0 && (away.equals == 0 || local.score <= away.score)) {
         placement.verdict = Verdict::Serve;
-        placement.index = local.index;
-        placement.predictedMs = local.predictedMs;
         const UpstreamCandidate &chosen = upstreams[local.position];
+        placement.index = chosen.index;
+        placement.predictedMs = local.predictedMs;
         placement.keptTokens = keptTokens(chosen);
         placement.fetches = fetches(chosen);
     } else if (away.equals > 0) {
         placement.verdict = Verdict::Forward;
-        placement.index = away.index;
+        placement.index = regions[away.position].index;
         placement.predictedMs = away.predictedMs;
     }
     const bool late = request.lateLast && placement.predictedMs > surelyLate * request.targetLeftMs;
