--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 31> catalogue{ {
+constexpr std::array<LogEventDescription, 33> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -42,6 +42,8 @@
     { LogEvent::RequestFailed, "request_failed", "warning", "A request ended without its whole answer." },
     { LogEvent::RequestServed, "request_served", "info", "The whole answer of an upstream went to the caller." },
     { LogEvent::RequestAbandoned, "request_abandoned", "info", "The caller left before its answer was whole." },
+    { LogEvent::RunMoveEnded, "run_move_ended", "info",
+      "An engine was ordered to stop a run and to move its memory; the message says what came of it." },
     { LogEvent::UpstreamEjected, "upstream_ejected", "warning", "An upstream failed repeatedly and gets no work for a while." },
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream gets work again, slowly." },
     { LogEvent::UpstreamChanged, "upstream_changed", "info", "An upstream registered or changed its record." },
@@ -53,6 +55,7 @@
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
     { LogEvent::OrderWithheld, "order_withheld", "warning", "An order was not sent because the lease could not be proved." },
     { LogEvent::LogLinesDropped, "log_lines_dropped", "warning", "Lines that went beyond the bound on the volume of the log." },
+    { LogEvent::TaskFailed, "task_failed", "error", "A part of the daemon ended by an exception; what it served was cut off." },
 } };
 
 // Lines of one event in a second, before the rest is only counted. Four hundred lines of 300 bytes cost a small VM about one
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -35,6 +35,7 @@
     RequestFailed = 4004,
     RequestServed = 4005,
     RequestAbandoned = 4006,
+    RunMoveEnded = 4007,
     UpstreamEjected = 4101,
     UpstreamReadmitted = 4102,
     UpstreamChanged = 4103,
@@ -45,6 +46,7 @@
     OrderSent = 5101,
     OrderWithheld = 5102,
     LogLinesDropped = 9001,
+    TaskFailed = 9002,
 };
 
 /// One row of the event catalogue.
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/socket_options.h"
+#include "portpaddle/net/spawn.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -89,8 +90,8 @@
 
 void CallerSession::start()
 {
-    boost::asio::co_spawn(
-        socket_.get_executor(), [self = shared_from_this()]() -> Task<void> { co_await self->run(); }, boost::asio::detached);
+    spawnTask(socket_.get_executor(), "caller_session",
+              [self = shared_from_this()]() -> Task<void> { co_await self->run(); });
 }
 
 /// Cancels the wait instead of closing the socket: a request whose bytes have arrived already is served.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/memory_move.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/spawn.h"
 
 #include <fmt/format.h>
 
@@ -83,6 +84,11 @@
     }
 }
 
+void Exchange::logUnfinished() const
+{
+    log(LogEvent::RequestFailed, 0, "this daemon ends before the answer");
+}
+
 Millis Exchange::timeLeft() const
 {
     return std::max(Millis(0), std::chrono::duration_cast<Millis>(deadline_ - std::chrono::steady_clock::now()));
@@ -280,6 +286,7 @@
     const AttemptPlan plan = planFor(target);
     predictedMs_ = target.placement.predictedMs;
     tried_.push_back(local ? target.upstream->id : target.daemon->region);
+    asked_ += (asked_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
 
     LoadTicket ticket;
     const AttemptEvents events = eventsFor(target, ticket);
@@ -345,21 +352,27 @@
         return;
     }
     moveState_ = MoveState::Moving;
-    boost::asio::co_spawn(
-        gateway_.executor_, [self = shared_from_this(), source]() -> Task<void> { co_await self->move(source); },
-        boost::asio::detached);
+    spawnTask(gateway_.executor_, "run_move",
+              [self = shared_from_this(), source]() -> Task<void> { co_await self->move(source); });
 }
 
 Task<void> Exchange::move(UpstreamRecord source)
 {
     moveTarget_ = chooseTarget();
-    std::optional<std::string> from;
-    if (moveTarget_.placement.verdict == Verdict::Serve) {
+    const bool placed = moveTarget_.placement.verdict == Verdict::Serve;
+    MemoryMove moved{ {}, fmt::format("no other engine: {}", nameOf(moveTarget_.placement.reason)) };
+    if (placed) {
         const Millis longest = std::min(longestMove, timeLeft());
-        from = co_await moveMemory(gateway_.pool_, *gateway_.orders_, request_.id, source, *moveTarget_.upstream, longest);
+        moved = co_await moveMemory(gateway_.pool_, *gateway_.orders_, request_.id, source, *moveTarget_.upstream, longest);
     }
-    moveState_ = from ? MoveState::Moved : MoveState::Failed;
-    memoryFrom_ = from.value_or(std::string());
+    logEvent(LogEvent::RunMoveEnded,
+             { { "request", request_.id },
+               { "source", source.id },
+               { "target", placed ? moveTarget_.upstream->id : std::string() },
+               { "moved", moved.from ? "true" : "false" },
+               { "message", moved.outcome } });
+    moveState_ = moved.from ? MoveState::Moved : MoveState::Failed;
+    memoryFrom_ = moved.from.value_or(std::string());
     moveEnded_.cancel();
 }
 
@@ -484,17 +497,13 @@
 /// One line with what decided: the settings' version, the targets asked, the prediction and what came of it.
 void Exchange::log(LogEvent event, unsigned status, const std::string &message) const
 {
-    std::string asked;
-    for (const std::string &target : tried_) {
-        asked += (asked.empty() ? "" : " ") + target;
-    }
     logEvent(event,
              { { "request", request_.id },
                { "route", route_ != nullptr ? route_->name : std::string() },
                { "service", service_ },
                { "settings_version", services_ ? std::to_string(services_->version) : std::string("none") },
                { "store_reachable", gateway_.view()->storeReachable ? "true" : "false" },
-               { "asked", asked },
+               { "asked", asked_ },
                { "sends", std::to_string(sends_) },
                { "no_repeat", std::string(nameOf(repeatDenial_)) },
                { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -21,6 +21,8 @@
 
     Task<void> run();
     void callerLeft();
+    /// Logs that the daemon ends before the answer does.
+    void logUnfinished() const;
     /// Moves a stream in progress away from @p source, which is about to end.
     void moveAway(const UpstreamRecord &source);
 
@@ -87,6 +89,8 @@
     Interruption interruption_ = Interruption::None;
     /// Upstreams and regions asked so far.
     std::vector<std::string> tried_;
+    /// The same for the log, with the daemons of the regions.
+    std::string asked_;
     /// Upstreams that all daemons sent it to.
     unsigned sends_ = 0;
     /// Why no attempt followed the last one.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -52,12 +52,12 @@
         co_await writer.whole(std::move(state));
         co_return;
     }
-    ++inProgress_;
     const auto exchange = std::make_shared<Exchange>(*this, std::move(request), writer);
+    inProgress_.insert(exchange.get());
     abandoned = [exchange] { exchange->callerLeft(); };
     co_await exchange->run();
     abandoned = nullptr;
-    --inProgress_;
+    inProgress_.erase(exchange.get());
 }
 
 CallerLimits Gateway::limits() const
@@ -257,7 +257,14 @@
 
 std::size_t Gateway::inProgress() const
 {
-    return inProgress_;
+    return inProgress_.size();
+}
+
+void Gateway::logUnfinished() const
+{
+    for (const Exchange *exchange : inProgress_) {
+        exchange->logUnfinished();
+    }
 }
 
 std::shared_ptr<const FleetView> Gateway::view() const
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -108,6 +108,8 @@
     /// Another daemon of the own region takes callers.
     bool othersServeRegion(SteadyTime now) const;
     std::size_t inProgress() const;
+    /// Logs each request whose answer ends with this daemon.
+    void logUnfinished() const;
     std::shared_ptr<const FleetView> view() const;
     const RegionTable &regions() const;
     const GatewayIdentity &identity() const;
@@ -174,7 +176,7 @@
     std::unordered_map<std::string, std::set<Exchange *>> streams_;
     std::function<std::string()> stateProvider_;
     std::size_t bodyBytes_ = 0;
-    std::size_t inProgress_ = 0;
+    std::set<const Exchange *> inProgress_;
     std::uint64_t digestSequence_ = 0;
     /// Parts that the digests of this round tell, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> roundParts_;
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -106,6 +106,7 @@
 {
     const auto since = now - *stoppingSince_;
     if (since >= config_.stopBound) {
+        gateway_.logUnfinished();
         loop_.stop();
         return;
     }
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -45,9 +45,8 @@
 
 } // namespace
 
-Task<std::optional<std::string>> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                                            const UpstreamRecord &source, const UpstreamRecord &target,
-                                            std::chrono::milliseconds longest)
+Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
+                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest)
 {
     NetError error;
     UpstreamConnection *opening = nullptr;
@@ -56,9 +55,9 @@
         connection = co_await pool.connect(source.id, source.address, connectTimeout, &opening, error);
     }
     if (!connection) {
-        co_return std::nullopt;
+        co_return MemoryMove{ {}, "no connection: " + error.message() };
     }
-    std::optional<std::string> copy;
+    MemoryMove moved;
     {
         const ConnectionTimeout timeout(connection->socket.get_executor(), *connection, longest);
         HttpRequest message = orders.stopAndMove(requestId, target.address);
@@ -68,17 +67,16 @@
         if (!error) {
             co_await http::async_read(connection->socket, connection->buffer, answer, awaitingInto(error));
         }
+        moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
-            copy = orders.copyName(answer.result_int(), answer.body());
+            const std::optional<std::string> copy = orders.copyName(answer.result_int(), answer.body());
+            moved.from = copy ? std::optional(source.address + "/" + *copy) : std::nullopt;
         }
     }
     // The engine ends soon: its connections are not worth keeping.
     connection.reset();
     pool.ended(source.id);
-    if (!copy) {
-        co_return std::nullopt;
-    }
-    co_return source.address + "/" + *copy;
+    co_return moved;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/memory_move.h
+++ b/src/portpaddle/gateway/memory_move.h
@@ -13,9 +13,17 @@
 
 namespace Portpaddle {
 
-/// Orders the move and waits for its end, at most @p longest. Gives where the copy can be continued from; no value if it failed.
-Task<std::optional<std::string>> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                                            const UpstreamRecord &source, const UpstreamRecord &target,
-                                            std::chrono::milliseconds longest);
+/// What came of a move.
+struct MemoryMove
+{
+    /// Where the copy can be continued from; no value if there is none.
+    std::optional<std::string> from;
+    /// For the log.
+    std::string outcome;
+};
+
+/// Orders the move and waits for its end, at most @p longest.
+Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
+                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest);
 
 } // namespace Portpaddle
