--- /dev/null
+++ b/tests/gateway/stop_tests.cpp
@@ -0,0 +1,77 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// What a daemon takes once it was ordered to stop: nothing that it may have to cut off.
+
+#include "support/gateway_site.h"
+#include "support/scripted_upstream.h"
+
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+using namespace Portpaddle;
+
+namespace {
+
+constexpr std::chrono::minutes stopLasts{ 10 };
+// A token takes an idle engine a little over 3 ms.
+constexpr unsigned tokensInStop = std::chrono::milliseconds(stopLasts).count() / 3;
+
+std::string tokensOut(unsigned most)
+{
+    return fmt::format("X-Token-Counts: 1000,{}\r\n", most);
+}
+
+/// A daemon in the first moment of its stop, whose requests may last longer than that.
+class StoppingFixture : public GatewaySite
+{
+public:
+    StoppingFixture()
+        : upstream([](const SeenRequest &request) {
+            return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 2) + lastChunk };
+        })
+    {
+        for (Route &route : routes.routes) {
+            route.timeout = std::chrono::hours(1);
+        }
+        publishRoutes();
+        addUpstream("u1", upstream.address());
+        onLoop([](Gateway &gateway) {
+            const SteadyTime now = std::chrono::steady_clock::now();
+            gateway.beginDrain(now + stopLasts / 2, now + stopLasts);
+        });
+    }
+
+    ScriptedUpstream upstream;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, stream that will hardly end in time, is refused as not run")
+{
+    const SeenAnswer answer = ask("/stream/a", "id1", tokensOut(tokensInStop * 3 / 4));
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("Retry-After") != std::string::npos);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, stream that will end long before it, is served")
+{
+    CHECK(ask("/stream/a", "id1", tokensOut(tokensInStop / 10)).whole);
+    CHECK(upstream.seen().size() == 1);
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, relayed stream that may last longer, is refused as not run")
+{
+    const SeenAnswer answer = askAsDaemon("/stream/a", "id1", tokensOut(tokensInStop / 10));
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("X-Portpaddle-Outcome: not_run") != std::string::npos);
+    CHECK(answer.head.find("X-Portpaddle-Sends: 0") != std::string::npos);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, relayed stream that must end before it, is served")
+{
+    CHECK(askAsDaemon("/stream/a", "id1", tokensOut(100) + "X-Request-Timeout-Ms: 20000\r\n").whole);
+}
