--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -4,6 +4,7 @@
 /// A whole request of a caller, with what its headers say decoded.
 #pragma once
 
+#include "portpaddle/gateway/continuation.h"
 #include "portpaddle/gateway/header_names.h"
 #include "portpaddle/interfaces/answer_sink.h"
 #include "portpaddle/interfaces/clock.h"
@@ -62,6 +63,10 @@
     bool relayed = false;
     /// Upstreams that other daemons sent it to before.
     unsigned earlierSends = 0;
+    /// The daemon that sent it here can have its stream continued elsewhere.
+    bool continues = false;
+    /// It goes on from the memory of a run that was moved.
+    std::optional<Continuation> continuation;
 };
 
 /// Decodes what @p message says; names as in @p names.
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -90,8 +90,7 @@
 
 void CallerSession::start()
 {
-    spawnTask(socket_.get_executor(), "caller_session",
-              [self = shared_from_this()]() -> Task<void> { co_await self->run(); });
+    spawnTask(socket_.get_executor(), "caller_session", [self = shared_from_this()]() -> Task<void> { co_await self->run(); });
 }
 
 /// Cancels the wait instead of closing the socket: a request whose bytes have arrived already is served.
@@ -229,6 +228,9 @@
     if (request.relayed) {
         request.arrivedAt -= relayedAge(request.message);
         request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, mostEarlierSends));
+        request.continues = !request.message[continuesHeader].empty();
+        const auto continuation = request.message[continueAtHeader];
+        request.continuation = decodeContinuation({ continuation.data(), continuation.size() });
     }
     watchCaller();
     co_await handler_.serve(std::move(request), *this, abandoned_);
@@ -328,6 +330,15 @@
     co_return !error;
 }
 
+Task<bool> CallerSession::endWith(const char *name, const std::string &value)
+{
+    http::fields trailer;
+    trailer.set(name, value);
+    NetError error;
+    co_await boost::asio::async_write(socket_, http::make_chunk_last(trailer), awaitingInto(error));
+    co_return !error;
+}
+
 void CallerSession::abort()
 {
     keepOpen_ = false;
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -51,6 +51,7 @@
     Task<bool> begin(unsigned status, boost::beast::http::fields fields) override;
     Task<bool> piece(std::string_view bytes) override;
     Task<bool> end() override;
+    Task<bool> endWith(const char *name, const std::string &value) override;
     void abort() override;
 
 private:
--- a/src/portpaddle/gateway/caller_writer.h
+++ b/src/portpaddle/gateway/caller_writer.h
@@ -31,6 +31,8 @@
     virtual Task<bool> begin(unsigned status, boost::beast::http::fields fields) = 0;
     virtual Task<bool> piece(std::string_view bytes) = 0;
     virtual Task<bool> end() = 0;
+    /// Ends an answer between daemons with a field that says how it goes on.
+    virtual Task<bool> endWith(const char *name, const std::string &value) = 0;
     /// Ends the connection, so that what was written cannot look complete.
     virtual void abort() = 0;
 };
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -4,7 +4,6 @@
 #include "portpaddle/gateway/exchange.h"
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/memory_move.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/spawn.h"
 
@@ -12,6 +11,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Portpaddle {
 
@@ -27,8 +27,6 @@
 constexpr Millis localConnectTimeout{ 400 };
 constexpr Millis remoteConnectTimeout{ 800 };
 constexpr Millis roomPoll{ 20 };
-// A move that takes longer has met a queue of others, or an engine that is gone.
-constexpr Millis longestMove{ 1'500 };
 // One way between regions, about.
 constexpr Millis remoteTravel{ 55 };
 // The least urgent that upstreams know.
@@ -64,7 +62,8 @@
     , deadlineTimer_(gateway.executor_)
     , roomTimer_(gateway.executor_)
     , silenceTimer_(gateway.executor_)
-    , moveEnded_(gateway.executor_)
+    , move_(gateway.executor_, gateway.pool_)
+    , continuation_(request_.continuation)
 {
 }
 
@@ -135,7 +134,8 @@
 bool Exchange::fitsStop()
 {
     const std::optional<StopTerms> &stop = gateway_.stop();
-    if (!stop) {
+    // A run that goes on can still be handed over again.
+    if (!stop || continuation_) {
         return true;
     }
     const SteadyTime now = std::chrono::steady_clock::now();
@@ -208,11 +208,8 @@
         }
         report = co_await attempt(target);
         attempted = true;
-        if (report.end == AttemptEnd::Broken && moveState_ != MoveState::None) {
-            std::optional<AttemptReport> continued = co_await continueMoved();
-            report = continued ? std::move(*continued) : std::move(report);
-        }
-        if (!mayRepeat(report)) {
+        report = co_await continueMoved(std::move(report), target);
+        if (handedOver_ || !mayRepeat(report)) {
             break;
         }
         gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
@@ -238,6 +235,11 @@
 
 Target Exchange::chooseTarget()
 {
+    if (request_.relayed && continuation_) {
+        Target target = chosenContinuation();
+        continuation_.reset();
+        return target;
+    }
     return gateway_.choose(request_, { *route_, service_, tried_, deadline_, eventsSeen_, overBy_ },
                            std::chrono::steady_clock::now());
 }
@@ -261,8 +263,8 @@
     plan.priority = target.placement.urgency == Urgency::Late ? latePriority : std::min(route_->priority, latePriority - 1);
     plan.streamed = route_->kind == RouteKind::Stream;
     plan.fetchFrom = target.fetchFrom;
-    plan.memoryFrom = memoryFrom_;
-    memoryFrom_.clear();
+    plan.memoryFrom = std::exchange(memoryFrom_, {});
+    plan.continuation = local ? std::nullopt : std::exchange(continuation_, std::nullopt);
     return plan;
 }
 
@@ -318,7 +320,7 @@
     if (local && route_->mayRunTwice() && !request_.relayed) {
         watchSilence(watch);
     }
-    const bool movable = local && plan.streamed && target.spec->movesMemory && moveState_ == MoveState::None;
+    const bool movable = local && plan.streamed && target.spec->movesMemory && !move_.begun();
     if (movable) {
         gateway_.streams_[plan.peer].insert(this);
     }
@@ -350,8 +352,9 @@
     }
     if (!ticket.upstream.empty()) {
         const bool answered = report.end == AttemptEnd::Complete;
+        // A run that was stopped to be moved says nothing against its upstream.
         const LoadOutcome ended = answered     ? LoadOutcome::Answered
-            : interrupted                      ? LoadOutcome::Cancelled
+            : interrupted || move_.begun()     ? LoadOutcome::Cancelled
             : report.end == AttemptEnd::NotRun ? LoadOutcome::NotRun
                                                : LoadOutcome::Failed;
         gateway_.loads_.ended(ticket, ended, now);
@@ -368,49 +371,94 @@
     return sends_ - request_.earlierSends;
 }
 
+bool Exchange::canHandOver() const
+{
+    return request_.relayed && request_.continues;
+}
+
 void Exchange::moveAway(const UpstreamRecord &source)
 {
-    if (moveState_ != MoveState::None || progress_.events.lastId().empty() || interruption_ != Interruption::None) {
+    if (move_.begun() || progress_.events.lastId().empty() || interruption_ != Interruption::None) {
         return;
     }
-    moveState_ = MoveState::Moving;
-    spawnTask(gateway_.executor_, "run_move",
-              [self = shared_from_this(), source]() -> Task<void> { co_await self->move(source); });
+    move_.begin(request_.id, source, chooseTarget());
+    spawnTask(gateway_.executor_, "run_move", [self = shared_from_this()]() -> Task<void> {
+        co_await self->move_.run(*self->gateway_.orders_, self->timeLeft());
+    });
 }
 
-Task<void> Exchange::move(UpstreamRecord source)
-{
-    moveTarget_ = chooseTarget();
-    const bool placed = moveTarget_.placement.verdict == Verdict::Serve;
-    MemoryMove moved{ {}, fmt::format("no other engine: {}", nameOf(moveTarget_.placement.reason)) };
-    if (placed) {
-        const Millis longest = std::min(longestMove, timeLeft());
-        moved = co_await moveMemory(gateway_.pool_, *gateway_.orders_, request_.id, source, *moveTarget_.upstream, longest);
+Task<AttemptReport> Exchange::continueMoved(AttemptReport report, const Target &target)
+{
+    std::optional<Target> last = target;
+    bool movedHere = false;
+    while (report.end == AttemptEnd::Broken && interruption_ == Interruption::None) {
+        std::optional<Target> next;
+        std::string from;
+        if (report.continuation && last->daemon) {
+            next = co_await otherDaemon(*last->daemon);
+            from = report.continuation->memoryFrom;
+            continuation_ = report.continuation;
+        } else if (move_.begun() && !movedHere) {
+            movedHere = true;
+            const std::optional<MovedRun> moved = co_await move_.ended();
+            if (moved && gateway_.stop() && canHandOver()) {
+                co_await handOver(*moved);
+                break;
+            }
+            if (moved) {
+                next = moved->target;
+                from = memoryFrom_ = moved->memoryFrom;
+            }
+        }
+        if (!next || interruption_ != Interruption::None) {
+            break;
+        }
+        gateway_.metrics_.count(Counter::Resumes);
+        log(LogEvent::RequestResumed, 0, "memory moved from " + from);
+        report = co_await attempt(*next);
+        last = next;
     }
-    logEvent(LogEvent::RunMoveEnded,
-             { { "request", request_.id },
-               { "source", source.id },
-               { "target", placed ? moveTarget_.upstream->id : std::string() },
-               { "moved", moved.from ? "true" : "false" },
-               { "message", moved.outcome } });
-    moveState_ = moved.from ? MoveState::Moved : MoveState::Failed;
-    memoryFrom_ = moved.from.value_or(std::string());
-    moveEnded_.cancel();
+    co_return report;
 }
 
-Task<std::optional<AttemptReport>> Exchange::continueMoved()
+Task<std::optional<Target>> Exchange::otherDaemon(const DaemonRecord &ending)
 {
-    if (moveState_ == MoveState::Moving) {
+    const SteadyTime until = std::chrono::steady_clock::now() + route_->firstEventPatience() / 2;
+    while (interruption_ == Interruption::None && std::chrono::steady_clock::now() < until) {
+        const DaemonRecord *daemon
+            = gateway_.regions_.pickBeside(*gateway_.view_, ending, std::chrono::steady_clock::now(), gateway_.random_);
+        if (daemon != nullptr) {
+            Target target;
+            target.placement.verdict = Verdict::Forward;
+            target.daemon = *daemon;
+            co_return target;
+        }
         NetError ignored;
-        moveEnded_.expires_after(longestMove);
-        co_await moveEnded_.async_wait(awaitingInto(ignored));
+        roomTimer_.expires_after(roomPoll);
+        co_await roomTimer_.async_wait(awaitingInto(ignored));
     }
-    if (moveState_ != MoveState::Moved || interruption_ != Interruption::None) {
-        co_return std::nullopt;
+    co_return std::nullopt;
+}
+
+Target Exchange::chosenContinuation()
+{
+    Target target;
+    const auto upstream = gateway_.view_->upstreams.find(continuation_->upstream);
+    const ServiceSpec *spec = gateway_.view_->services->service(service_);
+    if (upstream != gateway_.view_->upstreams.end() && upstream->second.region == gateway_.identity_.region && spec != nullptr) {
+        target.placement.verdict = Verdict::Serve;
+        target.upstream = upstream->second;
+        target.spec = std::shared_ptr<const ServiceSpec>(gateway_.view_->services, spec);
+        memoryFrom_ = continuation_->memoryFrom;
     }
-    gateway_.metrics_.count(Counter::Resumes);
-    log(LogEvent::RequestResumed, 0, "memory moved from " + memoryFrom_);
-    co_return co_await attempt(moveTarget_);
+    return target;
+}
+
+Task<void> Exchange::handOver(const MovedRun &moved)
+{
+    const Continuation continuation{ moved.target.upstream->id, moved.memoryFrom };
+    const std::string value = encodeContinuation(continuation);
+    handedOver_ = co_await writer_.endWith(continueAtHeader, value);
 }
 
 void Exchange::watchSilence(const std::shared_ptr<AttemptWatch> &watch)
@@ -454,7 +502,7 @@
     facts.ended
         = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone || interruption_ != Interruption::None;
     facts.sent = report.sent;
-    facts.mayHaveRun = report.end == AttemptEnd::Broken;
+    facts.mayHaveRun = mayHaveRun_;
     facts.mayRunTwice = route_->mayRunTwice();
     facts.relayed = request_.relayed;
     facts.unseen = report.relayedSends == 0U;
@@ -484,6 +532,10 @@
 
 Task<void> Exchange::finish(const AttemptReport &report)
 {
+    if (handedOver_) {
+        log(LogEvent::RequestResumed, 0, "handed over to the daemon that sent it");
+        co_return;
+    }
     if (interruption_ == Interruption::CallerLeft || report.end == AttemptEnd::ReceiverGone) {
         writer_.abort();
         log(LogEvent::RequestAbandoned, 0, report.error.message);
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include "portpaddle/base/log.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/repeat_rules.h"
+#include "portpaddle/gateway/run_move.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 
 #include <memory>
@@ -23,8 +24,10 @@
     void callerLeft();
     /// Logs that the daemon ends before the answer does.
     void logUnfinished() const;
-    /// Moves a stream in progress away from @p source, which is about to end.
+    /// Moves a stream in progress away from @p source, because that or this daemon is about to end.
     void moveAway(const UpstreamRecord &source);
+    /// Whether the daemon that sent the request here can have its stream continued elsewhere.
+    bool canHandOver() const;
 
 private:
     enum class Interruption { None, CallerLeft, Deadline };
@@ -40,13 +43,15 @@
     bool fitsStop();
     Error noPlace(LossReason reason) const;
     void interrupt(Interruption reason);
-    /// The state of a move of this run's memory.
-    enum class MoveState { None, Moving, Moved, Failed };
-
     Task<void> attempts();
-    Task<void> move(UpstreamRecord source);
-    /// Goes on where the memory was moved to; no value if it was not.
-    Task<std::optional<AttemptReport>> continueMoved();
+    /// After a broken attempt: goes on where the run's memory was moved to, as often as it is moved.
+    Task<AttemptReport> continueMoved(AttemptReport report, const Target &target);
+    /// Waits for another daemon of the region of @p ending; no value where none is heard of in time.
+    Task<std::optional<Target>> otherDaemon(const DaemonRecord &ending);
+    /// The engine that a request with a continuation goes on at.
+    Target chosenContinuation();
+    /// Tells the daemon that sent the request here how its stream goes on.
+    Task<void> handOver(const MovedRun &moved);
     Task<AttemptReport> attempt(const Target &target);
     Target chooseTarget();
     AttemptPlan planFor(const Target &target);
@@ -86,10 +91,13 @@
     SteadyTimer deadlineTimer_;
     SteadyTimer roomTimer_;
     SteadyTimer silenceTimer_;
-    SteadyTimer moveEnded_;
-    MoveState moveState_ = MoveState::None;
-    Target moveTarget_;
+    RunMove move_;
+    /// For the next attempt: where the memory of the run was moved from.
     std::string memoryFrom_;
+    /// The same where a daemon of another region goes on.
+    std::optional<Continuation> continuation_;
+    /// The rest of the stream is for the daemon that sent the request here to have continued.
+    bool handedOver_ = false;
     UpstreamAttempt *current_ = nullptr;
     Interruption interruption_ = Interruption::None;
     /// Upstreams and regions asked so far.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -122,22 +122,30 @@
     if (orders_ == nullptr || !policy_.moves) {
         return;
     }
+    const bool ending = stop_ && now + terms_.handOverLead >= stop_->end;
     for (const auto &[id, exchanges] : streams_) {
         const auto upstream = view_->upstreams.find(id);
-        if (upstream == view_->upstreams.end() || !upstream->second.leavingSince) {
-            continue;
-        }
-        const UpstreamRecord &record = upstream->second;
-        const SteadyTime end = record.goneAt.value_or(*record.leavingSince + terms_.drainBound);
-        if (now + terms_.moveLead < end || now > end + terms_.moveLead) {
+        if (upstream == view_->upstreams.end()) {
             continue;
         }
+        const bool all = isEnding(upstream->second, now);
         for (Exchange *exchange : exchanges) {
-            exchange->moveAway(record);
+            if (all || (ending && exchange->canHandOver())) {
+                exchange->moveAway(upstream->second);
+            }
         }
     }
 }
 
+bool Gateway::isEnding(const UpstreamRecord &upstream, SteadyTime now) const
+{
+    if (!upstream.leavingSince) {
+        return false;
+    }
+    const SteadyTime end = upstream.goneAt.value_or(*upstream.leavingSince + terms_.drainBound);
+    return now + terms_.moveLead >= end && now <= end + terms_.moveLead;
+}
+
 void Gateway::forgetStream(const std::string &upstream, Exchange *exchange)
 {
     const auto streams = streams_.find(upstream);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "portpaddle/gateway/region_table.h"
 #include "portpaddle/gateway/retry_slice.h"
 #include "portpaddle/gateway/stop_rules.h"
+#include "portpaddle/gateway/target.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/gateway/upstream_loads.h"
 
@@ -49,25 +50,13 @@
     /// Runs are moved this long before their upstream ends: a copy takes some ten milliseconds, several follow one another, and
     /// the tick is 100 ms.
     std::chrono::milliseconds moveLead{ 500 };
+    /// Streams of other daemons are handed over this long before this daemon ends; the link takes one more way.
+    std::chrono::milliseconds handOverLead{ 800 };
     /// From its announcement a leaving upstream serves at least this long.
     std::chrono::milliseconds drainBound{ 3'000 };
     std::size_t bodyMemoryBytes = 64 * 1024 * 1024;
 };
 
-/// A target chosen for one attempt.
-struct Target
-{
-    Placement placement;
-    /// Of the service; null where it is unknown.
-    std::shared_ptr<const ServiceSpec> spec;
-    /// Set for an upstream of the own region.
-    std::optional<UpstreamRecord> upstream;
-    /// Address of the upstream from which it is to fetch kept parts; empty where it reads them.
-    std::string fetchFrom;
-    /// Set for a daemon of another region.
-    std::optional<DaemonRecord> daemon;
-};
-
 /// Belongs to one event loop; only the view is written by another thread.
 class Gateway : public RequestHandler
 {
@@ -168,8 +157,10 @@
     RegionTable regions_;
     /// Upstreams of the own region by service; points into the view.
     std::unordered_map<std::string, std::vector<const UpstreamRecord *>> local_;
-    /// Moves runs away from upstreams that are about to end.
+    /// Moves runs away from upstreams that are about to end, and those of other daemons when this one is.
     void saveRuns(SteadyTime now);
+    /// Whether @p upstream ends in a moment.
+    bool isEnding(const UpstreamRecord &upstream, SteadyTime now) const;
     void forgetStream(const std::string &upstream, Exchange *exchange);
 
     const UpstreamOrders *orders_ = nullptr;
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -144,16 +144,36 @@
 {
     std::vector<const DaemonRecord *> usable;
     for (const DaemonRecord &daemon : view.daemons) {
-        const auto peer = peers_.find(daemon.id);
-        const bool alive = peer != peers_.end() && now - peer->second.heard < heardAge
-            && peer->second.phase == Wire::DaemonPhase::Serving && peer->second.shunnedUntil < now;
-        if (daemon.region == region && alive && !daemon.leaving) {
+        if (daemon.region == region && !daemon.leaving && isHeard(daemon.id, now)
+            && phaseOf(daemon.id) == Wire::DaemonPhase::Serving) {
             usable.push_back(&daemon);
         }
     }
     return usable.empty() ? nullptr : usable[random.below(usable.size())];
 }
 
+const DaemonRecord *RegionTable::pickBeside(const FleetView &view, const DaemonRecord &ending, SteadyTime now,
+                                            RandomSource &random) const
+{
+    if (const DaemonRecord *serving = pick(view, ending.region, now, random); serving != nullptr && serving->id != ending.id) {
+        return serving;
+    }
+    std::vector<const DaemonRecord *> others;
+    for (const DaemonRecord &daemon : view.daemons) {
+        if (daemon.region == ending.region && daemon.id != ending.id && isHeard(daemon.id, now)
+            && phaseOf(daemon.id) != Wire::DaemonPhase::Starting) {
+            others.push_back(&daemon);
+        }
+    }
+    return others.empty() ? nullptr : others[random.below(others.size())];
+}
+
+bool RegionTable::isHeard(const std::string &daemon, SteadyTime now) const
+{
+    const auto peer = peers_.find(daemon);
+    return peer != peers_.end() && now - peer->second.heard < heardAge && peer->second.shunnedUntil < now;
+}
+
 void RegionTable::sentAway(const std::string &region, const std::string &service, const PromptFacts &prompt)
 {
     Region &known = regions_[region];
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -42,10 +42,15 @@
                                             Urgency urgency, SteadyTime now, std::vector<std::string> &regionNames) const;
     /// A daemon of @p region to send a request to; null when none is known to live.
     const DaemonRecord *pick(const FleetView &view, const std::string &region, SteadyTime now, RandomSource &random) const;
+    /// A daemon of the region of @p ending that can go on with its streams, one that stops itself as the last resort; null if
+    /// there is none.
+    const DaemonRecord *pickBeside(const FleetView &view, const DaemonRecord &ending, SteadyTime now, RandomSource &random) const;
     /// Counts a request sent there since the last news.
     void sentAway(const std::string &region, const std::string &service, const PromptFacts &prompt);
 
 private:
+    /// Its digests come, and connections to it did not fail just now.
+    bool isHeard(const std::string &daemon, SteadyTime now) const;
     struct Peer
     {
         std::string region;
--- a/src/portpaddle/gateway/repeat_rules.cpp
+++ b/src/portpaddle/gateway/repeat_rules.cpp
@@ -24,10 +24,6 @@
     if (facts.ended) {
         return { RepeatDenial::Ended };
     }
-    if (!facts.sent) {
-        // Nothing left this daemon: another target costs nobody anything.
-        return {};
-    }
     if (facts.mayHaveRun && !facts.mayRunTwice) {
         return { RepeatDenial::MayHaveRun };
     }
@@ -35,12 +31,17 @@
         // The daemon that took the request from its caller knows more places to go on.
         return { RepeatDenial::EntryDecides };
     }
-    if (facts.unseen) {
-        return {};
-    }
     if (facts.cannotContinue) {
+        // Its caller has a part of another run, also where the attempt to go on with that run was refused or never left.
         return { RepeatDenial::NotResumable };
     }
+    if (!facts.sent) {
+        // Nothing left this daemon: another target costs nobody anything.
+        return {};
+    }
+    if (facts.unseen) {
+        return {};
+    }
     if (facts.sends >= facts.attempts) {
         return { RepeatDenial::AttemptsUsed };
     }
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -115,6 +115,7 @@
 {
     AttemptReport report;
     toldSends_ = plan.toldSends;
+    remote_ = plan.age.has_value();
     const bool opened = co_await open(plan, report);
     if (!opened) {
         co_return report;
@@ -175,6 +176,10 @@
     if (plan.age) {
         message.set(relayAgeHeader, std::to_string(plan.age->count()));
         message.set(relaySendsHeader, std::to_string(plan.earlierSends));
+        message.set(continuesHeader, "1");
+    }
+    if (plan.continuation) {
+        message.set(continueAtHeader, encodeContinuation(*plan.continuation));
     }
     if (!plan.expectedUpstream.empty()) {
         message.set(names_.expectedUpstream, plan.expectedUpstream);
@@ -345,6 +350,12 @@
         progress_.events.dropPartial();
         co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "stream ended within an event");
     }
+    const std::string_view unfinished = remote_ ? view(fields[continueAtHeader]) : std::string_view{};
+    if (!unfinished.empty()) {
+        AttemptReport report = failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the daemon that was asked ends");
+        report.continuation = decodeContinuation(unfinished);
+        co_return report;
+    }
     AttemptReport report;
     report.sent = true;
     co_return report;
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -47,6 +47,8 @@
     std::chrono::milliseconds timeLeft{ 0 };
     /// Where the memory of this run was moved from.
     std::string memoryFrom;
+    /// The same for a daemon of another region.
+    std::optional<Continuation> continuation;
     /// Address of the engine from which kept parts of the prompt are to be fetched.
     std::string fetchFrom;
     /// Set for a daemon of another region: how old the request will be there.
@@ -71,6 +73,8 @@
     bool lifeOver = false;
     /// Upstreams that a daemon of another region says it sent the request to.
     std::optional<unsigned> relayedSends;
+    /// A daemon of another region ends before its stream, which can go on there.
+    std::optional<Continuation> continuation;
 };
 
 /// Told of what an attempt shows of its target.
@@ -120,6 +124,8 @@
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
     std::optional<unsigned> toldSends_;
+    /// The peer is a daemon of another region.
+    bool remote_ = false;
     /// The answer ended as it should and nothing follows it.
     bool reusable_ = false;
 };
--- a/tests/gateway/bounds_tests.cpp
+++ b/tests/gateway/bounds_tests.cpp
@@ -129,6 +129,17 @@
     CHECK_FALSE(decideRepeat(facts).needsBudget);
 }
 
+TEST_CASE("Repeat, stream that cannot be continued, is denied however its last attempt ended")
+{
+    RepeatFacts facts = refusedOnce();
+    facts.cannotContinue = true;
+    facts.unseen = true;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::NotResumable);
+    facts.unseen = false;
+    facts.sent = false;
+    CHECK(decideRepeat(facts).denial == RepeatDenial::NotResumable);
+}
+
 TEST_CASE("Repeat, each reason against it, is named")
 {
     RepeatFacts facts = refusedOnce();
--- a/tests/gateway/request_path_tests.cpp
+++ b/tests/gateway/request_path_tests.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/gateway/upstream_orders.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
+#include "support/plain_orders.h"
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
@@ -332,25 +333,6 @@
 
 namespace {
 
-/// Orders in words of the test's own.
-class PlainOrders : public UpstreamOrders
-{
-public:
-    HttpRequest stopAndMove(const std::string &requestId, const std::string &targetAddress) const override
-    {
-        HttpRequest message(boost::beast::http::verb::post, "/move", 11);
-        message.set(boost::beast::http::field::host, "engine");
-        message.set("X-Request-Id", requestId);
-        message.body() = targetAddress;
-        return message;
-    }
-
-    std::optional<std::string> copyName(unsigned status, const std::string &body) const override
-    {
-        return status == 200 ? std::optional(body) : std::nullopt;
-    }
-};
-
 /// Two engines that move memory; the first to be asked ends soon.
 class MoveFixture : public GatewaySite
 {
@@ -375,6 +357,9 @@
         }
         if (request.headers.contains("x-memory-from")) {
             continuedFrom = request.headers.at("x-memory-from");
+            if (refusing) {
+                return { notRunAnswer };
+            }
             const unsigned last = static_cast<unsigned>(std::stoi(request.headers.at("last-event-id")));
             return { streamHead(idOf(request)) + eventChunk(last + 1, 6) + lastChunk };
         }
@@ -382,7 +367,7 @@
                  [this] { eventually([this] { return moved.load(); }); } };
     }
 
-    SeenAnswer askWhileOneEnds()
+    SeenAnswer askWhileOneEnds(const std::function<void()> &onceMoved = [] {})
     {
         RawCaller caller(address());
         caller.send(request("/stream/a", "id1"));
@@ -395,6 +380,7 @@
             onLoop([](Gateway &gateway) { gateway.tick(); });
             return moved.load();
         });
+        onceMoved();
         return caller.receive();
     }
 
@@ -403,6 +389,8 @@
     std::string moveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
     std::string continuedFrom;
     std::string source;
+    /// The engine that holds the copy does not run what goes on from it.
+    bool refusing = false;
     std::atomic<bool> moved{ false };
 };
 
@@ -425,6 +413,18 @@
     CHECK(continuedFrom.empty());
 }
 
+TEST_CASE_FIXTURE(MoveFixture, "Request path, moved stream that its new engine refuses, is visibly incomplete and not run again")
+{
+    ScriptedUpstream third([](const SeenRequest &request) {
+        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 6) + lastChunk };
+    });
+    refusing = true;
+    const SeenAnswer answer = askWhileOneEnds([&] { addUpstream("u2", third.address()); });
+    CHECK_FALSE(answer.whole);
+    CHECK(answer.body == events(1, 3));
+    CHECK(third.seen().empty());
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Request path, unframed stream that is reset, does not look complete")
 {
     ScriptedUpstream upstream([](const SeenRequest &request) {
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -139,13 +139,16 @@
     while (true) {
         const std::size_t line = buffer_.find("\r\n");
         const std::size_t size = line == std::string::npos ? 0 : std::stoul(buffer_.substr(0, line), nullptr, 16);
-        if (line != std::string::npos && buffer_.size() >= line + 2 + size + 2) {
+        const std::size_t last = line != std::string::npos && size == 0 ? buffer_.find("\r\n\r\n") : std::string::npos;
+        if (last != std::string::npos) {
+            answer.trailer = buffer_.substr(line + 2, last - line);
+            buffer_.erase(0, last + 4);
+            answer.whole = true;
+            return answer;
+        }
+        if (size > 0 && line != std::string::npos && buffer_.size() >= line + 2 + size + 2) {
             answer.body += buffer_.substr(line + 2, size);
             buffer_.erase(0, line + 2 + size + 2);
-            if (size == 0) {
-                answer.whole = true;
-                return answer;
-            }
         } else if (!readMore()) {
             answer.closed = true;
             return answer;
@@ -244,6 +247,12 @@
     });
 }
 
+void GatewaySite::removeDaemon(const std::string &id)
+{
+    keeper_->removeDaemon(id, std::chrono::steady_clock::now());
+    onLoop([](Gateway &) {});
+}
+
 void GatewaySite::announceEnd(const std::string &id, const std::string &address)
 {
     UpstreamRecord record = makeUpstream(id, address);
@@ -284,6 +293,11 @@
     return listener_->address();
 }
 
+std::string GatewaySite::linkAddress() const
+{
+    return daemonListener_->address();
+}
+
 std::string GatewaySite::request(const std::string &path, const std::string &id, const std::string &moreHeaders,
                                  const std::string &body)
 {
@@ -302,7 +316,7 @@
 SeenAnswer GatewaySite::askAsDaemon(const std::string &path, const std::string &id, const std::string &moreHeaders,
                                     const std::string &body)
 {
-    RawCaller caller(daemonListener_->address());
+    RawCaller caller(linkAddress());
     caller.send(request(path, id, moreHeaders, body));
     return caller.receive();
 }
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -26,6 +26,8 @@
     std::string head;
     /// Decoded from chunks where it was chunked.
     std::string body;
+    /// The lines after the last chunk.
+    std::string trailer;
     /// All of it came: the length was met, or the last chunk was there.
     bool whole = false;
     /// The connection ended after it.
@@ -67,6 +69,7 @@
     /// A daemon of another region that tells of an idle upstream there, which keeps the prompt of a request with @p headers.
     void addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
                          const std::string &headers);
+    void removeDaemon(const std::string &id);
     /// The upstream takes no more requests and is gone in a moment.
     void announceEnd(const std::string &id, const std::string &address);
     /// Bounds without which verdicts would hang on the speed of the machine are out of the way; call setTerms() after a change.
@@ -80,6 +83,8 @@
     /// From now on closes the callers' idle connections between any two steps of the loop.
     void closeIdleOnEveryTurn(bool on);
     std::string address() const;
+    /// Where other daemons reach it.
+    std::string linkAddress() const;
     /// Sends one request and reads its answer.
     SeenAnswer ask(const std::string &path, const std::string &id, const std::string &moreHeaders = {},
                    const std::string &body = {});
--- /dev/null
+++ b/tests/support/plain_orders.h
@@ -0,0 +1,30 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Orders to engines in words of the tests' own.
+#pragma once
+
+#include "portpaddle/gateway/upstream_orders.h"
+
+namespace Portpaddle {
+
+/// An engine answers a move with the name of the copy alone.
+class PlainOrders : public UpstreamOrders
+{
+public:
+    HttpRequest stopAndMove(const std::string &requestId, const std::string &targetAddress) const override
+    {
+        HttpRequest message(boost::beast::http::verb::post, "/move", 11);
+        message.set(boost::beast::http::field::host, "engine");
+        message.set("X-Request-Id", requestId);
+        message.body() = targetAddress;
+        return message;
+    }
+
+    std::optional<std::string> copyName(unsigned status, const std::string &body) const override
+    {
+        return status == 200 ? std::optional(body) : std::nullopt;
+    }
+};
+
+} // namespace Portpaddle
