End no answer early without another attempt to follow; carry on runs that stopped without a copy

- A silent upstream of a request that may be repeated was left after 600 ms if attempts were left, though the budget for repeats could be spent or no other upstream have room: the answer was lost though the upstream would have given it.
Now the next target and the budget are looked at first (Gateway::propose chooses without counting).
- An engine that is ordered to move a run stops it first.
Where it then has no room for the copy, its 503 names the memory that it keeps; this was taken for a failure and the stream lost.
Now it goes on at that engine.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -470,7 +470,7 @@
             return;
         }
         // An upstream that answers others is alive: this request waits its turn there.
-        if (self->gateway_.loads_.heardSince(watch->upstream, watch->since) || !self->anotherMayFollow()) {
+        if (self->gateway_.loads_.heardSince(watch->upstream, watch->since) || !self->anotherWillFollow()) {
             watch->since = std::chrono::steady_clock::now();
             self->watchSilence(watch);
             return;
@@ -491,9 +491,14 @@
     return !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
 }
 
-bool Exchange::anotherMayFollow() const
+bool Exchange::anotherWillFollow()
 {
-    return canContinue() && sends_ < route_->attempts;
+    if (!canContinue() || sends_ >= route_->attempts) {
+        return false;
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const Target next = gateway_.propose(request_, { *route_, service_, tried_, deadline_, eventsSeen_, overBy_ }, now);
+    return (next.upstream || next.daemon) && gateway_.retries_.allowsRepeat(service_, now);
 }
 
 bool Exchange::mayRepeat(const AttemptReport &report)
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -66,7 +66,8 @@
     void tellSends(WholeAnswer &answer) const;
     /// Nothing has reached the caller yet, or the rest of the stream may come from another upstream.
     bool canContinue() const;
-    bool anotherMayFollow() const;
+    /// Another attempt is allowed, paid for, and has somewhere to go: without it the answer would be lost.
+    bool anotherWillFollow();
     /// Whether another attempt may follow @p report.
     bool mayRepeat(const AttemptReport &report);
     /// Waits a moment for room; false when the request has waited long enough.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -389,6 +389,18 @@
 }
 
 Target Gateway::choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
+{
+    Target target = propose(request, context, now);
+    if (target.upstream && target.upstream->coldUntil > now) {
+        cold_.take(target.upstream->id, now);
+    }
+    if (target.daemon) {
+        regions_.sentAway(target.daemon->region, context.service, request.prompt);
+    }
+    return target;
+}
+
+Target Gateway::propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
 {
     const Route &route = context.route;
     const std::vector<std::string> &tried = context.tried;
@@ -447,14 +459,10 @@
         if (target.placement.fetches) {
             target.fetchFrom = sources.at(target.upstream->dataCentre);
         }
-        if (target.upstream->coldUntil > now) {
-            cold_.take(target.upstream->id, now);
-        }
     } else if (target.placement.verdict == Verdict::Forward) {
         const std::string &region = regionNames[target.placement.index];
         const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
         target.daemon = *daemon;
-        regions_.sentAway(region, context.service, request.prompt);
     }
     return target;
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -126,8 +126,10 @@
         SteadyTime overBy = SteadyTime::max();
     };
 
-    /// Chooses where @p request may go.
+    /// Chooses where @p request goes, and counts it there.
     Target choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
+    /// Where @p request would go.
+    Target propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -55,7 +55,9 @@
         connection = co_await pool.connect(source.id, source.address, connectTimeout, &opening, error);
     }
     if (!connection) {
-        co_return MemoryMove{ {}, "no connection: " + error.message() };
+        MemoryMove none;
+        none.outcome = "no connection: " + error.message();
+        co_return none;
     }
     MemoryMove moved;
     {
@@ -69,8 +71,9 @@
         }
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
-            const std::optional<std::string> copy = orders.copyName(answer.result_int(), answer.body());
-            moved.from = copy ? std::optional(source.address + "/" + *copy) : std::nullopt;
+            const std::optional<StoppedRun> stopped = orders.stoppedRun(answer.result_int(), answer.body());
+            moved.from = stopped ? std::optional(source.address + "/" + stopped->handle) : std::nullopt;
+            moved.atSource = stopped && stopped->atSource;
         }
     }
     // The engine ends soon: its connections are not worth keeping.
--- a/src/portpaddle/gateway/memory_move.h
+++ b/src/portpaddle/gateway/memory_move.h
@@ -18,6 +18,8 @@
 {
     /// Where the copy can be continued from; no value if there is none.
     std::optional<std::string> from;
+    /// There is no copy: the run goes on where it was.
+    bool atSource = false;
     /// For the log.
     std::string outcome;
 };
--- a/src/portpaddle/gateway/retry_slice.cpp
+++ b/src/portpaddle/gateway/retry_slice.cpp
@@ -34,15 +34,20 @@
     expire(window, now);
 }
 
-bool RetrySlice::takeRepeat(const std::string &service, SteadyTime now)
+bool RetrySlice::allowsRepeat(const std::string &service, SteadyTime now)
 {
     Window &window = windows_[service];
     expire(window, now);
     const double allowed = terms_.ratio * static_cast<double>(window.firsts.size()) + terms_.extraPerWindow / terms_.daemons;
-    if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
+    return static_cast<double>(window.repeats.size()) + 1 <= allowed;
+}
+
+bool RetrySlice::takeRepeat(const std::string &service, SteadyTime now)
+{
+    if (!allowsRepeat(service, now)) {
         return false;
     }
-    window.repeats.push_back(now);
+    windows_[service].repeats.push_back(now);
     return true;
 }
 
--- a/src/portpaddle/gateway/retry_slice.h
+++ b/src/portpaddle/gateway/retry_slice.h
@@ -30,6 +30,8 @@
 public:
     void setTerms(const RetryBudgetTerms &terms);
     void firstSent(const std::string &service, SteadyTime now);
+    /// Whether a repeat would be allowed now.
+    bool allowsRepeat(const std::string &service, SteadyTime now);
     /// Takes one repeat if the slice has one left.
     bool takeRepeat(const std::string &service, SteadyTime now);
 
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/gateway/run_move.cpp
@@ -50,6 +50,9 @@
                { "target", placed ? target.upstream->id : std::string() },
                { "moved", move.from ? "true" : "false" },
                { "message", move.outcome } });
+    if (move.atSource) {
+        moved_.target.upstream = source_;
+    }
     state_ = move.from ? State::Moved : State::Failed;
     moved_.memoryFrom = move.from.value_or(std::string());
     ended_.cancel();
--- a/tests/gateway/hand_over_tests.cpp
+++ b/tests/gateway/hand_over_tests.cpp
@@ -192,9 +192,8 @@
 
 TEST_CASE_FIXTURE(EndingRelayFixture, "Stream, handed over to a daemon that refuses it, is visibly incomplete and not run again")
 {
-    ScriptedUpstream own([](const SeenRequest &request) {
-        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 4) + lastChunk };
-    });
+    ScriptedUpstream own(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 4) + lastChunk }; });
     addUpstream("u1", own.address());
     goOn = "HTTP/1.1 503 Busy\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: 0\r\nContent-Length: 0\r\n\r\n";
     const SeenAnswer answer = ask("/stream/a", "id1", keptElsewhere);
--- a/tests/gateway/request_path_tests.cpp
+++ b/tests/gateway/request_path_tests.cpp
@@ -3,7 +3,7 @@
 
 // The path of a request through a gateway, against upstreams that answer well, badly or not at all.
 
-#include "portpaddle/gateway/upstream_orders.h"
+#include "portpaddle/gateway/upstream_loads.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/plain_orders.h"
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <optional>
 #include <set>
+#include <thread>
 
 using namespace Portpaddle;
 
@@ -245,6 +246,17 @@
     CHECK(std::stoi(silent.seen().at(0).headers.at("x-request-timeout-ms")) <= 1500);
 }
 
+namespace {
+
+/// Says nothing for longer than a daemon bears where another upstream may follow, and answers then.
+ScriptedAnswer echoLate(const SeenRequest &request)
+{
+    std::this_thread::sleep_for(upstreamSilenceBound * 2);
+    return echo(request);
+}
+
+} // namespace
+
 TEST_CASE_FIXTURE(FirstAttemptFixture, "Request path, hanging upstream on a route that may repeat, is left for another")
 {
     begin([](const SeenRequest &) { return ScriptedAnswer{ "", Then::Hang }; });
@@ -252,6 +264,24 @@
     CHECK(asked == 2);
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Request path, silent upstream and no other, is waited for")
+{
+    ScriptedUpstream slow(echoLate);
+    addUpstream("u1", slow.address());
+    CHECK(ask("/plain/a", "id1").status == 200);
+    CHECK(slow.seen().size() == 1);
+}
+
+TEST_CASE_FIXTURE(FirstAttemptFixture, "Request path, silent upstream and no budget for repeats, is waited for")
+{
+    terms.retryRatio = 0;
+    terms.extraRetriesPerWindow = 0;
+    setTerms();
+    begin(echoLate);
+    CHECK(ask("/plain/a", "id1").status == 200);
+    CHECK(asked == 1);
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Request path, caller leaves before the answer, ends the upstream's work")
 {
     ScriptedUpstream silent([](const SeenRequest &) { return ScriptedAnswer{ "", Then::Hang }; });
@@ -357,6 +387,7 @@
         }
         if (request.headers.contains("x-memory-from")) {
             continuedFrom = request.headers.at("x-memory-from");
+            continuedAt = engines[request.headers.at("x-expected-upstream") == "u0" ? 0 : 1]->address();
             if (refusing) {
                 return { notRunAnswer };
             }
@@ -388,6 +419,7 @@
     std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
     std::string moveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
     std::string continuedFrom;
+    std::string continuedAt;
     std::string source;
     /// The engine that holds the copy does not run what goes on from it.
     bool refusing = false;
@@ -404,6 +436,16 @@
     CHECK(continuedFrom == source + "/h7");
 }
 
+TEST_CASE_FIXTURE(MoveFixture, "Request path, run that stopped but was not copied, goes on where it was")
+{
+    moveAnswer = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nh7";
+    const SeenAnswer answer = askWhileOneEnds();
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 6));
+    CHECK(continuedFrom == source + "/h7");
+    CHECK(continuedAt == source);
+}
+
 TEST_CASE_FIXTURE(MoveFixture, "Request path, move that fails, leaves the stream visibly incomplete")
 {
     moveAnswer = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
@@ -415,9 +457,8 @@
 
 TEST_CASE_FIXTURE(MoveFixture, "Request path, moved stream that its new engine refuses, is visibly incomplete and not run again")
 {
-    ScriptedUpstream third([](const SeenRequest &request) {
-        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 6) + lastChunk };
-    });
+    ScriptedUpstream third(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 6) + lastChunk }; });
     refusing = true;
     const SeenAnswer answer = askWhileOneEnds([&] { addUpstream("u2", third.address()); });
     CHECK_FALSE(answer.whole);
--- a/tests/support/plain_orders.h
+++ b/tests/support/plain_orders.h
@@ -8,7 +8,7 @@
 
 namespace Portpaddle {
 
-/// An engine answers a move with the name of the copy alone.
+/// An engine answers a move with the name of the memory alone.
 class PlainOrders : public UpstreamOrders
 {
 public:
@@ -21,9 +21,9 @@
         return message;
     }
 
-    std::optional<std::string> copyName(unsigned status, const std::string &body) const override
+    std::optional<StoppedRun> stoppedRun(unsigned status, const std::string &body) const override
     {
-        return status == 200 ? std::optional(body) : std::nullopt;
+        return body.empty() ? std::nullopt : std::optional(StoppedRun{ body, status != 200 });
     }
 };
 
