Split exchange, gateway and their tests by what they do; one copy of the tests' events

Moved as they are: attempts, moves and endings of an exchange, the choice of a gateway, tests of moves and of stops.

--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -30,6 +30,8 @@
     bool canHandOver() const;
 
 private:
+    /// An upstream that has less than this left cannot answer.
+    static constexpr Millis shortestAttempt{ 5 };
     enum class Interruption { None, CallerLeft, Deadline };
     /// What one attempt leaves for the next decision.
     struct AttemptWatch;
--- /dev/null
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -0,0 +1,131 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// How an exchange ends: its final answer, and the line in the log that says what decided.
+
+#include "portpaddle/base/metrics.h"
+#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/net/elapsed.h"
+#include "portpaddle/net/http_status.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+Task<void> Exchange::finish(const AttemptReport &report)
+{
+    if (handedOver_) {
+        log(LogEvent::RequestResumed, 0, "handed over to the daemon that sent it");
+        co_return;
+    }
+    if (interruption_ == Interruption::CallerLeft || report.end == AttemptEnd::ReceiverGone) {
+        writer_.abort();
+        log(LogEvent::RequestAbandoned, 0, report.error.message);
+        co_return;
+    }
+    if (progress_.begun) {
+        const bool whole = report.end == AttemptEnd::Complete && interruption_ == Interruption::None;
+        if (whole) {
+            co_await writer_.end();
+        } else {
+            writer_.abort();
+        }
+        log(whole ? LogEvent::RequestServed : LogEvent::RequestFailed, 200, report.error.message);
+        co_return;
+    }
+    if (report.failedAnswer) {
+        const unsigned status = report.failedAnswer->status;
+        WholeAnswer answer = *report.failedAnswer;
+        tellSends(answer);
+        co_await writer_.whole(std::move(answer));
+        log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
+        co_return;
+    }
+    if (!mayHaveRun_) {
+        const Millis back = report.error.retryAfter.value_or(suggestedReturn());
+        co_await refuse(report.error.code, report.error.message, back);
+        co_return;
+    }
+    const bool late = interruption_ == Interruption::Deadline || timeLeft() <= shortestAttempt;
+    co_await fail(late ? HttpStatus::gatewayTimeout : HttpStatus::badGateway, report.error.message);
+}
+
+/// The request has not run and will not.
+Task<void> Exchange::refuse(ErrorCode code, std::string message, Millis retryAfter)
+{
+    gateway_.metrics_.count(Counter::Refusals);
+    log(LogEvent::RequestRefused, HttpStatus::unavailable, message);
+    WholeAnswer answer;
+    answer.status = HttpStatus::unavailable;
+    answer.fields.set(http::field::content_type, "text/plain");
+    answer.fields.set(http::field::retry_after, fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()));
+    answer.fields.set(gateway_.names_.requestId, request_.id);
+    if (request_.relayed) {
+        answer.fields.set(relayOutcomeHeader, relayNotRun);
+    }
+    tellSends(answer);
+    answer.body = fmt::format("{}: {}\n", nameOf(code), message);
+    co_await writer_.whole(std::move(answer));
+}
+
+Task<void> Exchange::fail(unsigned status, std::string message)
+{
+    log(LogEvent::RequestFailed, status, message);
+    WholeAnswer answer;
+    answer.status = status;
+    answer.fields.set(http::field::content_type, "text/plain");
+    answer.fields.set(gateway_.names_.requestId, request_.id);
+    if (request_.relayed && !mayHaveRun_) {
+        answer.fields.set(relayOutcomeHeader, relayNotRun);
+    }
+    tellSends(answer);
+    answer.body = message + "\n";
+    co_await writer_.whole(std::move(answer));
+}
+
+/// One line with what decided: the settings' version, the targets asked, the prediction and what came of it.
+void Exchange::log(LogEvent event, unsigned status, const std::string &message) const
+{
+    logEvent(event,
+             { { "request", request_.id },
+               { "route", route_ != nullptr ? route_->name : std::string() },
+               { "service", service_ },
+               { "settings_version", services_ ? std::to_string(services_->version) : std::string("none") },
+               { "store_reachable", gateway_.view()->storeReachable ? "true" : "false" },
+               { "asked", asked_ },
+               { "sends", std::to_string(sends_) },
+               { "no_repeat", std::string(nameOf(repeatDenial_)) },
+               { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
+               { "prompt_tokens", std::to_string(request_.prompt.promptTokens) },
+               { "tokens_out", std::to_string(request_.prompt.expectedTokensOut) },
+               { "first_event_ms", fmt::format("{:.0f}", firstEventMs_) },
+               { "events", std::to_string(eventsSeen_) },
+               { "took_ms", std::to_string(elapsedSince(request_.arrivedAt).count()) },
+               { "relayed", request_.relayed ? "true" : "false" },
+               { "status", std::to_string(status) },
+               { "run", std::string(nameOf(mayHaveRun_ ? RunState::MayHaveRun : RunState::NotRun)) },
+               { "message", message } });
+}
+
+void Exchange::logUnfinished() const
+{
+    log(LogEvent::RequestFailed, 0, "this daemon ends before the answer");
+}
+
+void Exchange::tellSends(WholeAnswer &answer) const
+{
+    if (request_.relayed) {
+        answer.fields.set(relaySendsHeader, std::to_string(ownSends()));
+    }
+}
+
+unsigned Exchange::ownSends() const
+{
+    return sends_ - request_.earlierSends;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -111,6 +111,9 @@
 private:
     friend class Exchange;
 
+    /// Daemons of a region that may be added or come back while others still count.
+    static constexpr unsigned spareDaemons = 1;
+
     /// What a choice for a request depends on besides the request itself.
     struct ChoiceContext
     {
--- /dev/null
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -0,0 +1,170 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Where requests go: the candidates that a gateway sees, and the choice between them.
+
+#include "portpaddle/gateway/fetch_offers.h"
+#include "portpaddle/gateway/gateway.h"
+#include "portpaddle/gateway/prompt_homes.h"
+#include "portpaddle/routing/rendezvous.h"
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace {
+
+// Connections beyond the running requests of a daemon's share bring nothing.
+constexpr std::size_t fewestConnections = 4;
+
+double millisLeft(SteadyTime until, SteadyTime now)
+{
+    return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
+}
+
+} // namespace
+
+std::size_t Gateway::connectionShare(const ServiceSpec &spec) const
+{
+    const unsigned daemons = regions_.daemonsInOwnRegion(std::chrono::steady_clock::now()) + spareDaemons;
+    return std::max<std::size_t>(fewestConnections, spec.connectionLimit / daemons);
+}
+
+LossReason Gateway::bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now)
+{
+    if (!view_->takesRequests(upstream)) {
+        return LossReason::Leaving;
+    }
+    if (pool_.idle(upstream.id) == 0 && pool_.open(upstream.id) >= connectionShare(spec)) {
+        return LossReason::Full;
+    }
+    if (upstream.coldUntil > now && spec.coldPerSecond > 0 && !cold_.allows(upstream.id, spec.coldPerSecond, now)) {
+        return LossReason::ShareSpent;
+    }
+    return LossReason::None;
+}
+
+std::vector<UpstreamCandidate> Gateway::localCandidates(const std::string &service, const ServiceSpec &spec,
+                                                        const PromptFacts &prompt, const std::vector<std::string> &tried,
+                                                        std::vector<const UpstreamRecord *> &records, SteadyTime now)
+{
+    std::vector<UpstreamCandidate> candidates;
+    const auto local = local_.find(service);
+    if (local == local_.end()) {
+        return candidates;
+    }
+    for (const UpstreamRecord *record : local->second) {
+        const UpstreamRecord &upstream = *record;
+        const std::string &id = upstream.id;
+        UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
+        candidate.index = static_cast<std::uint32_t>(records.size());
+        candidate.needsConnection = pool_.idle(id) == 0;
+        const LossReason barred = bar(upstream, spec, now);
+        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+            candidate.barred = LossReason::AlreadyTried;
+        } else if (barred != LossReason::None) {
+            candidate.barred = barred;
+        }
+        records.push_back(&upstream);
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+void Gateway::expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
+                            const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
+                            const std::vector<std::string> &regionNames) const
+{
+    std::vector<HomeCandidate> homes;
+    for (UpstreamCandidate &upstream : upstreams) {
+        if (upstream.barred == LossReason::None) {
+            homes.push_back({ &upstream, upstreamKey(records[upstream.index]->id) });
+        }
+    }
+    std::vector<HomeRegion> homeRegions{ { nullptr, stableHash(identity_.region), static_cast<double>(homes.size()) } };
+    for (RegionCandidate &region : regions) {
+        homeRegions.push_back({ &region, stableHash(regionNames[region.index]), region.upstreams });
+    }
+    Portpaddle::expectAtHomes(prompt, homeRegions, std::move(homes));
+}
+
+Target Gateway::choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
+{
+    Target target = propose(request, context, now);
+    if (target.upstream && target.upstream->coldUntil > now) {
+        cold_.take(target.upstream->id, now);
+    }
+    if (target.daemon) {
+        regions_.sentAway(target.daemon->region, context.service, request.prompt);
+    }
+    return target;
+}
+
+Target Gateway::propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
+{
+    const Route &route = context.route;
+    const std::vector<std::string> &tried = context.tried;
+    const double timeLeftMs = millisLeft(context.deadline, now);
+    Target target;
+    const ServiceSpec *spec = view_->services ? view_->services->service(context.service) : nullptr;
+    if (spec == nullptr) {
+        return target;
+    }
+    target.spec = std::shared_ptr<const ServiceSpec>(view_->services, spec);
+    PlacementRequest facts;
+    facts.urgency = urgencyOfRank(route.rank);
+    facts.promptTokens = request.prompt.promptTokens;
+    facts.sharedTokens = request.prompt.sharedTokens();
+    facts.memoryTokens = request.prompt.promptTokens + request.prompt.mostTokensOut;
+    const double tokensSeen = static_cast<double>(context.eventsSeen) * spec->tokensPerEvent;
+    facts.tokensOut = std::max(0.0, request.prompt.expectedTokensOut - tokensSeen);
+    facts.begun = context.eventsSeen > 0;
+    facts.firstTokenBoundMs = std::min(timeLeftMs, millisLeft(request.arrivedAt + route.firstEventPatience(), now));
+    facts.wholeBoundMs = std::min(timeLeftMs, millisLeft(context.overBy, now));
+    facts.lateLast = policy_.lateLast;
+    facts.targetMs = static_cast<double>(route.targetLatency.count());
+    facts.targetLeftMs = millisLeft(request.arrivedAt + route.targetLatency, now);
+
+    std::vector<const UpstreamRecord *> records;
+    std::vector<UpstreamCandidate> upstreams;
+    if (route.allowsRegion(identity_.region)) {
+        upstreams = localCandidates(context.service, *spec, request.prompt, tried, records, now);
+    }
+    std::vector<std::string> regionNames;
+    std::vector<RegionCandidate> regions;
+    if (!request.relayed) {
+        regions = regions_.candidates(context.service, *spec, request.prompt, facts.urgency, now, regionNames);
+        std::erase_if(regions, [&](const RegionCandidate &candidate) {
+            const std::string &region = regionNames[candidate.index];
+            return !route.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
+                || regions_.pick(*view_, region, now, random_) == nullptr;
+        });
+    }
+    const FetchSources sources = policy_.fetching ? offerFetching(*spec, upstreams, records) : FetchSources{};
+    if (policy_.promptHomes) {
+        expectAtHomes(request.prompt, upstreams, records, regions, regionNames);
+    }
+    PlacementWeights weights = policy_.weights;
+    weights.spreadMs *= regions_.daemonsInOwnRegion(now) - 1;
+    target.placement = place(facts, upstreams, regions, weights, random_);
+    if (target.placement.verdict == Verdict::Refuse && target.placement.reason == LossReason::Unhealthy) {
+        // All that is left looks ill: the best of them is still better than none.
+        for (UpstreamCandidate &candidate : upstreams) {
+            candidate.barred = candidate.barred == LossReason::Unhealthy ? LossReason::None : candidate.barred;
+        }
+        target.placement = place(facts, upstreams, regions, weights, random_);
+    }
+    if (target.placement.verdict == Verdict::Serve) {
+        target.upstream = *records[target.placement.index];
+        if (target.placement.fetches) {
+            target.fetchFrom = sources.at(target.upstream->dataCentre);
+        }
+    } else if (target.placement.verdict == Verdict::Forward) {
+        const std::string &region = regionNames[target.placement.index];
+        const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
+        target.daemon = *daemon;
+    }
+    return target;
+}
+
+} // namespace Portpaddle
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -3,6 +3,7 @@
 
 // What a daemon takes once it was ordered to stop: nothing that it may have to cut off.
 
+#include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
@@ -10,6 +11,8 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
+
 using namespace Portpaddle;
 
 namespace {
@@ -74,3 +77,38 @@
 {
     CHECK(askAsDaemon("/stream/a", "id1", tokensOut(100) + "X-Request-Timeout-Ms: 20000\r\n").whole);
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, stop that begins during a stream, closes the connection after it")
+{
+    std::atomic<bool> go{ false };
+    ScriptedUpstream upstream([&](const SeenRequest &request) {
+        eventually([&] { return go.load(); });
+        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 1) + lastChunk };
+    });
+    addUpstream("u1", upstream.address());
+    RawCaller caller(address());
+    caller.send(request("/stream/a", "id1"));
+    CHECK(eventually([&] { return upstream.seen().size() == 1; }));
+    onLoop([](Gateway &gateway) { gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() }); });
+    go = true;
+    CHECK(caller.receive().whole);
+    caller.send(request("/stream/a", "id2"));
+    CHECK(caller.closedByPeer());
+    CHECK(upstream.seen().size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, late in its stop, takes only what ends in time and refuses the rest as not run")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    routes.routes[0].timeout = Millis(1'000);
+    routes.routes[1].timeout = Millis(3'600'000);
+    publishRoutes();
+    onLoop([](Gateway &gateway) {
+        const SteadyTime now = std::chrono::steady_clock::now();
+        gateway.beginDrain({ now, now + std::chrono::minutes(10) });
+    });
+    CHECK(ask("/plain/a", "id1").status == 200);
+    CHECK(ask("/once/a", "id2").status == 503);
+    CHECK(upstream.seen().size() == 1);
+}
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -212,13 +212,19 @@
                        id, id);
 }
 
-std::string eventChunk(unsigned first, unsigned last)
+std::string events(unsigned first, unsigned last)
 {
-    std::string events;
+    std::string text;
     for (unsigned id = first; id <= last; ++id) {
-        events += fmt::format("id: {}\ndata: token {}\n\n", id, id);
+        text += fmt::format("id: {}\ndata: token {}\n\n", id, id);
     }
-    return fmt::format("{:x}\r\n{}\r\n", events.size(), events);
+    return text;
+}
+
+std::string eventChunk(unsigned first, unsigned last)
+{
+    const std::string text = events(first, last);
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
 }
 
 } // namespace Portpaddle
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -79,6 +79,8 @@
 inline constexpr const char *notRunAnswer = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 /// The head of a chunked event stream.
 std::string streamHead(const std::string &id);
+/// Events of the given ids.
+std::string events(unsigned first, unsigned last);
 /// One chunk with events of the given ids.
 std::string eventChunk(unsigned first, unsigned last);
 inline const std::string lastChunk = "0\r\n\r\n";
