--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -68,6 +68,14 @@
         if self.running():
             self.process.send_signal(number)
 
+    def minds(self, number):
+        """Whether the process catches, blocks or ignores a signal."""
+        if not self.running():
+            return False
+        with open(f"/proc/{self.process.pid}/status") as file:
+            masks = [int(line.split()[1], 16) for line in file if line.startswith(("SigBlk", "SigIgn", "SigCgt"))]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def pause(self):
         self.paused = True
         self.send(signal.SIGSTOP)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -76,7 +76,10 @@
         await self.restart(daemon, daemon.stop)
 
     async def hang_up(self, lasts):
-        self.daemon().send(signal.SIGHUP)
+        daemon = self.daemon()
+        # Before its first instructions nothing can keep the signal from ending a process.
+        if daemon.minds(signal.SIGHUP):
+            daemon.send(signal.SIGHUP)
 
     # The store.
     async def store_down(self, lasts):
--- a/tests/soak/planned_stop_tests.py
+++ b/tests/soak/planned_stop_tests.py
@@ -7,6 +7,7 @@
 that is taken then is cut.
 """
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -70,6 +71,23 @@
         return answer
 
 
+class Start(unittest.IsolatedAsyncioTestCase):
+    async def test_reload_that_comes_while_a_daemon_starts_is_kept(self):
+        directory = tempfile.TemporaryDirectory(prefix="portpaddle-start-")
+        self.addCleanup(directory.cleanup)
+        settings = os.path.join(directory.name, "settings")
+        os.mkfifo(settings)
+        process = await asyncio.create_subprocess_exec(PROGRAM, "--platform", env={**os.environ, "PORTPADDLE_NODE_FILE": settings},
+                                                       stdout=asyncio.subprocess.PIPE)
+        # The daemon has the file open for reading as soon as it can be opened for writing.
+        writer = await asyncio.to_thread(open, settings, "w")
+        process.send_signal(signal.SIGHUP)
+        writer.write("no settings")
+        writer.close()
+        output, _ = await asyncio.wait_for(process.communicate(), HANG_BOUND)
+        self.assertIn(b"daemon_start_failed", output, "ended by the signal")
+
+
 class PlannedStop(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.directory = tempfile.TemporaryDirectory(prefix="portpaddle-stop-")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -52,6 +52,8 @@
         self.version = 0
         self.routes = []
         self.extra = 0
+        self.copies = 0
+        self.copy_of = {}  # what a request names to go on from: (attempt, address that holds the copy)
 
     def now(self):
         return time.monotonic() - self.began
@@ -68,6 +70,18 @@
         """Notes a fault that lasts so long from now."""
         self.faulty_since.append((self.now(), self.now() + seconds))
 
+    def keep_copy(self, source, attempt, target):
+        """Notes a copy at @p target; gives its handle."""
+        self.copies += 1
+        self.copy_of[f"{source.host}:{source.proxy.port}/c{self.copies}"] = (attempt, target)
+        return f"c{self.copies}"
+
+    def take_copy(self, handle, attempt, upstream):
+        """Whether @p upstream holds the copy of this very run; it serves once."""
+        right = self.copy_of.pop(handle, None) == (attempt, f"{upstream.host}:{upstream.proxy.port}")
+        self.checks.tally["went on" if right else "copy refused"] += 1
+        return right
+
     def process_ended(self, daemon, process, status):
         if process.pid in self.expected_ends or self.ending:
             return
@@ -102,7 +116,7 @@
             self.routes.append(probe)
         told = [{key: value for key, value in route.items() if key != "since"} for route in routes]
         services = [{"name": "engines", "connectionLimit": 620, "coldStartS": 0, "coldPerS": 0,
-                     "engine": {"kvCapacityTokens": 600_000, "stride": 1, "moves": False}},
+                     "engine": {"kvCapacityTokens": 600_000, "stride": 1, "moves": True}},
                     {"name": "app", "connectionLimit": 100}, {"name": "app-b", "connectionLimit": 100}]
         self.store.write("op/config", {"version": self.version, "routes": told, "services": services, "limits": {}})
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -41,6 +41,7 @@
         self.mode = None  # how answers are spoiled: errors, lost, torn, extra, shed, slow
         self.left_since = None  # when its leaving was written
         self.transports = set()
+        self.stopped = {}  # attempt: (ordered to stop, has stopped), for each stream in progress
         self.runner = None
 
     @property
@@ -81,19 +82,26 @@
     async def serve(self, request):
         if request.path == "/v1/report":
             return web.json_response({"running": self.running})
+        if request.path == "/v1/kv-move":
+            return await self.move(await request.json())
         attempt = request.headers.get("Portpaddle-Attempt-Id", "")
         expected = request.headers.get("Portpaddle-Expected-Instance")
         head = {"Portpaddle-Attempt-Id": attempt, "Keep-Alive": "timeout=5"}
         if expected not in (None, self.id):
             return web.Response(status=421, headers={**head, "Portpaddle-Not-Executed": "1"})
         body = await request.read()
-        self.soak.checks.arrived(self, attempt, request, body)
+        goes_on_from = request.headers.get("Kv-From")
+        if goes_on_from is not None and not self.soak.take_copy(goes_on_from, attempt, self):
+            return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1"})
+        if goes_on_from is None:
+            self.soak.checks.arrived(self, attempt, request, body)
         if self.running >= FULL or self.mode == "shed":
             return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1"})
         self.running += 1
         self.transports.add(request.transport)
         try:
-            self.soak.checks.ran(self, attempt)
+            if goes_on_from is None:
+                self.soak.checks.ran(self, attempt)
             return await self.answer(request, attempt, head)
         finally:
             self.running -= 1
@@ -124,13 +132,30 @@
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nPortpaddle-Attempt-Id: other\r\n\r\nextra")
         return answer
 
+    async def move(self, order):
+        """Stops a run and has its memory copied to the upstream at the address that is named."""
+        if order["id"] not in self.stopped or not order["last"]:
+            return web.Response(status=404)
+        ordered, ended = self.stopped.pop(order["id"])
+        ordered.set()
+        try:
+            await asyncio.wait_for(ended.wait(), 1)
+        except asyncio.TimeoutError:  # it had come to its end
+            return web.Response(status=404)
+        return web.json_response({"handle": self.soak.keep_copy(self, order["id"], order["targetVersion"]), "created": 0})
+
     async def stream(self, request, attempt, head):
         answer = web.StreamResponse(headers={**head, "Content-Type": "text/event-stream"})
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         last = stream_length(attempt)
+        ordered, ended = self.stopped[attempt] = (asyncio.Event(), asyncio.Event())
         for number in range(first, last + 1):
             await asyncio.sleep(pace(attempt, request.path))
+            if ordered.is_set():
+                request.transport.close()
+                ended.set()
+                return answer
             text = event(attempt, number)
             if self.mode == "torn" and number > last // 2:
                 await answer.write(text[:9].encode())
