Never run a handed-over stream again where its engine does not take it

Found by reading the diff: the daemon that goes on with a run had a fresh request before it, so that a refusal by the engine that holds the copy, or no connection to it, let another engine run it from the caller's last event, though the route may not be resumed. Now only a route that may be resumed goes on elsewhere. The test failed first, both ways (hand_over_tests).

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -214,6 +214,10 @@
 
 bool Exchange::canContinue() const
 {
+    // The caller of a run that goes on here has a part of it.
+    if (request_.continuation) {
+        return route_->resumable;
+    }
     return !progress_.begun || (route_->resumable && !progress_.events.lastId().empty());
 }
 
--- a/tests/gateway/hand_over_tests.cpp
+++ b/tests/gateway/hand_over_tests.cpp
@@ -81,6 +81,7 @@
 
     PlainOrders orders;
     std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
+    ScriptedUpstream refusing{ [](const SeenRequest &) { return ScriptedAnswer{ notRunAnswer }; } };
     std::string continuedFrom;
     std::atomic<bool> ordered{ false };
     std::atomic<bool> released{ false };
@@ -156,6 +157,26 @@
     CHECK(answer.head.find("X-Portpaddle-Outcome: not_run") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(MovingEnginesFixture, "Relayed request, continuation that its engine does not take, is not run by another one")
+{
+    std::string address;
+    SUBCASE("refused by the engine")
+    {
+        address = refusing.address();
+    }
+    SUBCASE("no connection to the engine")
+    {
+        address = ScriptedUpstream(echo).address();
+    }
+    addUpstream("u7", address);
+    const SeenAnswer answer
+        = askAsDaemon("/stream/a", "id1", "Last-Event-ID: 2\r\nX-Portpaddle-Continue-At: u7 10.0.0.1:80/h7\r\n");
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("X-Portpaddle-Outcome: not_run") != std::string::npos);
+    CHECK(engines[0]->seen().empty());
+    CHECK(engines[1]->seen().empty());
+}
+
 TEST_CASE_FIXTURE(MovingEnginesFixture, "Request of a caller, with a continuation, is an ordinary request")
 {
     released = true;
