Tests: one base for engines that move runs, one prompt that is kept elsewhere

Found by reading the change once more. The soak's upstreams kept an entry for each stream that had ended; a move of one was answered after a second of waiting, with the same 404.

--- a/tests/gateway/hand_over_tests.cpp
+++ b/tests/gateway/hand_over_tests.cpp
@@ -3,10 +3,7 @@
 
 // Streams that pass through two daemons, the second of which ends first: their memory is moved and they go on through a third.
 
-#include "support/eventually.h"
-#include "support/gateway_site.h"
-#include "support/plain_orders.h"
-#include "support/scripted_upstream.h"
+#include "support/moving_engines.h"
 
 #include <doctest/doctest.h>
 
@@ -21,70 +18,38 @@
 namespace {
 
 constexpr const char *canContinue = "X-Portpaddle-Continues: 1\r\n";
-// So much of this prompt lies in the other region that it is asked first.
-constexpr const char *keptElsewhere = "X-Token-Counts: 20000,10\r\nX-Prompt-Parts: a:19000,b:1000\r\n";
 
 std::string lastIdOf(const SeenRequest &request)
 {
     return request.headers.contains("last-event-id") ? request.headers.at("last-event-id") : std::string();
 }
 
-/// A daemon with two engines that move memory. A stream gives two events, and ends when its engine is ordered to move it.
-class MovingEnginesFixture : public GatewaySite
+/// A daemon whose streams of others are due to be handed over as soon as its stop begins.
+class MovingEnginesFixture : public MovingEngines
 {
 public:
     MovingEnginesFixture()
     {
-        routes.services["s"].movesMemory = true;
-        publishRoutes();
         terms.moveLead = Millis(0);
         terms.handOverLead = std::chrono::hours(2);
         setTerms();
-        onLoop([this](Gateway &gateway) { gateway.setOrders(&orders); });
-        const auto script = [this](const SeenRequest &request) { return answer(request); };
-        for (std::size_t index = 0; index < engines.size(); ++index) {
-            engines[index] = std::make_unique<ScriptedUpstream>(script);
-            addUpstream("u" + std::to_string(index), engines[index]->address());
-        }
-    }
-
-    ScriptedAnswer answer(const SeenRequest &request)
-    {
-        if (request.requestLine.starts_with("POST /move")) {
-            ordered = true;
-            return { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7" };
-        }
-        if (request.headers.contains("x-memory-from")) {
-            continuedFrom = request.headers.at("x-memory-from");
-            return { streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk };
-        }
-        return { streamHead(idOf(request)) + eventChunk(1, 2), Then::Close,
-                 [this] { eventually([this] { return ordered || released; }); } };
     }
 
     /// The stream of another daemon, seen to the end of this daemon's stop.
     SeenAnswer askWhileStopping(const std::string &headers)
     {
         RawCaller caller(linkAddress());
-        caller.send(request("/stream/a", "id1", headers));
-        CHECK(eventually([this] { return engines[0]->seen().size() + engines[1]->seen().size() == 1; }));
+        beginStream(caller, headers);
+        CHECK(engines[0]->seen().size() + engines[1]->seen().size() == 1);
         onLoop([](Gateway &gateway) {
             const SteadyTime now = std::chrono::steady_clock::now();
             gateway.beginDrain({ now, now + std::chrono::hours(1) });
         });
-        CHECK(eventually([this] {
-            onLoop([](Gateway &gateway) { gateway.tick(); });
-            return ordered || released;
-        }));
+        CHECK(tickUntilOrdered());
         return caller.receive();
     }
 
-    PlainOrders orders;
-    std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
-    ScriptedUpstream refusing{ [](const SeenRequest &) { return ScriptedAnswer{ notRunAnswer }; } };
-    std::string continuedFrom;
-    std::atomic<bool> ordered{ false };
-    std::atomic<bool> released{ false };
+    ScriptedUpstream busy{ [](const SeenRequest &) { return ScriptedAnswer{ notRunAnswer }; } };
 };
 
 /// Two daemons of another region: whoever is asked first hands over, the other goes on.
@@ -162,7 +127,7 @@
     std::string address;
     SUBCASE("refused by the engine")
     {
-        address = refusing.address();
+        address = busy.address();
     }
     SUBCASE("no connection to the engine")
     {
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -22,9 +22,6 @@
     return "HTTP/1.1 503 Busy\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: " + sends + "\r\nContent-Length: 0\r\n\r\n";
 }
 
-// So much of this prompt lies in the other region that it is asked first.
-constexpr const char *keptElsewhere = "X-Token-Counts: 20000,10\r\nX-Prompt-Parts: a:19000,b:1000\r\n";
-
 /// A daemon of another region, which is a script, and an upstream of the own one.
 class OtherRegionFixture : public GatewaySite
 {
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -162,4 +162,5 @@
                 request.transport.abort()
                 return answer
             await answer.write(text.encode())
+        self.stopped.pop(attempt, None)
         return answer
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -55,6 +55,9 @@
     std::string buffer_;
 };
 
+/// Headers of a prompt of which so much lies in the region of a remote daemon that it is asked first; see addRemoteDaemon().
+inline constexpr const char *keptElsewhere = "X-Token-Counts: 20000,10\r\nX-Prompt-Parts: a:19000,b:1000\r\n";
+
 /// Route "/plain/" repeats, "/once/" does not, "/stream/" is a stream, "/resume/" one that may be continued; two attempts each
 /// but for "/single/". All lead to service "s".
 class GatewaySite
--- /dev/null
+++ b/tests/support/moving_engines.h
@@ -0,0 +1,83 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// A daemon with two engines that move the memory of runs to each other.
+#pragma once
+
+#include "support/eventually.h"
+#include "support/gateway_site.h"
+#include "support/plain_orders.h"
+#include "support/scripted_upstream.h"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace Portpaddle {
+
+/// A stream gives three events and ends when its engine is ordered to move it; continued, it goes on to the sixth.
+class MovingEngines : public GatewaySite
+{
+public:
+    MovingEngines()
+    {
+        routes.services["s"].movesMemory = true;
+        publishRoutes();
+        onLoop([this](Gateway &gateway) { gateway.setOrders(&orders); });
+        for (std::size_t index = 0; index < engines.size(); ++index) {
+            engines[index] = std::make_unique<ScriptedUpstream>([this](const SeenRequest &request) { return answer(request); });
+            addUpstream("u" + std::to_string(index), engines[index]->address());
+        }
+    }
+
+    /// Sends a stream on @p caller and gives the engine that runs it.
+    std::size_t beginStream(RawCaller &caller, const std::string &headers = {})
+    {
+        caller.send(request("/stream/a", "id1", headers));
+        eventually([this] { return engines[0]->seen().size() + engines[1]->seen().size() == 1; });
+        return engines[0]->seen().empty() ? 1 : 0;
+    }
+
+    /// The first events reach the gateway soon after the request was seen; a move is ordered at a tick after that.
+    bool tickUntilOrdered()
+    {
+        return eventually([this] {
+            onLoop([](Gateway &gateway) { gateway.tick(); });
+            return ordered || released;
+        });
+    }
+
+    PlainOrders orders;
+    std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
+    std::string moveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
+    std::string continuedFrom;
+    std::string continuedAt;
+    /// The engine that holds the copy does not run what goes on from it.
+    bool refusing = false;
+    std::atomic<bool> ordered{ false };
+    /// Streams end without an order.
+    std::atomic<bool> released{ false };
+
+private:
+    ScriptedAnswer answer(const SeenRequest &request)
+    {
+        if (request.requestLine.starts_with("POST /move")) {
+            ordered = true;
+            return { moveAnswer };
+        }
+        if (request.headers.contains("x-memory-from")) {
+            continuedFrom = request.headers.at("x-memory-from");
+            continuedAt = engines[request.headers.at("x-expected-upstream") == "u0" ? 0 : 1]->address();
+            if (refusing) {
+                return { notRunAnswer };
+            }
+            const unsigned last = static_cast<unsigned>(std::stoi(request.headers.at("last-event-id")));
+            return { streamHead(idOf(request)) + eventChunk(last + 1, 6) + lastChunk };
+        }
+        return { streamHead(idOf(request)) + eventChunk(1, 3), ScriptedAnswer::Then::Close,
+                 [this] { eventually([this] { return ordered || released; }); } };
+    }
+};
+
+} // namespace Portpaddle
