Settings controller: publish one after another, so that an older version never comes last

Cause: an operator's call and the thread that reads the platform both read the tree, compile it and publish, outside of any lock; the one that had read the older tree could publish last.

--- a/src/portpaddle/control/settings_controller.cpp
+++ b/src/portpaddle/control/settings_controller.cpp
@@ -203,8 +203,10 @@
     return true;
 }
 
+// An operator's call and the thread that reads the platform both publish: one that read an older tree must not come last.
 void SettingsController::publish()
 {
+    const std::lock_guard lock(publishing_);
     const std::shared_ptr<const CompiledSettings> compiled = CompiledSettings::compile(tree(), parts_.place);
     parts_.board.settings.publish(compiled);
     if (compiled->version() == 0) {
--- a/src/portpaddle/control/settings_controller.h
+++ b/src/portpaddle/control/settings_controller.h
@@ -68,6 +68,8 @@
 
     SettingsControllerParts parts_;
     SettingsLog log_;
+    /// Held from reading the tree to putting it in force.
+    std::mutex publishing_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     SettingsTree tree_;
--- a/tests/introspective/settings_tests.cpp
+++ b/tests/introspective/settings_tests.cpp
@@ -3,13 +3,16 @@
 
 // Settings: inheritance, checks, the log with its races and lost replies.
 
+#include "portpaddle/control/settings_controller.h"
 #include "portpaddle/platform/memory_platform.h"
+#include "portpaddle/routing/blackboard.h"
 #include "portpaddle/settings/checker.h"
 #include "portpaddle/settings/schema.h"
 #include "portpaddle/settings/settings_log.h"
 #include "support/manual_clock.h"
 #include "support/settings_text.h"
 
+#include <algorithm>
 #include <thread>
 
 #include <doctest/doctest.h>
@@ -265,3 +268,28 @@
         CHECK(++seen[all[index].changeId] == 1);
     }
 }
+
+TEST_CASE("Settings controller, two threads that take the same changes, never put an older version in force after a newer one")
+{
+    constexpr std::uint64_t changes = 300;
+    ManualClock clock;
+    MemoryPlatform platform(clock);
+    Blackboard board;
+    std::vector<std::uint64_t> inForce;
+    SettingsControllerParts parts{ board, platform, clock, { "north", "n1" }, [] { return false; }, {}, {}, Millis(10) };
+    parts.onApplied = [&](std::uint64_t) { inForce.push_back(board.settings.read()->version()); };
+    SettingsController controller(parts);
+    const auto takeAll = [&controller] {
+        for (std::uint64_t version = 1; version <= changes; ++version) {
+            SettingsChange change;
+            change.version = version;
+            change.patch = weightPatch(static_cast<double>(version));
+            controller.takeChanges({ change });
+        }
+    };
+    std::thread other(takeAll);
+    takeAll();
+    other.join();
+    CHECK(std::is_sorted(inForce.begin(), inForce.end()));
+    CHECK(board.settings.read()->version() == changes);
+}
