Fleet room: plain names, one decoder of peers' answers; a gatherer is not avoided for reports that went elsewhere

Cause: sums were awaited since the first report ever, so that a daemon that became the gatherer again was avoided for 5 s at the first report. The new test fails without the change.

--- a/src/portpaddle/fleet/fleet_news.cpp
+++ b/src/portpaddle/fleet/fleet_news.cpp
@@ -64,15 +64,10 @@
     , regions_(regions)
     , gatherers_(ownId_, [this](const std::string &daemon, SteadyTime now) { return regions_.fellSilent(daemon, now); })
     , localWindow_(stableHash(ownId_))
-    , foreignWindow_(stableHash(ownId_))
+    , regionsWindow_(stableHash(ownId_))
 {
 }
 
-bool FleetNews::concerns(const FleetView &view)
-{
-    return sharesWork(view);
-}
-
 void FleetNews::setView(std::shared_ptr<const FleetView> view)
 {
     view_ = std::move(view);
@@ -82,7 +77,7 @@
             members_.push_back(&daemon);
         }
     }
-    if (concerns(*view_)) {
+    if (sharesWork(*view_)) {
         gatherers_.setView(view_);
     }
 }
@@ -182,17 +177,17 @@
                        std::vector<OutgoingDigest> &out)
 {
     Wire::LoadDigestT digest = header;
-    for (auto &[name, foreign] : foreign_) {
-        if (!foreign.fresh) {
+    for (auto &[name, region] : otherRegions_) {
+        if (!region.fresh) {
             continue;
         }
-        foreign.fresh = false;
+        region.fresh = false;
         auto news = std::make_unique<Wire::RegionNewsT>();
         news->region = name;
-        news->services = foreign.services;
-        news->placed = takeAll(foreign.placed);
+        news->services = region.services;
+        news->placed = takeAll(region.placed);
         news->placed.resize(std::min(news->placed.size(), mostPassedOnParts));
-        news->members = aged(foreign.members, now - foreign.at);
+        news->members = aged(region.members, now - region.at);
         digest.regions.push_back(std::move(news));
         out.push_back({ to, digest });
         digest.members.clear();
@@ -221,7 +216,7 @@
     addWaits(digest);
     digest.placed = takeAll(partsForRegions_.at(shard));
     digest.placed.resize(std::min(digest.placed.size(), mostDigestParts));
-    digest.members = nextMembers(foreignWindow_, digest.phase, now);
+    digest.members = nextMembers(regionsWindow_, digest.phase, now);
     out.push_back({ std::move(to), std::move(digest) });
 }
 
@@ -262,14 +257,14 @@
         if (!knowsRegion(digest.region)) {
             break;
         }
-        Foreign &foreign = foreign_[digest.region];
-        foreign.services = digest.services;
+        OtherRegion &region = otherRegions_[digest.region];
+        region.services = digest.services;
         for (const Wire::PlacedPart &part : digest.placed) {
-            addPart(foreign.placed, part);
+            addPart(region.placed, part);
         }
-        foreign.members = digest.members;
-        foreign.at = now;
-        foreign.fresh = true;
+        region.members = digest.members;
+        region.at = now;
+        region.fresh = true;
         break;
     }
     }
--- a/src/portpaddle/fleet/fleet_news.h
+++ b/src/portpaddle/fleet/fleet_news.h
@@ -37,8 +37,6 @@
     FleetNews(std::string ownId, std::string ownRegion, UpstreamLoads &loads, RegionTable &regions);
 
     void setView(std::shared_ptr<const FleetView> view);
-    /// Whether @p view is of a fleet that has gatherers.
-    static bool concerns(const FleetView &view);
     /// What to send at this turn, of which there is one in each interval. @p header has the sender and
     /// its phase; @p addWaits adds how its region does, where that is told.
     std::vector<OutgoingDigest> due(std::size_t turn, const Wire::LoadDigestT &header,
@@ -48,7 +46,7 @@
 
 private:
     /// What another region's gatherers told since it was passed on.
-    struct Foreign
+    struct OtherRegion
     {
         std::vector<Wire::ServiceWait> services;
         std::vector<Wire::PlacedPart> placed;
@@ -81,9 +79,9 @@
     std::array<std::vector<Wire::PlacedPart>, newsShards> parts_;
     /// The same for other regions.
     std::array<std::vector<Wire::PlacedPart>, newsShards> partsForRegions_;
-    std::unordered_map<std::string, Foreign> foreign_;
+    std::unordered_map<std::string, OtherRegion> otherRegions_;
     std::size_t localWindow_ = 0;
-    std::size_t foreignWindow_ = 0;
+    std::size_t regionsWindow_ = 0;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/gatherers.cpp
+++ b/src/portpaddle/fleet/gatherers.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-// Sums come five times a second; a gatherer that owes them for so long is cut off or dead, or knows itself not to be one.
-constexpr std::chrono::milliseconds longestDebt{ 1'000 };
+// Sums come ten times a second; a gatherer that sends none for so long is cut off or dead, or does not know that it is one.
+constexpr std::chrono::milliseconds longestWait{ 1'000 };
 // One that is back is heard of by then.
-constexpr std::chrono::milliseconds passOverTime{ 5'000 };
+constexpr std::chrono::milliseconds avoidTime{ 5'000 };
 
 } // namespace
 
@@ -44,7 +44,7 @@
         return nullptr;
     }
     for (const DaemonRecord *daemon : found->second.at(shard)) {
-        if (isSelf(*daemon) || (!isSilent_(daemon->id, now) && !isPassedOver(daemon->id, now))) {
+        if (isSelf(*daemon) || (!isSilent_(daemon->id, now) && !isAvoided(daemon->id, now))) {
             return daemon;
         }
     }
@@ -56,29 +56,30 @@
     return daemon.id == ownId_;
 }
 
-bool Gatherers::isPassedOver(const std::string &daemon, SteadyTime now) const
+bool Gatherers::isAvoided(const std::string &daemon, SteadyTime now) const
 {
-    const auto found = debts_.find(daemon);
-    return found != debts_.end() && now < found->second.passedOverUntil;
+    const auto found = responses_.find(daemon);
+    return found != responses_.end() && now < found->second.avoidedUntil;
 }
 
 void Gatherers::reported(const std::string &gatherer, SteadyTime now)
 {
-    Debt &debt = debts_[gatherer];
-    if (!debt.owing) {
-        debt.owing = true;
-        debt.since = now;
-    } else if (now - debt.since > longestDebt) {
-        debt.passedOverUntil = now + passOverTime;
-        debt.owing = false;
+    Response &response = responses_[gatherer];
+    // Another daemon was the gatherer in between: nothing was due from this one.
+    const bool begins = now - response.lastReport > longestWait;
+    response.lastReport = now;
+    if (begins) {
+        response.awaitedSince = now;
+    } else if (now - response.awaitedSince > longestWait) {
+        response.avoidedUntil = now + avoidTime;
     }
 }
 
 void Gatherers::heardSums(const std::string &gatherer, SteadyTime now)
 {
-    Debt &debt = debts_[gatherer];
-    debt.since = now;
-    debt.passedOverUntil = {};
+    Response &response = responses_[gatherer];
+    response.awaitedSince = now;
+    response.avoidedUntil = {};
 }
 
 std::vector<std::string> Gatherers::regions() const
--- a/src/portpaddle/fleet/gatherers.h
+++ b/src/portpaddle/fleet/gatherers.h
@@ -29,7 +29,7 @@
     /// Null where the region has no daemon that could.
     const DaemonRecord *of(const std::string &region, unsigned shard, SteadyTime now) const;
     bool isSelf(const DaemonRecord &daemon) const;
-    /// This daemon reported to @p gatherer, which owes sums from now on.
+    /// This daemon reported to @p gatherer, whose sums are awaited from now on.
     void reported(const std::string &gatherer, SteadyTime now);
     /// Sums came from @p gatherer.
     void heardSums(const std::string &gatherer, SteadyTime now);
@@ -39,21 +39,23 @@
 private:
     using Ranks = std::array<std::vector<const DaemonRecord *>, newsShards>;
 
-    /// Since when sums are owed, until when it is passed over for owing them too long.
-    struct Debt
+    /// How a gatherer that was reported to answers.
+    struct Response
     {
-        SteadyTime since{};
-        bool owing = false;
-        SteadyTime passedOverUntil{};
+        SteadyTime lastReport{};
+        /// Since when its sums are awaited, or when they came last.
+        SteadyTime awaitedSince{};
+        /// It did not answer.
+        SteadyTime avoidedUntil{};
     };
 
-    bool isPassedOver(const std::string &daemon, SteadyTime now) const;
+    bool isAvoided(const std::string &daemon, SteadyTime now) const;
 
     std::string ownId_;
     IsSilent isSilent_;
     std::shared_ptr<const FleetView> view_;
     std::unordered_map<std::string, Ranks> ranks_;
-    std::unordered_map<std::string, Debt> debts_;
+    std::unordered_map<std::string, Response> responses_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -145,20 +145,26 @@
     sources_[address].avoidedUntil = std::chrono::steady_clock::now() + avoidTime;
 }
 
-Result<KeyChanges> RelayedStore::followPeer(const std::string &address, std::uint64_t revision)
+Result<FeedNews> RelayedStore::askConfirmed(const std::string &address, const std::string &target)
 {
-    const Result<std::string> body = ask(address, fmt::format("{}?after={}", changesPath, revision));
+    const Result<std::string> body = ask(address, target);
     if (!isOk(body)) {
         return errorOf(body);
     }
     const auto now = std::chrono::steady_clock::now();
     Result<FeedNews> news = decodeChanges(valueOf(body), now);
+    if (isOk(news) && !isConfirmed(valueOf(news), now)) {
+        return unavailable("the daemon at " + address + " has no contact with the store");
+    }
+    return news;
+}
+
+Result<KeyChanges> RelayedStore::followPeer(const std::string &address, std::uint64_t revision)
+{
+    Result<FeedNews> news = askConfirmed(address, fmt::format("{}?after={}", changesPath, revision));
     if (!isOk(news)) {
         return errorOf(news);
     }
-    if (!isConfirmed(valueOf(news), now)) {
-        return unavailable("the daemon at " + address + " has no contact with the store");
-    }
     if (valueOf(news).incomplete) {
         return Error{ ErrorCode::HistoryGone, "the daemon at " + address + " forgot these changes", RunState::NotRun, {} };
     }
@@ -173,16 +179,11 @@
 
 Result<KeyListing> RelayedStore::listPeer(const std::string &address)
 {
-    const Result<std::string> body = ask(address, statePath);
-    if (!isOk(body)) {
-        return errorOf(body);
-    }
-    const auto now = std::chrono::steady_clock::now();
-    Result<FeedNews> news = decodeChanges(valueOf(body), now);
+    Result<FeedNews> news = askConfirmed(address, statePath);
     if (!isOk(news)) {
         return errorOf(news);
     }
-    if (!isConfirmed(valueOf(news), now) || valueOf(news).revision < highestRevision_) {
+    if (valueOf(news).revision < highestRevision_) {
         return unavailable("the daemon at " + address + " knows less than this one");
     }
     KeyListing listing;
@@ -194,11 +195,6 @@
     return listing;
 }
 
-bool RelayedStore::mayCallStore(Time now)
-{
-    return now >= storeCallsFrom_;
-}
-
 Result<KeyListing> RelayedStore::listAll(const std::string &prefix, ReadFreshness freshness)
 {
     const FollowRole role = currentRole();
@@ -242,8 +238,7 @@
     if (historyGone) {
         return *historyGone;
     }
-    const Time now = std::chrono::steady_clock::now();
-    if (!mayCallStore(now)) {
+    if (std::chrono::steady_clock::now() < storeCallsFrom_) {
         return unavailable("no daemon hands on the store's changes, and the store failed just now");
     }
     Result<KeyChanges> changes = store_.follow(prefix, revision, std::min(timeout, directWait));
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -20,6 +20,7 @@
 
 namespace Portpaddle {
 
+struct FeedNews;
 struct FleetView;
 
 /// How a daemon gets at the store's contents.
@@ -62,14 +63,15 @@
 
     /// Those of @p role that did not fail just now, in the order in which to ask them.
     std::vector<std::string> usableSources(const FollowRole &role, Time now);
-    /// The answer of @p source, which is avoided for a while after a failure.
+    /// What the daemon at @p address answers.
     Result<std::string> ask(const std::string &address, const std::string &target);
+    /// The same, decoded; an error where what it says was not confirmed by the store lately.
+    Result<FeedNews> askConfirmed(const std::string &address, const std::string &target);
     Result<KeyChanges> followPeer(const std::string &address, std::uint64_t revision);
     Result<KeyListing> listPeer(const std::string &address);
     void avoid(const std::string &address, const Error &why);
+    /// The role of this moment; a change is logged.
     FollowRole currentRole();
-    /// A call to the store after all other daemons failed; no more than one in a while.
-    bool mayCallStore(Time now);
 
     WatchedStore &store_;
     std::function<FollowRole()> role_;
@@ -80,6 +82,7 @@
     std::size_t turn_ = 0;
     std::uint64_t highestRevision_ = 0;
     bool direct_ = true;
+    /// After a call to the store that failed as all sources had; until then it is not called again.
     Time storeCallsFrom_{};
 };
 
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/gateway/gateway_server.h"
 
+#include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/routing/rendezvous.h"
@@ -172,7 +173,7 @@
 void GatewayServer::tellLoad()
 {
     const std::shared_ptr<const FleetView> view = gateway_.view();
-    if (FleetNews::concerns(*view)) {
+    if (sharesWork(*view)) {
         sendNews();
         return;
     }
--- a/tests/gateway/fleet_news_tests.cpp
+++ b/tests/gateway/fleet_news_tests.cpp
@@ -247,6 +247,26 @@
     CHECK(allOfMany < 4 * allOfFew);
 }
 
+TEST_CASE_FIXTURE(NewsFixture,
+                  "Gatherers, one that takes reports and sends no sums, is avoided, and not for reports that went elsewhere")
+{
+    build(40, 0);
+    Gatherers gatherers("north-x", [](const std::string &, SteadyTime) { return false; });
+    gatherers.setView(view);
+    const std::string first = gatherers.of("north", 0, now)->id;
+    // It sends sums, then others are reported to for a while: nothing is due from it.
+    gatherers.reported(first, now);
+    gatherers.heardSums(first, now + 100ms);
+    gatherers.reported(first, now + 10s);
+    CHECK(gatherers.of("north", 0, now + 10s)->id == first);
+    for (SteadyTime time = now + 10s; time < now + 12s; time += 100ms) {
+        gatherers.reported(first, time);
+    }
+    CHECK(gatherers.of("north", 0, now + 12s)->id != first);
+    gatherers.heardSums(first, now + 13s);
+    CHECK(gatherers.of("north", 0, now + 13s)->id == first);
+}
+
 TEST_CASE_FIXTURE(NewsFixture, "Role ranking, strong VMs among many small ones, go first")
 {
     build(50, 0);
