Following: notice a lost answer of the store also where daemons had handed on the changes

The answer was lost; the cheap read that would show it was left out since the last changes had come from a daemon. Configuration 8, in force at the store at 26.4 s, was taken at 32.0 s.

Now the cheap read is left out only for 2 s after an answer, and the call waits 1 s. The new test fails before and passes after. Ruled out: the followers themselves (they had the configuration at 28.3 to 29.6 s).

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -31,8 +31,10 @@
 // What a source knows of the store was confirmed within this time, or it may be cut off: it asks the store every 1.2 s, and
 // changes must be in force within a few seconds.
 constexpr std::chrono::milliseconds oldestConfirmation{ 2'500 };
-// How long a waiting call to the store takes where all sources failed: they may be back.
-constexpr Millis directWait{ 5'000 };
+// How long a waiting call to the store takes where all sources failed: they may be back. Its answer may be lost, which shows only
+// when the call times out some seconds later; with 5 s here a configuration was missed for 5.7 s after the store had lost
+// answers.
+constexpr Millis directWait{ 1'000 };
 // Between two calls to a store that failed too.
 constexpr std::chrono::milliseconds betweenStoreCalls{ 1'500 };
 
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -24,6 +24,8 @@
 // Two rounds find a lost answer well within the few seconds that a configuration may take; each costs a tenth of a call.
 constexpr Millis verifyInterval{ 1'200 };
 constexpr Millis verifyStep{ 100 };
+// Daemons that hand on changes answer each second; after this the store itself may be waited for.
+constexpr Millis longestRelaySilence{ 2'000 };
 // A configuration must be in force within a few seconds; a state of some hundred routes has 100 KB.
 constexpr Millis betweenPeerQuestions{ 1'000 };
 
@@ -111,6 +113,7 @@
     noteSuccess();
     const KeyChanges &news = valueOf(reply);
     relayed_ = news.relayed;
+    answeredAt_ = std::chrono::steady_clock::now();
     if (!news.changes.empty()) {
         listener_.changed(news.changes);
     }
@@ -131,7 +134,7 @@
         for (Millis slept{ 0 }; slept < verifyInterval && !stopping_; slept += verifyStep) {
             std::this_thread::sleep_for(verifyStep);
         }
-        if (relayed_) {
+        if (relayed_ && std::chrono::steady_clock::now() - answeredAt_.load() < longestRelaySilence) {
             // Whoever hands on the changes says when the store confirmed them.
             continue;
         }
--- a/src/portpaddle/gateway/key_follower.h
+++ b/src/portpaddle/gateway/key_follower.h
@@ -69,6 +69,8 @@
     std::atomic<bool> listed_{ false };
     /// Changes come by way of another daemon.
     std::atomic<bool> relayed_{ false };
+    /// When the last answer about changes came, wherever from.
+    std::atomic<std::chrono::steady_clock::time_point> answeredAt_{ std::chrono::steady_clock::time_point{} };
     bool lost_ = true;
     unsigned failures_ = 0;
     std::atomic<bool> stopping_{ false };
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -355,6 +355,26 @@
     }
 }
 
+TEST_CASE_FIXTURE(RelayFixture, "Following, source lost and then the answer of the store too, is noticed and asked for again")
+{
+    source.items = { { "k0", "1", 1 } };
+    source.feed.restart(1, std::chrono::steady_clock::now());
+    store.set("k0", "1");
+    RecordingListener listener;
+    KeyFollower follower("", relayed, listener, nullptr, &store);
+    follower.start();
+    REQUIRE(eventually([&] { return listener.has("k0"); }));
+    source.feed.add({ write("k1", 2) }, 2, std::chrono::steady_clock::now());
+    REQUIRE(eventually([&] { return listener.has("k1"); }));
+    store.loseNextAnswer();
+    source.feed.setReachable(false);
+    store.set("k1", "1");
+    store.set("k2", "1");
+    CHECK(eventually([&] { return listener.has("k2"); }));
+    // Ends the call that hangs where it was not noticed.
+    relayed.interrupt();
+}
+
 TEST_CASE("Follow role, daemons of a large region, three follow the store and all others the same three")
 {
     FleetView view;
