--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -348,18 +348,23 @@
     return result;
 }
 
-std::vector<Wire::UpstreamShare> UpstreamLoads::sums(unsigned shard, SteadyTime now) const
+std::vector<Wire::UpstreamShare> UpstreamLoads::sums(unsigned shard, SteadyTime now)
 {
     std::vector<Wire::UpstreamShare> result;
-    for (const auto &[id, state] : states_) {
+    for (auto &[id, state] : states_) {
         const std::uint32_t key = upstreamKey(id);
-        // Nothing has been read there: nobody has anything to take back.
-        if (shardOf(key) != shard || state.prefixes.clock() <= 0) {
+        if (shardOf(key) != shard) {
             continue;
         }
         LoadShare sum = ownShare(state);
         sum += state.peers.sum(now);
-        result.push_back(encodeShare(key, sum, state.prefixes.clock()));
+        if (sum.running > 0) {
+            state.busyAt = now;
+        }
+        // Most upstreams of a fleet with little load are idle, and bytes between data centres are paid for.
+        if (now - state.busyAt <= idleTold) {
+            result.push_back(encodeShare(key, sum, state.prefixes.clock()));
+        }
     }
     return result;
 }
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -70,8 +70,9 @@
     void takeSums(const Wire::LoadDigestT &digest, SteadyTime now);
     /// What this daemon has sent and is not answered yet, by upstream. One that all requests left is told a while longer.
     std::vector<Wire::UpstreamShare> shares(SteadyTime now) const;
-    /// Own shares and those of all daemons that report here, of the upstreams of one @p shard.
-    std::vector<Wire::UpstreamShare> sums(unsigned shard, SteadyTime now) const;
+    /// Own shares and those of all daemons that report here, of the upstreams of one @p shard that are in use or were a moment
+    /// ago.
+    std::vector<Wire::UpstreamShare> sums(unsigned shard, SteadyTime now);
     /// Remembers that @p gatherer counts @p shares of this daemon, and no other shares at upstreams of @p shard.
     void told(const std::string &gatherer, unsigned shard, const std::vector<Wire::UpstreamShare> &shares);
     /// The parts placed since the last call for @p reach; only the newest where they are many.
@@ -96,6 +97,8 @@
         unsigned running = 0;
         PeerShares peers;
         Told told;
+        /// When any daemon had requests there, as far as is known here.
+        SteadyTime busyAt{};
         PrefixMemory prefixes;
         /// Prompt tokens ever sent there to be read.
         double readTokens = 0;
--- a/tests/gateway/fleet_news_tests.cpp
+++ b/tests/gateway/fleet_news_tests.cpp
@@ -110,19 +110,19 @@
         const auto addWaits = [](Wire::LoadDigestT &digest) { digest.services = { { 7, 10, 20, 30, 5, 100, 2, 1 } }; };
         for (OutgoingDigest &outgoing : daemon.news.due(turn, header, addWaits, now)) {
             outgoing.digest.sequence = ++daemon.sequence;
-            const std::vector<std::uint8_t> bytes = encodeDigest(outgoing.digest);
-            CHECK(bytes.size() <= largestLoadDatagram);
+            const std::vector<std::uint8_t> datagram = encodeDigest(outgoing.digest);
+            CHECK(datagram.size() <= largestLoadDatagram);
             for (const std::string &to : outgoing.to) {
                 ++sent[id];
-                ++received[to];
-                deliver(bytes, *daemons.at(to));
+                bytes += datagram.size();
+                deliver(datagram, *daemons.at(to));
             }
         }
     }
 
-    void deliver(const std::vector<std::uint8_t> &bytes, Daemon &to) const
+    void deliver(const std::vector<std::uint8_t> &datagram, Daemon &to) const
     {
-        const Result<Wire::LoadDigestT> digest = decodeDigest(bytes);
+        const Result<Wire::LoadDigestT> digest = decodeDigest(datagram);
         REQUIRE(isOk(digest));
         if (!to.dead) {
             to.regions.takeDigest(valueOf(digest), now);
@@ -140,15 +140,6 @@
         return daemons.at(daemon)->loads.describe(view->upstreams.at(upstream), service(), prompt(0), now).running;
     }
 
-    unsigned mostOf(const std::map<std::string, unsigned> &counts) const
-    {
-        unsigned most = 0;
-        for (const auto &[id, count] : counts) {
-            most = std::max(most, count);
-        }
-        return most;
-    }
-
     unsigned allSent() const
     {
         unsigned sum = 0;
@@ -161,7 +152,8 @@
     std::shared_ptr<FleetView> view;
     std::map<std::string, std::unique_ptr<Daemon>> daemons;
     std::map<std::string, unsigned> sent;
-    std::map<std::string, unsigned> received;
+    /// Of all datagrams.
+    std::size_t bytes = 0;
     SteadyTime now = start;
     std::size_t turn = 0;
 };
@@ -188,6 +180,27 @@
     }
 }
 
+TEST_CASE_FIXTURE(NewsFixture, "Fleet news, upstreams that all requests left, are known to be idle and cost nothing")
+{
+    build(40, 200);
+    run(1s);
+    const auto bytesOfSecond = [this] {
+        bytes = 0;
+        run(1s);
+        return bytes;
+    };
+    const std::size_t idle = bytesOfSecond();
+    LoadTicket ticket = send("north-7", "u-north-3", 640);
+    run(500ms);
+    CHECK(running("north-9", "u-north-3") == 1);
+    daemons.at("north-7")->loads.ended(ticket, LoadOutcome::Answered, now);
+    run(500ms);
+    CHECK(running("north-9", "u-north-3") == 0);
+    run(3s);
+    CHECK(running("north-9", "u-north-3") == 0);
+    CHECK(bytesOfSecond() <= idle);
+}
+
 TEST_CASE_FIXTURE(NewsFixture, "Fleet news, gatherer that dies, is replaced within two seconds")
 {
     build(40, 10);
