--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -77,7 +77,8 @@
         if self.delay:
             await asyncio.sleep(self.delay)
         answer = await handler(request)
-        if self.random.random() < self.lose_answers:
+        # A daemon that was killed while its call waited has no connection left to cut.
+        if self.random.random() < self.lose_answers and request.transport is not None:
             request.transport.abort()
         return answer
 
