Following: list from a daemon that is ahead, not from one that missed the same changes

The store was away and had forgotten its history; the three followers of a region listed anew at 2.4 s. Daemons that asked them were told that older changes are forgotten, but went on to a fourth source, which had missed the same changes as they had and said that nothing was new, until 9.8 s. Cheap reads, which may be old, confirmed what those daemons knew.

Now a source that is ahead and has forgotten ends the round, and the listing must be as new as that source; cheap reads confirm only what a daemon has from the store itself.

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -13,7 +13,6 @@
 #include <httplib.h>
 
 #include <algorithm>
-#include <optional>
 
 namespace Portpaddle {
 
@@ -167,7 +166,12 @@
     if (!isOk(news)) {
         return errorOf(news);
     }
+    if (valueOf(news).incomplete && valueOf(news).revision <= revision) {
+        return unavailable("the daemon at " + address + " knows less than this one");
+    }
     if (valueOf(news).incomplete) {
+        // The listing that follows must not come from a daemon that missed the same changes as this one.
+        highestRevision_ = valueOf(news).revision;
         return Error{ ErrorCode::HistoryGone, "the daemon at " + address + " forgot these changes", RunState::NotRun, {} };
     }
     KeyChanges changes;
@@ -224,21 +228,13 @@
     if (role.direct) {
         return store_.follow(prefix, revision, timeout);
     }
-    std::optional<Error> historyGone;
     for (const std::string &address : usableSources(role, std::chrono::steady_clock::now())) {
         Result<KeyChanges> changes = followPeer(address, revision);
-        if (isOk(changes)) {
+        // A source that is ahead and has forgotten goes before others that may have missed the same changes.
+        if (isOk(changes) || errorOf(changes).code == ErrorCode::HistoryGone) {
             return changes;
         }
-        // One that has just started knows no older changes; others may.
-        if (errorOf(changes).code == ErrorCode::HistoryGone) {
-            historyGone = errorOf(changes);
-        } else {
-            avoid(address, errorOf(changes));
-        }
-    }
-    if (historyGone) {
-        return *historyGone;
+        avoid(address, errorOf(changes));
     }
     if (std::chrono::steady_clock::now() < storeCallsFrom_) {
         return unavailable("no daemon hands on the store's changes, and the store failed just now");
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -141,7 +141,8 @@
         const std::uint64_t known = revision_;
         const Result<std::uint64_t> newest = verifier_->newestRevision();
         const bool behind = listed_ && isOk(newest) && valueOf(newest) > revision_;
-        if (feed_ != nullptr && isOk(newest) && !behind) {
+        // A cheap read may be old itself: it says little of what other daemons handed on.
+        if (feed_ != nullptr && isOk(newest) && !behind && !relayed_) {
             feed_->confirm(std::chrono::steady_clock::now());
         }
         // Behind twice at the same revision: the answer is not on its way any more.
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -308,6 +308,33 @@
     CHECK(errorOf(changes).code == ErrorCode::HistoryGone);
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "Relayed store, one source ahead that forgot and one that missed the same changes, lists from the one ahead")
+{
+    FeedSource behind;
+    behind.feed.restart(5, std::chrono::steady_clock::now());
+    behind.feed.setReachable(true);
+    behind.items = { { "old", "1", 4 } };
+    source.feed.restart(9, std::chrono::steady_clock::now());
+    source.items = { { "new", "1", 9 } };
+    for (const bool aheadFirst : { true, false }) {
+        role.sources
+            = aheadFirst ? std::vector{ source.address(), behind.address() } : std::vector{ behind.address(), source.address() };
+        // In turns: within two calls the one ahead is asked first.
+        bool gone = false;
+        for (int call = 0; call < 2; ++call) {
+            const auto changes = relayed.follow("", 5, 10ms);
+            gone = gone || (!isOk(changes) && errorOf(changes).code == ErrorCode::HistoryGone);
+        }
+        CHECK(gone);
+        const auto listing = relayed.listAll("", ReadFreshness::Newest);
+        REQUIRE(isOk(listing));
+        REQUIRE(valueOf(listing).items.size() == 1);
+        CHECK(valueOf(listing).items[0].key == "new");
+    }
+    CHECK(store.calls() == 0);
+}
+
 TEST_CASE("Following, many daemons of a region by way of few, misses no change and calls the store no more often than those few")
 {
     constexpr int changes = 20;
