Placement: compare failures among the upstreams of a service, and forget them in time

Ruled out: slots, connections and news (the lines of a trial showed idle upstreams with failure shares of 0.16 to 0.44).

--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -17,6 +17,20 @@
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
 
+/// Leaves of each one's failures what goes beyond those of all: requests that fail wherever they run say nothing against the
+/// upstream, and sending them to another region brings two ways more. Without this, seven in ten calls of a service that answers
+/// 6 in 100 with an error of its own went to other regions, at 150 ms in place of 20.
+void compareFailures(std::vector<UpstreamCandidate> &candidates)
+{
+    double sum = 0;
+    for (const UpstreamCandidate &candidate : candidates) {
+        sum += candidate.failureShare;
+    }
+    for (UpstreamCandidate &candidate : candidates) {
+        candidate.failureShare = std::max(0.0, candidate.failureShare - sum / static_cast<double>(candidates.size()));
+    }
+}
+
 double millisLeft(SteadyTime until, SteadyTime now)
 {
     return std::max(0.0, std::chrono::duration<double, std::milli>(until - now).count());
@@ -75,6 +89,7 @@
         records.push_back(&upstream);
         candidates.push_back(candidate);
     }
+    compareFailures(candidates);
     return candidates;
 }
 
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -41,6 +41,7 @@
 // After this time without events the batch has changed.
 constexpr std::chrono::milliseconds tokenMsAge{ 1'000 };
 constexpr double failureLearningRate = 0.15;
+constexpr double failureHalfLifeMs = 3'000;
 constexpr unsigned failuresBeforeAvoiding = 2;
 constexpr std::chrono::milliseconds shortestAvoidance{ 300 };
 constexpr std::chrono::milliseconds longestAvoidance{ 3'000 };
@@ -240,11 +241,19 @@
     return found != states_.end() && found->second.lastHeard >= time;
 }
 
-void UpstreamLoads::failed(State &state, SteadyTime now)
+/// What was seen long ago says little: an upstream that is left for its failures would never be tried again.
+double UpstreamLoads::decayedFailureShare(const State &state, SteadyTime now)
 {
-    state.failureShare += failureLearningRate * (1 - state.failureShare);
+    return state.failureShare * std::exp2(-millisBetween(state.failureShareAt, now) / failureHalfLifeMs);
+}
+
+void UpstreamLoads::failed(State &state, bool avoid, SteadyTime now)
+{
+    const double share = decayedFailureShare(state, now);
+    state.failureShare = share + failureLearningRate * (1 - share);
+    state.failureShareAt = now;
     ++state.failuresInRow;
-    if (!policy_.avoidFailing || state.failuresInRow < failuresBeforeAvoiding) {
+    if (!avoid || state.failuresInRow < failuresBeforeAvoiding) {
         return;
     }
     const unsigned doublings = std::min(state.failuresInRow - failuresBeforeAvoiding, 4U);
@@ -261,17 +270,18 @@
     state.lastEnd = now;
     if (outcome == LoadOutcome::Answered) {
         state.failuresInRow = 0;
-        state.failureShare -= failureLearningRate * state.failureShare;
+        state.failureShare = (1 - failureLearningRate) * decayedFailureShare(state, now);
+        state.failureShareAt = now;
         state.serviceMs = blend(state.serviceMs, millisBetween(ticket.sentAt, now), learningRate);
         state.lastHeard = now;
     } else if (outcome == LoadOutcome::Failed || (outcome == LoadOutcome::Cancelled && wasSilent)) {
-        failed(state, now);
+        failed(state, policy_.avoidFailing, now);
     }
 }
 
 void UpstreamLoads::connectFailed(const std::string &upstream, SteadyTime now)
 {
-    failed(stateOf(upstream), now);
+    failed(stateOf(upstream), policy_.avoidFailing, now);
 }
 
 void UpstreamLoads::lifeOver(const std::string &upstream)
@@ -399,7 +409,7 @@
     candidate.slowness = state.slowness;
     candidate.tokenMs = now - state.tokenMsAt < tokenMsAge ? state.tokenMs : 0;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
-    candidate.failureShare = state.failureShare;
+    candidate.failureShare = decayedFailureShare(state, now);
     if (state.over) {
         // Its record stays in the store for some heartbeats after a crash.
         candidate.barred = LossReason::Leaving;
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -110,7 +110,9 @@
         /// Between two tokens of a stream, lately.
         double tokenMs = 0;
         SteadyTime tokenMsAt{};
+        /// As of the last answer or failure; see decayedFailureShare().
         double failureShare = 0;
+        SteadyTime failureShareAt{};
         unsigned failuresInRow = 0;
         SteadyTime avoidUntil{};
         SteadyTime lastHeard{};
@@ -129,7 +131,8 @@
     State *stateByKey(std::uint32_t key);
     void notePlacedByOthers(const Wire::LoadDigestT &digest);
     void notePlaced(State &state, const std::string &upstream, const PromptFacts &prompt, double cacheTokens);
-    void failed(State &state, SteadyTime now);
+    static void failed(State &state, bool avoid, SteadyTime now);
+    static double decayedFailureShare(const State &state, SteadyTime now);
 
     PolicySettings policy_;
     std::unordered_map<std::string, State> states_;
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -422,3 +422,16 @@
     CHECK(loads.describe(engine, spec, {}, now + 10ms).barred == LossReason::Unhealthy);
     CHECK(loads.describe(engine, spec, {}, now + 5s).barred == LossReason::None);
 }
+
+TEST_CASE("Loads, failure share, fades where nothing more is sent there")
+{
+    UpstreamLoads loads;
+    UpstreamRecord upstream;
+    upstream.id = "u1";
+    const ServiceSpec spec;
+    loads.connectFailed("u1", now);
+    const double fresh = loads.describe(upstream, spec, {}, now).failureShare;
+    CHECK(fresh > 0.1);
+    CHECK(loads.describe(upstream, spec, {}, now + 3s).failureShare == doctest::Approx(fresh / 2));
+    CHECK(loads.describe(upstream, spec, {}, now + 30s).failureShare < 0.001);
+}
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -127,3 +127,20 @@
     CHECK(answer.body.find("id: 4") != std::string::npos);
     CHECK(ask("/resume/a", "id2").status == 503);
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Request, upstreams that answer every other one with an error of their own, stays in its region")
+{
+    std::atomic<unsigned> asked{ 0 };
+    const auto everyOther = [&asked](const SeenRequest &request) {
+        return ++asked % 2 == 0 ? ScriptedAnswer{ "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n" } : echo(request);
+    };
+    ScriptedUpstream upstream(everyOther);
+    ScriptedUpstream daemon(echo);
+    addUpstream("u1", upstream.address());
+    addRemoteDaemon("e1", "east", daemon.address(), {});
+    for (int index = 0; index < 40; ++index) {
+        ask("/once/a", "id" + std::to_string(index));
+    }
+    CHECK(daemon.seen().empty());
+    CHECK(upstream.seen().size() == 40);
+}
