Limits: a daemon that has just started has its part of the burst until news come

Cause: after the loss of all daemons each of them refused 85 in 100 requests for half a second, since one without news had nothing at once.

--- a/src/portpaddle/limits/organisation_limits.cpp
+++ b/src/portpaddle/limits/organisation_limits.cpp
@@ -167,16 +167,17 @@
 
 bool OrganisationLimits::admitAlone(State &state, double units, SteadyTime now, RandomSource &random)
 {
-    if (state.grantAt == SteadyTime{}) {
-        state.aloneRate = state.limit.perSecond / daemons_;
-    }
+    const bool fresh = state.grantAt == SteadyTime{};
+    const double evenBurst = fresh ? state.limit.burst / daemons_ : 0;
     if (!state.alone) {
-        // Hundreds of daemons that are cut off together must not each begin with a whole request.
+        // A daemon that has just started has its part of the burst until news come, in some 300 ms: after the loss of all of them
+        // nobody has spent anything for longer than that. Hundreds that are cut off together must not each begin with a request.
         state.alone = true;
-        state.aloneLevel = -random.fraction() * units;
+        state.aloneRate = fresh ? state.limit.perSecond / daemons_ : state.aloneRate;
+        state.aloneLevel = fresh ? evenBurst : -random.fraction() * units;
         state.aloneAt = now;
     }
-    state.aloneLevel = std::min(0.0, state.aloneLevel + state.aloneRate * seconds(now - state.aloneAt));
+    state.aloneLevel = std::min(evenBurst, state.aloneLevel + state.aloneRate * seconds(now - state.aloneAt));
     state.aloneAt = now;
     if (state.aloneLevel < 0) {
         return false;
--- a/tests/gateway/organisation_limits_tests.cpp
+++ b/tests/gateway/organisation_limits_tests.cpp
@@ -5,8 +5,8 @@
 
 #include "support/limit_scenario.h"
 
-#include "portpaddle/limits/rate_window.h"
-#include "portpaddle/limits/region_limit.h"
+#include "portpaddle/base/system_clock.h"
+#include "portpaddle/limits/organisation_limits.h"
 
 #include <doctest/doctest.h>
 
@@ -60,3 +60,59 @@
         }
     }
 }
+
+namespace {
+
+/// One of ten daemons, which hears nobody.
+class LoneDaemonFixture
+{
+public:
+    LoneDaemonFixture()
+    {
+        shop.name = "shop";
+        shop.limit = { LimitUnit::Tokens, 100'000, 100'000, 200 };
+        book.add(shop, {});
+        limits.setFleet({ "north" }, 10);
+        limits.setOrganisations(book, now);
+    }
+
+    /// Units of 50 requests that are admitted, at once or @p apart.
+    double admitted(std::chrono::milliseconds apart = 0ms)
+    {
+        double units = 0;
+        for (int index = 0; index < 50; ++index, now += apart) {
+            units += limits.admit(shop, 1'000, now, random) ? 0 : 1'000;
+        }
+        return units;
+    }
+
+    SteadyTime now{ 1h };
+    Organisation shop;
+    OrganisationBook book;
+    SeededRandom random{ 5 };
+    OrganisationLimits limits{ "d1", "north", [](std::uint32_t, SteadyTime) { return false; },
+                               [](const std::string &, SteadyTime) { return false; } };
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LoneDaemonFixture, "Limits, daemon that has just started, admits its even part of the burst before news come")
+{
+    const double first = admitted();
+    CHECK(first >= 10'000);
+    CHECK(first <= 11'000);
+    now += 1s;
+    CHECK(admitted() <= 11'000);
+}
+
+TEST_CASE_FIXTURE(LoneDaemonFixture, "Limits, daemon that loses its gatherer, goes on with the part that was asked of it")
+{
+    limits.takeGrants(std::vector<Wire::LimitGrant>{ { organisationKey("shop"), 1.0F, 0.5F } }, now);
+    // 50,000 units in a second of which the region may spend half: 25,000 a second.
+    CHECK(admitted() == 50'000);
+    now += 1'500ms;
+    CHECK(admitted() <= 1'000);
+    const double later = admitted(20ms);
+    CHECK(later >= 20'000);
+    CHECK(later <= 27'000);
+}
