--- a/src/portpaddle/limits/organisation_limits.cpp
+++ b/src/portpaddle/limits/organisation_limits.cpp
@@ -153,7 +153,7 @@
     bool admitted = false;
     if (grant) {
         admitted = grant->fraction >= 1 || random.fraction() < grant->fraction;
-        state->aloneRate = std::min(state->limit.perSecond, grant->ratePerAsked * state->ownAsked.rate(now));
+        state->aloneRate = std::min(state->limit.perSecond, grant->ratePerAsked * state->ownAsked.slowRate(now));
         state->alone = false;
     } else {
         admitted = admitAlone(*state, units, now, random);
--- a/src/portpaddle/limits/rate_window.cpp
+++ b/src/portpaddle/limits/rate_window.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/limits/rate_window.h"
 
+#include <limits>
+
 namespace Portpaddle {
 
 namespace {
@@ -30,6 +32,16 @@
 }
 
 double RateWindow::rate(SteadyTime now) const
+{
+    return rateOver(enoughRequests, now);
+}
+
+double RateWindow::slowRate(SteadyTime now) const
+{
+    return rateOver(std::numeric_limits<double>::infinity(), now);
+}
+
+double RateWindow::rateOver(double requestsEnough, SteadyTime now) const
 {
     const std::int64_t newest = slotNumber(now);
     double units = 0;
@@ -43,7 +55,7 @@
             requests += slot.requests;
         }
         // The newest slot alone may have just begun.
-        if (back > 0 && requests >= enoughRequests) {
+        if (back > 0 && requests >= requestsEnough) {
             break;
         }
     }
--- a/src/portpaddle/limits/rate_window.h
+++ b/src/portpaddle/limits/rate_window.h
@@ -18,8 +18,10 @@
 {
 public:
     void add(double units, double requests, SteadyTime now);
-    /// Units a second.
+    /// Units a second, over as few slots as tell.
     double rate(SteadyTime now) const;
+    /// Units a second, over the whole second.
+    double slowRate(SteadyTime now) const;
 
 private:
     struct Slot
@@ -29,6 +31,8 @@
         double requests = 0;
     };
 
+    double rateOver(double requestsEnough, SteadyTime now) const;
+
     static constexpr std::size_t slotCount = 10;
     std::array<Slot, slotCount> slots_{};
 };
