Fleet news: shares and links once a turn; region table: bounded by the list of daemons

Left by earlier work: each report computed the shares of all upstreams once a shard and threw three quarters away; the links of the region's daemons were listed once a shard. Whoever can send a datagram could have a daemon remember any number of regions and daemons; only regions in which a daemon is listed count now, and 4,096 daemons. A daemon beside an ending one is looked for in one walk, so that one that stops is not taken while another serves.

--- a/src/portpaddle/fleet/fleet_news.cpp
+++ b/src/portpaddle/fleet/fleet_news.cpp
@@ -81,9 +81,14 @@
 {
     view_ = std::move(view);
     members_.clear();
+    memberLinks_.clear();
     for (const DaemonRecord &daemon : view_->daemons) {
-        if (daemon.region == ownRegion_) {
-            members_.push_back(&daemon);
+        if (daemon.region != ownRegion_) {
+            continue;
+        }
+        members_.push_back(&daemon);
+        if (daemon.id != ownId_) {
+            memberLinks_.push_back(daemon.linkAddress);
         }
     }
     if (sharesWork(*view_)) {
@@ -96,13 +101,17 @@
 {
     std::vector<OutgoingDigest> out;
     collectParts();
+    std::array<std::vector<Wire::UpstreamShare>, newsShards> shares;
+    for (const Wire::UpstreamShare &share : loads_.shares(now)) {
+        shares.at(shardOf(share.key())).push_back(share);
+    }
     for (unsigned shard = 0; shard < newsShards; ++shard) {
         const DaemonRecord *gatherer = gatherers_.of(ownRegion_, shard, now);
         if (gatherer == nullptr) {
             continue;
         }
         if (!gatherers_.isSelf(*gatherer)) {
-            report(*gatherer, shard, header, now, out);
+            report(*gatherer, shard, shares.at(shard), header, now, out);
             continue;
         }
         tellSums(shard, header, now, out);
@@ -128,11 +137,9 @@
     (void)loads_.takePlaced(DigestReach::OtherRegions);
 }
 
-void FleetNews::report(const DaemonRecord &gatherer, unsigned shard, const Wire::LoadDigestT &header, SteadyTime now,
-                       std::vector<OutgoingDigest> &out)
+void FleetNews::report(const DaemonRecord &gatherer, unsigned shard, const std::vector<Wire::UpstreamShare> &shares,
+                       const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out)
 {
-    std::vector<Wire::UpstreamShare> shares = loads_.shares(now);
-    std::erase_if(shares, [shard](const Wire::UpstreamShare &share) { return shardOf(share.key()) != shard; });
     loads_.told(gatherer.id, shard, shares);
     gatherers_.reported(gatherer.id, now);
     Wire::LoadDigestT digest = header;
@@ -145,18 +152,6 @@
     }
 }
 
-std::vector<std::string> FleetNews::ownRegionLinks() const
-{
-    std::vector<std::string> links;
-    links.reserve(members_.size());
-    for (const DaemonRecord *member : members_) {
-        if (member->id != ownId_) {
-            links.push_back(member->linkAddress);
-        }
-    }
-    return links;
-}
-
 std::vector<Wire::MemberNews> FleetNews::nextMembers(std::size_t &window, Wire::DaemonPhase ownPhase, SteadyTime now) const
 {
     std::vector<Wire::MemberNews> result;
@@ -173,7 +168,6 @@
 
 void FleetNews::tellSums(unsigned shard, const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out)
 {
-    const std::vector<std::string> to = ownRegionLinks();
     const std::vector<Wire::UpstreamShare> sums = loads_.sums(shard, now);
     std::vector<Wire::PlacedPart> &forRegions = partsForRegions_.at(shard);
     for (const Wire::PlacedPart &part : parts_.at(shard)) {
@@ -185,10 +179,10 @@
     std::vector<Wire::LoadDigestT> parts = splitIntoDigests(digest, sums, takeAll(parts_.at(shard)));
     attachLimits(parts, digest, { {}, limits_.grants(inShard(shard), now), {} });
     for (Wire::LoadDigestT &part : parts) {
-        out.push_back({ to, std::move(part) });
+        out.push_back({ memberLinks_, std::move(part) });
     }
     digest.members = nextMembers(localWindow_, header.phase, now);
-    passOn(digest, to, now, out);
+    passOn(digest, memberLinks_, now, out);
 }
 
 /// Each datagram holds the news of one other region; where there are none, only what the own members are told of each other.
--- a/src/portpaddle/fleet/fleet_news.h
+++ b/src/portpaddle/fleet/fleet_news.h
@@ -59,13 +59,13 @@
     };
 
     void collectParts();
-    void report(const DaemonRecord &gatherer, unsigned shard, const Wire::LoadDigestT &header, SteadyTime now,
-                std::vector<OutgoingDigest> &out);
+    /// @p shares are this daemon's at the upstreams of @p shard.
+    void report(const DaemonRecord &gatherer, unsigned shard, const std::vector<Wire::UpstreamShare> &shares,
+                const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
     void tellSums(unsigned shard, const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
     void passOn(const Wire::LoadDigestT &header, std::vector<std::string> to, SteadyTime now, std::vector<OutgoingDigest> &out);
     void tellRegions(unsigned shard, Wire::LoadDigestT digest, const std::function<void(Wire::LoadDigestT &)> &addWaits,
                      SteadyTime now, std::vector<OutgoingDigest> &out);
-    std::vector<std::string> ownRegionLinks() const;
     bool knowsRegion(const std::string &name) const;
     /// The next daemons of the own region to tell of that this one heard itself.
     std::vector<Wire::MemberNews> nextMembers(std::size_t &window, Wire::DaemonPhase ownPhase, SteadyTime now) const;
@@ -79,6 +79,8 @@
     std::shared_ptr<const FleetView> view_;
     /// Daemons of the own region, this one included; points into the view.
     std::vector<const DaemonRecord *> members_;
+    /// Where the others of them are reached.
+    std::vector<std::string> memberLinks_;
     /// Parts to report or to tell, by shard.
     std::array<std::vector<Wire::PlacedPart>, newsShards> parts_;
     /// The same for other regions.
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -31,6 +31,8 @@
 constexpr double sharedPartShare = 0.3;
 // A daemon that vanished may be back within this time and spend its share of a bound at once.
 constexpr std::chrono::milliseconds rememberAge{ 20'000 };
+// Ten times the daemons of the largest fleet planned; datagrams in the name of others are dropped.
+constexpr std::size_t mostPeers = 4'096;
 
 } // namespace
 
@@ -46,6 +48,9 @@
 
 void RegionTable::takeDigest(const Wire::LoadDigestT &digest, SteadyTime now)
 {
+    if (peers_.size() >= mostPeers && !peers_.contains(digest.daemon)) {
+        return;
+    }
     Peer &peer = peers_[digest.daemon];
     if (digest.sequence <= peer.sequence && now - peer.sequenceAt < heardAge) {
         return;
@@ -66,6 +71,10 @@
 void RegionTable::takeRegion(const std::string &name, const std::vector<Wire::ServiceWait> &services,
                              const std::vector<Wire::PlacedPart> &placed, SteadyTime now)
 {
+    // Whoever can send a datagram could name any number of regions.
+    if (!listedRegions_.contains(name)) {
+        return;
+    }
     Region &region = regions_[name];
     for (const Wire::ServiceWait &service : services) {
         const double patientWaitMs = service.patient_wait_ms();
@@ -87,7 +96,9 @@
 void RegionTable::setDaemons(const FleetView &view, SteadyTime now)
 {
     std::unordered_map<std::uint32_t, Named> names;
+    listedRegions_.clear();
     for (const DaemonRecord &daemon : view.daemons) {
+        listedRegions_.insert(daemon.region);
         const std::uint32_t key = memberKey(daemon.id);
         const auto known = names_.find(key);
         names[key] = { daemon.id, daemon.region, known == names_.end() ? now : known->second.since };
@@ -229,16 +240,18 @@
 const DaemonRecord *RegionTable::pickBeside(const FleetView &view, const DaemonRecord &ending, SteadyTime now,
                                             RandomSource &random) const
 {
-    if (const DaemonRecord *serving = pick(view, ending.region, now, random); serving != nullptr && serving->id != ending.id) {
-        return serving;
-    }
-    std::vector<const DaemonRecord *> others;
+    std::vector<const DaemonRecord *> serving;
+    std::vector<const DaemonRecord *> stopping;
     for (const DaemonRecord &daemon : view.daemons) {
-        if (daemon.region == ending.region && daemon.id != ending.id && isHeard(daemon.id, now)
-            && phaseOf(daemon.id) != Wire::DaemonPhase::Starting) {
-            others.push_back(&daemon);
+        const Wire::DaemonPhase phase = phaseOf(daemon.id);
+        if (daemon.region != ending.region || daemon.id == ending.id || !isHeard(daemon.id, now)
+            || phase == Wire::DaemonPhase::Starting) {
+            continue;
         }
+        const bool serves = phase == Wire::DaemonPhase::Serving && !daemon.leaving;
+        (serves ? serving : stopping).push_back(&daemon);
     }
+    const std::vector<const DaemonRecord *> &others = serving.empty() ? stopping : serving;
     return others.empty() ? nullptr : others[random.below(others.size())];
 }
 
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -10,6 +10,7 @@
 #include "portpaddle/wire/load_generated.h"
 
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -113,6 +114,8 @@
     std::chrono::milliseconds digestInterval_{ 100 };
     std::unordered_map<std::string, Peer> peers_;
     std::unordered_map<std::uint32_t, Named> names_;
+    /// Of all daemons that are listed.
+    std::set<std::string> listedRegions_;
     unsigned daemonsInOwnRegion_ = 1;
     mutable std::unordered_map<std::string, Usable> usable_;
     struct Region
--- a/tests/gateway/fleet_news_tests.cpp
+++ b/tests/gateway/fleet_news_tests.cpp
@@ -343,3 +343,68 @@
         }
     }
 }
+
+namespace {
+
+/// Three daemons of one region, listed and heard.
+class RegionTableFixture
+{
+public:
+    RegionTableFixture()
+    {
+        for (const std::string id : { "south-0", "south-1", "south-2" }) {
+            DaemonRecord record;
+            record.id = id;
+            record.region = "south";
+            view.daemons.push_back(record);
+        }
+        table.setOwnRegion("north");
+        table.setDaemons(view, start);
+        for (const DaemonRecord &daemon : view.daemons) {
+            tell(daemon.id, "south", Wire::DaemonPhase::Serving);
+        }
+    }
+
+    void tell(const std::string &daemon, const std::string &region, Wire::DaemonPhase phase)
+    {
+        Wire::LoadDigestT digest;
+        digest.daemon = daemon;
+        digest.region = region;
+        digest.sequence = ++sequence;
+        digest.phase = phase;
+        digest.services.emplace_back(serviceKey("s"), 0, 0, 0, 1, 100.0F, 0.0F, 4.0F);
+        table.takeDigest(digest, start);
+    }
+
+    std::vector<std::string> regionsOffered() const
+    {
+        std::vector<std::string> names;
+        table.candidates("s", service(), prompt(100), Urgency::Urgent, start, names);
+        return names;
+    }
+
+    FleetView view;
+    RegionTable table;
+    SeededRandom random{ 3 };
+    std::uint64_t sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RegionTableFixture, "Region table, digest that names a region nobody is listed in, offers no such region")
+{
+    tell("stranger", "nowhere", Wire::DaemonPhase::Serving);
+    CHECK(regionsOffered() == std::vector<std::string>{ "south" });
+}
+
+TEST_CASE_FIXTURE(RegionTableFixture, "Region table, daemon beside an ending one, is one that serves before one that stops")
+{
+    tell("south-1", "south", Wire::DaemonPhase::Stopping);
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        const DaemonRecord *beside = table.pickBeside(view, view.daemons[0], start, random);
+        REQUIRE(beside != nullptr);
+        CHECK(beside->id == "south-2");
+    }
+    tell("south-2", "south", Wire::DaemonPhase::Starting);
+    CHECK(table.pickBeside(view, view.daemons[0], start, random)->id == "south-1");
+}
