Limits: names a newcomer expects; a refusal tells which part of what is asked is admitted

Tests of the news of limits: all arrive, in datagrams of the usual size. A refusal named the region's part of the limit as the daemon itself had it, which only gatherers know; it names the part of what is asked that is admitted now.

--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -96,8 +96,9 @@
         = gateway_.organisationLimits_.admit(*organisation_, units, std::chrono::steady_clock::now(), gateway_.random_);
     if (back) {
         co_await refuse(ErrorCode::LimitReached,
-                        fmt::format("the limit of {} {} a second is spent; {:.0f} % of it is this region's", limit.perSecond,
-                                    nameOf(limit.unit), 100 * gateway_.organisationLimits_.regionShare(organisation_->name)),
+                        fmt::format("the limit of {} {} a second is spent; {:.0f} % of what is asked is admitted",
+                                    limit.perSecond, nameOf(limit.unit),
+                                    100 * gateway_.organisationLimits_.admittedPart(organisation_->name)),
                         *back);
         co_return false;
     }
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -47,7 +47,7 @@
     }
     if (!mayHaveRun_) {
         if (countedUnits_ > 0 && organisation_ != nullptr) {
-            gateway_.organisationLimits_.giveBack(*organisation_, countedUnits_);
+            gateway_.organisationLimits_.refund(*organisation_, countedUnits_);
         }
         const Millis back = report.error.retryAfter.value_or(suggestedReturn());
         co_await refuse(report.error.code, report.error.message, back);
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -31,7 +31,7 @@
     , cold_(std::chrono::steady_clock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
-          [this](std::uint32_t organisation, SteadyTime now) { return reckonsFor(organisation, now); },
+          [this](std::uint32_t organisation, SteadyTime now) { return gathersLimitOf(organisation, now); },
           [this](const std::string &daemon, SteadyTime now) {
               return daemon != identity_.id && regions_.fellSilent(daemon, now);
           })
@@ -184,7 +184,7 @@
     }
 }
 
-bool Gateway::reckonsFor(std::uint32_t organisation, SteadyTime now) const
+bool Gateway::gathersLimitOf(std::uint32_t organisation, SteadyTime now) const
 {
     return !sharesWork(*view_) || news_.gathers(shardOf(organisation), now);
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -155,8 +155,8 @@
                        const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                        const std::vector<std::string> &regionNames) const;
     void shareRetries();
-    /// Whether this daemon reckons for its region what @p organisation may spend.
-    bool reckonsFor(std::uint32_t organisation, SteadyTime now) const;
+    /// Whether this daemon gathers for its region what @p organisation may spend.
+    bool gathersLimitOf(std::uint32_t organisation, SteadyTime now) const;
     void setLimits(SteadyTime now);
     std::vector<std::uint64_t> membersOfOwnRegion() const;
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
--- a/src/portpaddle/limits/organisation_limits.cpp
+++ b/src/portpaddle/limits/organisation_limits.cpp
@@ -51,11 +51,11 @@
     return static_cast<std::uint32_t>(stableHash(name));
 }
 
-OrganisationLimits::OrganisationLimits(std::string ownDaemon, std::string ownRegion, Reckons reckons,
+OrganisationLimits::OrganisationLimits(std::string ownDaemon, std::string ownRegion, Gathers gathers,
                                        RegionLimit::IsSilent isSilent)
     : ownDaemon_(std::move(ownDaemon))
     , ownRegion_(std::move(ownRegion))
-    , reckons_(std::move(reckons))
+    , gathers_(std::move(gathers))
     , isSilent_(std::move(isSilent))
 {
 }
@@ -124,9 +124,9 @@
     state.region.setTerms(state.limit, state.share, tolerance_, now);
 }
 
-std::optional<AskGrant> OrganisationLimits::currentGrant(std::uint32_t organisation, State &state, SteadyTime now)
+std::optional<AdmissionGrant> OrganisationLimits::currentGrant(std::uint32_t organisation, State &state, SteadyTime now)
 {
-    if (reckons_(organisation, now)) {
+    if (gathers_(organisation, now)) {
         state.region.take(ownDaemon_, state.own, now);
         state.grant = state.region.grant(isSilent_, now);
         state.grantAt = now;
@@ -149,7 +149,7 @@
     ++state->own.askedRequests;
     state->ownAsked.add(units, 1, now);
     state->askedAt = now;
-    const std::optional<AskGrant> grant = currentGrant(key, *state, now);
+    const std::optional<AdmissionGrant> grant = currentGrant(key, *state, now);
     bool admitted = false;
     if (grant) {
         admitted = grant->fraction >= 1 || random.fraction() < grant->fraction;
@@ -186,7 +186,7 @@
     return true;
 }
 
-void OrganisationLimits::giveBack(const Organisation &organisation, double units)
+void OrganisationLimits::refund(const Organisation &organisation, double units)
 {
     if (State *state = find(organisationKey(organisation.name)); state != nullptr) {
         state->own.admittedUnits -= wrapped(units);
@@ -222,7 +222,7 @@
             continue;
         }
         state.region.take(ownDaemon_, state.own, now);
-        const AskGrant grant = state.region.grant(isSilent_, now);
+        const AdmissionGrant grant = state.region.grant(isSilent_, now);
         if (state.region.askedRate(now) > 0) {
             result.emplace_back(key, static_cast<float>(grant.fraction), static_cast<float>(grant.ratePerAsked));
         }
@@ -270,10 +270,10 @@
     }
 }
 
-double OrganisationLimits::regionShare(const std::string &organisation) const
+double OrganisationLimits::admittedPart(const std::string &organisation) const
 {
     const auto found = states_.find(organisationKey(organisation));
-    return found == states_.end() ? 1 : found->second.share;
+    return found == states_.end() ? 1 : std::min(1.0, found->second.grant.fraction);
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/limits/organisation_limits.h
+++ b/src/portpaddle/limits/organisation_limits.h
@@ -22,19 +22,20 @@
 class RandomSource;
 
 /// Belongs to one event loop. Each region spends a part of a limit by what was last asked in the regions; in a region the daemons
-/// that reckon for an organisation let through what fits.
+/// that gather for an organisation let through what fits.
 class OrganisationLimits
 {
 public:
-    /// Whether this daemon reckons for its region, by the key of an organisation.
-    using Reckons = std::function<bool(std::uint32_t organisation, SteadyTime now)>;
+    /// Whether this daemon gathers for its region, by the key of an organisation.
+    using Gathers = std::function<bool(std::uint32_t organisation, SteadyTime now)>;
     /// Which organisations are told of, by their keys.
     using Selects = std::function<bool(std::uint32_t organisation)>;
 
-    OrganisationLimits(std::string ownDaemon, std::string ownRegion, Reckons reckons, RegionLimit::IsSilent isSilent);
+    OrganisationLimits(std::string ownDaemon, std::string ownRegion, Gathers gathers, RegionLimit::IsSilent isSilent);
 
+    /// What may go over limits. Call before setOrganisations().
     void setTolerance(const LimitTolerance &tolerance);
-    /// Takes the limits of @p book, which must live until the next call.
+    /// The limits in force; those that stay keep what was counted.
     void setOrganisations(const OrganisationBook &book, SteadyTime now);
     /// All regions of the fleet, and how many daemons there are.
     void setFleet(std::set<std::string> regions, unsigned daemons);
@@ -43,7 +44,7 @@
     std::optional<std::chrono::milliseconds> admit(const Organisation &organisation, double units, SteadyTime now,
                                                    RandomSource &random);
     /// An admitted request did not run.
-    void giveBack(const Organisation &organisation, double units);
+    void refund(const Organisation &organisation, double units);
 
     /// What was asked of this daemon, of organisations of which anything was asked lately.
     std::vector<Wire::LimitCount> counts(const Selects &selects, SteadyTime now) const;
@@ -55,8 +56,8 @@
     std::vector<Wire::LimitDemand> demands(const Selects &selects, SteadyTime now);
     void takeDemands(const std::string &region, std::span<const Wire::LimitDemand> demands, SteadyTime now);
 
-    /// What of its limit @p organisation may spend in this region, from zero to one; one where it has no limit.
-    double regionShare(const std::string &organisation) const;
+    /// Of what is asked for @p organisation, the part that was admitted by the last news; one where it has no limit.
+    double admittedPart(const std::string &organisation) const;
 
 private:
     /// What a region told that is asked there.
@@ -71,13 +72,13 @@
     struct State
     {
         OrganisationLimit limit;
-        AskCounters own;
+        DemandCounters own;
         SteadyTime askedAt{};
         RateWindow ownAsked;
         RegionLimit region;
         double share = 1;
         std::map<std::string, RegionDemand> told;
-        AskGrant grant;
+        AdmissionGrant grant;
         SteadyTime grantAt{};
         /// For the time without grants.
         bool alone = false;
@@ -90,14 +91,14 @@
     /// Divides the limit by what the regions told; gives the part of @p region.
     double shareOf(const State &state, const std::string &region, SteadyTime now) const;
     void updateShare(State &state, SteadyTime now);
-    /// The grant in force; no value where nobody that reckons is heard.
-    std::optional<AskGrant> currentGrant(std::uint32_t organisation, State &state, SteadyTime now);
+    /// The grant in force; no value where nobody that gathers is heard.
+    std::optional<AdmissionGrant> currentGrant(std::uint32_t organisation, State &state, SteadyTime now);
     /// Without news a daemon goes on with the part that it had.
     bool admitAlone(State &state, double units, SteadyTime now, RandomSource &random);
 
     std::string ownDaemon_;
     std::string ownRegion_;
-    Reckons reckons_;
+    Gathers gathers_;
     RegionLimit::IsSilent isSilent_;
     std::set<std::string> regions_;
     unsigned daemons_ = 1;
--- a/src/portpaddle/limits/region_limit.cpp
+++ b/src/portpaddle/limits/region_limit.cpp
@@ -59,7 +59,7 @@
     level_ = std::min(level_, burst_ * share_);
 }
 
-void RegionLimit::take(const std::string &daemon, const AskCounters &counters, SteadyTime now)
+void RegionLimit::take(const std::string &daemon, const DemandCounters &counters, SteadyTime now)
 {
     const auto [position, isNew] = sources_.try_emplace(daemon);
     Source &source = position->second;
@@ -118,7 +118,7 @@
     refilledAt_ = now;
 }
 
-AskGrant RegionLimit::grant(const IsSilent &isSilent, SteadyTime now)
+AdmissionGrant RegionLimit::grant(const IsSilent &isSilent, SteadyTime now)
 {
     refill(now);
     missing_ = missingPart(isSilent, now);
--- a/src/portpaddle/limits/region_limit.h
+++ b/src/portpaddle/limits/region_limit.h
@@ -14,7 +14,7 @@
 namespace Portpaddle {
 
 /// What was asked of one daemon since its start, and admitted; all wrap.
-struct AskCounters
+struct DemandCounters
 {
     std::uint32_t askedUnits = 0;
     std::uint32_t admittedUnits = 0;
@@ -22,7 +22,7 @@
 };
 
 /// What each daemon of a region may admit.
-struct AskGrant
+struct AdmissionGrant
 {
     /// Of what is asked; one and more admits all.
     double fraction = 1;
@@ -50,17 +50,17 @@
     /// @p share of the limit belongs to this region.
     void setTerms(const OrganisationLimit &limit, double share, const LimitTolerance &tolerance, SteadyTime now);
     /// What @p daemon tells of itself.
-    void take(const std::string &daemon, const AskCounters &counters, SteadyTime now);
+    void take(const std::string &daemon, const DemandCounters &counters, SteadyTime now);
     /// Units a second asked in the region, over all daemons that are heard.
     double askedRate(SteadyTime now) const;
-    AskGrant grant(const IsSilent &isSilent, SteadyTime now);
+    AdmissionGrant grant(const IsSilent &isSilent, SteadyTime now);
     /// Units that may be spent at once; below zero where more was spent.
     double level() const;
 
 private:
     struct Source
     {
-        AskCounters last;
+        DemandCounters last;
         SteadyTime heardAt{};
         /// Units a second asked of it, decaying.
         double asked = 0;
--- a/tests/gateway/organisation_limits_tests.cpp
+++ b/tests/gateway/organisation_limits_tests.cpp
@@ -6,6 +6,8 @@
 #include "support/limit_scenario.h"
 
 #include "portpaddle/base/system_clock.h"
+#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/limits/limit_news.h"
 #include "portpaddle/limits/organisation_limits.h"
 
 #include <doctest/doctest.h>
@@ -116,3 +118,41 @@
     CHECK(later >= 20'000);
     CHECK(later <= 30'000);
 }
+
+TEST_CASE("Limit news, more than digests have room for, all arrive in datagrams of the usual size")
+{
+    Wire::LoadDigestT header;
+    header.daemon = "a-daemon-with-a-rather-long-name-17";
+    header.region = "a-region-with-a-long-name";
+    header.services.resize(mostDigestServices);
+    const std::vector<Wire::UpstreamShare> shares(50);
+    const std::vector<Wire::PlacedPart> parts(30);
+    for (const std::size_t count : { 0U, 1U, 24U, 100U }) {
+        std::vector<Wire::LoadDigestT> digests = splitIntoDigests(header, shares, parts);
+        LimitNews news;
+        news.counts.resize(count);
+        news.grants.resize(count);
+        news.demands.resize(count);
+        attachLimits(digests, header, news);
+        std::size_t counts = 0;
+        std::size_t others = 0;
+        for (std::size_t index = 0; index < digests.size(); ++index) {
+            CHECK(digests[index].sequence == index);
+            const std::vector<std::uint8_t> datagram = encodeDigest(digests[index]);
+            CHECK(datagram.size() <= largestLoadDatagram);
+            const Result<Wire::LoadDigestT> decoded = decodeDigest(datagram);
+            REQUIRE(isOk(decoded));
+            counts += valueOf(decoded).limit_counts.size();
+            others += valueOf(decoded).limit_grants.size() + valueOf(decoded).limit_demands.size();
+        }
+        CHECK(counts == count);
+        CHECK(others == 2 * count);
+    }
+}
+
+TEST_CASE("Load digest, more limits than one may hold, is refused")
+{
+    Wire::LoadDigestT digest;
+    digest.limit_counts.resize(mostDigestLimits + 1);
+    CHECK_FALSE(isOk(decodeDigest(encodeDigest(digest))));
+}
--- a/tests/support/limit_scenario.cpp
+++ b/tests/support/limit_scenario.cpp
@@ -131,10 +131,10 @@
 
     void restart(std::size_t daemon, Time now) override
     {
-        const auto reckons = [this, daemon](std::uint32_t, SteadyTime) { return gathererOf(daemon % regions) == daemon; };
+        const auto gathers = [this, daemon](std::uint32_t, SteadyTime) { return gathererOf(daemon % regions) == daemon; };
         const auto isSilent = [this](const std::string &name, SteadyTime) { return silent_.contains(name); };
         daemons_[daemon]
-            = std::make_unique<OrganisationLimits>(std::to_string(daemon), regionName(daemon % regions), reckons, isSilent);
+            = std::make_unique<OrganisationLimits>(std::to_string(daemon), regionName(daemon % regions), gathers, isSilent);
         daemons_[daemon]->setTolerance({ overshoot, slack, window });
         daemons_[daemon]->setFleet({ regionName(0), regionName(1), regionName(2) }, static_cast<unsigned>(alive_.size()));
         daemons_[daemon]->setOrganisations(book_, now);
