--- a/src/portpaddle/limits/organisations.cpp
+++ b/src/portpaddle/limits/organisations.cpp
@@ -18,6 +18,8 @@
 
 constexpr NameTable<LimitUnit, 2> unitNames{ { "requests", "tokens" } };
 constexpr std::string_view scheme = "Bearer ";
+// Callers write the counts; engines' memories hold a tenth of this.
+constexpr double mostTokensCounted = 10'000'000;
 
 /// A secret of this process, so that nobody outside can choose keys whose digests fall together.
 const std::string &digestSecret()
@@ -62,7 +64,7 @@
     if (unit == LimitUnit::Requests) {
         return 1;
     }
-    return tokens > 0 ? tokens : plainTokens;
+    return tokens > 0 ? std::min(tokens, mostTokensCounted) : plainTokens;
 }
 
 bool Organisation::allowsRegion(std::string_view region) const
--- a/src/portpaddle/limits/region_limit.cpp
+++ b/src/portpaddle/limits/region_limit.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Portpaddle {
 
@@ -46,6 +47,15 @@
     return static_cast<std::int32_t>(now - before);
 }
 
+/// Whether the same daemon may have counted on from @p before to @p now; what was admitted may fall a little, by refunds.
+bool follows(const DemandCounters &now, const DemandCounters &before)
+{
+    const std::int32_t asked = step(now.askedUnits, before.askedUnits);
+    const std::int32_t requests = step(now.askedRequests, before.askedRequests);
+    return asked >= 0 && asked <= largestStep && requests >= 0
+        && std::abs(std::int64_t{ step(now.admittedUnits, before.admittedUnits) }) <= largestStep;
+}
+
 } // namespace
 
 void RegionLimit::setTerms(const OrganisationLimit &limit, double share, const LimitTolerance &tolerance, SteadyTime now)
@@ -63,26 +73,20 @@
 {
     const auto [position, isNew] = sources_.try_emplace(daemon);
     Source &source = position->second;
-    const std::int32_t asked = step(counters.askedUnits, source.last.askedUnits);
-    const std::int32_t admitted = step(counters.admittedUnits, source.last.admittedUnits);
-    const std::int32_t requests = step(counters.askedRequests, source.last.askedRequests);
-    const bool startedAgain = asked < 0 || requests < 0 || asked > largestStep || std::abs(admitted) > largestStep;
-    if ((isNew || startedAgain) && counters.askedRequests > fewRequests) {
-        source.last = counters;
-        source.heardAt = now;
-        return;
-    }
-    if (startedAgain) {
-        source = {};
-        take(daemon, counters, now);
+    const DemandCounters before = std::exchange(source.last, counters);
+    const SteadyTime heardBefore = std::exchange(source.heardAt, now);
+    const bool startedAgain = !isNew && !follows(counters, before);
+    const bool fromZero = isNew || startedAgain;
+    if (fromZero && (counters.askedRequests > fewRequests || !follows(counters, {}))) {
         return;
     }
+    const DemandCounters base = fromZero ? DemandCounters{} : before;
+    const auto asked = static_cast<double>(step(counters.askedUnits, base.askedUnits));
     refill(now);
-    level_ -= admitted;
-    asked_.add(asked, requests, now);
-    source.asked = source.asked * std::exp(-seconds(now - source.heardAt) / decaySeconds) + asked / decaySeconds;
-    source.last = counters;
-    source.heardAt = now;
+    level_ -= step(counters.admittedUnits, base.admittedUnits);
+    asked_.add(asked, step(counters.askedRequests, base.askedRequests), now);
+    const double decay = fromZero ? 0 : std::exp(-seconds(now - heardBefore) / decaySeconds);
+    source.asked = source.asked * decay + asked / decaySeconds;
 }
 
 double RegionLimit::askedRate(SteadyTime now) const
--- a/tests/gateway/organisation_limits_tests.cpp
+++ b/tests/gateway/organisation_limits_tests.cpp
@@ -12,6 +12,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 using namespace Portpaddle;
 using namespace std::chrono_literals;
 
@@ -156,3 +158,32 @@
     digest.limit_counts.resize(mostDigestLimits + 1);
     CHECK_FALSE(isOk(decodeDigest(encodeDigest(digest))));
 }
+
+TEST_CASE("Region limit, any counts of peers, are taken without harm to what others asked")
+{
+    const RegionLimit::IsSilent nobody = [](const std::string &, SteadyTime) { return false; };
+    SeededRandom random(11);
+    RegionLimit limit;
+    SteadyTime now{ 1h };
+    limit.setTerms({ LimitUnit::Tokens, 100'000, 100'000, 200 }, 1, {}, now);
+    DemandCounters honest;
+    for (int round = 0; round < 200; ++round) {
+        now += 100ms;
+        const auto any = [&random] { return static_cast<std::uint32_t>(random.next()) >> random.below(32); };
+        limit.take("hostile", { any(), any(), any() }, now);
+        limit.take("other", { 0xffffffffU, 0xffffffffU, static_cast<std::uint32_t>(round % 4) }, now);
+        honest.askedUnits += 1'000;
+        ++honest.askedRequests;
+        limit.take("honest", honest, now);
+        CHECK(std::isfinite(limit.grant(nobody, now).fraction));
+        CHECK(limit.askedRate(now) >= 999);
+    }
+}
+
+TEST_CASE("Limit, tokens that a caller claims without measure, count as much as one request may")
+{
+    const OrganisationLimit limit{ LimitUnit::Tokens, 100'000, 100'000, 200 };
+    CHECK(limit.costOf(4e9) <= 1e7);
+    CHECK(limit.costOf(0) == 200);
+    CHECK(limit.costOf(1'500) == 1'500);
+}
