--- a/src/portpaddle/fleet/fleet_news.cpp
+++ b/src/portpaddle/fleet/fleet_news.cpp
@@ -240,13 +240,6 @@
     }
 }
 
-bool FleetNews::knowsRegion(const std::string &name) const
-{
-    return view_ != nullptr && std::any_of(view_->daemons.begin(), view_->daemons.end(), [&name](const DaemonRecord &daemon) {
-               return daemon.region == name;
-           });
-}
-
 void FleetNews::take(const Wire::LoadDigestT &digest, SteadyTime now)
 {
     switch (digest.kind) {
@@ -278,7 +271,7 @@
     }
     case Wire::DigestKind::Region: {
         regions_.takeMembers(digest.members, now);
-        if (!knowsRegion(digest.region)) {
+        if (!regions_.listedRegions().contains(digest.region)) {
             break;
         }
         limits_.takeDemands(digest.region, digest.limit_demands, now);
--- a/src/portpaddle/fleet/fleet_news.h
+++ b/src/portpaddle/fleet/fleet_news.h
@@ -66,7 +66,6 @@
     void passOn(const Wire::LoadDigestT &header, std::vector<std::string> to, SteadyTime now, std::vector<OutgoingDigest> &out);
     void tellRegions(unsigned shard, Wire::LoadDigestT digest, const std::function<void(Wire::LoadDigestT &)> &addWaits,
                      SteadyTime now, std::vector<OutgoingDigest> &out);
-    bool knowsRegion(const std::string &name) const;
     /// The next daemons of the own region to tell of that this one heard itself.
     std::vector<Wire::MemberNews> nextMembers(std::size_t &window, Wire::DaemonPhase ownPhase, SteadyTime now) const;
 
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -260,24 +260,4 @@
     }
 }
 
-Result<LeaseGrant> RelayedStore::grantLease(Millis timeToLive)
-{
-    return store_.grantLease(timeToLive);
-}
-
-Status RelayedStore::keepLease(std::uint64_t lease)
-{
-    return store_.keepLease(lease);
-}
-
-Status RelayedStore::endLease(std::uint64_t lease)
-{
-    return store_.endLease(lease);
-}
-
-Result<std::uint64_t> RelayedStore::write(const std::string &key, const std::string &value, std::uint64_t lease)
-{
-    return store_.write(key, value, lease);
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -35,8 +35,8 @@
 /// The role of daemon @p id of @p region by @p view: the first few by rank follow the store.
 FollowRole followRole(const FleetView &view, const std::string &id, const std::string &region);
 
-/// A store whose contents come from other daemons while these are well, and from the store itself otherwise. All that is written
-/// goes to the store. Calls of one object follow each other.
+/// A store whose contents come from other daemons while these are well, and from the store itself otherwise.
+/// Calls of one object follow each other.
 class RelayedStore : public WatchedStore
 {
 public:
@@ -47,10 +47,6 @@
     Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) override;
     Result<std::uint64_t> newestRevision() override;
     void interrupt() override;
-    Result<LeaseGrant> grantLease(Millis timeToLive) override;
-    Status keepLease(std::uint64_t lease) override;
-    Status endLease(std::uint64_t lease) override;
-    Result<std::uint64_t> write(const std::string &key, const std::string &value, std::uint64_t lease) override;
 
 private:
     using Time = std::chrono::steady_clock::time_point;
--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -58,8 +58,8 @@
     }
 }
 
-DaemonRegistration::DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease,
-                                       std::function<bool()> ready, std::function<bool()> stillListed)
+DaemonRegistration::DaemonRegistration(LeasedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
+                                       std::function<bool()> stillListed)
     : store_(store)
     , record_(std::move(record))
     , leaseTime_(std::max(usualLease, shortestLease))
--- a/src/portpaddle/gateway/daemon_registration.h
+++ b/src/portpaddle/gateway/daemon_registration.h
@@ -6,7 +6,7 @@
 
 #include "portpaddle/base/thread.h"
 #include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/interfaces/watched_store.h"
+#include "portpaddle/interfaces/leased_store.h"
 
 #include <atomic>
 #include <functional>
@@ -24,7 +24,7 @@
 {
 public:
     /// Enters the list once @p ready; @p stillListed tells whether the store's list names this daemon.
-    DaemonRegistration(WatchedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
+    DaemonRegistration(LeasedStore &store, DaemonRecord record, Millis shortestLease, std::function<bool()> ready,
                        std::function<bool()> stillListed);
     ~DaemonRegistration();
 
@@ -45,7 +45,7 @@
     /// The list named this daemon since it entered, and does not any more.
     bool fellOffList();
 
-    WatchedStore &store_;
+    LeasedStore &store_;
     DaemonRecord record_;
     Millis leaseTime_;
     std::function<bool()> ready_;
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -4,6 +4,7 @@
 // What must hold before an exchange looks for a place: a configuration, a route, and somebody who may use it.
 
 #include "portpaddle/gateway/exchange.h"
+#include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
 
@@ -18,11 +19,6 @@
 constexpr Millis configurationPoll{ 20 };
 constexpr Millis returnBeforeConfiguration{ 500 };
 
-std::string_view view(boost::beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 } // namespace
 
 Task<bool> Exchange::awaitConfiguration()
@@ -48,7 +44,7 @@
         co_await fail(HttpStatus::badRequest, "the request has no id");
         co_return false;
     }
-    const std::string_view target = view(request_.message.target());
+    const std::string_view target = viewOf(request_.message.target());
     route_ = services_->find(request_.host, target.substr(0, target.find('?')));
     if (route_ == nullptr) {
         co_await fail(HttpStatus::notFound, "no route leads there");
@@ -67,7 +63,7 @@
     const OrganisationBook &book = services_->organisations;
     // The daemon that took the request from its caller has seen the key; it is not handed on.
     organisation_ = request_.relayed ? book.findByName(request_.organisation)
-                                     : book.findByAuthorization(view(request_.message[gateway_.names_.authorization]));
+                                     : book.findByAuthorization(viewOf(request_.message[gateway_.names_.authorization]));
     organisationName_ = organisation_ != nullptr ? organisation_->name : request_.organisation;
     if (!book.empty() && !route_->isPublic && organisationName_.empty()) {
         if (request_.relayed) {
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -191,11 +191,7 @@
 
 void Gateway::setLimits(SteadyTime now)
 {
-    std::set<std::string> regions;
-    for (const DaemonRecord &daemon : view_->daemons) {
-        regions.insert(daemon.region);
-    }
-    organisationLimits_.setFleet(std::move(regions), static_cast<unsigned>(view_->daemons.size()));
+    organisationLimits_.setFleet(regions_.listedRegions(), static_cast<unsigned>(view_->daemons.size()));
     if (view_->services && view_->services != limitsOf_) {
         limitsOf_ = view_->services;
         organisationLimits_.setOrganisations(limitsOf_->organisations, now);
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -107,6 +107,11 @@
     usable_.clear();
 }
 
+const std::set<std::string> &RegionTable::listedRegions() const
+{
+    return listedRegions_;
+}
+
 void RegionTable::takeMembers(std::span<const Wire::MemberNews> members, SteadyTime now)
 {
     for (const Wire::MemberNews &member : members) {
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -30,6 +30,8 @@
     void setOwnRegion(std::string region);
     /// The daemons that news may name; those that are new in @p view have until a while after @p now to be heard of.
     void setDaemons(const FleetView &view, SteadyTime now);
+    /// In which some daemon is listed.
+    const std::set<std::string> &listedRegions() const;
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
     /// What a gatherer heard of other daemons.
     void takeMembers(std::span<const Wire::MemberNews> members, SteadyTime now);
--- a/src/portpaddle/gateway/service_map.cpp
+++ b/src/portpaddle/gateway/service_map.cpp
@@ -41,7 +41,7 @@
 
 bool Route::allowsRegion(std::string_view region) const
 {
-    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+    return isHome(homeRegions, region);
 }
 
 const std::string &Route::serviceFor(std::uint64_t requestHash) const
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 
 #include "portpaddle/gateway/connection_headers.h"
+#include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
 
 #include <boost/asio/post.hpp>
@@ -51,15 +52,10 @@
         || status == HttpStatus::unavailable;
 }
 
-std::string_view view(boost::beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 /// How many upstreams another daemon says that it asked; no value where it does not say.
 std::optional<unsigned> sendsTold(const http::fields &fields)
 {
-    const std::string_view text = view(fields[relaySendsHeader]);
+    const std::string_view text = viewOf(fields[relaySendsHeader]);
     unsigned sends = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), sends);
     return parsed.ec == std::errc{} ? std::optional(sends) : std::nullopt;
@@ -69,7 +65,7 @@
 std::chrono::milliseconds keepTime(const http::fields &fields)
 {
     constexpr std::string_view key = "timeout=";
-    const std::string_view value = view(fields[http::field::keep_alive]);
+    const std::string_view value = viewOf(fields[http::field::keep_alive]);
     const std::size_t at = value.find(key);
     if (at == std::string_view::npos) {
         return defaultKeep;
@@ -86,8 +82,8 @@
 {
     http::fields result;
     for (const auto &field : fields) {
-        if (!concernsConnection(field.name(), view(field.name_string()), fields)
-            && !isBetweenDaemons(view(field.name_string()))) {
+        if (!concernsConnection(field.name(), viewOf(field.name_string()), fields)
+            && !isBetweenDaemons(viewOf(field.name_string()))) {
             result.insert(field.name(), field.name_string(), field.value());
         }
     }
@@ -160,9 +156,9 @@
     message.target(original.target());
     message.version(11);
     for (const auto &field : original) {
-        const bool own = isSetBySystem(view(field.name_string()), names_);
+        const bool own = isSetBySystem(viewOf(field.name_string()), names_);
         const bool key = plan.dropsKey && boost::beast::iequals(field.name_string(), names_.authorization);
-        if (!own && !key && !concernsConnection(field.name(), view(field.name_string()), original)) {
+        if (!own && !key && !concernsConnection(field.name(), viewOf(field.name_string()), original)) {
             message.insert(field.name(), field.name_string(), field.value());
         }
     }
@@ -214,8 +210,8 @@
     const http::fields &fields = parser->get();
     const unsigned status = parser->get().result_int();
     const std::optional<unsigned> relayedSends = sendsTold(fields);
-    const bool notRun
-        = !fields[names_.notRun].empty() || status == HttpStatus::misdirected || view(fields[relayOutcomeHeader]) == relayNotRun;
+    const bool notRun = !fields[names_.notRun].empty() || status == HttpStatus::misdirected
+        || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
     AttemptReport report;
     if (notRun) {
         std::string dropped;
@@ -223,10 +219,10 @@
         settle(*parser, whole);
         report
             = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "upstream did not run it, status " + std::to_string(status));
-        const std::string_view life = view(fields[names_.answeringUpstream]);
+        const std::string_view life = viewOf(fields[names_.answeringUpstream]);
         report.relayedSends = relayedSends;
         report.lifeOver = status == HttpStatus::misdirected && !life.empty() && life != plan.expectedUpstream;
-        const std::string_view after = view(fields[http::field::retry_after]);
+        const std::string_view after = viewOf(fields[http::field::retry_after]);
         if (!after.empty()) {
             report.error.retryAfter = Millis(static_cast<std::int64_t>(std::strtod(std::string(after).c_str(), nullptr) * 1000));
         }
@@ -258,7 +254,7 @@
         if (parser->get().result_int() < 200) {
             continue;
         }
-        const std::string_view id = view(parser->get()[names_.requestId]);
+        const std::string_view id = viewOf(parser->get()[names_.requestId]);
         if (id.empty() || id == request_.id) {
             co_return true;
         }
@@ -354,7 +350,7 @@
         progress_.events.dropPartial();
         co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "stream ended within an event");
     }
-    const std::string_view unfinished = remote_ ? view(fields[continueAtHeader]) : std::string_view{};
+    const std::string_view unfinished = remote_ ? viewOf(fields[continueAtHeader]) : std::string_view{};
     if (!unfinished.empty()) {
         AttemptReport report = failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the daemon that was asked ends");
         report.continuation = decodeContinuation(unfinished);
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -247,13 +247,13 @@
     return state.failureShare * std::exp2(-millisBetween(state.failureShareAt, now) / failureHalfLifeMs);
 }
 
-void UpstreamLoads::failed(State &state, bool avoid, SteadyTime now)
+void UpstreamLoads::failed(State &state, SteadyTime now)
 {
     const double share = decayedFailureShare(state, now);
     state.failureShare = share + failureLearningRate * (1 - share);
     state.failureShareAt = now;
     ++state.failuresInRow;
-    if (!avoid || state.failuresInRow < failuresBeforeAvoiding) {
+    if (!policy_.avoidFailing || state.failuresInRow < failuresBeforeAvoiding) {
         return;
     }
     const unsigned doublings = std::min(state.failuresInRow - failuresBeforeAvoiding, 4U);
@@ -275,13 +275,13 @@
         state.serviceMs = blend(state.serviceMs, millisBetween(ticket.sentAt, now), learningRate);
         state.lastHeard = now;
     } else if (outcome == LoadOutcome::Failed || (outcome == LoadOutcome::Cancelled && wasSilent)) {
-        failed(state, policy_.avoidFailing, now);
+        failed(state, now);
     }
 }
 
 void UpstreamLoads::connectFailed(const std::string &upstream, SteadyTime now)
 {
-    failed(stateOf(upstream), policy_.avoidFailing, now);
+    failed(stateOf(upstream), now);
 }
 
 void UpstreamLoads::lifeOver(const std::string &upstream)
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -131,7 +131,7 @@
     State *stateByKey(std::uint32_t key);
     void notePlacedByOthers(const Wire::LoadDigestT &digest);
     void notePlaced(State &state, const std::string &upstream, const PromptFacts &prompt, double cacheTokens);
-    static void failed(State &state, bool avoid, SteadyTime now);
+    void failed(State &state, SteadyTime now);
     static double decayedFailureShare(const State &state, SteadyTime now);
 
     PolicySettings policy_;
--- a/src/portpaddle/interfaces/clock.h
+++ b/src/portpaddle/interfaces/clock.h
@@ -9,6 +9,12 @@
 namespace Portpaddle {
 
 using Millis = std::chrono::milliseconds;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+inline double inSeconds(SteadyTime::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
 
 /// A source of time; tests move it by hand.
 class Clock
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// A key-value store with leases whose changes can be followed.
+/// A key-value store whose changes can be followed.
 #pragma once
 
 #include "portpaddle/interfaces/platform.h"
@@ -57,12 +57,6 @@
     virtual Result<std::uint64_t> newestRevision() = 0;
     /// Makes a call in progress on another thread fail.
     virtual void interrupt() = 0;
-    virtual Result<LeaseGrant> grantLease(Millis timeToLive) = 0;
-    /// NotFound when the lease is over.
-    virtual Status keepLease(std::uint64_t lease) = 0;
-    virtual Status endLease(std::uint64_t lease) = 0;
-    /// Writes whatever the key holds.
-    virtual Result<std::uint64_t> write(const std::string &key, const std::string &value, std::uint64_t lease) = 0;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/limits/organisation_limits.cpp
+++ b/src/portpaddle/limits/organisation_limits.cpp
@@ -25,11 +25,6 @@
 constexpr double shortestReturnSeconds = 0.15;
 constexpr double longestReturnSeconds = 2;
 
-double seconds(SteadyTime::duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 std::uint32_t wrapped(double units)
 {
     return static_cast<std::uint32_t>(static_cast<std::int64_t>(std::llround(units)));
@@ -177,7 +172,7 @@
         state.aloneLevel = fresh ? evenBurst : -random.fraction() * units;
         state.aloneAt = now;
     }
-    state.aloneLevel = std::min(evenBurst, state.aloneLevel + state.aloneRate * seconds(now - state.aloneAt));
+    state.aloneLevel = std::min(evenBurst, state.aloneLevel + state.aloneRate * inSeconds(now - state.aloneAt));
     state.aloneAt = now;
     if (state.aloneLevel < 0) {
         return false;
--- a/src/portpaddle/limits/organisations.cpp
+++ b/src/portpaddle/limits/organisations.cpp
@@ -67,9 +67,14 @@
     return tokens > 0 ? std::min(tokens, mostTokensCounted) : plainTokens;
 }
 
+bool isHome(const std::vector<std::string> &homes, std::string_view region)
+{
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
 bool Organisation::allowsRegion(std::string_view region) const
 {
-    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+    return isHome(homeRegions, region);
 }
 
 void OrganisationBook::add(Organisation organisation, const std::vector<std::string> &keys)
--- a/src/portpaddle/limits/organisations.h
+++ b/src/portpaddle/limits/organisations.h
@@ -36,6 +36,9 @@
     double costOf(double tokens) const;
 };
 
+/// Whether @p region is one of @p homes; none of these means all regions.
+bool isHome(const std::vector<std::string> &homes, std::string_view region);
+
 /// One organisation whose callers are served.
 struct Organisation
 {
--- a/src/portpaddle/limits/rate_window.cpp
+++ b/src/portpaddle/limits/rate_window.cpp
@@ -60,7 +60,7 @@
         }
     }
     const auto covered = now.time_since_epoch() - oldest * slotLength;
-    return units / std::chrono::duration<double>(covered).count();
+    return units / inSeconds(covered);
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/limits/rate_window.h
+++ b/src/portpaddle/limits/rate_window.h
@@ -4,14 +4,13 @@
 /// How much is asked a second, over the shortest time that tells.
 #pragma once
 
+#include "portpaddle/interfaces/clock.h"
+
 #include <array>
-#include <chrono>
 #include <cstdint>
 
 namespace Portpaddle {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 /// Ten slots of 100 ms. Few requests are averaged over a second, many over the last slots: sizes of requests differ by a factor
 /// of ten, and a sudden rise must be seen before it has spent a limit's burst.
 class RateWindow
--- a/src/portpaddle/limits/region_limit.cpp
+++ b/src/portpaddle/limits/region_limit.cpp
@@ -37,11 +37,6 @@
 // of an organisation of 36,000 a second are refused below its limit, with it 2 to 5. Played in virtual time.
 constexpr double toleratedForPrompts = 0.75;
 
-double seconds(SteadyTime::duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 std::int32_t step(std::uint32_t now, std::uint32_t before)
 {
     return static_cast<std::int32_t>(now - before);
@@ -85,7 +80,7 @@
     refill(now);
     level_ -= step(counters.admittedUnits, base.admittedUnits);
     asked_.add(asked, step(counters.askedRequests, base.askedRequests), now);
-    const double decay = fromZero ? 0 : std::exp(-seconds(now - heardBefore) / decaySeconds);
+    const double decay = fromZero ? 0 : std::exp(-inSeconds(now - heardBefore) / decaySeconds);
     source.asked = source.asked * decay + asked / decaySeconds;
 }
 
@@ -102,7 +97,7 @@
     for (const auto &[daemon, source] : sources_) {
         const SteadyTime::duration since = now - source.heardAt;
         const bool silent = isSilent(daemon, now);
-        const double asked = silent ? source.asked : source.asked * std::exp(-seconds(since) / decaySeconds);
+        const double asked = silent ? source.asked : source.asked * std::exp(-inSeconds(since) / decaySeconds);
         all += silent && since > longestAbsence ? 0 : asked;
         missing += silent && since <= longestAbsence ? asked : 0;
     }
@@ -117,7 +112,7 @@
 void RegionLimit::refill(SteadyTime now)
 {
     if (refilledAt_ != SteadyTime{}) {
-        level_ = std::min(burst_ * share_, level_ + rate() * std::max(0.0, seconds(now - refilledAt_)));
+        level_ = std::min(burst_ * share_, level_ + rate() * std::max(0.0, inSeconds(now - refilledAt_)));
     }
     refilledAt_ = now;
 }
@@ -133,9 +128,4 @@
     return { fraction, rate() / asked };
 }
 
-double RegionLimit::level() const
-{
-    return level_;
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/limits/region_limit.h
+++ b/src/portpaddle/limits/region_limit.h
@@ -54,8 +54,6 @@
     /// Units a second asked in the region, over all daemons that are heard.
     double askedRate(SteadyTime now) const;
     AdmissionGrant grant(const IsSilent &isSilent, SteadyTime now);
-    /// Units that may be spent at once; below zero where more was spent.
-    double level() const;
 
 private:
     struct Source
@@ -77,6 +75,7 @@
     double share_ = 1;
     /// What may be spent beyond the level before the news of it come.
     double tolerated_ = 0;
+    /// Units that may be spent at once; below zero where more was spent.
     double level_ = 0;
     /// As of the last grant.
     double missing_ = 0;
--- a/src/portpaddle/net/asio.h
+++ b/src/portpaddle/net/asio.h
@@ -7,6 +7,8 @@
 // Asio 1.74 relies on std::exchange without including it; g++ 12 needs this line first.
 #include <utility>
 
+#include "portpaddle/interfaces/clock.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
@@ -23,7 +25,6 @@
 
 using Executor = boost::asio::io_context::executor_type;
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Executor>;
-using SteadyTime = std::chrono::steady_clock::time_point;
 using SteadyTimer
     = boost::asio::basic_waitable_timer<std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, Executor>;
 using NetError = boost::system::error_code;
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <set>
 
 using namespace Portpaddle;
@@ -83,16 +84,33 @@
     std::atomic<unsigned> returns{ 0 };
 };
 
-} // namespace
-
-TEST_CASE("Key follower, store that fails and returns, misses no change")
+/// A store that holds one key, and a follower of it.
+class FollowedStoreFixture
 {
+public:
+    FollowedStoreFixture()
+    {
+        store.set("p/a", "1");
+    }
+
+    /// Starts a follower that knows the key.
+    void follow(WatchedStore *verifier = nullptr)
+    {
+        follower.emplace("p/", store, listener, nullptr, verifier);
+        follower->start();
+        CHECK(eventually([&] { return listener.has("p/a"); }));
+    }
+
     ScriptedStore store;
-    store.set("p/a", "1");
     RecordingListener listener;
-    KeyFollower follower("p/", store, listener);
-    follower.start();
-    CHECK(eventually([&] { return listener.has("p/a"); }));
+    std::optional<KeyFollower> follower;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(FollowedStoreFixture, "Key follower, store that fails and returns, misses no change")
+{
+    follow();
     store.setFailing(true);
     CHECK(eventually([&] { return listener.losses == 1; }));
     store.set("p/b", "1");
@@ -101,27 +119,17 @@
     CHECK(listener.listings == 1);
 }
 
-TEST_CASE("Key follower, answer of a waiting call that was lost, is noticed and asked for again")
+TEST_CASE_FIXTURE(FollowedStoreFixture, "Key follower, answer of a waiting call that was lost, is noticed and asked for again")
 {
-    ScriptedStore store;
-    store.set("p/a", "1");
-    RecordingListener listener;
-    KeyFollower follower("p/", store, listener, nullptr, &store);
-    follower.start();
-    CHECK(eventually([&] { return listener.has("p/a"); }));
+    follow(&store);
     store.loseNextAnswer();
     store.set("p/b", "1");
     CHECK(eventually([&] { return listener.has("p/b"); }));
 }
 
-TEST_CASE("Key follower, history that the store forgot, lists again")
+TEST_CASE_FIXTURE(FollowedStoreFixture, "Key follower, history that the store forgot, lists again")
 {
-    ScriptedStore store;
-    store.set("p/a", "1");
-    RecordingListener listener;
-    KeyFollower follower("p/", store, listener);
-    follower.start();
-    CHECK(eventually([&] { return listener.has("p/a"); }));
+    follow();
     store.forgetHistory();
     store.remove("p/a");
     store.set("p/b", "1");
--- a/tests/support/limit_scenario.cpp
+++ b/tests/support/limit_scenario.cpp
@@ -227,7 +227,7 @@
 class SharesByDemand : public LimitWay
 {
 public:
-    SharesByDemand(unsigned daemons, const OrganisationLimit &limit) : alive_(daemons, true)
+    SharesByDemand(unsigned daemons, const OrganisationLimit &limit)
     {
         setLimit(limit, Time{});
         for (unsigned daemon = 0; daemon < daemons; ++daemon) {
@@ -288,7 +288,6 @@
 
     RequestPolicy policy_;
     std::vector<std::unique_ptr<Limiter>> limiters_;
-    std::vector<bool> alive_;
     unsigned ticks_ = 0;
 };
 
--- a/tests/support/scripted_store.h
+++ b/tests/support/scripted_store.h
@@ -4,6 +4,7 @@
 /// A watched store in memory that fails on order.
 #pragma once
 
+#include "portpaddle/interfaces/leased_store.h"
 #include "portpaddle/interfaces/watched_store.h"
 
 #include <condition_variable>
@@ -14,7 +15,7 @@
 namespace Portpaddle {
 
 /// Keeps the whole history until told to forget it. Thread-safe.
-class ScriptedStore : public WatchedStore
+class ScriptedStore : public WatchedStore, public LeasedStore
 {
 public:
     void set(const std::string &key, const std::string &value)
