Sight: a name for a request that outlasts an attempt, and a line for each upstream that ends

The lines could not tell whether the same request is in progress each time an upstream ends, nor that one ended. Now a run whose connection breaks before it has shown that it can be run (no event, or the first less than 250 ms ago) is noted under a digest of path, caller and body; one connection asks whether the upstream still lives; its end is logged and counted, and lines of such requests name the digest. No decision uses any of it yet.

--- a/src/portpaddle/base/digest.cpp
+++ b/src/portpaddle/base/digest.cpp
@@ -8,8 +8,24 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <memory>
+
 namespace Portpaddle {
 
+Sha256Digest sha256OfParts(std::initializer_list<std::string_view> parts)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view part : parts) {
+        const std::uint64_t length = part.size();
+        EVP_DigestUpdate(context.get(), &length, sizeof length);
+        EVP_DigestUpdate(context.get(), part.data(), part.size());
+    }
+    Sha256Digest digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    return digest;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/src/portpaddle/base/digest.h
+++ b/src/portpaddle/base/digest.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,10 @@
 /// A SHA-256 message authentication code.
 using MessageCode = std::array<std::uint8_t, 32>;
 
+using Sha256Digest = std::array<std::uint8_t, 32>;
+
+/// SHA-256 of several texts, each with its length, so that moving a boundary between two of them changes the digest.
+Sha256Digest sha256OfParts(std::initializer_list<std::string_view> parts);
 /// SHA-256 of @p text as lower-case hexadecimal.
 std::string sha256Hex(std::string_view text);
 /// HMAC-SHA-256 of @p message under @p key.
--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 35> catalogue{ {
+constexpr std::array<LogEventDescription, 36> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -54,6 +54,8 @@
     { LogEvent::UpstreamGone, "upstream_gone", "info", "The record of an upstream was removed." },
     { LogEvent::EvacuationChanged, "evacuation_changed", "info",
       "An operator empties a data centre of requests, or takes that back." },
+    { LogEvent::UpstreamEnded, "upstream_ended", "warning",
+      "An upstream ended while it had requests of this daemon; the line tells how many of them may have ended it." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -43,6 +43,7 @@
     UpstreamChanged = 4103,
     UpstreamGone = 4104,
     EvacuationChanged = 4105,
+    UpstreamEnded = 4106,
     ClaimConflict = 4201,
     DrainOrdered = 5001,
     OrderSent = 5101,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -40,6 +40,7 @@
     { "portpaddle_link_sent_bytes_total", "Bytes sent on links between daemons." },
     { "portpaddle_link_received_bytes_total", "Bytes received on links between daemons." },
     { "portpaddle_peers_rejected_total", "Datagrams and links refused for a wrong code or a broken protocol." },
+    { "portpaddle_upstreams_ended_total", "Upstreams that this daemon found to have ended." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/log.h"
+#include "portpaddle/crashes/request_fingerprint.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/repeat_rules.h"
 #include "portpaddle/gateway/run_move.h"
@@ -89,6 +90,9 @@
     void log(LogEvent event, unsigned status, const std::string &message) const;
     Millis timeLeft() const;
     Millis suggestedReturn() const;
+    const RequestFingerprint &fingerprint();
+    /// Tells of a run whose connection broke, unless it had gone on for so long that it cannot be what ended its upstream.
+    void noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now);
 
     Gateway &gateway_;
     CallerRequest request_;
@@ -127,6 +131,10 @@
     /// Why no attempt followed the last one.
     RepeatDenial repeatDenial_ = RepeatDenial::None;
     double predictedMs_ = 0;
+    /// Made when it is first needed.
+    std::optional<RequestFingerprint> fingerprint_;
+    /// The first event of the attempt in progress.
+    std::optional<SteadyTime> attemptBegan_;
     /// From arrival to the first event; zero before it.
     double firstEventMs_ = 0;
     /// Whole events of the answer so far.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/exchange.h"
+#include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 constexpr Millis remoteConnectTimeout{ 800 };
 // One way between regions, about.
 constexpr Millis remoteTravel{ 55 };
+// Requests that end an upstream did so 48 to 82 ms after it began to run them, before their first event.
+constexpr Millis longestDangerousStart{ 250 };
 // The least urgent that upstreams know.
 constexpr unsigned latePriority = 9;
 
@@ -92,6 +95,7 @@
 
 void Exchange::noteFirstEvent()
 {
+    attemptBegan_ = std::chrono::steady_clock::now();
     firstEventMs_ = static_cast<double>(elapsedSince(request_.arrivedAt).count());
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
@@ -105,6 +109,7 @@
     asked_ += (asked_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
 
     LoadTicket ticket;
+    attemptBegan_.reset();
     const AttemptEvents events = eventsFor(target, ticket);
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
@@ -139,6 +144,12 @@
             gateway_.regions_.unreachable(target.daemon->id, now);
         }
     }
+    if (target.upstream && report.connectionRefused) {
+        gateway_.crashes_.refusedConnection(target.upstream->id, now);
+    }
+    if (target.upstream && report.connectionBroke) {
+        noteBrokenRun(*target.upstream, now);
+    }
     if (target.upstream && report.lifeOver) {
         gateway_.loads_.lifeOver(target.upstream->id);
     }
@@ -158,6 +169,22 @@
     mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
 }
 
+void Exchange::noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now)
+{
+    if (!attemptBegan_ || now - *attemptBegan_ < longestDangerousStart) {
+        gateway_.crashes_.runBroke(upstream, fingerprint(), now);
+    }
+}
+
+const RequestFingerprint &Exchange::fingerprint()
+{
+    if (!fingerprint_) {
+        const std::string_view credentials = viewOf(request_.message[gateway_.names_.authorization]);
+        fingerprint_ = fingerprintOf(request_, organisationName_.empty() ? credentials : std::string_view(organisationName_));
+    }
+    return *fingerprint_;
+}
+
 void Exchange::watchSilence(const std::shared_ptr<AttemptWatch> &watch)
 {
     silenceTimer_.expires_after(upstreamSilenceBound);
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -103,6 +103,7 @@
                { "asked", asked_ },
                { "sends", std::to_string(sends_) },
                { "no_repeat", std::string(nameOf(repeatDenial_)) },
+               { "fingerprint", fingerprint_ ? fingerprint_->hex() : std::string() },
                { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
                { "prompt_tokens", std::to_string(request_.prompt.promptTokens) },
                { "tokens_out", std::to_string(request_.prompt.expectedTokensOut) },
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -28,6 +28,7 @@
     , random_(random)
     , metrics_(metrics)
     , pool_(executor)
+    , crashes_(executor, pool_, metrics)
     , cold_(std::chrono::steady_clock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
@@ -168,6 +169,7 @@
     view_ = cell_.read();
     loads_.keepOnly(*view_);
     const SteadyTime now = std::chrono::steady_clock::now();
+    crashes_.setView(*view_, now);
     regions_.setDaemons(*view_, now);
     news_.setView(view_);
     setLimits(now);
@@ -311,6 +313,7 @@
     const SteadyTime now = std::chrono::steady_clock::now();
     pool_.sweep(now);
     saveRuns(now);
+    crashes_.tick(now);
     regions_.tick(now);
     cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing() });
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/rcu_cell.h"
+#include "portpaddle/crashes/crash_guard.h"
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/fleet/fleet_news.h"
 #include "portpaddle/fleet/settled_owner.h"
@@ -178,6 +179,7 @@
     GatewayTerms terms_;
     PolicySettings policy_;
     ConnectionPool pool_;
+    CrashGuard crashes_;
     UpstreamLoads loads_;
     RetrySlice retries_;
     ColdGate cold_;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -143,6 +143,7 @@
     if (!connection_) {
         report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "no connection: " + error.message());
         report.sent = false;
+        report.connectionRefused = error == boost::asio::error::connection_refused;
         co_return false;
     }
     co_return true;
@@ -205,7 +206,7 @@
     NetError readError;
     const bool gotHead = co_await readHead(parser, readError);
     if (!gotHead) {
-        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "no answer: " + (error ? error : readError).message());
+        co_return brokenConnection("no answer: " + (error ? error : readError).message());
     }
     const http::fields &fields = parser->get();
     const unsigned status = parser->get().result_int();
@@ -281,13 +282,20 @@
     co_return true;
 }
 
+AttemptReport UpstreamAttempt::brokenConnection(std::string message) const
+{
+    AttemptReport report = failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, std::move(message));
+    report.connectionBroke = !interrupted_;
+    return report;
+}
+
 Task<AttemptReport> UpstreamAttempt::readWhole(Parser &parser)
 {
     NetError error;
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
         if (error) {
-            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer broke off: " + error.message());
+            co_return brokenConnection("answer broke off: " + error.message());
         }
         if (parser.get().body().size() > mostWholeBytes) {
             co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is too large");
@@ -343,7 +351,7 @@
         }
         if (error) {
             progress_.events.dropPartial();
-            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "stream broke off: " + error.message());
+            co_return brokenConnection("stream broke off: " + error.message());
         }
     }
     if (!progress_.events.partial().empty()) {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -75,6 +75,10 @@
     std::optional<WholeAnswer> failedAnswer;
     /// The request left this daemon.
     bool sent = false;
+    /// The connection ended in the middle, and this daemon did not end it.
+    bool connectionBroke = false;
+    /// Nobody listens at the address.
+    bool connectionRefused = false;
     /// Another life answered at the address: the one that was asked is gone.
     bool lifeOver = false;
     /// Upstreams that a daemon of another region says it sent the request to.
@@ -116,6 +120,7 @@
     Task<bool> readHead(std::optional<Parser> &parser, NetError &error);
     Task<AttemptReport> passStream(Parser &parser, const AttemptEvents &events);
     Task<AttemptReport> readWhole(Parser &parser);
+    AttemptReport brokenConnection(std::string message) const;
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
     Task<bool> passEvents(Parser &parser, std::string_view bytes, const AttemptEvents &events);
     AttemptReport judgeWhole(Parser &parser, std::string body) const;
