Clock: leases, ages, deadlines and bounds count the time for which the VM was suspended

Cause: all of them went by std::chrono::steady_clock, which is CLOCK_MONOTONIC on Linux and stands still during a suspension. Ruled out: a change at single places (104 uses); one clock type for all.

--- a/benchmarks/limit_ways.cpp
+++ b/benchmarks/limit_ways.cpp
@@ -53,12 +53,12 @@
     SeededRandom random(1);
     OrganisationLimits limits(
         "d", "north", [](std::uint32_t, SteadyTime) { return true; }, [](const std::string &, SteadyTime) { return false; });
-    limits.setOrganisations(book, std::chrono::steady_clock::now());
+    limits.setOrganisations(book, BootClock::now());
     const std::clock_t begun = std::clock();
     unsigned admitted = 0;
     for (int request = 0; request < requests; ++request) {
         const Organisation *organisation = book.findByAuthorization(fmt::format("Bearer a-key-of-twenty-{}-2", request % 16));
-        admitted += limits.admit(*organisation, 1'000, std::chrono::steady_clock::now(), random) ? 0 : 1;
+        admitted += limits.admit(*organisation, 1'000, BootClock::now(), random) ? 0 : 1;
     }
     const double micros = 1e6 * static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC / requests;
     fmt::print("\nkey and limit: {:.2f} µs of processor a request ({} of {} admitted)\n", micros, admitted, requests);
--- a/src/portpaddle/base/system_clock.cpp
+++ b/src/portpaddle/base/system_clock.cpp
@@ -7,7 +7,7 @@
 
 Millis SystemClock::monotonic() const
 {
-    return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now().time_since_epoch());
+    return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch());
 }
 
 Millis SystemClock::wall() const
--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -43,7 +43,7 @@
     UpstreamConnection *opening = nullptr;
     NetError error;
     std::unique_ptr<UpstreamConnection> connection = co_await pool_.connect(upstream, address, connectTimeout, &opening, error);
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     if (connection) {
         connection->usableUntil = now + keepTime;
         pool_.keep(upstream, std::move(connection));
--- a/src/portpaddle/dispatch/dispatcher.cpp
+++ b/src/portpaddle/dispatch/dispatcher.cpp
@@ -215,9 +215,9 @@
         for (const RemoteView &view : routes.remote) {
             remote[view.slot] = parts_.remoteDispatches.counter(view.dataCentre, call_.facts.service)->count();
         }
-        const auto begin = std::chrono::steady_clock::now();
+        const auto begin = BootClock::now();
         Decision decision = decide(snapshot, call_.facts, OwnDispatches{ local, remote }, now, parts_.random);
-        const std::chrono::duration<double, std::milli> spent = std::chrono::steady_clock::now() - begin;
+        const std::chrono::duration<double, std::milli> spent = BootClock::now() - begin;
         parts_.metrics.observe(Timer::Decision, spent.count());
         return decision;
     }
--- a/src/portpaddle/fleet/change_feed.h
+++ b/src/portpaddle/fleet/change_feed.h
@@ -20,7 +20,7 @@
 {
     std::uint64_t revision = 0;
     /// When an answer of the store last confirmed this, to this daemon or to the one that it follows.
-    std::chrono::steady_clock::time_point confirmedAt{};
+    SteadyTime confirmedAt{};
     bool reachable = false;
     /// Changes since the revision asked for are not known any more.
     bool incomplete = false;
@@ -31,7 +31,7 @@
 class ChangeFeed
 {
 public:
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = SteadyTime;
 
     /// @p wake is called after each change, on the thread that made it.
     explicit ChangeFeed(std::function<void()> wake);
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -43,7 +43,7 @@
 }
 
 /// Whether what a source knows is news of the store at all.
-bool isConfirmed(const FeedNews &news, std::chrono::steady_clock::time_point now)
+bool isConfirmed(const FeedNews &news, SteadyTime now)
 {
     return news.reachable && news.revision > 0 && now - news.confirmedAt < oldestConfirmation;
 }
@@ -143,7 +143,7 @@
 {
     logEvent(LogEvent::FollowSourceLeft, { { "source", address }, { "reason", why.message } });
     const std::lock_guard lock(mutex_);
-    sources_[address].avoidedUntil = std::chrono::steady_clock::now() + avoidTime;
+    sources_[address].avoidedUntil = BootClock::now() + avoidTime;
 }
 
 Result<FeedNews> RelayedStore::askConfirmed(const std::string &address, const std::string &target)
@@ -152,7 +152,7 @@
     if (!isOk(body)) {
         return errorOf(body);
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = BootClock::now();
     Result<FeedNews> news = decodeChanges(valueOf(body), now);
     if (isOk(news) && !isConfirmed(valueOf(news), now)) {
         return unavailable("the daemon at " + address + " has no contact with the store");
@@ -205,7 +205,7 @@
 {
     const FollowRole role = currentRole();
     if (!role.direct) {
-        for (const std::string &address : usableSources(role, std::chrono::steady_clock::now())) {
+        for (const std::string &address : usableSources(role, BootClock::now())) {
             Result<KeyListing> listing = listPeer(address);
             if (isOk(listing)) {
                 highestRevision_ = valueOf(listing).revision;
@@ -228,7 +228,7 @@
     if (role.direct) {
         return store_.follow(prefix, revision, timeout);
     }
-    for (const std::string &address : usableSources(role, std::chrono::steady_clock::now())) {
+    for (const std::string &address : usableSources(role, BootClock::now())) {
         Result<KeyChanges> changes = followPeer(address, revision);
         // A source that is ahead and has forgotten goes before others that may have missed the same changes.
         if (isOk(changes) || errorOf(changes).code == ErrorCode::HistoryGone) {
@@ -236,12 +236,12 @@
         }
         avoid(address, errorOf(changes));
     }
-    if (std::chrono::steady_clock::now() < storeCallsFrom_) {
+    if (BootClock::now() < storeCallsFrom_) {
         return unavailable("no daemon hands on the store's changes, and the store failed just now");
     }
     Result<KeyChanges> changes = store_.follow(prefix, revision, std::min(timeout, directWait));
     if (!isOk(changes) && errorOf(changes).code != ErrorCode::HistoryGone) {
-        storeCallsFrom_ = std::chrono::steady_clock::now() + betweenStoreCalls;
+        storeCallsFrom_ = BootClock::now() + betweenStoreCalls;
     }
     return changes;
 }
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -49,7 +49,7 @@
     void interrupt() override;
 
 private:
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = SteadyTime;
 
     struct Source
     {
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -159,7 +159,7 @@
         }
         buffer_.commit(got);
     }
-    requestStarted_ = std::chrono::steady_clock::now();
+    requestStarted_ = BootClock::now();
     after(limits.headerTimeout, &CallerSession::close);
     co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
     if (error) {
--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/gateway/daemon_registration.cpp
@@ -20,10 +20,10 @@
 constexpr Millis pauseStep{ 100 };
 constexpr Millis shortStep{ 5 };
 // Half of the lease is left for tries after a renewal that failed.
-constexpr unsigned stepsBetweenRenewals = 65;
+constexpr Millis betweenRenewals{ 6'500 };
 // After failures in a row; a store that is back hears of every daemon within a second and a bit.
-constexpr unsigned stepsAfterFailure = 2;
-constexpr unsigned mostStepsAfterFailure = 10;
+constexpr Millis pauseAfterFailure{ 200 };
+constexpr Millis longestPauseAfterFailure{ 1'000 };
 constexpr unsigned mostDoublings = 3;
 
 } // namespace
@@ -138,8 +138,11 @@
 void DaemonRegistration::pause(bool well)
 {
     failures_ = well ? 0 : failures_ + 1;
-    const unsigned afterFailure = std::min(stepsAfterFailure << std::min(failures_, mostDoublings), mostStepsAfterFailure);
-    for (unsigned steps = well ? stepsBetweenRenewals : afterFailure; steps > 0 && !withdrawn_; --steps) {
+    const Millis afterFailure
+        = std::min(pauseAfterFailure * (1U << std::min(failures_, mostDoublings)), longestPauseAfterFailure);
+    // By the clock, not by steps: a VM that was suspended may have lost its lease, and has to say so before anything else.
+    const SteadyTime until = BootClock::now() + (well ? betweenRenewals : afterFailure);
+    while (BootClock::now() < until && !withdrawn_) {
         const bool leavingUntold = leaving_ && !record_.leaving;
         if (well && (leavingUntold || fellOffList())) {
             break;
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -57,7 +57,7 @@
 
 Millis Exchange::timeLeft() const
 {
-    return std::max(Millis(0), std::chrono::duration_cast<Millis>(deadline_ - std::chrono::steady_clock::now()));
+    return std::max(Millis(0), std::chrono::duration_cast<Millis>(deadline_ - BootClock::now()));
 }
 
 Millis Exchange::suggestedReturn() const
@@ -110,7 +110,7 @@
     if (!stop || continuation_) {
         return true;
     }
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     const StopVerdict verdict = judgeWhileStopping(*stop, deadline_, request_.relayed, now);
     overBy_ = verdict == StopVerdict::TakeIfLikely ? likelyEnd(*stop, now) : SteadyTime::max();
     return verdict != StopVerdict::Refuse;
@@ -118,7 +118,7 @@
 
 Task<void> Exchange::attempts()
 {
-    const SteadyTime started = std::chrono::steady_clock::now();
+    const SteadyTime started = BootClock::now();
     if (!request_.relayed) {
         gateway_.retries_.firstSent(service_, started);
     }
@@ -174,7 +174,7 @@
         continuation_.reset();
         return target;
     }
-    return gateway_.choose(request_, choiceContext(), std::chrono::steady_clock::now());
+    return gateway_.choose(request_, choiceContext(), BootClock::now());
 }
 
 bool Exchange::canContinue() const
@@ -191,7 +191,7 @@
     if (!canContinue() || sends_ >= route_->attempts) {
         return false;
     }
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     const Target next = gateway_.propose(request_, choiceContext(), now);
     return (next.upstream || next.daemon) && gateway_.retries_.allowsRepeat(service_, now);
 }
@@ -211,7 +211,7 @@
     facts.attempts = route_->attempts;
     const RepeatDecision decision = decideRepeat(facts);
     repeatDenial_ = decision.denial;
-    if (decision.needsBudget && !gateway_.retries_.takeRepeat(service_, std::chrono::steady_clock::now())) {
+    if (decision.needsBudget && !gateway_.retries_.takeRepeat(service_, BootClock::now())) {
         repeatDenial_ = RepeatDenial::BudgetSpent;
     }
     return repeatDenial_ == RepeatDenial::None;
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -89,7 +89,7 @@
     const OrganisationLimit &limit = organisation_->limit;
     const double units = limit.costOf(double(request_.prompt.promptTokens) + request_.prompt.mostTokensOut);
     const std::optional<std::chrono::milliseconds> back
-        = gateway_.organisationLimits_.admit(*organisation_, units, std::chrono::steady_clock::now(), gateway_.random_);
+        = gateway_.organisationLimits_.admit(*organisation_, units, BootClock::now(), gateway_.random_);
     if (back) {
         co_await refuse(ErrorCode::LimitReached,
                         fmt::format("the limit of {} {} a second is spent; {:.0f} % of what is asked is admitted",
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -76,26 +76,25 @@
     }
     events.sending = [this, &target, &ticket] {
         ++sends_;
-        ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement,
-                                      std::chrono::steady_clock::now());
+        ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
     events.firstEvent = [this, &ticket] {
         noteFirstEvent();
         const double took = static_cast<double>(elapsedSince(ticket.sentAt).count());
         gateway_.metrics_.observe(Timer::PredictionError, std::abs(took - ticket.predictedMs));
-        gateway_.loads_.firstToken(ticket, std::chrono::steady_clock::now());
+        gateway_.loads_.firstToken(ticket, BootClock::now());
     };
     events.streamed = [this, &target, &ticket](std::size_t count) {
         eventsSeen_ += count;
-        gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, std::chrono::steady_clock::now());
+        gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, BootClock::now());
     };
-    events.heard = [this, &target] { gateway_.loads_.heard(target.upstream->id, std::chrono::steady_clock::now()); };
+    events.heard = [this, &target] { gateway_.loads_.heard(target.upstream->id, BootClock::now()); };
     return events;
 }
 
 void Exchange::noteFirstEvent()
 {
-    attemptBegan_ = std::chrono::steady_clock::now();
+    attemptBegan_ = BootClock::now();
     firstEventMs_ = static_cast<double>(elapsedSince(request_.arrivedAt).count());
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
@@ -113,7 +112,7 @@
     const AttemptEvents events = eventsFor(target, ticket);
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
-    const auto watch = std::make_shared<AttemptWatch>(AttemptWatch{ plan.peer, std::chrono::steady_clock::now(), &sending });
+    const auto watch = std::make_shared<AttemptWatch>(AttemptWatch{ plan.peer, BootClock::now(), &sending });
     if (local && route_->mayRunTwice() && !request_.relayed) {
         watchSilence(watch);
     }
@@ -135,7 +134,7 @@
 /// Tells what the attempt showed of its target.
 void Exchange::noteEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     const bool interrupted = interruption_ != Interruption::None;
     if (!report.sent && !interrupted) {
         if (target.upstream) {
@@ -195,7 +194,7 @@
         }
         // An upstream that answers others is alive: this request waits its turn there.
         if (self->gateway_.loads_.heardSince(watch->upstream, watch->since) || !self->anotherWillFollow()) {
-            watch->since = std::chrono::steady_clock::now();
+            watch->since = BootClock::now();
             self->watchSilence(watch);
             return;
         }
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -68,10 +68,9 @@
 
 Task<std::optional<Target>> Exchange::otherDaemon(const DaemonRecord &ending)
 {
-    const SteadyTime until = std::chrono::steady_clock::now() + route_->firstEventPatience() / 2;
-    while (interruption_ == Interruption::None && std::chrono::steady_clock::now() < until) {
-        const DaemonRecord *daemon
-            = gateway_.regions_.pickBeside(*gateway_.view_, ending, std::chrono::steady_clock::now(), gateway_.random_);
+    const SteadyTime until = BootClock::now() + route_->firstEventPatience() / 2;
+    while (interruption_ == Interruption::None && BootClock::now() < until) {
+        const DaemonRecord *daemon = gateway_.regions_.pickBeside(*gateway_.view_, ending, BootClock::now(), gateway_.random_);
         if (daemon != nullptr) {
             Target target;
             target.placement.verdict = Verdict::Forward;
--- a/src/portpaddle/gateway/fleet_keeper.cpp
+++ b/src/portpaddle/gateway/fleet_keeper.cpp
@@ -63,7 +63,7 @@
         record.leavingSince = known->second.record.leavingSince;
     }
     if (record.leaving && !record.leavingSince) {
-        record.leavingSince = std::chrono::steady_clock::now();
+        record.leavingSince = BootClock::now();
     }
     const std::string name = record.registeredAs;
     upstreams_[name] = Held<UpstreamRecord>{ std::move(record), std::nullopt };
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -29,7 +29,7 @@
     , metrics_(metrics)
     , pool_(executor)
     , crashes_(executor, pool_, metrics)
-    , cold_(std::chrono::steady_clock::now())
+    , cold_(BootClock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
           [this](std::uint32_t organisation, SteadyTime now) { return gathersLimitOf(organisation, now); },
@@ -168,7 +168,7 @@
 {
     view_ = cell_.read();
     loads_.keepOnly(*view_);
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     crashes_.setView(*view_, now);
     regions_.setDaemons(*view_, now);
     news_.setView(view_);
@@ -207,7 +207,7 @@
 
 void Gateway::takeDigest(const Wire::LoadDigestT &digest)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     if (digest.daemon == identity_.id) {
         return;
     }
@@ -229,7 +229,7 @@
 
 std::vector<Wire::LoadDigestT> Gateway::digests(DigestReach reach)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     Wire::LoadDigestT header = digestHeader();
     header.sequence = digestSequence_ + 1;
     addServiceWaits(header, now);
@@ -249,7 +249,7 @@
 
 std::vector<OutgoingDigest> Gateway::dueNews(std::size_t turn)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     const auto addWaits = [this, now](Wire::LoadDigestT &digest) { addServiceWaits(digest, now); };
     std::vector<OutgoingDigest> due = news_.due(turn, digestHeader(), addWaits, now);
     for (OutgoingDigest &outgoing : due) {
@@ -310,7 +310,7 @@
 
 void Gateway::tick()
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     pool_.sweep(now);
     saveRuns(now);
     crashes_.tick(now);
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -76,14 +76,14 @@
         return;
     }
     // The time of a stop runs from the order, which waited as long as the loop stood still on a busy VM.
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     stoppingSince_ = now - lag(now);
     gateway_.beginDrain({ *stoppingSince_ + config_.likelyWhileStopping, *stoppingSince_ + config_.stopBound });
 }
 
-std::chrono::steady_clock::duration GatewayServer::lag(SteadyTime now) const
+SteadyTime::duration GatewayServer::lag(SteadyTime now) const
 {
-    using Duration = std::chrono::steady_clock::duration;
+    using Duration = SteadyTime::duration;
     const auto beyondInterval = [](Duration gap) { return std::max(Duration::zero(), gap - tickInterval); };
     return beyondInterval(now - lastTickAt_) + beyondInterval(lastTickAt_ - previousTickAt_);
 }
@@ -101,7 +101,7 @@
 
 void GatewayServer::tick()
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime now = BootClock::now();
     ++tickNumber_;
     previousTickAt_ = std::exchange(lastTickAt_, now);
     gateway_.tick();
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -55,7 +55,7 @@
 
     void scheduleTick();
     /// How long the loop has stood still within its last two ticks.
-    std::chrono::steady_clock::duration lag(SteadyTime now) const;
+    SteadyTime::duration lag(SteadyTime now) const;
     void tick();
     void continueStopping(SteadyTime now);
     Status openDatagrams();
@@ -80,7 +80,7 @@
     std::function<void()> hook_;
     std::optional<SteadyTime> stoppingSince_;
     std::size_t tickNumber_ = 0;
-    SteadyTime lastTickAt_ = std::chrono::steady_clock::now();
+    SteadyTime lastTickAt_ = BootClock::now();
     SteadyTime previousTickAt_ = lastTickAt_;
     PeerTurns remoteTurns_;
     std::size_t localTurn_ = 0;
--- a/src/portpaddle/gateway/key_follower.cpp
+++ b/src/portpaddle/gateway/key_follower.cpp
@@ -113,7 +113,7 @@
     noteSuccess();
     const KeyChanges &news = valueOf(reply);
     relayed_ = news.relayed;
-    answeredAt_ = std::chrono::steady_clock::now();
+    answeredAt_ = BootClock::now();
     if (!news.changes.empty()) {
         listener_.changed(news.changes);
     }
@@ -131,10 +131,10 @@
 {
     std::uint64_t behindAt = 0;
     while (!stopping_) {
-        for (Millis slept{ 0 }; slept < verifyInterval && !stopping_; slept += verifyStep) {
+        for (const SteadyTime until = BootClock::now() + verifyInterval; BootClock::now() < until && !stopping_;) {
             std::this_thread::sleep_for(verifyStep);
         }
-        if (relayed_ && std::chrono::steady_clock::now() - answeredAt_.load() < longestRelaySilence) {
+        if (relayed_ && BootClock::now() - answeredAt_.load() < longestRelaySilence) {
             // Whoever hands on the changes says when the store confirmed them.
             continue;
         }
@@ -143,7 +143,7 @@
         const bool behind = listed_ && isOk(newest) && valueOf(newest) > revision_;
         // A cheap read may be old itself: it says little of what other daemons handed on.
         if (feed_ != nullptr && isOk(newest) && !behind && !relayed_) {
-            feed_->confirm(std::chrono::steady_clock::now());
+            feed_->confirm(BootClock::now());
         }
         // Behind twice at the same revision: the answer is not on its way any more.
         if (behind && behindAt == known) {
@@ -171,7 +171,7 @@
 /// While the store is away other daemons may still reach it.
 void KeyFollower::askPeers()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = BootClock::now();
     if (peers_ == nullptr || now - askedPeersAt_ < betweenPeerQuestions) {
         return;
     }
--- a/src/portpaddle/gateway/key_follower.h
+++ b/src/portpaddle/gateway/key_follower.h
@@ -61,7 +61,7 @@
     WatchedStore &store_;
     KeyListener &listener_;
     const PeerStateClient *peers_;
-    std::chrono::steady_clock::time_point askedPeersAt_{};
+    SteadyTime askedPeersAt_{};
     WatchedStore *verifier_;
     ChangeFeed *feed_ = nullptr;
     Millis gatherPause_;
@@ -70,7 +70,7 @@
     /// Changes come by way of another daemon.
     std::atomic<bool> relayed_{ false };
     /// When the last answer about changes came, wherever from.
-    std::atomic<std::chrono::steady_clock::time_point> answeredAt_{ std::chrono::steady_clock::time_point{} };
+    std::atomic<SteadyTime> answeredAt_{ SteadyTime{} };
     bool lost_ = true;
     unsigned failures_ = 0;
     std::atomic<bool> stopping_{ false };
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -50,7 +50,7 @@
 {
     NetError error;
     UpstreamConnection *opening = nullptr;
-    std::unique_ptr<UpstreamConnection> connection = pool.takeIdle(source.id, std::chrono::steady_clock::now());
+    std::unique_ptr<UpstreamConnection> connection = pool.takeIdle(source.id, BootClock::now());
     if (!connection) {
         connection = co_await pool.connect(source.id, source.address, connectTimeout, &opening, error);
     }
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -43,7 +43,7 @@
     if (!result || result->status != 200) {
         return malformed("did not come");
     }
-    Result<FeedNews> news = decodeChanges(body, std::chrono::steady_clock::now());
+    Result<FeedNews> news = decodeChanges(body, BootClock::now());
     if (!isOk(news)) {
         return errorOf(news);
     }
@@ -74,7 +74,7 @@
     state.revision = news.revision;
     state.reachable = news.reachable;
     state.incomplete = news.incomplete;
-    const auto age = std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - news.confirmedAt).count();
+    const auto age = std::chrono::duration_cast<Millis>(BootClock::now() - news.confirmedAt).count();
     state.confirmed_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, longestAgeMs));
     for (const KeyChange &change : news.changes) {
         auto entry = std::make_unique<Wire::StateItemT>();
@@ -89,7 +89,7 @@
     return { reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
-Result<FeedNews> decodeChanges(const std::string &bytes, std::chrono::steady_clock::time_point now)
+Result<FeedNews> decodeChanges(const std::string &bytes, SteadyTime now)
 {
     const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
--- a/src/portpaddle/gateway/state_exchange.h
+++ b/src/portpaddle/gateway/state_exchange.h
@@ -22,7 +22,7 @@
 /// The changes of @p news.
 std::string encodeChanges(const std::string &daemon, const FeedNews &news);
 /// Decodes either of them; BadRequest if @p bytes is neither. Ages count back from @p now.
-Result<FeedNews> decodeChanges(const std::string &bytes, std::chrono::steady_clock::time_point now);
+Result<FeedNews> decodeChanges(const std::string &bytes, SteadyTime now);
 
 /// Asks other daemons. Calls block.
 class PeerStateClient
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -129,7 +129,7 @@
 
 Task<bool> UpstreamAttempt::open(const AttemptPlan &plan, AttemptReport &report)
 {
-    connection_ = pool_.takeIdle(plan.peer, std::chrono::steady_clock::now());
+    connection_ = pool_.takeIdle(plan.peer, BootClock::now());
     if (connection_) {
         co_return true;
     }
@@ -399,7 +399,7 @@
 {
     reusable_ = whole && parser.is_done() && parser.keep_alive() && !parser.need_eof() && connection_->buffer.size() == 0;
     if (reusable_) {
-        connection_->usableUntil = std::chrono::steady_clock::now() + keepTime(parser.get());
+        connection_->usableUntil = BootClock::now() + keepTime(parser.get());
     }
 }
 
--- a/src/portpaddle/interfaces/clock.h
+++ b/src/portpaddle/interfaces/clock.h
@@ -4,12 +4,14 @@
 /// Time as the system sees it.
 #pragma once
 
+#include "portpaddle/base/boot_clock.h"
+
 #include <chrono>
 
 namespace Portpaddle {
 
 using Millis = std::chrono::milliseconds;
-using SteadyTime = std::chrono::steady_clock::time_point;
+using SteadyTime = BootClock::time_point;
 
 inline double inSeconds(SteadyTime::duration time)
 {
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -4,9 +4,9 @@
 /// A key-value store whose changes can be followed.
 #pragma once
 
+#include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,7 +20,7 @@
     /// Follow changes from here.
     std::uint64_t revision = 0;
     /// When the store said so.
-    std::chrono::steady_clock::time_point confirmedAt{};
+    SteadyTime confirmedAt{};
 };
 
 /// Whether a listing may be some seconds old, which costs the store less. Whoever follows changes from its revision misses
@@ -40,7 +40,7 @@
     std::vector<KeyChange> changes;
     std::uint64_t revision = 0;
     /// When the store said so.
-    std::chrono::steady_clock::time_point confirmedAt{};
+    SteadyTime confirmedAt{};
     /// They came from another daemon, and cost the store nothing.
     bool relayed = false;
 };
--- a/src/portpaddle/net/asio.h
+++ b/src/portpaddle/net/asio.h
@@ -19,14 +19,30 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace Portpaddle {
 
+/// How long a loop sleeps for its next timer.
+struct BootClockWaits
+{
+    /// A loop sleeps by a clock that stands still while the VM is suspended: it looks at its timers this often.
+    static constexpr std::chrono::milliseconds longestSleep{ 100 };
+
+    static BootClock::duration to_wait_duration(const BootClock::duration &left)
+    {
+        return std::min<BootClock::duration>(left, longestSleep);
+    }
+    static BootClock::duration to_wait_duration(const BootClock::time_point &until)
+    {
+        return to_wait_duration(until - BootClock::now());
+    }
+};
+
 using Executor = boost::asio::io_context::executor_type;
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Executor>;
-using SteadyTimer
-    = boost::asio::basic_waitable_timer<std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, Executor>;
+using SteadyTimer = boost::asio::basic_waitable_timer<BootClock, BootClockWaits, Executor>;
 using NetError = boost::system::error_code;
 
 /// A coroutine on an event loop.
--- a/src/portpaddle/net/elapsed.h
+++ b/src/portpaddle/net/elapsed.h
@@ -10,7 +10,7 @@
 
 inline std::chrono::milliseconds elapsedSince(SteadyTime from)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - from);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - from);
 }
 
 } // namespace Portpaddle
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -80,7 +80,7 @@
     std::vector<std::string> entries(const std::vector<DaemonRecord> &daemons)
     {
         publish(daemons);
-        return entriesFor({ "north", "north-1" }, gateway, std::chrono::steady_clock::now());
+        return entriesFor({ "north", "north-1" }, gateway, BootClock::now());
     }
 
     void hear(const std::string &daemon, const std::string &region, Wire::DaemonPhase phase)
@@ -218,7 +218,7 @@
     std::set<std::string> named;
     for (int place = 0; place < 8; ++place) {
         const CallerPlace caller{ "lost", "lost-" + std::to_string(place) };
-        const SteadyTime asked = std::chrono::steady_clock::now();
+        const SteadyTime asked = BootClock::now();
         const std::vector<std::string> found = entriesFor(caller, gateway, asked);
         CHECK(found.size() == mostEntries);
         CHECK(entriesFor(caller, gateway, asked) == found);
--- a/tests/gateway/hand_over_tests.cpp
+++ b/tests/gateway/hand_over_tests.cpp
@@ -42,7 +42,7 @@
         beginStream(caller, headers);
         CHECK(engines[0]->seen().size() + engines[1]->seen().size() == 1);
         onLoop([](Gateway &gateway) {
-            const SteadyTime now = std::chrono::steady_clock::now();
+            const SteadyTime now = BootClock::now();
             gateway.beginDrain({ now, now + std::chrono::hours(1) });
         });
         CHECK(tickUntilOrdered());
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -40,7 +40,7 @@
         publishRoutes();
         addUpstream("u1", upstream.address());
         onLoop([](Gateway &gateway) {
-            const SteadyTime now = std::chrono::steady_clock::now();
+            const SteadyTime now = BootClock::now();
             gateway.beginDrain({ now + stopLasts / 2, now + stopLasts });
         });
     }
@@ -105,7 +105,7 @@
     routes.routes[1].timeout = Millis(3'600'000);
     publishRoutes();
     onLoop([](Gateway &gateway) {
-        const SteadyTime now = std::chrono::steady_clock::now();
+        const SteadyTime now = BootClock::now();
         gateway.beginDrain({ now, now + std::chrono::minutes(10) });
     });
     CHECK(ask("/plain/a", "id1").status == 200);
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -163,8 +163,8 @@
 
 TEST_CASE("Fleet state, bytes of a hostile peer, are refused or harmless")
 {
-    rc::check([](const std::string &bytes) { (void)decodeChanges(bytes, std::chrono::steady_clock::now()); });
-    const auto decoded = decodeChanges(encodeState("d", { { "k", "v", 7 } }, {}), std::chrono::steady_clock::now());
+    rc::check([](const std::string &bytes) { (void)decodeChanges(bytes, BootClock::now()); });
+    const auto decoded = decodeChanges(encodeState("d", { { "k", "v", 7 } }, {}), BootClock::now());
     REQUIRE(isOk(decoded));
     CHECK(valueOf(decoded).changes.at(0).item.revision == 7);
 }
@@ -254,7 +254,7 @@
 public:
     RelayFixture()
     {
-        source.feed.restart(5, std::chrono::steady_clock::now());
+        source.feed.restart(5, BootClock::now());
         source.feed.setReachable(true);
     }
 
@@ -268,7 +268,7 @@
 
 TEST_CASE_FIXTURE(RelayFixture, "Relayed store, source that is well, hands on changes without a call to the store")
 {
-    source.feed.add({ write("k", 6), { { "gone", "", 7 }, true } }, 7, std::chrono::steady_clock::now());
+    source.feed.add({ write("k", 6), { { "gone", "", 7 }, true } }, 7, BootClock::now());
     const auto changes = relayed.follow("", 5, 100ms);
     REQUIRE(isOk(changes));
     CHECK(valueOf(changes).relayed);
@@ -280,7 +280,7 @@
 
 TEST_CASE_FIXTURE(RelayFixture, "Relayed store, source that has long had no answer of the store, is left for the store")
 {
-    source.feed.restart(5, std::chrono::steady_clock::now() - 10s);
+    source.feed.restart(5, BootClock::now() - 10s);
     store.set("k", "1");
     const auto changes = relayed.follow("", 0, 100ms);
     REQUIRE(isOk(changes));
@@ -320,10 +320,10 @@
                   "Relayed store, one source ahead that forgot and one that missed the same changes, lists from the one ahead")
 {
     FeedSource behind;
-    behind.feed.restart(5, std::chrono::steady_clock::now());
+    behind.feed.restart(5, BootClock::now());
     behind.feed.setReachable(true);
     behind.items = { { "old", "1", 4 } };
-    source.feed.restart(9, std::chrono::steady_clock::now());
+    source.feed.restart(9, BootClock::now());
     source.items = { { "new", "1", 9 } };
     for (const bool aheadFirst : { true, false }) {
         role.sources
@@ -393,13 +393,13 @@
 TEST_CASE_FIXTURE(RelayFixture, "Following, source lost and then the answer of the store too, is noticed and asked for again")
 {
     source.items = { { "k0", "1", 1 } };
-    source.feed.restart(1, std::chrono::steady_clock::now());
+    source.feed.restart(1, BootClock::now());
     store.set("k0", "1");
     RecordingListener listener;
     KeyFollower follower("", relayed, listener, nullptr, &store);
     follower.start();
     REQUIRE(eventually([&] { return listener.has("k0"); }));
-    source.feed.add({ write("k1", 2) }, 2, std::chrono::steady_clock::now());
+    source.feed.add({ write("k1", 2) }, 2, BootClock::now());
     REQUIRE(eventually([&] { return listener.has("k1"); }));
     store.loseNextAnswer();
     source.feed.setReachable(false);
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -182,7 +182,7 @@
     spec.connectionLimit = 100;
     routes.services["s"] = spec;
     thread_ = Thread("gateway", [this] { loop_.run(); });
-    keeper_->storeBack(std::chrono::steady_clock::now());
+    keeper_->storeBack(BootClock::now());
     if (known == Routes::Published) {
         publishRoutes();
     }
@@ -250,7 +250,7 @@
 
 void GatewaySite::removeDaemon(const std::string &id)
 {
-    keeper_->removeDaemon(id, std::chrono::steady_clock::now());
+    keeper_->removeDaemon(id, BootClock::now());
     onLoop([](Gateway &) {});
 }
 
@@ -258,7 +258,7 @@
 {
     UpstreamRecord record = makeUpstream(id, address);
     record.leaving = true;
-    record.goneAt = std::chrono::steady_clock::now() + Millis(200);
+    record.goneAt = BootClock::now() + Millis(200);
     keeper_->changeUpstream(record);
     onLoop([](Gateway &) {});
 }
--- a/tests/support/limit_scenario.h
+++ b/tests/support/limit_scenario.h
@@ -4,6 +4,7 @@
 /// Plays what is asked of many daemons for one organisation, in virtual time, against a way to keep its limit.
 #pragma once
 
+#include "portpaddle/interfaces/clock.h"
 #include "portpaddle/limits/organisations.h"
 
 #include <chrono>
@@ -32,7 +33,7 @@
 class LimitWay
 {
 public:
-    using Time = std::chrono::steady_clock::time_point;
+    using Time = SteadyTime;
 
     virtual ~LimitWay() = default;
     virtual bool admit(std::size_t daemon, double units, Time now) = 0;
--- a/tests/support/scripted_store.h
+++ b/tests/support/scripted_store.h
@@ -87,7 +87,7 @@
             return down();
         }
         KeyListing listing;
-        listing.confirmedAt = std::chrono::steady_clock::now();
+        listing.confirmedAt = BootClock::now();
         listing.revision = revision_;
         for (const auto &[key, entry] : entries_) {
             if (key.starts_with(prefix)) {
@@ -125,7 +125,7 @@
             return Error{ ErrorCode::HistoryGone, "forgotten", RunState::NotRun, {} };
         }
         changes.revision = revision_;
-        changes.confirmedAt = std::chrono::steady_clock::now();
+        changes.confirmedAt = BootClock::now();
         return changes;
     }
 
