Crashing requests: known by path, caller and body to all daemons, and refused after three ends

Cause: nothing in the system remembered a request for longer than one attempt of its caller; each return was new to every daemon and was given two engines. Class: a bound (attempts) that goes by the id of a try, not by what is tried. Ruled out: load (ends at ordinary load, of engines seconds old) and sends to earlier lives (421 and refused connections). Kept: a run whose connection broke before it had shown that it can be run, at an upstream that then refuses connections or is listed no more, is told by its fingerprint to two daemons of each region by rendezvous hashing; at three ended lives it is held: all daemons are told within a tick, and a record under a lease of ten minutes lies on the platform, renewed while the request comes. What was served within two seconds before is not accused. Held requests are refused unsent with 503 and the hold's time. Weighed and not taken: each daemon by itself (three ends per daemon); all suspicions to all daemons (a crash at 300 daemons: some 15,000 datagrams); counting at the store (a write for each broken run).

--- a/src/portpaddle/base/error.cpp
+++ b/src/portpaddle/base/error.cpp
@@ -9,36 +9,18 @@
 
 namespace {
 
-constexpr NameTable<ErrorCode, 25> errorNames{ {
-    "bad_request",
-    "body_too_large",
-    "unauthenticated",
-    "unknown_service",
-    "unknown_path",
-    "residency_forbids",
-    "loop_refused",
-    "hop_limit_reached",
-    "overloaded",
-    "limit_reached",
-    "stopping",
-    "no_upstream",
-    "upstream_failed",
-    "deadline_exceeded",
-    "duplicate_request",
-    "claim_unavailable",
-    "platform_unavailable",
-    "version_conflict",
-    "settings_invalid",
-    "settings_too_old",
-    "peer_unreachable",
-    "not_found",
-    "history_gone",
-    "cancelled",
-    "internal",
+constexpr NameTable<ErrorCode, 26> errorNames{ {
+    "bad_request",          "body_too_large",    "unauthenticated",   "unknown_service",
+    "unknown_path",         "residency_forbids", "loop_refused",      "hop_limit_reached",
+    "overloaded",           "limit_reached",     "stopping",          "no_upstream",
+    "upstream_failed",      "deadline_exceeded", "duplicate_request", "claim_unavailable",
+    "platform_unavailable", "version_conflict",  "settings_invalid",  "settings_too_old",
+    "peer_unreachable",     "not_found",         "history_gone",      "cancelled",
+    "ends_upstreams",       "internal",
 } };
 
-constexpr std::array<int, 25> statuses{ 400, 413, 401, 404, 404, 403, 508, 508, 503, 429, 503, 503, 502,
-                                        504, 409, 503, 503, 409, 400, 503, 502, 404, 410, 499, 500 };
+constexpr std::array<int, 26> statuses{ 400, 413, 401, 404, 404, 403, 508, 508, 503, 429, 503, 503, 502,
+                                        504, 409, 503, 503, 409, 400, 503, 502, 404, 410, 499, 503, 500 };
 
 constexpr NameTable<RunState, 3> runStateNames{ { "not_run", "may_have_run", "ran" } };
 
--- a/src/portpaddle/base/error.h
+++ b/src/portpaddle/base/error.h
@@ -43,6 +43,7 @@
     NotFound,
     HistoryGone,
     Cancelled,
+    EndsUpstreams,
     Internal,
 };
 
--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 36> catalogue{ {
+constexpr std::array<LogEventDescription, 38> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -56,6 +56,10 @@
       "An operator empties a data centre of requests, or takes that back." },
     { LogEvent::UpstreamEnded, "upstream_ended", "warning",
       "An upstream ended while it had requests of this daemon; the line tells how many of them may have ended it." },
+    { LogEvent::RequestQuarantined, "request_quarantined", "warning",
+      "Upstreams ended under requests with this fingerprint; such requests are refused from now on, by all daemons." },
+    { LogEvent::QuarantineNotWritten, "quarantine_not_written", "warning",
+      "The platform did not take the record of a held request; it is tried again." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -44,6 +44,8 @@
     UpstreamGone = 4104,
     EvacuationChanged = 4105,
     UpstreamEnded = 4106,
+    RequestQuarantined = 4107,
+    QuarantineNotWritten = 4108,
     ClaimConflict = 4201,
     DrainOrdered = 5001,
     OrderSent = 5101,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -41,6 +41,8 @@
     { "portpaddle_link_received_bytes_total", "Bytes received on links between daemons." },
     { "portpaddle_peers_rejected_total", "Datagrams and links refused for a wrong code or a broken protocol." },
     { "portpaddle_upstreams_ended_total", "Upstreams that this daemon found to have ended." },
+    { "portpaddle_requests_quarantined_total", "Requests that this daemon held because upstreams ended under them." },
+    { "portpaddle_quarantine_refusals_total", "Requests refused because they are held." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -36,6 +36,8 @@
     LinkBytesReceived,
     PeersRejected,
     UpstreamsEnded,
+    RequestsQuarantined,
+    QuarantineRefusals,
     Count,
 };
 
--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -7,7 +7,7 @@
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/net/spawn.h"
 
-#include <memory>
+#include <utility>
 
 namespace Portpaddle {
 
@@ -17,21 +17,40 @@
 constexpr Millis connectTimeout{ 400 };
 // A connection that was opened only to ask is kept for the next request; the shortest idle bounds of common servers are 5 s.
 constexpr Millis keepTime{ 4'000 };
+// After so many a request is held. One or two upstreams may end under a request by chance: another one ended it, or its machine.
+constexpr unsigned endsBeforeHold = 3;
+// Daemons write a hold one after the other, until one of them has: changes gather for half a second before others see them.
+constexpr Millis writeStagger{ 1'500 };
+constexpr std::size_t mostWriters = 6;
 
 } // namespace
 
-CrashGuard::CrashGuard(Executor executor, ConnectionPool &pool, Metrics &metrics)
-    : executor_(executor), pool_(pool), metrics_(metrics)
+CrashGuard::CrashGuard(Executor executor, ConnectionPool &pool, Metrics &metrics, std::string ownId)
+    : executor_(executor), pool_(pool), metrics_(metrics), ownId_(ownId), news_(std::move(ownId))
 {
 }
 
+void CrashGuard::setWriteRecord(WriteRecord write)
+{
+    write_ = std::move(write);
+}
+
+void CrashGuard::survived(const CallerRequest &request, std::string_view caller, SteadyTime now)
+{
+    survivors_.add(request, caller, now);
+}
+
 // A connection that breaks says little: answers are lost, machines reset connections. An upstream whose process has ended refuses
 // the next one at once, while its record stands for seconds more.
-void CrashGuard::runBroke(const UpstreamRecord &upstream, const RequestFingerprint &fingerprint, SteadyTime now)
+void CrashGuard::runBroke(const UpstreamRecord &upstream, const CallerRequest &request, std::string_view caller,
+                          const RequestFingerprint &fingerprint, SteadyTime now)
 {
+    if (survivors_.contains(request, caller, now)) {
+        return;
+    }
     const bool first = watch_.broke(upstream.id, fingerprint, now);
     if (watch_.hasEnded(upstream.id)) {
-        noteSuspects(upstream.id);
+        noteSuspects(upstream.id, now);
     } else if (first) {
         spawnTask(executor_, "ask_upstream",
                   [this, id = upstream.id, address = upstream.address] { return askWhetherItLives(id, address); });
@@ -59,28 +78,96 @@
         watch_.ended(upstream, now);
         metrics_.count(Counter::UpstreamsEnded);
     }
-    noteSuspects(upstream);
+    noteSuspects(upstream, now);
+}
+
+void CrashGuard::noteSuspects(const std::string &upstream, SteadyTime now)
+{
+    const std::vector<RequestFingerprint> suspects = watch_.takeSuspects(upstream);
+    if (suspects.empty()) {
+        return;
+    }
+    logEvent(LogEvent::UpstreamEnded, { { "upstream", upstream }, { "requests", std::to_string(suspects.size()) } });
+    for (const RequestFingerprint &suspect : suspects) {
+        news_.endedUnder(suspect, lifeKey(upstream));
+        count(suspect, lifeKey(upstream), now);
+    }
+}
+
+// A request comes again at any daemon: the ends that single daemons see add up at those that count for it, which are the same for
+// all. Every daemon counts what it saw itself, so that one that reaches no other stops as well.
+void CrashGuard::count(const RequestFingerprint &request, std::uint64_t upstream, SteadyTime now)
+{
+    if (ledger_.add(request, upstream, now) >= endsBeforeHold) {
+        hold(request, now);
+    }
+}
+
+void CrashGuard::hold(const RequestFingerprint &request, SteadyTime now)
+{
+    if (!quarantine_.hold(request, now)) {
+        return;
+    }
+    logEvent(LogEvent::RequestQuarantined,
+             { { "fingerprint", request.hex() }, { "upstreams_ended", std::to_string(ledger_.count(request)) } });
+    metrics_.count(Counter::RequestsQuarantined);
+    news_.quarantined(request);
+}
+
+bool CrashGuard::holdsAny() const
+{
+    return !quarantine_.empty();
 }
 
-void CrashGuard::setView(const FleetView &view, SteadyTime now)
+bool CrashGuard::refuses(const RequestFingerprint &request, SteadyTime now)
 {
+    return quarantine_.refuses(request, now);
+}
+
+void CrashGuard::setView(std::shared_ptr<const FleetView> view, SteadyTime now)
+{
+    view_ = std::move(view);
+    quarantine_.setStored(view_->quarantined, now);
     for (const std::string &upstream : watch_.undecided()) {
-        if (!view.upstreams.contains(upstream)) {
+        if (!view_->upstreams.contains(upstream)) {
             refusedConnection(upstream, now);
         }
     }
 }
 
+void CrashGuard::takeNews(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    for (const Wire::EndedUnder &ended : digest.ended_under) {
+        count(fromWire(ended.request()), ended.upstream(), now);
+    }
+    for (const Wire::RequestDigest &request : digest.quarantined) {
+        quarantine_.hold(fromWire(request), now);
+    }
+}
+
+std::vector<OutgoingDigest> CrashGuard::dueNews(const Wire::LoadDigestT &header)
+{
+    return view_ ? news_.due(*view_, header) : std::vector<OutgoingDigest>{};
+}
+
 void CrashGuard::tick(SteadyTime now)
 {
     watch_.expire(now);
+    quarantine_.expire(now);
+    writeDue(now);
 }
 
-void CrashGuard::noteSuspects(const std::string &upstream)
+void CrashGuard::writeDue(SteadyTime now)
 {
-    const std::vector<RequestFingerprint> suspects = watch_.takeSuspects(upstream);
-    if (!suspects.empty()) {
-        logEvent(LogEvent::UpstreamEnded, { { "upstream", upstream }, { "requests", std::to_string(suspects.size()) } });
+    if (!write_ || !view_) {
+        return;
+    }
+    for (const Quarantine::Unwritten &unwritten : quarantine_.unwritten(now)) {
+        const auto rank = static_cast<int>(countingRank(*view_, ownId_, unwritten.request, mostWriters));
+        if (now >= unwritten.since + writeStagger * rank) {
+            quarantine_.askedToWrite(unwritten.request, now);
+            write_(unwritten.request);
+        }
     }
 }
 
--- a/src/portpaddle/crashes/crash_guard.h
+++ b/src/portpaddle/crashes/crash_guard.h
@@ -1,14 +1,22 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Notices upstreams that end while they run requests, and which requests those were.
+/// Notices upstreams that end while they run requests, and keeps requests that end them from being sent to any more.
 #pragma once
 
+#include "portpaddle/crashes/crash_ledger.h"
+#include "portpaddle/crashes/crash_news.h"
 #include "portpaddle/crashes/crash_watch.h"
+#include "portpaddle/crashes/quarantine.h"
+#include "portpaddle/crashes/survivors.h"
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/upstream_connection.h"
 
+#include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Portpaddle {
 
@@ -18,24 +26,50 @@
 class CrashGuard
 {
 public:
-    CrashGuard(Executor executor, ConnectionPool &pool, Metrics &metrics);
+    /// Has a held request written to the platform; must not wait.
+    using WriteRecord = std::function<void(const RequestFingerprint &)>;
 
+    CrashGuard(Executor executor, ConnectionPool &pool, Metrics &metrics, std::string ownId);
+
+    /// Without it holds are told to other daemons only.
+    void setWriteRecord(WriteRecord write);
+    /// An upstream ran @p request of @p caller whole.
+    void survived(const CallerRequest &request, std::string_view caller, SteadyTime now);
     /// The connection of a run broke before the run had shown that it can be run.
-    void runBroke(const UpstreamRecord &upstream, const RequestFingerprint &fingerprint, SteadyTime now);
+    void runBroke(const UpstreamRecord &upstream, const CallerRequest &request, std::string_view caller,
+                  const RequestFingerprint &fingerprint, SteadyTime now);
     /// Nobody listens at the address of @p upstream.
     void refusedConnection(const std::string &upstream, SteadyTime now);
-    /// Upstreams that are listed no more have ended.
-    void setView(const FleetView &view, SteadyTime now);
+    /// Whether any request is held at all.
+    bool holdsAny() const;
+    /// Whether @p request is not to be sent to upstreams any more.
+    bool refuses(const RequestFingerprint &request, SteadyTime now);
+    /// Upstreams that are listed no more have ended; requests are held that the platform has.
+    void setView(std::shared_ptr<const FleetView> view, SteadyTime now);
+    void takeNews(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// What to tell other daemons; call once in each interval. @p header has the sender.
+    std::vector<OutgoingDigest> dueNews(const Wire::LoadDigestT &header);
     void tick(SteadyTime now);
 
 private:
     Task<void> askWhetherItLives(std::string upstream, std::string address);
-    void noteSuspects(const std::string &upstream);
+    void noteSuspects(const std::string &upstream, SteadyTime now);
+    /// An upstream ended under @p request.
+    void count(const RequestFingerprint &request, std::uint64_t upstream, SteadyTime now);
+    void hold(const RequestFingerprint &request, SteadyTime now);
+    void writeDue(SteadyTime now);
 
     Executor executor_;
     ConnectionPool &pool_;
     Metrics &metrics_;
+    std::string ownId_;
+    WriteRecord write_;
+    std::shared_ptr<const FleetView> view_;
+    Survivors survivors_;
     CrashWatch watch_;
+    CrashLedger ledger_;
+    Quarantine quarantine_;
+    CrashNews news_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/crashes/request_fingerprint.h
+++ b/src/portpaddle/crashes/request_fingerprint.h
@@ -4,8 +4,6 @@
 /// A name for a request that is the same each time it comes: made of its path, its caller and its body.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -14,6 +12,8 @@
 
 namespace Portpaddle {
 
+struct CallerRequest;
+
 /// The first 128 bits of a SHA-256 digest.
 struct RequestFingerprint
 {
--- a/src/portpaddle/fleet/fleet_news.cpp
+++ b/src/portpaddle/fleet/fleet_news.cpp
@@ -244,6 +244,7 @@
 {
     switch (digest.kind) {
     case Wire::DigestKind::Direct:
+    case Wire::DigestKind::Crashes:
         break;
     case Wire::DigestKind::Report:
         loads_.takeDigest(digest, now);
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -87,6 +87,10 @@
     if (!found) {
         co_return;
     }
+    const bool passes = co_await passesQuarantine();
+    if (!passes) {
+        co_return;
+    }
     startDeadline();
     if (!fitsStop()) {
         deadlineTimer_.cancel();
@@ -207,6 +211,7 @@
     facts.relayed = request_.relayed;
     facts.unseen = report.relayedSends == 0U;
     facts.cannotContinue = !canContinue();
+    facts.held = isHeld();
     facts.sends = sends_;
     facts.attempts = route_->attempts;
     const RepeatDecision decision = decideRepeat(facts);
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -48,6 +48,8 @@
     Task<bool> admitByLimit();
     /// No region may serve both the route and the organisation.
     bool hasNoHome() const;
+    /// Answers and returns false where the request is held; see CrashGuard.
+    Task<bool> passesQuarantine();
     unsigned priority() const;
     Gateway::ChoiceContext choiceContext() const;
     void startDeadline();
@@ -90,7 +92,11 @@
     void log(LogEvent event, unsigned status, const std::string &message) const;
     Millis timeLeft() const;
     Millis suggestedReturn() const;
+    /// Whose request it is: the organisation, or the credentials where none is known.
+    std::string_view callerName() const;
     const RequestFingerprint &fingerprint();
+    /// Upstreams ended under this request, and it is not to be sent to any more.
+    bool isHeld();
     /// Tells of a run whose connection broke, unless it had gone on for so long that it cannot be what ended its upstream.
     void noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now);
 
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -3,6 +3,7 @@
 
 // What must hold before an exchange looks for a place: a configuration, a route, and somebody who may use it.
 
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
@@ -111,6 +112,17 @@
                         [this](const std::string &region) { return organisation_->allowsRegion(region); });
 }
 
+Task<bool> Exchange::passesQuarantine()
+{
+    if (!isHeld()) {
+        co_return true;
+    }
+    gateway_.metrics_.count(Counter::QuarantineRefusals);
+    co_await refuse(ErrorCode::EndsUpstreams, "not sent: upstreams ended while they ran requests with this path, caller and body",
+                    quarantineTime);
+    co_return false;
+}
+
 unsigned Exchange::priority() const
 {
     return organisation_ != nullptr ? organisation_->priority.value_or(route_->priority) : route_->priority;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -146,6 +146,9 @@
     if (target.upstream && report.connectionRefused) {
         gateway_.crashes_.refusedConnection(target.upstream->id, now);
     }
+    if (target.upstream && (report.end == AttemptEnd::Complete || report.failedAnswer)) {
+        gateway_.crashes_.survived(request_, callerName(), now);
+    }
     if (target.upstream && report.connectionBroke) {
         noteBrokenRun(*target.upstream, now);
     }
@@ -171,15 +174,25 @@
 void Exchange::noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now)
 {
     if (!attemptBegan_ || now - *attemptBegan_ < longestDangerousStart) {
-        gateway_.crashes_.runBroke(upstream, fingerprint(), now);
+        gateway_.crashes_.runBroke(upstream, request_, callerName(), fingerprint(), now);
     }
 }
 
+std::string_view Exchange::callerName() const
+{
+    return organisationName_.empty() ? viewOf(request_.message[gateway_.names_.authorization]) : organisationName_;
+}
+
+bool Exchange::isHeld()
+{
+    // The digest is made for requests only while any is held.
+    return gateway_.crashes_.holdsAny() && gateway_.crashes_.refuses(fingerprint(), BootClock::now());
+}
+
 const RequestFingerprint &Exchange::fingerprint()
 {
     if (!fingerprint_) {
-        const std::string_view credentials = viewOf(request_.message[gateway_.names_.authorization]);
-        fingerprint_ = fingerprintOf(request_, organisationName_.empty() ? credentials : std::string_view(organisationName_));
+        fingerprint_ = fingerprintOf(request_, callerName());
     }
     return *fingerprint_;
 }
--- a/src/portpaddle/gateway/fleet_keeper.cpp
+++ b/src/portpaddle/gateway/fleet_keeper.cpp
@@ -187,6 +187,28 @@
     }
 }
 
+void FleetKeeper::listQuarantine(const std::set<RequestFingerprint> &requests, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    std::erase_if(quarantined_, [&requests](const auto &item) { return !requests.contains(item.first); });
+    for (const RequestFingerprint &request : requests) {
+        // A listing does not tell how old a record is: taken as old enough to be renewed when the request comes.
+        quarantined_.emplace(request, now - quarantineTime / 2);
+    }
+    publish();
+}
+
+void FleetKeeper::changeQuarantine(const RequestFingerprint &request, bool held, SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (held) {
+        quarantined_[request] = now;
+    } else {
+        quarantined_.erase(request);
+    }
+    publish();
+}
+
 void FleetKeeper::storeLost(SteadyTime)
 {
     const std::lock_guard lock(mutex_);
@@ -245,6 +267,7 @@
         view->daemons.push_back(held.record);
     }
     view->evacuated = evacuated_;
+    view->quarantined = quarantined_;
     view->storeReachable = storeReachable_;
     cell_.publish(std::move(view));
     published_();
--- a/src/portpaddle/gateway/fleet_keeper.h
+++ b/src/portpaddle/gateway/fleet_keeper.h
@@ -36,6 +36,8 @@
     void listDaemons(std::vector<DaemonRecord> daemons, SteadyTime now);
     void changeDaemon(DaemonRecord daemon);
     void removeDaemon(const std::string &id, SteadyTime now);
+    void listQuarantine(const std::set<RequestFingerprint> &requests, SteadyTime now);
+    void changeQuarantine(const RequestFingerprint &request, bool held, SteadyTime now);
     void storeLost(SteadyTime now);
     void storeBack(SteadyTime now);
     /// Removes what lapsed and did not come back; call a few times a second.
@@ -71,6 +73,7 @@
     std::map<std::string, Held<UpstreamRecord>> upstreams_;
     std::map<std::string, Held<DaemonRecord>> daemons_;
     std::set<std::string> evacuated_;
+    HeldRequests quarantined_;
     bool storeReachable_ = false;
     bool everReachable_ = false;
     bool inBatch_ = false;
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -4,6 +4,7 @@
 /// What the platform's store tells a daemon: configuration, upstreams, daemons. Published as a whole, never changed afterwards.
 #pragma once
 
+#include "portpaddle/crashes/quarantine.h"
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
 
@@ -63,6 +64,8 @@
     /// Data centres whose upstreams receive nothing for now.
     std::set<std::string> evacuated;
     std::vector<DaemonRecord> daemons;
+    /// Requests that are not to be sent to upstreams.
+    HeldRequests quarantined;
     bool storeReachable = false;
 
     /// Whether new requests may be sent to @p upstream.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -28,7 +28,7 @@
     , random_(random)
     , metrics_(metrics)
     , pool_(executor)
-    , crashes_(executor, pool_, metrics)
+    , crashes_(executor, pool_, metrics, identity_.id)
     , cold_(BootClock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
@@ -169,7 +169,7 @@
     view_ = cell_.read();
     loads_.keepOnly(*view_);
     const SteadyTime now = BootClock::now();
-    crashes_.setView(*view_, now);
+    crashes_.setView(view_, now);
     regions_.setDaemons(*view_, now);
     news_.setView(view_);
     setLimits(now);
@@ -211,6 +211,10 @@
     if (digest.daemon == identity_.id) {
         return;
     }
+    if (digest.kind == Wire::DigestKind::Crashes) {
+        crashes_.takeNews(digest, now);
+        return;
+    }
     regions_.takeDigest(digest, now);
     if (digest.kind != Wire::DigestKind::Direct) {
         news_.take(digest, now);
@@ -258,6 +262,16 @@
     return due;
 }
 
+void Gateway::setQuarantineRecord(CrashGuard::WriteRecord write)
+{
+    crashes_.setWriteRecord(std::move(write));
+}
+
+std::vector<OutgoingDigest> Gateway::dueCrashNews()
+{
+    return crashes_.dueNews(digestHeader());
+}
+
 Wire::LoadDigestT Gateway::digestHeader() const
 {
     Wire::LoadDigestT header;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -82,6 +82,10 @@
     void setPolicy(const PolicySettings &policy);
     /// Without orders the memory of runs is not moved.
     void setOrders(const UpstreamOrders *orders);
+    /// Keeps on the platform which requests are held; see CrashGuard.
+    void setQuarantineRecord(CrashGuard::WriteRecord write);
+    /// What to tell other daemons of requests that upstreams ended under; call once in each interval.
+    std::vector<OutgoingDigest> dueCrashNews();
     /// Answers other daemons that ask for what the store told; must outlive the gateway.
     void setPeerQuestions(PeerQuestions *questions);
     /// A newer view was published.
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -173,6 +173,7 @@
 void GatewayServer::tellLoad()
 {
     const std::shared_ptr<const FleetView> view = gateway_.view();
+    send(gateway_.dueCrashNews());
     if (sharesWork(*view)) {
         sendNews();
         return;
@@ -236,7 +237,12 @@
 void GatewayServer::sendNews()
 {
     gateway_.setDigestInterval(newsInterval);
-    for (const OutgoingDigest &outgoing : gateway_.dueNews(tickNumber_)) {
+    send(gateway_.dueNews(tickNumber_));
+}
+
+void GatewayServer::send(const std::vector<OutgoingDigest> &digests)
+{
+    for (const OutgoingDigest &outgoing : digests) {
         const std::vector<std::vector<std::uint8_t>> datagrams{ encodeDigest(outgoing.digest) };
         for (const std::string &address : outgoing.to) {
             sendTo(address, datagrams);
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -65,6 +65,7 @@
     void sendRemoteDigests(const std::vector<const DaemonRecord *> &daemons);
     std::vector<std::vector<std::uint8_t>> encodedDigests(DigestReach reach);
     void sendNews();
+    void send(const std::vector<OutgoingDigest> &digests);
     void sendTo(const std::string &address, const std::vector<std::vector<std::uint8_t>> &datagrams);
 
     boost::asio::io_context &loop_;
--- a/src/portpaddle/gateway/repeat_rules.cpp
+++ b/src/portpaddle/gateway/repeat_rules.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr NameTable<RepeatDenial, 7> denialNames{ { "none", "ended", "may_have_run", "entry_decides", "not_resumable",
-                                                    "attempts_used", "budget_spent" } };
+constexpr NameTable<RepeatDenial, 8> denialNames{ { "none", "ended", "may_have_run", "entry_decides", "not_resumable",
+                                                    "attempts_used", "budget_spent", "ends_upstreams" } };
 
 } // namespace
 
@@ -24,6 +24,9 @@
     if (facts.ended) {
         return { RepeatDenial::Ended };
     }
+    if (facts.held) {
+        return { RepeatDenial::EndsUpstreams };
+    }
     if (facts.mayHaveRun && !facts.mayRunTwice) {
         return { RepeatDenial::MayHaveRun };
     }
--- a/src/portpaddle/gateway/repeat_rules.h
+++ b/src/portpaddle/gateway/repeat_rules.h
@@ -10,7 +10,7 @@
 namespace Portpaddle {
 
 /// Why no other attempt follows.
-enum class RepeatDenial { None, Ended, MayHaveRun, EntryDecides, NotResumable, AttemptsUsed, BudgetSpent };
+enum class RepeatDenial { None, Ended, MayHaveRun, EntryDecides, NotResumable, AttemptsUsed, BudgetSpent, EndsUpstreams };
 std::string_view nameOf(RepeatDenial denial);
 
 /// What decides, but for the budget.
@@ -29,6 +29,8 @@
     bool unseen = false;
     /// A part of the answer has reached the caller, and the rest cannot follow from elsewhere.
     bool cannotContinue = false;
+    /// Upstreams ended under it.
+    bool held = false;
     unsigned sends = 0;
     unsigned attempts = 1;
 };
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -30,6 +30,10 @@
 
 struct LimitDemand;
 
+struct RequestDigest;
+
+struct EndedUnder;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -79,33 +83,36 @@
   Report = 1,
   Sum = 2,
   Region = 3,
+  Crashes = 4,
   MIN = Direct,
-  MAX = Region
+  MAX = Crashes
 };
 
-inline const DigestKind (&EnumValuesDigestKind())[4] {
+inline const DigestKind (&EnumValuesDigestKind())[5] {
   static const DigestKind values[] = {
     DigestKind::Direct,
     DigestKind::Report,
     DigestKind::Sum,
-    DigestKind::Region
+    DigestKind::Region,
+    DigestKind::Crashes
   };
   return values;
 }
 
 inline const char * const *EnumNamesDigestKind() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "Direct",
     "Report",
     "Sum",
     "Region",
+    "Crashes",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDigestKind(DigestKind e) {
-  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::Region)) return "";
+  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::Crashes)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDigestKind()[index];
 }
@@ -388,6 +395,52 @@
 };
 FLATBUFFERS_STRUCT_END(LimitDemand, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RequestDigest FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t high_;
+  uint64_t low_;
+
+ public:
+  RequestDigest()
+      : high_(0),
+        low_(0) {
+  }
+  RequestDigest(uint64_t _high, uint64_t _low)
+      : high_(flatbuffers::EndianScalar(_high)),
+        low_(flatbuffers::EndianScalar(_low)) {
+  }
+  uint64_t high() const {
+    return flatbuffers::EndianScalar(high_);
+  }
+  uint64_t low() const {
+    return flatbuffers::EndianScalar(low_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RequestDigest, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndedUnder FLATBUFFERS_FINAL_CLASS {
+ private:
+  Portpaddle::Wire::RequestDigest request_;
+  uint64_t upstream_;
+
+ public:
+  EndedUnder()
+      : request_(),
+        upstream_(0) {
+  }
+  EndedUnder(const Portpaddle::Wire::RequestDigest &_request, uint64_t _upstream)
+      : request_(_request),
+        upstream_(flatbuffers::EndianScalar(_upstream)) {
+  }
+  const Portpaddle::Wire::RequestDigest &request() const {
+    return request_;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndedUnder, 24);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -512,6 +565,8 @@
   std::vector<Portpaddle::Wire::LimitCount> limit_counts{};
   std::vector<Portpaddle::Wire::LimitGrant> limit_grants{};
   std::vector<Portpaddle::Wire::LimitDemand> limit_demands{};
+  std::vector<Portpaddle::Wire::EndedUnder> ended_under{};
+  std::vector<Portpaddle::Wire::RequestDigest> quarantined{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -536,7 +591,9 @@
     VT_REGIONS = 26,
     VT_LIMIT_COUNTS = 28,
     VT_LIMIT_GRANTS = 30,
-    VT_LIMIT_DEMANDS = 32
+    VT_LIMIT_DEMANDS = 32,
+    VT_ENDED_UNDER = 34,
+    VT_QUARANTINED = 36
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -583,6 +640,12 @@
   const flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *> *limit_demands() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *> *>(VT_LIMIT_DEMANDS);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *> *ended_under() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *> *>(VT_ENDED_UNDER);
+  }
+  const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -611,6 +674,10 @@
            verifier.VerifyVector(limit_grants()) &&
            VerifyOffset(verifier, VT_LIMIT_DEMANDS) &&
            verifier.VerifyVector(limit_demands()) &&
+           VerifyOffset(verifier, VT_ENDED_UNDER) &&
+           verifier.VerifyVector(ended_under()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -667,6 +734,12 @@
   void add_limit_demands(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *>> limit_demands) {
     fbb_.AddOffset(LoadDigest::VT_LIMIT_DEMANDS, limit_demands);
   }
+  void add_ended_under(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *>> ended_under) {
+    fbb_.AddOffset(LoadDigest::VT_ENDED_UNDER, ended_under);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined) {
+    fbb_.AddOffset(LoadDigest::VT_QUARANTINED, quarantined);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -694,10 +767,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Portpaddle::Wire::RegionNews>>> regions = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitCount *>> limit_counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitGrant *>> limit_grants = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *>> limit_demands = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *>> limit_demands = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *>> ended_under = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_quarantined(quarantined);
+  builder_.add_ended_under(ended_under);
   builder_.add_limit_demands(limit_demands);
   builder_.add_limit_grants(limit_grants);
   builder_.add_limit_counts(limit_counts);
@@ -730,7 +807,9 @@
     const std::vector<flatbuffers::Offset<Portpaddle::Wire::RegionNews>> *regions = nullptr,
     const std::vector<Portpaddle::Wire::LimitCount> *limit_counts = nullptr,
     const std::vector<Portpaddle::Wire::LimitGrant> *limit_grants = nullptr,
-    const std::vector<Portpaddle::Wire::LimitDemand> *limit_demands = nullptr) {
+    const std::vector<Portpaddle::Wire::LimitDemand> *limit_demands = nullptr,
+    const std::vector<Portpaddle::Wire::EndedUnder> *ended_under = nullptr,
+    const std::vector<Portpaddle::Wire::RequestDigest> *quarantined = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -741,6 +820,8 @@
   auto limit_counts__ = limit_counts ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitCount>(*limit_counts) : 0;
   auto limit_grants__ = limit_grants ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitGrant>(*limit_grants) : 0;
   auto limit_demands__ = limit_demands ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitDemand>(*limit_demands) : 0;
+  auto ended_under__ = ended_under ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::EndedUnder>(*ended_under) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*quarantined) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -757,7 +838,9 @@
       regions__,
       limit_counts__,
       limit_grants__,
-      limit_demands__);
+      limit_demands__,
+      ended_under__,
+      quarantined__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -811,7 +894,9 @@
         members(o.members),
         limit_counts(o.limit_counts),
         limit_grants(o.limit_grants),
-        limit_demands(o.limit_demands) {
+        limit_demands(o.limit_demands),
+        ended_under(o.ended_under),
+        quarantined(o.quarantined) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -832,6 +917,8 @@
   std::swap(limit_counts, o.limit_counts);
   std::swap(limit_grants, o.limit_grants);
   std::swap(limit_demands, o.limit_demands);
+  std::swap(ended_under, o.ended_under);
+  std::swap(quarantined, o.quarantined);
   return *this;
 }
 
@@ -859,6 +946,8 @@
   { auto _e = limit_counts(); if (_e) { _o->limit_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_counts[_i] = *_e->Get(_i); } } }
   { auto _e = limit_grants(); if (_e) { _o->limit_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_grants[_i] = *_e->Get(_i); } } }
   { auto _e = limit_demands(); if (_e) { _o->limit_demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_demands[_i] = *_e->Get(_i); } } }
+  { auto _e = ended_under(); if (_e) { _o->ended_under.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended_under[_i] = *_e->Get(_i); } } }
+  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -884,6 +973,8 @@
   auto _limit_counts = _o->limit_counts.size() ? _fbb.CreateVectorOfStructs(_o->limit_counts) : 0;
   auto _limit_grants = _o->limit_grants.size() ? _fbb.CreateVectorOfStructs(_o->limit_grants) : 0;
   auto _limit_demands = _o->limit_demands.size() ? _fbb.CreateVectorOfStructs(_o->limit_demands) : 0;
+  auto _ended_under = _o->ended_under.size() ? _fbb.CreateVectorOfStructs(_o->ended_under) : 0;
+  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVectorOfStructs(_o->quarantined) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -900,7 +991,9 @@
       _regions,
       _limit_counts,
       _limit_grants,
-      _limit_demands);
+      _limit_demands,
+      _ended_under,
+      _quarantined);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
