Retry budget: the fixed part is spent by daemons that were listed for a window; repeats count until they have arrived

Cause: a daemon's part of the repeats that the budget allows whatever callers send began anew with each life of its process, and was an eighth of the whole until the daemon knew more. Daemons killed in series multiplied it.

Now the fixed part is divided by data centre, whose number is a setting, and there among all daemons that were registered within the last minute. A daemon spends of it once this process has been on the list for a window and a second, and while the store confirmed that within 30 s. Repeats that requests pay for are made from the start, since their sum over lives is the sum over requests; without a fixed part they are rounded by chance. A repeat counts until a window after it arrived; one that was never sent is given back. A relayed request that is refused early told -1 sends; it tells none.

Sight: paid_by and retry_divisor in the lines, four counters.

--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -43,6 +43,10 @@
     { "portpaddle_upstreams_ended_total", "Upstreams that this daemon found to have ended." },
     { "portpaddle_requests_quarantined_total", "Requests that this daemon held because upstreams ended under them." },
     { "portpaddle_quarantine_refusals_total", "Requests refused because they are held." },
+    { "portpaddle_repeats_paid_by_requests_total", "Repeats on account of the requests that callers sent." },
+    { "portpaddle_repeats_paid_by_fixed_part_total", "Repeats on account of the fixed part of the retry budget." },
+    { "portpaddle_repeats_unseen_total", "Attempts after one that no upstream saw; they cost no budget." },
+    { "portpaddle_repeats_denied_total", "Repeats not made because the retry budget was spent." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -38,6 +38,10 @@
     UpstreamsEnded,
     RequestsQuarantined,
     QuarantineRefusals,
+    RepeatsPaidByRequests,
+    RepeatsPaidByFixedPart,
+    RepeatsUnseen,
+    RepeatsDenied,
     Count,
 };
 
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -36,6 +36,7 @@
     , silenceTimer_(gateway.executor_)
     , move_(gateway.executor_, gateway.pool_)
     , continuation_(request_.continuation)
+    , sends_(request_.earlierSends)
 {
 }
 
@@ -126,7 +127,6 @@
     if (!request_.relayed) {
         gateway_.retries_.firstSent(service_, started);
     }
-    sends_ = request_.earlierSends;
     AttemptReport report;
     bool attempted = false;
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
@@ -154,9 +154,11 @@
         log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0, report.error.message);
         const bool found = progress_.begun ? true : co_await findRoute();
         if (!found) {
+            returnRepeat();
             co_return;
         }
     }
+    returnRepeat();
     co_await finish(report);
 }
 
@@ -216,12 +218,49 @@
     facts.attempts = route_->attempts;
     const RepeatDecision decision = decideRepeat(facts);
     repeatDenial_ = decision.denial;
-    if (decision.needsBudget && !gateway_.retries_.takeRepeat(service_, BootClock::now())) {
+    payment_ = RetryPayment::Nobody;
+    if (repeatDenial_ != RepeatDenial::None) {
+        return false;
+    }
+    if (!decision.needsBudget) {
+        gateway_.metrics_.count(Counter::RepeatsUnseen);
+        return true;
+    }
+    if (!payForRepeat()) {
         repeatDenial_ = RepeatDenial::BudgetSpent;
+        gateway_.metrics_.count(Counter::RepeatsDenied);
     }
     return repeatDenial_ == RepeatDenial::None;
 }
 
+bool Exchange::payForRepeat()
+{
+    payment_ = gateway_.retries_.takeRepeat(service_, BootClock::now());
+    if (payment_ == RetryPayment::Nobody) {
+        return false;
+    }
+    const bool byRequests = payment_ == RetryPayment::Requests;
+    gateway_.metrics_.count(byRequests ? Counter::RepeatsPaidByRequests : Counter::RepeatsPaidByFixedPart);
+    repeatUnderWay_ = service_;
+    return true;
+}
+
+void Exchange::noteRepeatArrived()
+{
+    if (repeatUnderWay_) {
+        gateway_.retries_.repeatArrived(*repeatUnderWay_, BootClock::now());
+        repeatUnderWay_.reset();
+    }
+}
+
+void Exchange::returnRepeat()
+{
+    if (repeatUnderWay_) {
+        gateway_.retries_.returnRepeat(*repeatUnderWay_);
+        repeatUnderWay_.reset();
+    }
+}
+
 Task<bool> Exchange::waitForRoom()
 {
     const Millis bound = std::min(longestWait, std::chrono::duration_cast<Millis>(route_->targetLatency * waitShare));
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -84,6 +84,12 @@
     bool anotherWillFollow();
     /// Whether another attempt may follow @p report.
     bool mayRepeat(const AttemptReport &report);
+    /// Takes what the next attempt costs; false where nothing is left.
+    bool payForRepeat();
+    /// The attempt that was paid for has reached its upstream, if it ever will.
+    void noteRepeatArrived();
+    /// No attempt followed that could have reached one.
+    void returnRepeat();
     /// Waits a moment for room; false when the request has waited long enough.
     Task<bool> waitForRoom();
     Task<void> finish(const AttemptReport &report);
@@ -134,6 +140,10 @@
     std::string asked_;
     /// Upstreams that all daemons sent it to.
     unsigned sends_ = 0;
+    /// Where a repeat that was paid for is still to arrive; the payment holds until something is sent.
+    std::optional<std::string> repeatUnderWay_;
+    /// What paid for the last attempt.
+    RetryPayment payment_ = RetryPayment::Nobody;
     /// Why no attempt followed the last one.
     RepeatDenial repeatDenial_ = RepeatDenial::None;
     double predictedMs_ = 0;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -94,6 +94,7 @@
 
 void Exchange::noteFirstEvent()
 {
+    noteRepeatArrived();
     attemptBegan_ = BootClock::now();
     firstEventMs_ = static_cast<double>(elapsedSince(request_.arrivedAt).count());
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
@@ -134,6 +135,10 @@
 /// Tells what the attempt showed of its target.
 void Exchange::noteEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report)
 {
+    const bool seen = report.sent && report.relayedSends != 0U;
+    if (seen) {
+        noteRepeatArrived();
+    }
     const SteadyTime now = BootClock::now();
     const bool interrupted = interruption_ != Interruption::None;
     if (!report.sent && !interrupted) {
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -103,6 +103,8 @@
                { "asked", asked_ },
                { "sends", std::to_string(sends_) },
                { "no_repeat", std::string(nameOf(repeatDenial_)) },
+               { "paid_by", std::string(nameOf(payment_)) },
+               { "retry_divisor", std::to_string(gateway_.retryDivisor()) },
                { "fingerprint", fingerprint_ ? fingerprint_->hex() : std::string() },
                { "predicted_ms", fmt::format("{:.0f}", predictedMs_) },
                { "prompt_tokens", std::to_string(request_.prompt.promptTokens) },
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -29,6 +29,8 @@
     , metrics_(metrics)
     , pool_(executor)
     , crashes_(executor, pool_, metrics, identity_.id)
+    , retryMembers_(identity_.id)
+    , retryRounding_(random.fraction())
     , cold_(BootClock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
@@ -93,18 +95,29 @@
 {
     terms_ = terms;
     organisationLimits_.setTolerance(terms.limitTolerance);
-    shareRetries();
+    retryMembers_.setSettling(terms.retryWindow + terms.lateArrivals);
+    shareRetries(BootClock::now());
 }
 
-/// Daemons that vanished may be cut off and spend their share all the same: the divisor never shrinks.
+/// Divided by data centre first: how many of them there are is known from the start, and the daemons of one are seldom cut off
+/// from each other, so that a daemon which knows its own data centre alone does not spend the parts of the others.
 unsigned Gateway::retryDivisor() const
 {
-    return static_cast<unsigned>(std::max<std::size_t>(terms_.fewestDaemons, mostDaemons_ + spareDaemons));
+    return terms_.dataCentres * retryMembers_.count();
 }
 
-void Gateway::shareRetries()
+/// A daemon without a fixed part makes what its requests pay for, rounded by chance: of processes that live for a few requests
+/// none would ever reach a whole repeat, and all of them together are to make as many as are paid for.
+void Gateway::shareRetries(SteadyTime now)
 {
-    retries_.setTerms({ terms_.retryRatio, terms_.extraRetriesPerWindow, terms_.retryWindow, retryDivisor() });
+    retryMembers_.setListed(listedInOwnDataCentre_, view_->storeReachable, now);
+    RetryBudgetTerms terms{ terms_.retryRatio, 0, 0, terms_.retryWindow };
+    if (retryMembers_.maySpend(now)) {
+        terms.fixedPart = terms_.extraRetriesPerWindow / retryDivisor();
+    } else {
+        terms.rounding = retryRounding_;
+    }
+    retries_.setTerms(terms);
 }
 
 void Gateway::setPolicy(const PolicySettings &policy)
@@ -176,8 +189,13 @@
     std::vector<std::uint64_t> members = membersOfOwnRegion();
     listedInOwnRegion_ = static_cast<unsigned>(members.size());
     coldOwner_.setMembers(std::move(members), now);
-    mostDaemons_ = std::max(mostDaemons_, view_->daemons.size());
-    shareRetries();
+    listedInOwnDataCentre_.clear();
+    for (const DaemonRecord &daemon : view_->daemons) {
+        if (daemon.dataCentre == identity_.dataCentre) {
+            listedInOwnDataCentre_.insert(daemon.id);
+        }
+    }
+    shareRetries(now);
     local_.clear();
     for (const auto &[id, upstream] : view_->upstreams) {
         if (upstream.region == identity_.region) {
@@ -330,6 +348,7 @@
     crashes_.tick(now);
     regions_.tick(now);
     cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing() });
+    shareRetries(now);
 }
 
 void Gateway::beginDrain(const StopTerms &stop)
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -14,12 +14,13 @@
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/policy_settings.h"
 #include "portpaddle/gateway/region_table.h"
-#include "portpaddle/gateway/retry_slice.h"
 #include "portpaddle/gateway/stop_rules.h"
 #include "portpaddle/gateway/target.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/gateway/upstream_loads.h"
 #include "portpaddle/limits/organisation_limits.h"
+#include "portpaddle/retries/retry_members.h"
+#include "portpaddle/retries/retry_slice.h"
 
 #include <memory>
 #include <set>
@@ -48,8 +49,11 @@
     std::chrono::milliseconds retryWindow{ 10'000 };
     double coldOvershoot = 1;
     double coldSlack = 0;
-    /// Daemons over which the retry budget is divided at least; the most that were known at once count where they are more.
-    unsigned fewestDaemons = 8;
+    /// Data centres over which the extra retries are divided evenly.
+    unsigned dataCentres = 1;
+    /// After a retry window for so long a daemon spends none of the extra retries: what the process before it has sent may still
+    /// be read. A request takes under 200 ms between regions, and an upstream under load some hundred more.
+    std::chrono::milliseconds lateArrivals{ 1'000 };
     /// How long a request waits for the first configuration after a start. The store answers in milliseconds where it is well.
     std::chrono::milliseconds configurationWait{ 300 };
     /// Runs are moved this long before their upstream ends: a copy takes some ten milliseconds, several follow one another, and
@@ -116,7 +120,7 @@
     const GatewayIdentity &identity() const;
     /// A configuration is known and no stop has begun.
     bool ready() const;
-    /// Daemons over which the retry budget is divided; never shrinks.
+    /// Daemons over which the extra retries are divided: as many in each data centre as in the own one.
     unsigned retryDivisor() const;
     /// What callers may expect of @p daemon.
     Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
@@ -159,7 +163,8 @@
     void expectAtHomes(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
                        const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                        const std::vector<std::string> &regionNames) const;
-    void shareRetries();
+    /// Looks again at which daemons share the retry budget.
+    void shareRetries(SteadyTime now);
     /// Whether this daemon gathers for its region what @p organisation may spend.
     bool gathersLimitOf(std::uint32_t organisation, SteadyTime now) const;
     void setLimits(SteadyTime now);
@@ -186,6 +191,11 @@
     CrashGuard crashes_;
     UpstreamLoads loads_;
     RetrySlice retries_;
+    RetryMembers retryMembers_;
+    /// See shareRetries(); drawn once for the life of the process.
+    double retryRounding_;
+    /// Daemons of the own data centre in the view.
+    std::set<std::string> listedInOwnDataCentre_;
     ColdGate cold_;
     RegionTable regions_;
     OrganisationLimits organisationLimits_;
@@ -213,8 +223,6 @@
     std::uint64_t digestSequence_ = 0;
     /// Parts that the digests of this round tell, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> roundParts_;
-    /// The most daemons known at once.
-    std::size_t mostDaemons_ = 0;
     std::optional<StopTerms> stop_;
     bool closed_ = false;
 };
--- /dev/null
+++ b/src/portpaddle/retries/retry_members.cpp
@@ -0,0 +1,56 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/retries/retry_members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Portpaddle {
+
+namespace {
+
+// A daemon that the store does not confirm goes on spending for this long: outages of the store of up to 9 s are planned for, and
+// one that cannot register is left out by the others in the end.
+constexpr std::chrono::seconds confirmationAge{ 30 };
+// One that is not listed any more is counted for longer than it may go on spending and its repeats count at upstreams.
+constexpr std::chrono::seconds memberMemory{ 60 };
+
+} // namespace
+
+RetryMembers::RetryMembers(std::string ownId) : ownId_(std::move(ownId))
+{
+}
+
+void RetryMembers::setSettling(std::chrono::milliseconds settling)
+{
+    settling_ = settling;
+}
+
+void RetryMembers::setListed(const std::set<std::string> &daemons, bool current, SteadyTime now)
+{
+    for (const std::string &daemon : daemons) {
+        lastListed_[daemon] = now;
+    }
+    std::erase_if(lastListed_, [now](const auto &entry) { return now - entry.second > memberMemory; });
+    if (current && daemons.contains(ownId_)) {
+        ownListedSince_ = ownListedSince_.value_or(now);
+        ownConfirmed_ = now;
+    }
+}
+
+unsigned RetryMembers::count() const
+{
+    const std::size_t others = lastListed_.size() - lastListed_.count(ownId_);
+    return static_cast<unsigned>(others + 1);
+}
+
+/// What the process before this one spent, and who else divides the budget, is known to nobody here: both are past once a whole
+/// window has gone by in which the others could see this daemon on the list. Without this, daemons that were killed in series
+/// made 288 repeats where 203 were allowed.
+bool RetryMembers::maySpend(SteadyTime now) const
+{
+    return ownListedSince_ && now - *ownListedSince_ >= settling_ && now - ownConfirmed_ <= confirmationAge;
+}
+
+} // namespace Portpaddle
--- a/tests/gateway/retry_budget_tests.cpp
+++ b/tests/gateway/retry_budget_tests.cpp
@@ -27,6 +27,7 @@
         addUpstream("u2", second.address());
         terms.retryRatio = 0.2;
         terms.extraRetriesPerWindow = 100;
+        terms.lateArrivals = GatewayTerms().lateArrivals;
         setTerms();
     }
 
@@ -51,6 +52,14 @@
     CHECK(repeatsOf(20) <= 4);
 }
 
+TEST_CASE_FIXTURE(FailingUpstreamsFixture,
+                  "Daemon that was listed for a window, failing upstreams, repeats beyond what is paid for")
+{
+    terms.lateArrivals = -terms.retryWindow;
+    setTerms();
+    CHECK(repeatsOf(20) > 4);
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Relayed request, refused before it is placed, tells that nobody was asked here")
 {
     const SeenAnswer answer = askAsDaemon("/nowhere/a", "id1", "X-Portpaddle-Sends: 1\r\n");
