Sends that another daemon tells: a number that cannot be counts as one send

A daemon of another region that told four thousand million sends, as the one did that refused a request early, left the request without its second attempt, or with one too many. Seen red first: refused instead of served at home.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -27,8 +27,6 @@
 // Bytes of following requests that are taken in while one is served; further ones wait in the kernel.
 constexpr std::size_t mostReadAhead = 16 * 1024;
 constexpr std::size_t readAheadStep = 2 * 1024;
-// Routes allow a few upstreams for one request.
-constexpr std::int64_t mostEarlierSends = 100;
 
 unsigned statusOfReadError(NetError error)
 {
@@ -227,7 +225,7 @@
     request.relayed = peer_ == SessionPeer::Daemon;
     if (request.relayed) {
         request.arrivedAt -= relayedAge(request.message);
-        request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, mostEarlierSends));
+        request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, mostToldSends));
         const auto organisation = request.message[relayOrganisationHeader];
         request.organisation.assign(organisation.data(), organisation.size());
         request.continues = !request.message[continuesHeader].empty();
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -52,13 +52,13 @@
         || status == HttpStatus::unavailable;
 }
 
-/// How many upstreams another daemon says that it asked; no value where it does not say.
+/// How many upstreams another daemon says that it asked; no value where it does not say, or says what cannot be.
 std::optional<unsigned> sendsTold(const http::fields &fields)
 {
     const std::string_view text = viewOf(fields[relaySendsHeader]);
     unsigned sends = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), sends);
-    return parsed.ec == std::errc{} ? std::optional(sends) : std::nullopt;
+    return parsed.ec == std::errc{} && sends <= mostToldSends ? std::optional(sends) : std::nullopt;
 }
 
 /// The time that an answer's Keep-Alive gives, less a margin.
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -27,6 +27,8 @@
 /// Between daemons: upstreams that the request was sent to. On a request those before, on an answer those of the answering
 /// daemon.
 inline constexpr const char *relaySendsHeader = "X-Portpaddle-Sends";
+/// Routes allow a few upstreams for one request; a larger number is not believed.
+inline constexpr unsigned mostToldSends = 100;
 /// Between daemons: the organisation whose key the first daemon has seen.
 inline constexpr const char *relayOrganisationHeader = "X-Portpaddle-Organisation";
 
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -91,6 +91,14 @@
     CHECK(upstream.seen().empty());
 }
 
+TEST_CASE_FIXTURE(OtherRegionFixture, "Request with two attempts, other region tells more sends than can be, is sent once more")
+{
+    daemon = std::make_unique<ScriptedUpstream>([](const SeenRequest &) { return ScriptedAnswer{ relayRefusal("4294967295") }; });
+    addRemoteDaemon("e1", "east", daemon->address(), keptElsewhere);
+    CHECK(ask("/once/a", "id1", keptElsewhere, "body").status == 200);
+    CHECK(upstream.seen().size() == 1);
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Upstream, another life answers at its address, is not asked again")
 {
     ScriptedUpstream upstream([](const SeenRequest &) { return ScriptedAnswer{ otherLifeAnswer }; });
