--- /dev/null
+++ b/tests/support/retry_fleet.cpp
@@ -0,0 +1,259 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "support/retry_fleet.h"
+
+#include "portpaddle/base/name_table.h"
+
+#include <algorithm>
+
+namespace Portpaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr NameTable<RetryWay, 4> wayNames{ { "even_from_start", "nothing_for_window", "listed_for_window", "pooled_by_need" } };
+
+constexpr double ratio = 0.2;
+constexpr std::chrono::milliseconds window{ 10'000 };
+constexpr std::chrono::milliseconds settling = window + 1s;
+constexpr auto step = 50ms;
+// Of a registration at the store, after its daemon has gone.
+constexpr auto lease = 5s;
+constexpr std::chrono::seconds longestCut{ 40 };
+constexpr std::chrono::seconds longestHoldUp{ 8 };
+constexpr double killedPart = 0.6;
+// Where all daemons known divide the budget, these at least.
+constexpr std::size_t fewestDaemons = 8;
+const std::string service = "s";
+
+std::size_t countFrom(const std::vector<SteadyTime> &times, SteadyTime from)
+{
+    return static_cast<std::size_t>(std::upper_bound(times.begin(), times.end(), from + window)
+                                    - std::lower_bound(times.begin(), times.end(), from));
+}
+
+void dropBefore(std::deque<SteadyTime> &times, SteadyTime oldest)
+{
+    while (!times.empty() && times.front() < oldest) {
+        times.pop_front();
+    }
+}
+
+} // namespace
+
+std::string_view nameOf(RetryWay way)
+{
+    return wayNames[way];
+}
+
+RetryFleet::RetryFleet(const RetryScenario &scenario, RetryWay way, std::uint64_t seed)
+    : scenario_(scenario), way_(way), random_(seed)
+{
+    for (unsigned index = 0; index < scenario.daemons; ++index) {
+        add();
+    }
+}
+
+void RetryFleet::play(std::chrono::seconds length)
+{
+    for (const SteadyTime end = now_ + length; now_ < end; now_ += step) {
+        strike();
+        lookAtList();
+        choosePoolKeepers();
+        for (Daemon &daemon : daemons_) {
+            serve(daemon);
+        }
+    }
+    std::sort(arrivals_.begin(), arrivals_.end());
+}
+
+double RetryFleet::worstExcess() const
+{
+    double worst = -fixedNumber;
+    for (const SteadyTime from : arrivals_) {
+        const std::size_t requests = std::max(
+            { countFrom(requests_, from), countFrom(requests_, from - window), countFrom(requests_, from - window / 2) });
+        const double allowed = ratio * static_cast<double>(requests) + fixedNumber;
+        worst = std::max(worst, static_cast<double>(countFrom(arrivals_, from)) - allowed);
+    }
+    return worst;
+}
+
+std::size_t RetryFleet::repeats() const
+{
+    return arrivals_.size();
+}
+
+std::size_t RetryFleet::denied() const
+{
+    return denied_;
+}
+
+bool RetryFleet::happens(double perSecond)
+{
+    return random_.fraction() < perSecond * std::chrono::duration<double>(step).count();
+}
+
+SteadyTime::duration RetryFleet::randomTime(std::chrono::seconds longest)
+{
+    return std::chrono::duration_cast<SteadyTime::duration>(longest * random_.fraction());
+}
+
+void RetryFleet::add()
+{
+    Daemon &daemon = daemons_.emplace_back();
+    daemon.name = "d" + std::to_string(daemons_.size());
+    daemon.dataCentre = static_cast<unsigned>(daemons_.size()) % dataCentres;
+    daemon.fails = random_.fraction() < scenario_.failingPart;
+    start(daemon);
+}
+
+/// What was sent before the process ended arrives all the same.
+void RetryFleet::start(Daemon &daemon)
+{
+    daemon.startedAt = now_;
+    daemon.underWay.clear();
+    daemon.granted.clear();
+    daemon.list.clear();
+    daemon.mostKnown = 0;
+    daemon.members = std::make_unique<RetryMembers>(daemon.name);
+    daemon.members->setSettling(settling);
+    daemon.slice = std::make_unique<RetrySlice>();
+    daemon.rounding = random_.fraction();
+}
+
+void RetryFleet::strike()
+{
+    const FleetTroubles &troubles = scenario_.troubles;
+    const bool all = happens(troubles.killAll);
+    const bool some = happens(troubles.killSome);
+    for (Daemon &daemon : daemons_) {
+        if (all || (some && random_.fraction() < killedPart)) {
+            start(daemon);
+        }
+        if (happens(troubles.cutFromStore)) {
+            daemon.cutUntil = now_ + randomTime(longestCut);
+        }
+        if (happens(troubles.holdUp)) {
+            daemon.heldUpUntil = std::max(daemon.heldUpUntil, now_ + randomTime(longestHoldUp));
+        }
+    }
+    if (happens(troubles.join)) {
+        add();
+    }
+}
+
+void RetryFleet::lookAtList()
+{
+    std::array<std::set<std::string>, dataCentres> listed;
+    std::size_t known = 0;
+    for (Daemon &daemon : daemons_) {
+        if (now_ >= daemon.cutUntil) {
+            daemon.leased = now_ + lease;
+        }
+        if (daemon.leased > now_) {
+            listed.at(daemon.dataCentre).insert(daemon.name);
+            ++known;
+        }
+    }
+    for (Daemon &daemon : daemons_) {
+        const bool reaches = now_ >= daemon.cutUntil;
+        if (reaches) {
+            daemon.list = listed.at(daemon.dataCentre);
+            daemon.mostKnown = std::max(daemon.mostKnown, known);
+        }
+        daemon.members->setListed(daemon.list, reaches, now_);
+    }
+}
+
+/// The first daemon of a data centre that was listed for a window; another one begins with a window without grants.
+void RetryFleet::choosePoolKeepers()
+{
+    if (way_ != RetryWay::PooledByNeed) {
+        return;
+    }
+    std::array<const Daemon *, dataCentres> keepers{};
+    for (const Daemon &daemon : daemons_) {
+        const Daemon *&keeper = keepers.at(daemon.dataCentre);
+        keeper = keeper == nullptr && now_ >= daemon.cutUntil && daemon.members->maySpend(now_) ? &daemon : keeper;
+    }
+    for (unsigned dataCentre = 0; dataCentre < dataCentres; ++dataCentre) {
+        Pool &pool = pools_.at(dataCentre);
+        const std::string keeper = keepers.at(dataCentre) != nullptr ? keepers.at(dataCentre)->name : std::string();
+        if (pool.keeper != keeper) {
+            pool = { keeper, now_, {} };
+        }
+    }
+}
+
+RetryBudgetTerms RetryFleet::termsFor(const Daemon &daemon) const
+{
+    const bool settled = daemon.members->maySpend(now_);
+    const double even = fixedNumber / static_cast<double>(std::max(fewestDaemons, daemon.mostKnown + 1));
+    switch (way_) {
+    case RetryWay::EvenFromStart:
+        return { ratio, even, 0, window };
+    case RetryWay::NothingForWindow:
+        return now_ - daemon.startedAt < window ? RetryBudgetTerms{ 0, 0, 0, window }
+                                                : RetryBudgetTerms{ ratio, even, 0, window };
+    case RetryWay::ListedForWindow:
+        return { ratio, settled ? fixedNumber / dataCentres / daemon.members->count() : 0, settled ? 0 : daemon.rounding,
+                 window };
+    case RetryWay::PooledByNeed:
+        return { ratio, static_cast<double>(daemon.granted.size()), 0, window };
+    }
+    return {};
+}
+
+bool RetryFleet::takeFromPool(Daemon &daemon)
+{
+    Pool &pool = pools_.at(daemon.dataCentre);
+    dropBefore(pool.granted, now_ - settling);
+    const bool given = way_ == RetryWay::PooledByNeed && !pool.keeper.empty() && now_ - pool.keptSince >= settling
+        && static_cast<double>(pool.granted.size() + 1) <= fixedNumber / dataCentres;
+    if (given) {
+        pool.granted.push_back(now_);
+        daemon.granted.push_back(now_);
+    }
+    return given;
+}
+
+bool RetryFleet::takeRepeat(Daemon &daemon)
+{
+    dropBefore(daemon.granted, now_ - window);
+    daemon.slice->setTerms(termsFor(daemon));
+    if (daemon.slice->takeRepeat(service, now_) != RetryPayment::Nobody) {
+        return true;
+    }
+    if (!takeFromPool(daemon)) {
+        return false;
+    }
+    daemon.slice->setTerms(termsFor(daemon));
+    return daemon.slice->takeRepeat(service, now_) != RetryPayment::Nobody;
+}
+
+void RetryFleet::serve(Daemon &daemon)
+{
+    while (!daemon.underWay.empty() && daemon.underWay.front() <= now_) {
+        daemon.slice->repeatArrived(service, daemon.underWay.front());
+        daemon.underWay.pop_front();
+    }
+    if (!happens(scenario_.requestsPerSecond)) {
+        return;
+    }
+    requests_.push_back(now_);
+    daemon.slice->firstSent(service, now_);
+    for (unsigned repeat = 1; daemon.fails && repeat < scenario_.attempts; ++repeat) {
+        if (!takeRepeat(daemon)) {
+            ++denied_;
+            return;
+        }
+        const SteadyTime arrives = std::max(now_, daemon.heldUpUntil);
+        daemon.underWay.push_back(arrives);
+        arrivals_.push_back(arrives);
+    }
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/tests/support/retry_fleet.h
@@ -0,0 +1,130 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// A fleet in virtual time whose daemons spend one retry budget: killed in series, cut off from the store, joined by others, with
+/// repeats that arrive late. Arrivals are counted as the budget is.
+#pragma once
+
+#include "portpaddle/base/system_clock.h"
+#include "portpaddle/retries/retry_members.h"
+#include "portpaddle/retries/retry_slice.h"
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Portpaddle {
+
+/// How daemons share the repeats that the budget allows whatever callers send.
+enum class RetryWay {
+    /// Evenly among the daemons known, from the start of each process.
+    EvenFromStart,
+    /// The same, and no repeat at all in the first window of a process.
+    NothingForWindow,
+    /// As the product does; see RetryMembers.
+    ListedForWindow,
+    /// From one pool in each data centre by need, kept by a daemon that was listed for a window. News cost nothing and take no
+    /// time.
+    PooledByNeed,
+};
+std::string_view nameOf(RetryWay way);
+
+/// What goes wrong, each a chance in a second.
+struct FleetTroubles
+{
+    double killAll = 0;
+    double killSome = 0;
+    double cutFromStore = 0;
+    double holdUp = 0;
+    double join = 0;
+};
+
+/// What is played.
+struct RetryScenario
+{
+    unsigned daemons = 61;
+    /// Of callers, at each daemon.
+    double requestsPerSecond = 1;
+    /// Part of the daemons at which all requests fail; at the others none does.
+    double failingPart = 1;
+    /// How often a request that fails may be sent.
+    unsigned attempts = 2;
+    FleetTroubles troubles;
+};
+
+class RetryFleet
+{
+public:
+    RetryFleet(const RetryScenario &scenario, RetryWay way, std::uint64_t seed);
+
+    void play(std::chrono::seconds length);
+    /// Repeats in the worst window, less what is allowed there: a ratio of the requests of that window, of the one before it or
+    /// of the one half a window before it, whichever are most, and the fixed number.
+    double worstExcess() const;
+    std::size_t repeats() const;
+    /// Failed requests that were not sent once more for want of budget.
+    std::size_t denied() const;
+
+    /// Repeats allowed in a window whatever callers send.
+    static constexpr double fixedNumber = 162;
+
+private:
+    static constexpr unsigned dataCentres = 6;
+
+    struct Daemon
+    {
+        std::string name;
+        unsigned dataCentre = 0;
+        bool fails = false;
+        SteadyTime startedAt{};
+        std::unique_ptr<RetryMembers> members;
+        std::unique_ptr<RetrySlice> slice;
+        double rounding = 0;
+        /// When its repeats that are under way arrive.
+        std::deque<SteadyTime> underWay;
+        /// What it had from a pool within the last window.
+        std::deque<SteadyTime> granted;
+        /// Its registration counts until then.
+        SteadyTime leased{};
+        SteadyTime cutUntil{};
+        SteadyTime heldUpUntil{};
+        /// What it last read: of its data centre, and the most of all.
+        std::set<std::string> list;
+        std::size_t mostKnown = 0;
+    };
+
+    /// Where need is followed: what one daemon of a data centre has given out.
+    struct Pool
+    {
+        std::string keeper;
+        SteadyTime keptSince{};
+        std::deque<SteadyTime> granted;
+    };
+
+    bool happens(double perSecond);
+    SteadyTime::duration randomTime(std::chrono::seconds longest);
+    void add();
+    void start(Daemon &daemon);
+    void strike();
+    void lookAtList();
+    void choosePoolKeepers();
+    RetryBudgetTerms termsFor(const Daemon &daemon) const;
+    bool takeFromPool(Daemon &daemon);
+    void serve(Daemon &daemon);
+    bool takeRepeat(Daemon &daemon);
+
+    RetryScenario scenario_;
+    RetryWay way_;
+    SeededRandom random_;
+    SteadyTime now_{ std::chrono::hours(1) };
+    std::deque<Daemon> daemons_;
+    std::array<Pool, dataCentres> pools_;
+    std::vector<SteadyTime> requests_;
+    std::vector<SteadyTime> arrivals_;
+    std::size_t denied_ = 0;
+};
+
+} // namespace Portpaddle
