Cold upstreams: closed to a daemon until a second after it is on the list

The same class as the retry budget: the bound of a cold upstream is divided by the daemons known, at least one, and a process was kept from it for its first second only. Daemons that had all started while the store was slow would each take the whole. A gateway that nobody has listed sent to a cold upstream (test, seen red); now nothing is sent until others can count it.

Left as suspected: the bursts of organisations' limits are divided the same way for the 0.3 to 1 s until the first grants.

--- a/src/portpaddle/gateway/cold_gate.cpp
+++ b/src/portpaddle/gateway/cold_gate.cpp
@@ -16,10 +16,6 @@
 
 } // namespace
 
-ColdGate::ColdGate(SteadyTime startedAt) : startedAt_(startedAt)
-{
-}
-
 void ColdGate::setTerms(const ColdTerms &terms)
 {
     terms_ = terms;
@@ -39,8 +35,9 @@
 
 bool ColdGate::allows(const std::string &upstream, double perSecond, bool owner, SteadyTime now)
 {
-    // A daemon that restarts within a second has spent its share already, and so have all others that lost power with it.
-    if (now < startedAt_ + window) {
+    // A daemon that restarts within a second has spent its share already, and so have all others that lost power with it; before
+    // they are on the list each of them would divide by itself alone.
+    if (!terms_.listedSince || now < *terms_.listedSince + window) {
         return false;
     }
     const double share = shareOf(perSecond, owner);
--- a/src/portpaddle/gateway/cold_gate.h
+++ b/src/portpaddle/gateway/cold_gate.h
@@ -7,6 +7,7 @@
 #include "portpaddle/net/asio.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -21,15 +22,14 @@
     double slack = 0;
     /// Daemons that may send to it at the same time.
     unsigned daemons = 1;
+    /// Since when the others can know that this process is one of them; no value where they cannot.
+    std::optional<SteadyTime> listedSince;
 };
 
 /// Counts sends in the last second. Belongs to one event loop.
 class ColdGate
 {
 public:
-    /// @p startedAt is the start of this process: what an earlier one sent just before is not known.
-    explicit ColdGate(SteadyTime startedAt);
-
     void setTerms(const ColdTerms &terms);
     /// Whether one more request may be sent now to @p upstream, which bears @p perSecond. Only the @p owner of an upstream sends
     /// where the bound is too small to be divided among all daemons.
@@ -42,7 +42,6 @@
     /// What this daemon may send in a second.
     double shareOf(double perSecond, bool owner) const;
 
-    SteadyTime startedAt_;
     ColdTerms terms_;
     std::unordered_map<std::string, std::deque<SteadyTime>> sends_;
 };
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -31,7 +31,6 @@
     , crashes_(executor, pool_, metrics, identity_.id)
     , retryMembers_(identity_.id)
     , retryRounding_(random.fraction())
-    , cold_(BootClock::now())
     , organisationLimits_(
           identity_.id, identity_.region,
           [this](std::uint32_t organisation, SteadyTime now) { return gathersLimitOf(organisation, now); },
@@ -347,8 +346,8 @@
     saveRuns(now);
     crashes_.tick(now);
     regions_.tick(now);
-    cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing() });
     shareRetries(now);
+    cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing(), retryMembers_.ownListedSince() });
 }
 
 void Gateway::beginDrain(const StopTerms &stop)
--- a/src/portpaddle/retries/retry_members.cpp
+++ b/src/portpaddle/retries/retry_members.cpp
@@ -45,6 +45,11 @@
     return static_cast<unsigned>(others + 1);
 }
 
+std::optional<SteadyTime> RetryMembers::ownListedSince() const
+{
+    return ownListedSince_;
+}
+
 /// What the process before this one spent, and who else divides the budget, is known to nobody here: both are past once a whole
 /// window has gone by in which the others could see this daemon on the list. Without this, daemons that were killed in series
 /// made 288 repeats where 203 were allowed.
--- a/src/portpaddle/retries/retry_members.h
+++ b/src/portpaddle/retries/retry_members.h
@@ -27,13 +27,14 @@
     /// Daemons that may be spending, this one included.
     unsigned count() const;
     bool maySpend(SteadyTime now) const;
+    /// Since when this process has been on the list.
+    std::optional<SteadyTime> ownListedSince() const;
 
 private:
     std::string ownId_;
     std::chrono::milliseconds settling_{ 0 };
     /// When each daemon was last on the list.
     std::map<std::string, SteadyTime> lastListed_;
-    /// Since when this process has been on the list.
     std::optional<SteadyTime> ownListedSince_;
     /// When it was last known to be.
     SteadyTime ownConfirmed_{};
--- a/tests/gateway/bounds_tests.cpp
+++ b/tests/gateway/bounds_tests.cpp
@@ -33,10 +33,10 @@
 TEST_CASE("Cold gate, daemons that share an upstream, stay within its bound together")
 {
     constexpr unsigned daemons = 4;
-    const ColdTerms terms{ 1.5, 3, daemons };
+    const ColdTerms terms{ 1.5, 3, daemons, start };
     unsigned total = 0;
     for (unsigned index = 0; index < daemons; ++index) {
-        ColdGate gate(start);
+        ColdGate gate;
         gate.setTerms(terms);
         total += taken(gate, start + 5s, 100);
     }
@@ -49,8 +49,8 @@
     constexpr unsigned daemons = 99;
     unsigned total = 0;
     for (unsigned index = 0; index < daemons; ++index) {
-        ColdGate gate(start);
-        gate.setTerms({ 1.5, 3, daemons });
+        ColdGate gate;
+        gate.setTerms({ 1.5, 3, daemons, start });
         for (int send = 0; send < 20; ++send) {
             const bool owner = index == 17;
             if (gate.allows("u", 3.3, owner, start + 5s)) {
@@ -64,18 +64,21 @@
     CHECK(2 * total <= 3.3 * 1.5 + 3);
 }
 
-TEST_CASE("Cold gate, first second of a process, is closed because an earlier process may have spent its share")
+TEST_CASE("Cold gate, first second of a process on the list, is closed because an earlier process may have spent its share")
 {
-    ColdGate gate(start);
-    gate.setTerms({ 1.5, 3, 2 });
+    ColdGate gate;
+    gate.setTerms({ 1.5, 3, 2, start });
     CHECK(taken(gate, start + 900ms, 10) == 0);
+    gate.setTerms({ 1.5, 3, 2, std::nullopt });
+    CHECK(taken(gate, start + 1200ms, 10) == 0);
+    gate.setTerms({ 1.5, 3, 2, start });
     CHECK(taken(gate, start + 1200ms, 10) > 0);
 }
 
 TEST_CASE("Cold gate, any second, sees no more than the share")
 {
-    ColdGate gate(start - 1h);
-    gate.setTerms({ 1.5, 3, 1 });
+    ColdGate gate;
+    gate.setTerms({ 1.5, 3, 1, start - 1h });
     std::vector<SteadyTime> sends;
     for (SteadyTime now = start; now < start + 10s; now += 10ms) {
         for (unsigned count = taken(gate, now, 3); count > 0; --count) {
--- a/tests/gateway/retry_budget_tests.cpp
+++ b/tests/gateway/retry_budget_tests.cpp
@@ -9,10 +9,14 @@
 
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
+#include "support/suspended_clock.h"
 
 #include <doctest/doctest.h>
 
+#include <memory>
+
 using namespace Portpaddle;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -21,13 +25,13 @@
 class FailingUpstreamsFixture : public GatewaySite
 {
 public:
-    FailingUpstreamsFixture()
+    explicit FailingUpstreamsFixture(Registration registration = Registration::Listed)
+        : GatewaySite(Routes::Published, registration)
     {
         addUpstream("u1", first.address());
         addUpstream("u2", second.address());
         terms.retryRatio = 0.2;
         terms.extraRetriesPerWindow = 100;
-        terms.lateArrivals = GatewayTerms().lateArrivals;
         setTerms();
     }
 
@@ -45,9 +49,42 @@
     ScriptedUpstream second{ [](const SeenRequest &) { return ScriptedAnswer{ failure }; } };
 };
 
+class UnlistedFixture : public FailingUpstreamsFixture
+{
+public:
+    UnlistedFixture() : FailingUpstreamsFixture(Registration::Unlisted)
+    {
+    }
+};
+
+/// The second that a process keeps from cold upstreams has gone by.
+class ColdUpstreamFixture : public GatewaySite
+{
+public:
+    explicit ColdUpstreamFixture(Registration registration = Registration::Listed) : GatewaySite(Routes::Published, registration)
+    {
+        routes.services["s"].coldPerSecond = 100;
+        publishRoutes();
+        addColdUpstream("u1", upstream.address());
+        passed = std::make_unique<Suspension>(5s);
+        onLoop([](Gateway &gateway) { gateway.tick(); });
+    }
+
+    ScriptedUpstream upstream{ echo };
+    std::unique_ptr<Suspension> passed;
+};
+
+class UnlistedColdUpstreamFixture : public ColdUpstreamFixture
+{
+public:
+    UnlistedColdUpstreamFixture() : ColdUpstreamFixture(Registration::Unlisted)
+    {
+    }
+};
+
 } // namespace
 
-TEST_CASE_FIXTURE(FailingUpstreamsFixture, "Daemon that has just started, failing upstreams, repeats what its requests pay for")
+TEST_CASE_FIXTURE(UnlistedFixture, "Daemon that has just started, failing upstreams, repeats what its requests pay for")
 {
     CHECK(repeatsOf(20) <= 4);
 }
@@ -55,11 +92,22 @@
 TEST_CASE_FIXTURE(FailingUpstreamsFixture,
                   "Daemon that was listed for a window, failing upstreams, repeats beyond what is paid for")
 {
-    terms.lateArrivals = -terms.retryWindow;
-    setTerms();
     CHECK(repeatsOf(20) > 4);
 }
 
+TEST_CASE_FIXTURE(ColdUpstreamFixture, "Cold upstream, daemon that is on the list, is sent requests")
+{
+    CHECK(ask("/plain/a", "id1").status == 200);
+}
+
+// The bound of a cold upstream is divided by the daemons on the list, one at least: daemons that all had started before any of
+// them was listed would each take the whole.
+TEST_CASE_FIXTURE(UnlistedColdUpstreamFixture, "Cold upstream, daemon that nobody can count, is sent nothing")
+{
+    CHECK(ask("/plain/a", "id1").status == 503);
+    CHECK(upstream.seen().empty());
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Relayed request, refused before it is placed, tells that nobody was asked here")
 {
     const SeenAnswer answer = askAsDaemon("/nowhere/a", "id1", "X-Portpaddle-Sends: 1\r\n");
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -157,7 +157,7 @@
     }
 }
 
-GatewaySite::GatewaySite(Routes known)
+GatewaySite::GatewaySite(Routes known, Registration registration)
 {
     gateway_ = std::make_unique<Gateway>(loop_.get_executor(), GatewayIdentity{ "d", "north", "north-1" }, HeaderNames{}, view_,
                                          random_, metrics_);
@@ -188,7 +188,9 @@
     own.id = "d";
     own.region = "north";
     own.dataCentre = "north-1";
-    keeper_->changeDaemon(own);
+    if (registration == Registration::Listed) {
+        keeper_->changeDaemon(own);
+    }
     if (known == Routes::Published) {
         publishRoutes();
     }
@@ -227,6 +229,14 @@
     onLoop([](Gateway &) {});
 }
 
+void GatewaySite::addColdUpstream(const std::string &id, const std::string &address)
+{
+    UpstreamRecord record = makeUpstream(id, address);
+    record.coldUntil = BootClock::now() + std::chrono::minutes(1);
+    keeper_->changeUpstream(record);
+    onLoop([](Gateway &) {});
+}
+
 void GatewaySite::addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
                                   const std::string &headers)
 {
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -65,10 +65,15 @@
 public:
     enum class Routes { Published, Unknown };
 
-    explicit GatewaySite(Routes known = Routes::Published);
+    /// Whether this daemon has been on the store's list for long, or never was.
+    enum class Registration { Listed, Unlisted };
+
+    explicit GatewaySite(Routes known = Routes::Published, Registration registration = Registration::Listed);
     ~GatewaySite();
 
     void addUpstream(const std::string &id, const std::string &address);
+    /// One that bears few requests a second for a minute.
+    void addColdUpstream(const std::string &id, const std::string &address);
     /// A daemon of another region that tells of an idle upstream there, which keeps the prompt of a request with @p headers.
     void addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
                          const std::string &headers);
