--- a/src/portpaddle/retries/retry_members.cpp
+++ b/src/portpaddle/retries/retry_members.cpp
@@ -3,7 +3,6 @@
 
 #include "portpaddle/retries/retry_members.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Portpaddle {
