--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 38> catalogue{ {
+constexpr std::array<LogEventDescription, 42> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -60,6 +60,14 @@
       "Upstreams ended under requests with this fingerprint; such requests are refused from now on, by all daemons." },
     { LogEvent::QuarantineNotWritten, "quarantine_not_written", "warning",
       "The platform did not take the record of a held request; it is tried again." },
+    { LogEvent::UpstreamLimitNamed, "upstream_limit_named", "warning",
+      "An upstream said how many requests a second it takes from all daemons, or changed that; own_share is this daemon's." },
+    { LogEvent::UpstreamLimitEnded, "upstream_limit_ended", "info",
+      "An upstream names no limit any more; it is asked more often step by step." },
+    { LogEvent::UpstreamLimitUnreadable, "upstream_limit_unreadable", "warning",
+      "An upstream named a limit that is no rate; what it named before holds." },
+    { LogEvent::UpstreamLimitNotWritten, "upstream_limit_not_written", "warning",
+      "The platform did not take the record of an upstream's limit; it is tried again." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -47,6 +47,10 @@
     { "portpaddle_repeats_paid_by_fixed_part_total", "Repeats on account of the fixed part of the retry budget." },
     { "portpaddle_repeats_unseen_total", "Attempts after one that no upstream saw; they cost no budget." },
     { "portpaddle_repeats_denied_total", "Repeats not made because the retry budget was spent." },
+    { "portpaddle_upstream_limits_named_total", "Times that an upstream named a limit or changed it, as this daemon learned." },
+    { "portpaddle_upstream_limits_ended_total", "Times that the limit of an upstream ended." },
+    { "portpaddle_upstream_limits_unreadable_total", "Answers whose limit could not be read." },
+    { "portpaddle_held_back_by_limits_total", "Requests refused because the upstreams that could run them named limits." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -42,6 +42,10 @@
     RepeatsPaidByFixedPart,
     RepeatsUnseen,
     RepeatsDenied,
+    LimitsNamed,
+    LimitsEnded,
+    LimitsUnreadable,
+    HeldBackByLimit,
     Count,
 };
 
--- a/src/portpaddle/fleet/fleet_news.cpp
+++ b/src/portpaddle/fleet/fleet_news.cpp
@@ -245,6 +245,7 @@
     switch (digest.kind) {
     case Wire::DigestKind::Direct:
     case Wire::DigestKind::Crashes:
+    case Wire::DigestKind::UpstreamLimits:
         break;
     case Wire::DigestKind::Report:
         loads_.takeDigest(digest, now);
--- a/src/portpaddle/fleet/settled_owner.cpp
+++ b/src/portpaddle/fleet/settled_owner.cpp
@@ -46,30 +46,50 @@
     verdicts_.clear();
 }
 
-bool SettledOwner::winsIn(const Membership &membership, std::uint64_t key) const
+std::optional<std::size_t> SettledOwner::rankIn(const Membership &membership, std::uint64_t key) const
 {
     const std::vector<std::uint64_t> &members = membership.members;
     if (!std::binary_search(members.begin(), members.end(), self_)) {
-        return false;
+        return std::nullopt;
     }
     const double own = rendezvousDraw(key, self_, 1);
-    return std::none_of(members.begin(), members.end(),
-                        [&](std::uint64_t member) { return member != self_ && rendezvousDraw(key, member, 1) >= own; });
+    const auto before = std::count_if(members.begin(), members.end(), [&](std::uint64_t member) {
+        return member != self_ && rendezvousDraw(key, member, 1) >= own;
+    });
+    return static_cast<std::size_t>(before);
 }
 
 bool SettledOwner::owns(std::uint64_t key, SteadyTime now)
+{
+    return isAmong(key, 1, now);
+}
+
+bool SettledOwner::isAmong(std::uint64_t key, unsigned count, SteadyTime now)
 {
     const auto [entry, added] = verdicts_.try_emplace(key);
     Verdict &verdict = entry->second;
-    if (!added && now - verdict.at < verdictAge) {
-        return verdict.owner;
+    if (!added && verdict.count == count && now - verdict.at < verdictAge) {
+        return verdict.isAmong;
     }
+    verdict.count = count;
     verdict.at = now;
+    const auto isFirst = [&](const Membership &membership) {
+        const std::optional<std::size_t> rank = rankIn(membership, key);
+        return isPast(membership.until, now) || (rank && *rank < count);
+    };
     // Before it has settled, what a daemon knows may be the list of a fleet that is just starting.
-    verdict.owner = knownSince_ < now - settlingTime
-        && std::all_of(memberships_.begin(), memberships_.end(),
-                       [&](const Membership &membership) { return isPast(membership.until, now) || winsIn(membership, key); });
-    return verdict.owner;
+    verdict.isAmong = knownSince_ < now - settlingTime && std::all_of(memberships_.begin(), memberships_.end(), isFirst);
+    return verdict.isAmong;
+}
+
+std::size_t SettledOwner::rank(std::uint64_t key) const
+{
+    return memberships_.empty() ? 0 : rankIn(memberships_.back(), key).value_or(memberships_.back().members.size());
+}
+
+std::size_t SettledOwner::members() const
+{
+    return memberships_.empty() ? 0 : memberships_.back().members.size();
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/settled_owner.h
+++ b/src/portpaddle/fleet/settled_owner.h
@@ -1,20 +1,21 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Which daemon of a region may spend a bound that is too small to be divided among all of them.
+/// Which daemons of a region may spend a bound that is too small to be divided among all of them.
 #pragma once
 
 #include "portpaddle/net/asio.h"
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace Portpaddle {
 
-/// Names one daemon for each key by rendezvous hashing over the daemons known. Belongs to one event loop.
+/// Ranks the daemons known for each key by rendezvous hashing. Belongs to one event loop.
 class SettledOwner
 {
 public:
@@ -24,6 +25,12 @@
     void setMembers(std::vector<std::uint64_t> members, SteadyTime now);
     /// Whether this daemon was the owner of @p key by every list of daemons that was in force within the settling time.
     bool owns(std::uint64_t key, SteadyTime now);
+    /// Whether it was among the first @p count by every such list.
+    bool isAmong(std::uint64_t key, unsigned count, SteadyTime now);
+    /// How many daemons stand before this one by the newest list.
+    std::size_t rank(std::uint64_t key) const;
+    /// Daemons on the newest list.
+    std::size_t members() const;
 
 private:
     struct Membership
@@ -35,11 +42,13 @@
 
     struct Verdict
     {
-        bool owner = false;
+        bool isAmong = false;
+        unsigned count = 0;
         SteadyTime at;
     };
 
-    bool winsIn(const Membership &membership, std::uint64_t key) const;
+    /// No value where this daemon is not on the list.
+    std::optional<std::size_t> rankIn(const Membership &membership, std::uint64_t key) const;
 
     std::uint64_t self_;
     /// When the first list came.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -132,8 +132,7 @@
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
         const Target target = chooseTarget();
         if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
-            const bool mayWait
-                = !progress_.begun && sends_ == 0 && !request_.relayed && target.placement.reason != LossReason::TooLate;
+            const bool mayWait = mayWaitForRoom(target.placement.reason);
             const bool again = mayWait ? co_await waitForRoom() : false;
             if (again) {
                 continue;
@@ -163,14 +162,20 @@
 }
 
 /// What a request that could be sent nowhere is told.
-Error Exchange::noPlace(LossReason reason) const
+Error Exchange::noPlace(LossReason reason)
 {
     const bool stopping = reason == LossReason::TooLate && overBy_ != SteadyTime::max();
     if (stopping) {
         return Error{ ErrorCode::Stopping, "this daemon stops before the request would end", RunState::NotRun,
                       suggestedReturn() };
     }
-    return Error{ ErrorCode::NoUpstream, fmt::format("no room: {}", nameOf(reason)), RunState::NotRun, {} };
+    Error error{ ErrorCode::NoUpstream, fmt::format("no room: {}", nameOf(reason)), RunState::NotRun, {} };
+    if (reason == LossReason::UpstreamLimit) {
+        gateway_.metrics_.count(Counter::HeldBackByLimit);
+        const auto back = std::chrono::duration_cast<Millis>(gateway_.limitReturn(service_, BootClock::now()));
+        error.retryAfter = std::clamp(back, shortestReturn, longestReturn);
+    }
+    return error;
 }
 
 Target Exchange::chooseTarget()
@@ -261,16 +266,37 @@
     }
 }
 
-Task<bool> Exchange::waitForRoom()
+Millis Exchange::waitLeft() const
 {
     const Millis bound = std::min(longestWait, std::chrono::duration_cast<Millis>(route_->targetLatency * waitShare));
-    if (elapsedSince(request_.arrivedAt) + roomPoll > bound) {
+    return bound - elapsedSince(request_.arrivedAt);
+}
+
+/// Upstreams that name limits say when there will be room: who would not get its turn in time is refused at once.
+bool Exchange::mayWaitForRoom(LossReason reason) const
+{
+    if (progress_.begun || sends_ > 0 || request_.relayed || reason == LossReason::TooLate) {
+        return false;
+    }
+    if (reason != LossReason::UpstreamLimit) {
+        return true;
+    }
+    const std::optional<SteadyTime::duration> turn = gateway_.limitTurn(service_, BootClock::now());
+    return turn && *turn <= waitLeft();
+}
+
+Task<bool> Exchange::waitForRoom()
+{
+    if (waitLeft() < roomPoll) {
         co_return false;
     }
     tried_.clear();
     NetError ignored;
+    std::size_t &waiting = gateway_.waitingForTurn_[service_];
+    ++waiting;
     roomTimer_.expires_after(roomPoll);
     co_await roomTimer_.async_wait(awaitingInto(ignored));
+    --waiting;
     co_return interruption_ == Interruption::None;
 }
 
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -55,7 +55,7 @@
     void startDeadline();
     /// Whether a stop that has begun leaves time for it; notes by when it has to be over.
     bool fitsStop();
-    Error noPlace(LossReason reason) const;
+    Error noPlace(LossReason reason);
     void interrupt(Interruption reason);
     Task<void> attempts();
     /// After a broken attempt: goes on where the run's memory was moved to, as often as it is moved.
@@ -90,6 +90,10 @@
     void noteRepeatArrived();
     /// No attempt followed that could have reached one.
     void returnRepeat();
+    /// Whether room may come in time where there is none for @p reason.
+    bool mayWaitForRoom(LossReason reason) const;
+    /// How long the request may still wait for room.
+    Millis waitLeft() const;
     /// Waits a moment for room; false when the request has waited long enough.
     Task<bool> waitForRoom();
     Task<void> finish(const AttemptReport &report);
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -96,6 +96,7 @@
     if (upstream != gateway_.view_->upstreams.end() && upstream->second.region == gateway_.identity_.region && spec != nullptr) {
         target.placement.verdict = Verdict::Serve;
         target.upstream = upstream->second;
+        gateway_.upstreamLimits_.take(upstream->first, BootClock::now());
         target.spec = std::shared_ptr<const ServiceSpec>(gateway_.view_->services, spec);
         memoryFrom_ = continuation_->memoryFrom;
     }
--- a/src/portpaddle/gateway/fetch_offers.cpp
+++ b/src/portpaddle/gateway/fetch_offers.cpp
@@ -14,10 +14,10 @@
 // Before the first byte of a transfer between engines moves; they take some milliseconds to agree on it.
 constexpr double setupMs = 5;
 
-/// An engine that is gone or tried in vain has nothing to give; a full one has.
+/// An engine that is gone or tried in vain has nothing to give, and one in need is spared; a full one has.
 bool canGive(const UpstreamCandidate &upstream)
 {
-    return upstream.barred != LossReason::Unhealthy && upstream.barred != LossReason::Leaving
+    return !upstream.limited && upstream.barred != LossReason::Unhealthy && upstream.barred != LossReason::Leaving
         && upstream.barred != LossReason::AlreadyTried;
 }
 
--- a/src/portpaddle/gateway/fleet_keeper.cpp
+++ b/src/portpaddle/gateway/fleet_keeper.cpp
@@ -209,6 +209,24 @@
     publish();
 }
 
+void FleetKeeper::listUpstreamLimits(StoredLimits limits)
+{
+    const std::lock_guard lock(mutex_);
+    upstreamLimits_ = std::move(limits);
+    publish();
+}
+
+void FleetKeeper::changeUpstreamLimit(std::uint64_t upstream, const std::optional<StoredLimit> &limit)
+{
+    const std::lock_guard lock(mutex_);
+    if (limit) {
+        upstreamLimits_[upstream] = limit->perSecond;
+    } else {
+        upstreamLimits_.erase(upstream);
+    }
+    publish();
+}
+
 void FleetKeeper::storeLost(SteadyTime)
 {
     const std::lock_guard lock(mutex_);
@@ -268,6 +286,7 @@
     }
     view->evacuated = evacuated_;
     view->quarantined = quarantined_;
+    view->upstreamLimits = upstreamLimits_;
     view->storeReachable = storeReachable_;
     cell_.publish(std::move(view));
     published_();
--- a/src/portpaddle/gateway/fleet_keeper.h
+++ b/src/portpaddle/gateway/fleet_keeper.h
@@ -6,6 +6,7 @@
 
 #include "portpaddle/base/rcu_cell.h"
 #include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/upstream_limits/limit_record.h"
 
 #include <functional>
 #include <map>
@@ -38,6 +39,9 @@
     void removeDaemon(const std::string &id, SteadyTime now);
     void listQuarantine(const std::set<RequestFingerprint> &requests, SteadyTime now);
     void changeQuarantine(const RequestFingerprint &request, bool held, SteadyTime now);
+    void listUpstreamLimits(StoredLimits limits);
+    /// No value where the record of @p upstream is gone or cannot be read.
+    void changeUpstreamLimit(std::uint64_t upstream, const std::optional<StoredLimit> &limit);
     void storeLost(SteadyTime now);
     void storeBack(SteadyTime now);
     /// Removes what lapsed and did not come back; call a few times a second.
@@ -74,6 +78,7 @@
     std::map<std::string, Held<DaemonRecord>> daemons_;
     std::set<std::string> evacuated_;
     HeldRequests quarantined_;
+    StoredLimits upstreamLimits_;
     bool storeReachable_ = false;
     bool everReachable_ = false;
     bool inBatch_ = false;
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -7,6 +7,7 @@
 #include "portpaddle/crashes/quarantine.h"
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/upstream_limits/limit_book.h"
 
 #include <memory>
 #include <optional>
@@ -66,6 +67,7 @@
     std::vector<DaemonRecord> daemons;
     /// Requests that are not to be sent to upstreams.
     HeldRequests quarantined;
+    StoredLimits upstreamLimits;
     bool storeReachable = false;
 
     /// Whether new requests may be sent to @p upstream.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -38,7 +38,8 @@
               return daemon != identity_.id && regions_.fellSilent(daemon, now);
           })
     , news_(identity_.id, identity_.region, loads_, regions_, organisationLimits_)
-    , coldOwner_(identity_.id)
+    , owners_(identity_.id)
+    , upstreamLimits_({ identity_.id, identity_.region }, owners_, metrics)
 {
     regions_.setOwnRegion(identity_.region);
 }
@@ -187,7 +188,8 @@
     setLimits(now);
     std::vector<std::uint64_t> members = membersOfOwnRegion();
     listedInOwnRegion_ = static_cast<unsigned>(members.size());
-    coldOwner_.setMembers(std::move(members), now);
+    owners_.setMembers(std::move(members), now);
+    upstreamLimits_.setView(view_, now);
     listedInOwnDataCentre_.clear();
     for (const DaemonRecord &daemon : view_->daemons) {
         if (daemon.dataCentre == identity_.dataCentre) {
@@ -232,6 +234,10 @@
         crashes_.takeNews(digest, now);
         return;
     }
+    if (digest.kind == Wire::DigestKind::UpstreamLimits) {
+        upstreamLimits_.takeNews(digest, now);
+        return;
+    }
     regions_.takeDigest(digest, now);
     if (digest.kind != Wire::DigestKind::Direct) {
         news_.take(digest, now);
@@ -284,11 +290,21 @@
     crashes_.setWriteRecord(std::move(write));
 }
 
+void Gateway::setLimitRecord(UpstreamLimits::WriteRecord write)
+{
+    upstreamLimits_.setWriteRecord(std::move(write));
+}
+
 std::vector<OutgoingDigest> Gateway::dueCrashNews()
 {
     return crashes_.dueNews(digestHeader());
 }
 
+std::vector<OutgoingDigest> Gateway::dueLimitNews()
+{
+    return upstreamLimits_.dueNews(digestHeader(), BootClock::now());
+}
+
 Wire::LoadDigestT Gateway::digestHeader() const
 {
     Wire::LoadDigestT header;
@@ -329,8 +345,9 @@
         std::vector<const UpstreamRecord *> records;
         ServiceSummary summary;
         for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
-            // What cold upstreams bear goes to callers of the own region.
-            const bool keptBack = policy_.coldAtHome && records[candidate.index]->coldUntil > now;
+            // What cold upstreams bear, and those with a limit take, goes to callers of the own region.
+            const bool cold = policy_.coldAtHome && records[candidate.index]->coldUntil > now;
+            const bool keptBack = cold || candidate.limited;
             if (candidate.barred == LossReason::None && !keptBack) {
                 summary.add(candidate);
             }
@@ -346,6 +363,7 @@
     saveRuns(now);
     crashes_.tick(now);
     regions_.tick(now);
+    upstreamLimits_.tick(now);
     shareRetries(now);
     cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing(), retryMembers_.ownListedSince() });
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -21,7 +21,9 @@
 #include "portpaddle/limits/organisation_limits.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/retries/retry_slice.h"
+#include "portpaddle/upstream_limits/upstream_limits.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -88,8 +90,12 @@
     void setOrders(const UpstreamOrders *orders);
     /// Keeps on the platform which requests are held; see CrashGuard.
     void setQuarantineRecord(CrashGuard::WriteRecord write);
+    /// Has the limits that upstreams name written to the platform.
+    void setLimitRecord(UpstreamLimits::WriteRecord write);
     /// What to tell other daemons of requests that upstreams ended under; call once in each interval.
     std::vector<OutgoingDigest> dueCrashNews();
+    /// The same of the limits that upstreams name.
+    std::vector<OutgoingDigest> dueLimitNews();
     /// Answers other daemons that ask for what the store told; must outlive the gateway.
     void setPeerQuestions(PeerQuestions *questions);
     /// A newer view was published.
@@ -171,6 +177,12 @@
     std::vector<std::uint64_t> membersOfOwnRegion() const;
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
+    std::vector<const std::string *> localUpstreams(const std::string &service) const;
+    /// When a request that begins to wait now gets its turn at an upstream with a limit; none where this daemon has no share.
+    std::optional<SteadyTime::duration> limitTurn(const std::string &service, SteadyTime now);
+    /// When a request that finds all upstreams held back by their limits may come again: spread, so that they do not come
+    /// together.
+    SteadyTime::duration limitReturn(const std::string &service, SteadyTime now);
     /// Daemons of the own region among which bounds of an upstream are divided: those listed or heard, whichever are more.
     unsigned daemonsSharing() const;
     Wire::DaemonPhase ownPhase() const;
@@ -202,8 +214,11 @@
     /// The configuration whose limits are in force.
     std::shared_ptr<const ServiceMap> limitsOf_;
     FleetNews news_;
-    /// Which cold upstreams are this daemon's where their bound cannot be divided.
-    SettledOwner coldOwner_;
+    /// Which upstreams are this daemon's where a bound cannot be divided among all.
+    SettledOwner owners_;
+    UpstreamLimits upstreamLimits_;
+    /// Requests that wait for their turn at an upstream with a limit, by service.
+    std::map<std::string, std::size_t> waitingForTurn_;
     /// Daemons of the own region in the view.
     unsigned listedInOwnRegion_ = 0;
     /// Upstreams of the own region by service; points into the view.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -57,14 +57,45 @@
         return LossReason::Full;
     }
     if (upstream.coldUntil > now && spec.coldPerSecond > 0) {
-        const bool owner = coldOwner_.owns(stableHash(upstream.id), now);
+        const bool owner = owners_.owns(stableHash(upstream.id), now);
         if (!cold_.allows(upstream.id, spec.coldPerSecond, owner, now)) {
             return LossReason::ShareSpent;
         }
     }
+    if (upstreamLimits_.isLimited(upstream.id, now) && !upstreamLimits_.allows(upstream.id, now)) {
+        return LossReason::UpstreamLimit;
+    }
     return LossReason::None;
 }
 
+std::vector<const std::string *> Gateway::localUpstreams(const std::string &service) const
+{
+    std::vector<const std::string *> ids;
+    const auto local = local_.find(service);
+    if (local != local_.end()) {
+        for (const UpstreamRecord *upstream : local->second) {
+            ids.push_back(&upstream->id);
+        }
+    }
+    return ids;
+}
+
+std::optional<SteadyTime::duration> Gateway::limitTurn(const std::string &service, SteadyTime now)
+{
+    const auto waiting = waitingForTurn_.find(service);
+    const std::size_t ahead = waiting == waitingForTurn_.end() ? 0 : waiting->second;
+    return upstreamLimits_.turn(localUpstreams(service), ahead, now);
+}
+
+SteadyTime::duration Gateway::limitReturn(const std::string &service, SteadyTime now)
+{
+    const std::vector<const std::string *> ids = localUpstreams(service);
+    const SteadyTime::duration interval = upstreamLimits_.interval(ids, now).value_or(SteadyTime::duration::zero());
+    const SteadyTime::duration turn = limitTurn(service, now).value_or(interval);
+    const std::chrono::duration<double> spread = random_.fraction() * interval;
+    return turn + std::chrono::duration_cast<SteadyTime::duration>(spread);
+}
+
 std::vector<UpstreamCandidate> Gateway::localCandidates(const std::string &service, const ServiceSpec &spec,
                                                         const PromptFacts &prompt, const std::vector<std::string> &tried,
                                                         std::vector<const UpstreamRecord *> &records, SteadyTime now)
@@ -80,6 +111,7 @@
         UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
         candidate.index = static_cast<std::uint32_t>(records.size());
         candidate.needsConnection = pool_.idle(id) == 0;
+        candidate.limited = upstreamLimits_.isLimited(id, now);
         const LossReason barred = bar(upstream, spec, now);
         if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
             candidate.barred = LossReason::AlreadyTried;
@@ -99,7 +131,7 @@
 {
     std::vector<HomeCandidate> homes;
     for (UpstreamCandidate &upstream : upstreams) {
-        if (upstream.barred == LossReason::None) {
+        if (upstream.barred == LossReason::None && !upstream.limited) {
             homes.push_back({ &upstream, upstreamKey(records[upstream.index]->id) });
         }
     }
@@ -116,6 +148,9 @@
     if (target.upstream && target.upstream->coldUntil > now) {
         cold_.take(target.upstream->id, now);
     }
+    if (target.upstream) {
+        upstreamLimits_.take(target.upstream->id, now);
+    }
     if (target.daemon) {
         regions_.sentAway(target.daemon->region, context.service, request.prompt);
     }
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -174,6 +174,7 @@
 {
     const std::shared_ptr<const FleetView> view = gateway_.view();
     send(gateway_.dueCrashNews());
+    send(gateway_.dueLimitNews());
     if (sharesWork(*view)) {
         sendNews();
         return;
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -30,6 +30,8 @@
     std::string answeringUpstream = "X-Upstream";
     /// An upstream says that it did not run the request.
     std::string notRun = "X-Not-Run";
+    /// In answers of an upstream in need: requests a second that it takes from all daemons together.
+    std::string upstreamLimit = "X-Upstream-Limit";
     std::string priority = "X-Priority";
     /// Set by daemons only; removed from what callers send.
     std::string memoryHold = "X-Memory-Hold";
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/gateway/load_digest.cpp
@@ -60,7 +60,8 @@
     const bool bounded = digest.upstreams.size() <= mostDigestUpstreams && digest.placed.size() <= mostDigestParts
         && digest.services.size() <= mostDigestServices && digest.limit_counts.size() <= mostDigestLimits
         && digest.limit_grants.size() <= mostDigestLimits && digest.limit_demands.size() <= mostDigestLimits
-        && digest.ended_under.size() <= mostDigestCrashes && digest.quarantined.size() <= mostDigestCrashes;
+        && digest.ended_under.size() <= mostDigestCrashes && digest.quarantined.size() <= mostDigestCrashes
+        && digest.upstream_limits.size() <= mostDigestUpstreamLimits;
     if (!bounded) {
         return Error{ ErrorCode::BadRequest, "load digest has too many entries", RunState::NotRun, {} };
     }
--- a/src/portpaddle/gateway/load_digest.h
+++ b/src/portpaddle/gateway/load_digest.h
@@ -22,6 +22,8 @@
 inline constexpr std::size_t mostDigestServices = 4;
 /// Requests in a digest that tells of nothing else.
 inline constexpr std::size_t mostDigestCrashes = 40;
+/// Upstreams in a digest that tells of nothing else.
+inline constexpr std::size_t mostDigestUpstreamLimits = 40;
 
 /// As many digests as it takes to tell everything, each to be sent in a datagram of its own. @p header has the sender, the
 /// sequence of the first digest, and what only that one tells.
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -79,6 +79,12 @@
         || wholeMs > request.wholeBoundMs;
 }
 
+/// What to tell of two reasons: a limit only where nothing else stands in the way.
+LossReason barredBy(LossReason before, LossReason reason)
+{
+    return reason == LossReason::UpstreamLimit && before != LossReason::NoCapacity ? before : reason;
+}
+
 /// A random delay of up to @p spreadMs.
 double blur(double spreadMs, RandomSource &random)
 {
@@ -163,7 +169,7 @@
     LossReason barred = LossReason::NoCapacity;
     for (const UpstreamCandidate &candidate : upstreams) {
         if (candidate.barred != LossReason::None) {
-            barred = candidate.barred;
+            barred = barredBy(barred, candidate.barred);
             continue;
         }
         const double predicted = predictedFirstTokenMs(candidate, request);
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -55,6 +55,8 @@
     double failureShare = 0;
     /// No kept connection is free.
     bool needsConnection = false;
+    /// It takes fewer requests for now than it could, whoever asks.
+    bool limited = false;
     /// Nothing may be sent there now.
     LossReason barred = LossReason::None;
 };
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -52,6 +52,11 @@
         || status == HttpStatus::unavailable;
 }
 
+bool isSigned(const http::fields &fields, const HeaderNames &names)
+{
+    return names.signature.empty() || !fields[names.signature].empty();
+}
+
 /// How many upstreams another daemon says that it asked; no value where it does not say, or says what cannot be.
 std::optional<unsigned> sendsTold(const http::fields &fields)
 {
@@ -213,6 +218,8 @@
     const std::optional<unsigned> relayedSends = sendsTold(fields);
     const bool notRun = !fields[names_.notRun].empty() || status == HttpStatus::misdirected
         || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
+    // Also what an upstream refuses tells how much it takes.
+    events.answered(readLimit(fields, names_.upstreamLimit), !notRun && isSigned(fields, names_));
     AttemptReport report;
     if (notRun) {
         std::string dropped;
@@ -309,8 +316,7 @@
 {
     const http::fields &fields = parser.get();
     const unsigned status = parser.get().result_int();
-    const bool signedAnswer = names_.signature.empty() || !fields[names_.signature].empty();
-    if (isSuccess(status) && (!signedAnswer || !fields[http::field::content_encoding].empty())) {
+    if (isSuccess(status) && (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty())) {
         return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is not the upstream's own");
     }
     if (promisesNotRun(status)) {
@@ -330,8 +336,7 @@
 Task<AttemptReport> UpstreamAttempt::passStream(Parser &parser, const AttemptEvents &events)
 {
     const http::fields &fields = parser.get();
-    const bool signedAnswer = names_.signature.empty() || !fields[names_.signature].empty();
-    if (!signedAnswer || !fields[http::field::content_encoding].empty()) {
+    if (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty()) {
         co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "answer is not the upstream's own");
     }
     NetError error;
--- a/src/portpaddle/routing/decision.h
+++ b/src/portpaddle/routing/decision.h
@@ -66,6 +66,7 @@
     ShareSpent,
     MarginNotReached,
     TooLate,
+    UpstreamLimit,
 };
 
 std::string_view nameOf(Verdict verdict);
--- /dev/null
+++ b/src/portpaddle/upstream_limits/limit_book.cpp
@@ -0,0 +1,102 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/upstream_limits/limit_book.h"
+
+#include <cmath>
+#include <utility>
+
+namespace Portpaddle {
+
+namespace {
+
+// Of the rate; daemons tell it in single precision.
+constexpr double sameRate = 0.001;
+// News are taken for younger than they are by the time that they travelled. Two daemons that tell each other the same must not
+// make it younger each time.
+constexpr std::chrono::milliseconds longestTravel{ 250 };
+
+} // namespace
+
+bool sameTerms(const KnownLimit &one, const KnownLimit &other)
+{
+    return one.ended == other.ended && (one.ended || std::abs(one.perSecond - other.perSecond) <= sameRate * one.perSecond);
+}
+
+LimitChange LimitBook::put(std::uint64_t upstream, KnownLimit limit)
+{
+    const auto [entry, added] = limits_.try_emplace(upstream, limit);
+    KnownLimit &known = entry->second;
+    const bool limitedBefore = !added && !known.ended;
+    if (!added && sameTerms(known, limit)) {
+        known.saidAt = limit.saidAt;
+        return LimitChange::None;
+    }
+    if (limit.ended) {
+        limit.perSecond = limitedBefore ? known.perSecond : limit.perSecond;
+    }
+    known = std::move(limit);
+    if (known.ended) {
+        return limitedBefore ? LimitChange::Ended : LimitChange::None;
+    }
+    return limitedBefore ? LimitChange::Changed : LimitChange::Named;
+}
+
+LimitChange LimitBook::named(std::uint64_t upstream, double perSecond, SteadyTime now)
+{
+    return put(upstream, { perSecond, false, now, now, "answer" });
+}
+
+// An answer to a request that was on its way when the limit was named may be older than the answer that named it.
+LimitChange LimitBook::answeredWithout(std::uint64_t upstream, SteadyTime sentAt, SteadyTime now)
+{
+    const KnownLimit *known = find(upstream);
+    if (known == nullptr || known->ended || sentAt <= known->saidAt) {
+        return LimitChange::None;
+    }
+    return put(upstream, { known->perSecond, true, now, now, "answer" });
+}
+
+LimitChange LimitBook::told(std::uint64_t upstream, const KnownLimit &limit, SteadyTime now)
+{
+    const KnownLimit *known = find(upstream);
+    if (known == nullptr && limit.ended) {
+        return LimitChange::None;
+    }
+    const bool newer = known == nullptr || limit.saidAt > known->saidAt;
+    const bool barelyNewer = known != nullptr && sameTerms(*known, limit) && limit.saidAt <= known->saidAt + longestTravel;
+    if (!newer || barelyNewer) {
+        return LimitChange::None;
+    }
+    KnownLimit taken = limit;
+    taken.since = now;
+    return put(upstream, std::move(taken));
+}
+
+LimitChange LimitBook::stored(std::uint64_t upstream, double perSecond, SteadyTime now)
+{
+    const KnownLimit *known = find(upstream);
+    const bool onlyStored = known == nullptr || known->saidAt == SteadyTime{};
+    if (!onlyStored || (known == nullptr && perSecond <= 0)) {
+        return LimitChange::None;
+    }
+    return put(upstream, { perSecond, perSecond <= 0, now, SteadyTime{}, "platform" });
+}
+
+const KnownLimit *LimitBook::find(std::uint64_t upstream) const
+{
+    const auto found = limits_.find(upstream);
+    return found == limits_.end() ? nullptr : &found->second;
+}
+
+const std::unordered_map<std::uint64_t, KnownLimit> &LimitBook::all() const
+{
+    return limits_;
+}
+
+void LimitBook::forget(std::uint64_t upstream)
+{
+    limits_.erase(upstream);
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/upstream_limits/limit_pace.cpp
@@ -0,0 +1,57 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/upstream_limits/limit_pace.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Portpaddle {
+
+namespace {
+
+// A request that comes a little late must not slow down the next one; two at once would make bursts of many daemons add up.
+constexpr double mostTokens = 1.5;
+
+} // namespace
+
+LimitPace::LimitPace(SteadyTime now) : filledAt_(now)
+{
+}
+
+void LimitPace::setRate(double perSecond, SteadyTime now)
+{
+    tokens_ = std::min(mostTokens, tokens_ + perSecond_ * inSeconds(now - filledAt_));
+    filledAt_ = now;
+    perSecond_ = perSecond;
+    // Whoever has no share any more starts from nothing when it has one again: others spent it meanwhile.
+    tokens_ = perSecond > 0 ? tokens_ : 0;
+}
+
+bool LimitPace::ready() const
+{
+    return tokens_ >= 1;
+}
+
+void LimitPace::take()
+{
+    tokens_ -= 1;
+}
+
+SteadyTime::duration LimitPace::wait() const
+{
+    if (ready()) {
+        return SteadyTime::duration::zero();
+    }
+    if (perSecond_ <= 0) {
+        return SteadyTime::duration::max();
+    }
+    return std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>((1 - tokens_) / perSecond_));
+}
+
+double LimitPace::perSecond() const
+{
+    return perSecond_;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -34,6 +34,8 @@
 
 struct EndedUnder;
 
+struct UpstreamLimit;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -84,35 +86,38 @@
   Sum = 2,
   Region = 3,
   Crashes = 4,
+  UpstreamLimits = 5,
   MIN = Direct,
-  MAX = Crashes
+  MAX = UpstreamLimits
 };
 
-inline const DigestKind (&EnumValuesDigestKind())[5] {
+inline const DigestKind (&EnumValuesDigestKind())[6] {
   static const DigestKind values[] = {
     DigestKind::Direct,
     DigestKind::Report,
     DigestKind::Sum,
     DigestKind::Region,
-    DigestKind::Crashes
+    DigestKind::Crashes,
+    DigestKind::UpstreamLimits
   };
   return values;
 }
 
 inline const char * const *EnumNamesDigestKind() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "Direct",
     "Report",
     "Sum",
     "Region",
     "Crashes",
+    "UpstreamLimits",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDigestKind(DigestKind e) {
-  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::Crashes)) return "";
+  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::UpstreamLimits)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDigestKind()[index];
 }
@@ -441,6 +446,54 @@
 };
 FLATBUFFERS_STRUCT_END(EndedUnder, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  float per_second_;
+  uint32_t age_ms_;
+  uint8_t ended_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  UpstreamLimit()
+      : upstream_(0),
+        per_second_(0),
+        age_ms_(0),
+        ended_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  UpstreamLimit(uint64_t _upstream, float _per_second, uint32_t _age_ms, bool _ended)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        per_second_(flatbuffers::EndianScalar(_per_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        ended_(flatbuffers::EndianScalar(static_cast<uint8_t>(_ended))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  float per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool ended() const {
+    return flatbuffers::EndianScalar(ended_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamLimit, 24);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -567,6 +620,7 @@
   std::vector<Portpaddle::Wire::LimitDemand> limit_demands{};
   std::vector<Portpaddle::Wire::EndedUnder> ended_under{};
   std::vector<Portpaddle::Wire::RequestDigest> quarantined{};
+  std::vector<Portpaddle::Wire::UpstreamLimit> upstream_limits{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -593,7 +647,8 @@
     VT_LIMIT_GRANTS = 30,
     VT_LIMIT_DEMANDS = 32,
     VT_ENDED_UNDER = 34,
-    VT_QUARANTINED = 36
+    VT_QUARANTINED = 36,
+    VT_UPSTREAM_LIMITS = 38
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -646,6 +701,9 @@
   const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_QUARANTINED);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *upstream_limits() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *>(VT_UPSTREAM_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -678,6 +736,8 @@
            verifier.VerifyVector(ended_under()) &&
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
+           VerifyOffset(verifier, VT_UPSTREAM_LIMITS) &&
+           verifier.VerifyVector(upstream_limits()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -740,6 +800,9 @@
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined) {
     fbb_.AddOffset(LoadDigest::VT_QUARANTINED, quarantined);
   }
+  void add_upstream_limits(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> upstream_limits) {
+    fbb_.AddOffset(LoadDigest::VT_UPSTREAM_LIMITS, upstream_limits);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -769,10 +832,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitGrant *>> limit_grants = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *>> limit_demands = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *>> ended_under = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> upstream_limits = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_upstream_limits(upstream_limits);
   builder_.add_quarantined(quarantined);
   builder_.add_ended_under(ended_under);
   builder_.add_limit_demands(limit_demands);
@@ -809,7 +874,8 @@
     const std::vector<Portpaddle::Wire::LimitGrant> *limit_grants = nullptr,
     const std::vector<Portpaddle::Wire::LimitDemand> *limit_demands = nullptr,
     const std::vector<Portpaddle::Wire::EndedUnder> *ended_under = nullptr,
-    const std::vector<Portpaddle::Wire::RequestDigest> *quarantined = nullptr) {
+    const std::vector<Portpaddle::Wire::RequestDigest> *quarantined = nullptr,
+    const std::vector<Portpaddle::Wire::UpstreamLimit> *upstream_limits = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -822,6 +888,7 @@
   auto limit_demands__ = limit_demands ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitDemand>(*limit_demands) : 0;
   auto ended_under__ = ended_under ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::EndedUnder>(*ended_under) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*quarantined) : 0;
+  auto upstream_limits__ = upstream_limits ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamLimit>(*upstream_limits) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -840,7 +907,8 @@
       limit_grants__,
       limit_demands__,
       ended_under__,
-      quarantined__);
+      quarantined__,
+      upstream_limits__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -896,7 +964,8 @@
         limit_grants(o.limit_grants),
         limit_demands(o.limit_demands),
         ended_under(o.ended_under),
-        quarantined(o.quarantined) {
+        quarantined(o.quarantined),
+        upstream_limits(o.upstream_limits) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -919,6 +988,7 @@
   std::swap(limit_demands, o.limit_demands);
   std::swap(ended_under, o.ended_under);
   std::swap(quarantined, o.quarantined);
+  std::swap(upstream_limits, o.upstream_limits);
   return *this;
 }
 
@@ -948,6 +1018,7 @@
   { auto _e = limit_demands(); if (_e) { _o->limit_demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_demands[_i] = *_e->Get(_i); } } }
   { auto _e = ended_under(); if (_e) { _o->ended_under.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended_under[_i] = *_e->Get(_i); } } }
   { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = *_e->Get(_i); } } }
+  { auto _e = upstream_limits(); if (_e) { _o->upstream_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstream_limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -975,6 +1046,7 @@
   auto _limit_demands = _o->limit_demands.size() ? _fbb.CreateVectorOfStructs(_o->limit_demands) : 0;
   auto _ended_under = _o->ended_under.size() ? _fbb.CreateVectorOfStructs(_o->ended_under) : 0;
   auto _quarantined = _o->quarantined.size() ? _fbb.CreateVectorOfStructs(_o->quarantined) : 0;
+  auto _upstream_limits = _o->upstream_limits.size() ? _fbb.CreateVectorOfStructs(_o->upstream_limits) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -993,7 +1065,8 @@
       _limit_grants,
       _limit_demands,
       _ended_under,
-      _quarantined);
+      _quarantined,
+      _upstream_limits);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/tests/gateway/crash_guard_tests.cpp
+++ b/tests/gateway/crash_guard_tests.cpp
@@ -12,7 +12,7 @@
 #include "portpaddle/crashes/crash_news.h"
 #include "portpaddle/crashes/crash_watch.h"
 #include "portpaddle/crashes/quarantine.h"
-#include "portpaddle/crashes/quarantine_writer.h"
+#include "portpaddle/crashes/quarantine_record.h"
 #include "portpaddle/crashes/survivors.h"
 #include "portpaddle/gateway/load_digest.h"
 
@@ -261,22 +261,24 @@
     }
 }
 
-TEST_CASE("Quarantine writer, store away at first, writes under a lease when it is back")
+TEST_CASE("Record writer, store away at first, writes under a lease when it is back")
 {
     ScriptedStore store;
     store.setFailing(true);
-    QuarantineWriter writer(store);
+    RecordWriter writer(store);
     writer.start();
-    writer.write(bad);
+    const LeasedRecord record = quarantineRecord(bad);
+    CHECK(requestHeldBy(record.key) == bad);
+    writer.write(record);
     while (store.calls() == 0) {
         std::this_thread::yield();
     }
     store.setFailing(false);
-    while (!store.has(quarantineRecordPrefix + bad.hex())) {
+    while (!store.has(record.key)) {
         std::this_thread::yield();
     }
     store.endAllLeases();
-    CHECK_FALSE(store.has(quarantineRecordPrefix + bad.hex()));
+    CHECK_FALSE(store.has(record.key));
 }
 
 TEST_CASE_FIXTURE(HeldSite, "Request that is held, of a caller or another daemon, is refused unsent with a time to return")
--- a/tests/gateway/upstream_limit_tests.cpp
+++ b/tests/gateway/upstream_limit_tests.cpp
@@ -1,9 +1,12 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// What users saw: upstreams in need named in their answers how many requests a second they take from all daemons together, and got
-// several times as many: 53 in four seconds from one that had named 2 a second.
+// What users saw: upstreams in need named in their answers how many requests a second they take from all daemons together, and
+// got several times as many: 53 in four seconds from one that had named 2 a second. Nothing read what they named. Evidence: of
+// four engines of one region the two that named limits got 52 and 55 requests in the worst four seconds, the two others 56 and
+// 61; all daemons sent to all of them, before and after the naming alike.
 
+#include "portpaddle/routing/rendezvous.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 #include "support/suspended_clock.h"
@@ -30,8 +33,19 @@
     return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n" + limitHeader(value) + "Content-Length: 0\r\n\r\n";
 }
 
-/// Two upstreams, of which the first is given the lines of its answers by the test, and a daemon that has been on the list for some
-/// seconds.
+/// What a daemon of @p region tells of @p upstream.
+Wire::LoadDigestT newsOf(const std::string &upstream, const std::string &region)
+{
+    Wire::LoadDigestT digest;
+    digest.daemon = "other";
+    digest.region = region;
+    digest.kind = Wire::DigestKind::UpstreamLimits;
+    digest.upstream_limits.emplace_back(stableHash(upstream), 0.05F, 100, false);
+    return digest;
+}
+
+/// Two upstreams, of which the first is given the lines of its answers by the test, and a daemon that has been on the list for
+/// some seconds.
 class LimitedUpstreamFixture : public GatewaySite
 {
 public:
@@ -104,7 +118,8 @@
     CHECK(arrivalsOf(50) <= 1);
 }
 
-TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream that names a limit while it refuses, many requests, gets no more than it takes")
+TEST_CASE_FIXTURE(LimitedUpstreamFixture,
+                  "Upstream that names a limit while it refuses, many requests, gets no more than it takes")
 {
     refuses = true;
     askUntilItAnswered();
@@ -124,3 +139,73 @@
     CHECK(refused.body.find("upstream_limit") != std::string::npos);
     CHECK(only.seen().size() <= 2);
 }
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream that names what is no rate, many requests, is asked as before")
+{
+    answerWith(limitHeader("many") + limitHeader("-1") + limitHeader("nan"));
+    askUntilItAnswered();
+    CHECK(arrivalsOf(50) >= 10);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream with a limit, later answer without one, is asked again step by step")
+{
+    answerWith(limitHeader("0.05"));
+    askUntilItAnswered();
+    answerWith({});
+    passes(25s);
+    CHECK(arrivalsOf(50) <= 2);
+    passes(10s);
+    CHECK(arrivalsOf(50) >= 10);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream with a limit, daemon of its region that heard of it, is not asked")
+{
+    onLoop([](Gateway &gateway) { gateway.takeDigest(newsOf("u1", "north")); });
+    CHECK(arrivalsOf(50) == 0);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture,
+                  "Upstream with a limit by a daemon of another region, many requests, is asked as before")
+{
+    onLoop([](Gateway &gateway) { gateway.takeDigest(newsOf("u1", "south")); });
+    CHECK(arrivalsOf(50) >= 10);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream with a limit, its next life, has named nothing")
+{
+    answerWith(limitHeader("0.05"));
+    askUntilItAnswered();
+    answerWith({});
+    removeUpstream("u1");
+    removeUpstream("u2");
+    addUpstream("u3", limited.address());
+    CHECK(arrivalsOf(50) == 50);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Limit named by a caller, many requests, concerns nobody")
+{
+    for (unsigned count = 0; count < 20; ++count) {
+        ask("/plain/a", "caller" + std::to_string(count), limitHeader("0.05"));
+    }
+    CHECK(arrivalsOf(50) >= 10);
+}
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream with a limit, what other regions are told, is no capacity")
+{
+    const auto told = [this] {
+        unsigned upstreams = 0;
+        onLoop([&upstreams](Gateway &gateway) {
+            for (const Wire::LoadDigestT &digest : gateway.digests(DigestReach::OtherRegions)) {
+                for (const Wire::ServiceWait &service : digest.services) {
+                    upstreams += service.upstreams();
+                }
+            }
+        });
+        return upstreams;
+    };
+    CHECK(told() == 2);
+    answerWith(limitHeader("40"));
+    askUntilItAnswered();
+    passes(5s);
+    CHECK(told() == 1);
+}
--- a/tests/soak/upstream_limits_tests.py
+++ b/tests/soak/upstream_limits_tests.py
@@ -41,7 +41,7 @@
         app.router.add_route("*", "/{tail:.*}", self.serve)
         self.runner = web.AppRunner(app, access_log=None)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, self.fleet.host, 0)
+        site = web.TCPSite(self.runner, self.fleet.host, 0, backlog=1024)  # all daemons connect at once
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
         self.fleet.store.write(f"servers/{self.name}", {
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -229,6 +229,12 @@
     onLoop([](Gateway &) {});
 }
 
+void GatewaySite::removeUpstream(const std::string &id)
+{
+    keeper_->removeUpstream(id, BootClock::now());
+    onLoop([](Gateway &) {});
+}
+
 void GatewaySite::addColdUpstream(const std::string &id, const std::string &address)
 {
     UpstreamRecord record = makeUpstream(id, address);
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -72,6 +72,7 @@
     ~GatewaySite();
 
     void addUpstream(const std::string &id, const std::string &address);
+    void removeUpstream(const std::string &id);
     /// One that bears few requests a second for a minute.
     void addColdUpstream(const std::string &id, const std::string &address);
     /// A daemon of another region that tells of an idle upstream there, which keeps the prompt of a request with @p headers.
