Owners of what cannot be divided: daemons that fell silent own nothing; gateway's news in a file of its own

An upstream whose only holder of a limit, or whose owner while it is cold, has died got nothing until the record of that daemon had lapsed and 3 s more: up to 18 s in which it can say nothing either. The list of owners leaves out who is not heard now. Two daemons that do not hear each other may both own: that was so for cut daemons before, and owners of cold upstreams send half of the bound for it. The test of a silent owner fails without the change (refused 14 s after it was listed) and passes with it.

--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/routing/rendezvous.h"
 
 #include <utility>
 
@@ -15,8 +16,6 @@
 
 // Upstreams are one network hop away: one that is there answers within milliseconds.
 constexpr Millis connectTimeout{ 400 };
-// A connection that was opened only to ask is kept for the next request; the shortest idle bounds of common servers are 5 s.
-constexpr Millis keepTime{ 4'000 };
 // After so many a request is held. One upstream may end under a request by chance: another request ended it, or its machine.
 // While the news travel more of them end: 2 in all under a request that comes every quarter of a second, where a hold after three
 // ends lets 3 to 6 end; of some 1,400 harmless requests beside it none was lost, in place of 7 (three daemons, five seeds). None
@@ -68,7 +67,7 @@
     std::unique_ptr<UpstreamConnection> connection = co_await pool_.connect(upstream, address, connectTimeout, &opening, error);
     const SteadyTime now = BootClock::now();
     if (connection) {
-        connection->usableUntil = now + keepTime;
+        connection->usableUntil = now + defaultKeep;
         pool_.keep(upstream, std::move(connection));
         watch_.lives(upstream);
     } else if (error == boost::asio::error::connection_refused) {
@@ -93,8 +92,8 @@
     }
     logEvent(LogEvent::UpstreamEnded, { { "upstream", upstream }, { "requests", std::to_string(suspects.size()) } });
     for (const RequestFingerprint &suspect : suspects) {
-        news_.endedUnder(suspect, lifeKey(upstream));
-        count(suspect, lifeKey(upstream), now);
+        news_.endedUnder(suspect, stableHash(upstream));
+        count(suspect, stableHash(upstream), now);
     }
 }
 
--- a/src/portpaddle/crashes/crash_news.cpp
+++ b/src/portpaddle/crashes/crash_news.cpp
@@ -51,11 +51,6 @@
 
 } // namespace
 
-std::uint64_t lifeKey(std::string_view upstream)
-{
-    return stableHash(upstream);
-}
-
 Wire::RequestDigest toWire(const RequestFingerprint &request)
 {
     return { request.high, request.low };
--- a/src/portpaddle/crashes/crash_news.h
+++ b/src/portpaddle/crashes/crash_news.h
@@ -14,8 +14,6 @@
 
 namespace Portpaddle {
 
-/// The key under which digests name a life of an upstream.
-std::uint64_t lifeKey(std::string_view upstream);
 Wire::RequestDigest toWire(const RequestFingerprint &request);
 RequestFingerprint fromWire(const Wire::RequestDigest &request);
 
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -5,12 +5,6 @@
 
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/exchange.h"
-#include "portpaddle/gateway/fetch_offers.h"
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/prompt_homes.h"
-#include "portpaddle/gateway/service_summary.h"
-#include "portpaddle/gateway/state_exchange.h"
-#include "portpaddle/limits/limit_news.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
@@ -186,9 +180,7 @@
     regions_.setDaemons(*view_, now);
     news_.setView(view_);
     setLimits(now);
-    std::vector<std::uint64_t> members = membersOfOwnRegion();
-    listedInOwnRegion_ = static_cast<unsigned>(members.size());
-    owners_.setMembers(std::move(members), now);
+    chooseOwners(now);
     upstreamLimits_.setView(view_, now);
     listedInOwnDataCentre_.clear();
     for (const DaemonRecord &daemon : view_->daemons) {
@@ -219,72 +211,6 @@
     }
 }
 
-void Gateway::setDigestInterval(std::chrono::milliseconds interval)
-{
-    regions_.setDigestInterval(interval);
-}
-
-void Gateway::takeDigest(const Wire::LoadDigestT &digest)
-{
-    const SteadyTime now = BootClock::now();
-    if (digest.daemon == identity_.id) {
-        return;
-    }
-    if (digest.kind == Wire::DigestKind::Crashes) {
-        crashes_.takeNews(digest, now);
-        return;
-    }
-    if (digest.kind == Wire::DigestKind::UpstreamLimits) {
-        upstreamLimits_.takeNews(digest, now);
-        return;
-    }
-    regions_.takeDigest(digest, now);
-    if (digest.kind != Wire::DigestKind::Direct) {
-        news_.take(digest, now);
-    } else if (digest.region == identity_.region) {
-        loads_.takeDigest(digest, now);
-        organisationLimits_.takeCounts(digest.daemon, digest.limit_counts, now);
-    } else {
-        organisationLimits_.takeDemands(digest.region, digest.limit_demands, now);
-    }
-}
-
-void Gateway::beginDigestRound(DigestReach reach)
-{
-    roundParts_.at(static_cast<std::size_t>(reach)) = loads_.takePlaced(reach);
-}
-
-std::vector<Wire::LoadDigestT> Gateway::digests(DigestReach reach)
-{
-    const SteadyTime now = BootClock::now();
-    Wire::LoadDigestT header = digestHeader();
-    header.sequence = digestSequence_ + 1;
-    addServiceWaits(header, now);
-    const auto shares = reach == DigestReach::OwnRegion ? loads_.shares(now) : std::vector<Wire::UpstreamShare>{};
-    std::vector<Wire::LoadDigestT> result = splitIntoDigests(header, shares, roundParts_.at(static_cast<std::size_t>(reach)));
-    const auto all = [](std::uint32_t) { return true; };
-    LimitNews limits;
-    if (reach == DigestReach::OwnRegion) {
-        limits.counts = organisationLimits_.counts(all, now);
-    } else {
-        limits.demands = organisationLimits_.demands(all, now);
-    }
-    attachLimits(result, header, std::move(limits));
-    digestSequence_ += result.size();
-    return result;
-}
-
-std::vector<OutgoingDigest> Gateway::dueNews(std::size_t turn)
-{
-    const SteadyTime now = BootClock::now();
-    const auto addWaits = [this, now](Wire::LoadDigestT &digest) { addServiceWaits(digest, now); };
-    std::vector<OutgoingDigest> due = news_.due(turn, digestHeader(), addWaits, now);
-    for (OutgoingDigest &outgoing : due) {
-        outgoing.digest.sequence = ++digestSequence_;
-    }
-    return due;
-}
-
 void Gateway::setQuarantineRecord(CrashGuard::WriteRecord write)
 {
     crashes_.setWriteRecord(std::move(write));
@@ -295,65 +221,27 @@
     upstreamLimits_.setWriteRecord(std::move(write));
 }
 
-std::vector<OutgoingDigest> Gateway::dueCrashNews()
-{
-    return crashes_.dueNews(digestHeader());
-}
-
-std::vector<OutgoingDigest> Gateway::dueLimitNews()
-{
-    return upstreamLimits_.dueNews(digestHeader(), BootClock::now());
-}
-
-Wire::LoadDigestT Gateway::digestHeader() const
-{
-    Wire::LoadDigestT header;
-    header.daemon = identity_.id;
-    header.region = identity_.region;
-    header.phase = ownPhase();
-    header.config_version = view_->services ? view_->services->version : 0;
-    return header;
-}
-
 unsigned Gateway::daemonsSharing() const
 {
     // A daemon that has just started has heard nobody yet, one that is cut off from the store may hear more than are listed.
     return std::max(regions_.daemonsInOwnRegion(), listedInOwnRegion_) + spareDaemons;
 }
 
-std::vector<std::uint64_t> Gateway::membersOfOwnRegion() const
+/// A record outlives its daemon by the rest of a lease: an upstream whose owner has died would be sent nothing for that long.
+void Gateway::chooseOwners(SteadyTime now)
 {
     std::vector<std::uint64_t> members;
+    listedInOwnRegion_ = 0;
     for (const DaemonRecord &daemon : view_->daemons) {
-        if (daemon.region == identity_.region && !daemon.leaving) {
-            members.push_back(stableHash(daemon.id));
-        }
-    }
-    return members;
-}
-
-void Gateway::addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now)
-{
-    if (!view_->services) {
-        return;
-    }
-    const PromptFacts none;
-    for (const auto &[name, spec] : view_->services->services) {
-        if (digest.services.size() >= mostDigestServices) {
-            break;
+        if (daemon.region != identity_.region || daemon.leaving) {
+            continue;
         }
-        std::vector<const UpstreamRecord *> records;
-        ServiceSummary summary;
-        for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
-            // What cold upstreams bear, and those with a limit take, goes to callers of the own region.
-            const bool cold = policy_.coldAtHome && records[candidate.index]->coldUntil > now;
-            const bool keptBack = cold || candidate.limited;
-            if (candidate.barred == LossReason::None && !keptBack) {
-                summary.add(candidate);
-            }
+        ++listedInOwnRegion_;
+        if (daemon.id == identity_.id || !regions_.fellSilent(daemon.id, now)) {
+            members.push_back(stableHash(daemon.id));
         }
-        digest.services.push_back(summary.told(serviceKey(name)));
     }
+    owners_.setMembers(std::move(members), now);
 }
 
 void Gateway::tick()
@@ -363,6 +251,7 @@
     saveRuns(now);
     crashes_.tick(now);
     regions_.tick(now);
+    chooseOwners(now);
     upstreamLimits_.tick(now);
     shareRetries(now);
     cold_.setTerms({ terms_.coldOvershoot, terms_.coldSlack, daemonsSharing(), retryMembers_.ownListedSince() });
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -174,7 +174,8 @@
     /// Whether this daemon gathers for its region what @p organisation may spend.
     bool gathersLimitOf(std::uint32_t organisation, SteadyTime now) const;
     void setLimits(SteadyTime now);
-    std::vector<std::uint64_t> membersOfOwnRegion() const;
+    /// Which daemons of the own region may own what cannot be divided among all of them.
+    void chooseOwners(SteadyTime now);
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
     std::vector<const std::string *> localUpstreams(const std::string &service) const;
--- /dev/null
+++ b/src/portpaddle/gateway/gateway_news.cpp
@@ -0,0 +1,123 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// What a gateway tells other daemons, and what it takes from what they tell.
+
+#include "portpaddle/gateway/gateway.h"
+#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/gateway/service_summary.h"
+#include "portpaddle/limits/limit_news.h"
+
+namespace Portpaddle {
+
+void Gateway::setDigestInterval(std::chrono::milliseconds interval)
+{
+    regions_.setDigestInterval(interval);
+}
+
+void Gateway::takeDigest(const Wire::LoadDigestT &digest)
+{
+    const SteadyTime now = BootClock::now();
+    if (digest.daemon == identity_.id) {
+        return;
+    }
+    if (digest.kind == Wire::DigestKind::Crashes) {
+        crashes_.takeNews(digest, now);
+        return;
+    }
+    if (digest.kind == Wire::DigestKind::UpstreamLimits) {
+        upstreamLimits_.takeNews(digest, now);
+        return;
+    }
+    regions_.takeDigest(digest, now);
+    if (digest.kind != Wire::DigestKind::Direct) {
+        news_.take(digest, now);
+    } else if (digest.region == identity_.region) {
+        loads_.takeDigest(digest, now);
+        organisationLimits_.takeCounts(digest.daemon, digest.limit_counts, now);
+    } else {
+        organisationLimits_.takeDemands(digest.region, digest.limit_demands, now);
+    }
+}
+
+void Gateway::beginDigestRound(DigestReach reach)
+{
+    roundParts_.at(static_cast<std::size_t>(reach)) = loads_.takePlaced(reach);
+}
+
+std::vector<Wire::LoadDigestT> Gateway::digests(DigestReach reach)
+{
+    const SteadyTime now = BootClock::now();
+    Wire::LoadDigestT header = digestHeader();
+    header.sequence = digestSequence_ + 1;
+    addServiceWaits(header, now);
+    const auto shares = reach == DigestReach::OwnRegion ? loads_.shares(now) : std::vector<Wire::UpstreamShare>{};
+    std::vector<Wire::LoadDigestT> result = splitIntoDigests(header, shares, roundParts_.at(static_cast<std::size_t>(reach)));
+    const auto all = [](std::uint32_t) { return true; };
+    LimitNews limits;
+    if (reach == DigestReach::OwnRegion) {
+        limits.counts = organisationLimits_.counts(all, now);
+    } else {
+        limits.demands = organisationLimits_.demands(all, now);
+    }
+    attachLimits(result, header, std::move(limits));
+    digestSequence_ += result.size();
+    return result;
+}
+
+std::vector<OutgoingDigest> Gateway::dueNews(std::size_t turn)
+{
+    const SteadyTime now = BootClock::now();
+    const auto addWaits = [this, now](Wire::LoadDigestT &digest) { addServiceWaits(digest, now); };
+    std::vector<OutgoingDigest> due = news_.due(turn, digestHeader(), addWaits, now);
+    for (OutgoingDigest &outgoing : due) {
+        outgoing.digest.sequence = ++digestSequence_;
+    }
+    return due;
+}
+
+std::vector<OutgoingDigest> Gateway::dueCrashNews()
+{
+    return crashes_.dueNews(digestHeader());
+}
+
+std::vector<OutgoingDigest> Gateway::dueLimitNews()
+{
+    return upstreamLimits_.dueNews(digestHeader(), BootClock::now());
+}
+
+Wire::LoadDigestT Gateway::digestHeader() const
+{
+    Wire::LoadDigestT header;
+    header.daemon = identity_.id;
+    header.region = identity_.region;
+    header.phase = ownPhase();
+    header.config_version = view_->services ? view_->services->version : 0;
+    return header;
+}
+
+void Gateway::addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now)
+{
+    if (!view_->services) {
+        return;
+    }
+    const PromptFacts none;
+    for (const auto &[name, spec] : view_->services->services) {
+        if (digest.services.size() >= mostDigestServices) {
+            break;
+        }
+        std::vector<const UpstreamRecord *> records;
+        ServiceSummary summary;
+        for (const UpstreamCandidate &candidate : localCandidates(name, spec, none, {}, records, now)) {
+            // What cold upstreams bear, and those with a limit take, goes to callers of the own region.
+            const bool cold = policy_.coldAtHome && records[candidate.index]->coldUntil > now;
+            const bool keptBack = cold || candidate.limited;
+            if (candidate.barred == LossReason::None && !keptBack) {
+                summary.add(candidate);
+            }
+        }
+        digest.services.push_back(summary.told(serviceKey(name)));
+    }
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t mostWholeBytes = 8 * 1024 * 1024;
 // Of a surplus or refused answer that is read only to be dropped.
 constexpr std::size_t mostDroppedBytes = 64 * 1024;
-// How long a connection is kept where the upstream does not say; the shortest idle bounds of common servers are 5 s.
-constexpr std::chrono::milliseconds defaultKeep{ 4'000 };
 // A connection is given up this long before the upstream may close it.
 constexpr std::chrono::milliseconds keepMargin{ 1'000 };
 
--- a/src/portpaddle/gateway/upstream_connection.h
+++ b/src/portpaddle/gateway/upstream_connection.h
@@ -15,6 +15,9 @@
 
 namespace Portpaddle {
 
+/// How long a connection is kept where the upstream does not say; the shortest idle bounds of common servers are 5 s.
+inline constexpr std::chrono::milliseconds defaultKeep{ 4'000 };
+
 /// Bytes of one answer that may be buffered unparsed.
 inline constexpr std::size_t mostUnparsedBytes = 128 * 1024;
 
--- a/tests/gateway/upstream_limit_tests.cpp
+++ b/tests/gateway/upstream_limit_tests.cpp
@@ -78,6 +78,18 @@
         return ask("/plain/a", "id" + std::to_string(++asked_));
     }
 
+    /// A daemon of the region that stands before this one for @p upstream.
+    void addDaemonRankedFirst(const std::string &upstream)
+    {
+        const auto draw
+            = [&upstream](const std::string &daemon) { return rendezvousDraw(stableHash(upstream), stableHash(daemon), 1); };
+        std::string id = "other";
+        while (draw(id) < draw("d")) {
+            id += "x";
+        }
+        addDaemon(id);
+    }
+
     /// How many of so many requests the limited upstream gets.
     std::size_t arrivalsOf(unsigned requests)
     {
@@ -209,3 +221,20 @@
     passes(5s);
     CHECK(told() == 1);
 }
+
+TEST_CASE_FIXTURE(LimitedUpstreamFixture, "Upstream with a limit, owner of it that fell silent, is asked by another daemon")
+{
+    removeUpstream("u2");
+    addDaemonRankedFirst("u1");
+    passes(2s);
+    answerWith(limitHeader("0.5"));
+    CHECK(askOnce().status == 200);
+    CHECK(askOnce().status == 503);
+    // Its record stands, but nothing was heard of it since it was listed.
+    passes(10s);
+    onLoop([](Gateway &gateway) { gateway.tick(); });
+    passes(4s);
+    CHECK(askOnce().status == 503);
+    passes(4s);
+    CHECK(askOnce().status == 200);
+}
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,6 +3,7 @@
 """What must hold, judged from what clients and upstreams see."""
 from collections import Counter, defaultdict
 
+from limits import NamedLimits
 from upstreams import event, stream_length, whole_body
 
 PROMISES = {408, 421, 429, 503}  # statuses that say: not run, and never will be
@@ -30,6 +31,7 @@
         self.runs = Counter()
         self.refused = {}
         self.tally = Counter()
+        self.limits = NamedLimits()
         self.failures = []
         self.closest = (0.0, "none")  # the window in which repeats came closest to their budget
         self.highest = {}  # daemon's life: newest configuration seen in force
@@ -46,6 +48,7 @@
     def reached(self, upstream, attempt):
         """Each arrival as the budget counts them: also one that is rejected, or that goes on with a run which was moved."""
         self.arrivals[attempt] += 1
+        self.limits.arrived(upstream.id, self.soak.now())
         if self.arrivals[attempt] > 1:
             self.repeats_at[upstream.service].append(self.soak.now())
 
--- a/tests/soak/checks_tests.py
+++ b/tests/soak/checks_tests.py
@@ -112,6 +112,28 @@
         self.checks.check_repeats()
         self.assertEqual(self.rules(), ["budget"])
 
+    def limited(self, arrivals, words=((0.0, 1.0),)):
+        for at, rate in words:
+            self.checks.limits.says("u-1", rate, at)
+        for at in arrivals:
+            self.checks.limits.arrived("u-1", at)
+        self.checks.limits.check(self.checks.fail)
+        return self.rules()
+
+    def test_more_requests_than_a_named_limit_tolerates(self):
+        self.assertEqual(self.limited([6 + number / 10 for number in range(11)]), [])
+        self.assertEqual(self.limited([7.5]), ["limit"])
+
+    def test_requests_before_daemons_can_know_of_a_limit(self):
+        self.assertEqual(self.limited([4.9] * 50 + [5.1] * 11), [])
+
+    def test_requests_after_a_limit_was_lowered(self):
+        self.assertEqual(self.limited([14 + number / 10 for number in range(20)], ((0.0, 4.0), (10.0, 1.0))), [])
+        self.assertEqual(self.limited([20 + number / 10 for number in range(12)]), ["limit"])
+
+    def test_requests_after_a_limit_has_ended(self):
+        self.assertEqual(self.limited([20.0] * 50, ((0.0, 1.0), (10.0, None))), [])
+
     def test_answer_lost_in_planned_work(self):
         self.arrive(self.engine, "a", ASK)
         self.checks.ran(self.engine, "a")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,9 @@
 # What presses on the budget of repeats: failing services, and daemons that forget, miss or hold up what was spent.
 PRESSING = ("spoil_service", "spoil_service", "kill_in_series", "power_loss", "kill_many", "pause", "stop", "join", "store_cut",
             "store_down", "link_silent", "upstream_leaves")
+# What presses on the limits that upstreams name: daemons that forget, miss or hold up, and upstreams that start again.
+LIMITING = ("name_limit", "name_limit", "name_limit", "name_limit", "kill_in_series", "power_loss", "kill", "kill_many", "pause", "stop",
+            "join", "store_cut", "store_down", "link_silent", "link_delay", "upstream_crash", "spoil")
 
 
 class Faults:
@@ -28,11 +31,13 @@
                       self.store_loses, self.store_refuses, self.store_cut, self.forget, self.link_delay, self.link_reset,
                       self.link_silent, self.entry_reset, self.spoil, self.upstream_crash, self.upstream_leaves,
                       self.upstream_vanishes, self.configure, self.storm, self.evacuate, self.kill_in_series, self.power_loss,
-                      self.join, self.spoil_service]
+                      self.join, self.spoil_service, self.name_limit]
         if soak.planned_only:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in PLANNED]
         if soak.options.press:
             self.kinds = [getattr(self, name) for name in PRESSING]
+        if soak.options.limits:
+            self.kinds = [getattr(self, name) for name in LIMITING]
 
     async def run(self, seconds):
         end = self.soak.now() + seconds
@@ -41,7 +46,7 @@
             kind = self.random.choice(self.kinds)
             self.counts[kind.__name__] += 1
             lasts = self.random.uniform(0.2, LONGEST)
-            if kind not in (self.configure, self.upstream_leaves, self.evacuate):
+            if kind not in (self.configure, self.upstream_leaves, self.evacuate, self.name_limit):
                 self.soak.disturb(lasts + 1)
             self.tasks.append(asyncio.create_task(kind(lasts)))
 
@@ -204,6 +209,19 @@
         if upstream.id == life:
             await upstream.begin(upstream.host, None)
 
+    async def name_limit(self, lasts):
+        """Names a limit, changes it at times and ends it, unless the upstream's life ends first."""
+        upstream = self.upstream()
+        life = upstream.id
+        if upstream.limit is not None:
+            return
+        for _ in range(self.random.randint(1, 3)):
+            upstream.name_limit(self.random.uniform(0.3, 6))
+            await asyncio.sleep(self.random.uniform(6, 10))
+            if upstream.id != life:
+                return
+        upstream.name_limit(None)
+
     # The operator.
     async def configure(self, lasts):
         self.soak.configure(drop_extra=self.random.random() < 0.3)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,7 +3,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Runs real daemons on loopback under a seeded schedule of faults and checks what callers and upstreams see.
 
-Usage: soak.py PROGRAM [--seed N] [--for SECONDS] [--daemons N] [--planned] [--press] [--no-timing] [--keep DIRECTORY]
+Usage: soak.py PROGRAM [--seed N] [--for SECONDS] [--daemons N] [--planned] [--press] [--limits] [--no-timing] [--keep DIRECTORY]
 """
 import argparse
 import asyncio
@@ -182,6 +182,7 @@
         await asyncio.wait(callers, timeout=HANG_BOUND)
         if self.timing:
             self.checks.check_repeats()
+            self.checks.limits.check(self.checks.fail)
         await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
         return faults
 
@@ -189,7 +190,7 @@
         print(f"seed {self.options.seed}: {self.attempts} requests, {sum(self.checks.runs.values())} runs, "
               f"answers {dict(self.checks.tally)}, faults {dict(faults.counts)}")
         if self.timing:
-            print(f"closest to the budget of repeats: {self.checks.closest[1]}")
+            print(f"closest to the budget of repeats: {self.checks.closest[1]}; to a named limit: {self.checks.limits.closest[1]}")
         for failure in self.checks.failures:
             print("FAILED", failure)
 
@@ -210,6 +211,7 @@
     parser.add_argument("--no-timing", dest="timing", action="store_false", help="leave out checks that depend on time")
     parser.add_argument("--planned", action="store_true", help="only work that must not cost a request")
     parser.add_argument("--press", action="store_true", help="only what presses on the budget of repeats")
+    parser.add_argument("--limits", action="store_true", help="only what presses on the limits that upstreams name")
     parser.add_argument("--keep", help="directory for logs; kept only when a check fails")
     return parser.parse_args()
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -38,6 +38,7 @@
         self.name = name
         self.proxy = None
         self.running = 0
+        self.limit = None  # requests a second that it names
         self.mode = None  # how answers are spoiled: errors, lost, torn, extra, shed, slow
         self.left_since = None  # when its leaving was written
         self.transports = set()
@@ -53,6 +54,7 @@
         self.life += 1
         self.left_since = None
         self.mode = None
+        self.limit = None
         if self.runner is None:
             app = web.Application(client_max_size=8 << 20)
             app.router.add_route("*", "/{tail:.*}", self.serve)
@@ -73,6 +75,11 @@
             "service": self.service, "address": f"{self.host}:{self.proxy.port}", "zone": self.data_centre, "version": "v1",
             "slots": FULL, "state": state, "coldRemainingMs": 0, "sequence": self.life})
 
+    def name_limit(self, rate):
+        """From now on; None ends it."""
+        self.limit = rate
+        self.soak.checks.limits.says(self.id, rate, self.soak.now())
+
     def crash(self):
         for transport in list(self.transports):
             transport.abort()
@@ -88,6 +95,8 @@
         expected = request.headers.get("Portpaddle-Expected-Instance")
         self.soak.checks.reached(self, attempt)
         head = {"Portpaddle-Attempt-Id": attempt, "Keep-Alive": "timeout=5"}
+        if self.limit is not None:
+            head["Server-Limit"] = f"{self.limit:.2f}"
         if expected not in (None, self.id):
             return web.Response(status=421, headers={**head, "Portpaddle-Not-Executed": "1"})
         body = await request.read()
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -270,6 +270,16 @@
     });
 }
 
+void GatewaySite::addDaemon(const std::string &id)
+{
+    DaemonRecord record;
+    record.id = id;
+    record.region = "north";
+    record.dataCentre = "north-1";
+    keeper_->changeDaemon(record);
+    onLoop([](Gateway &) {});
+}
+
 void GatewaySite::removeDaemon(const std::string &id)
 {
     keeper_->removeDaemon(id, BootClock::now());
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -78,6 +78,8 @@
     /// A daemon of another region that tells of an idle upstream there, which keeps the prompt of a request with @p headers.
     void addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
                          const std::string &headers);
+    /// One of the own region.
+    void addDaemon(const std::string &id);
     void removeDaemon(const std::string &id);
     /// The upstream takes no more requests and is gone in a moment.
     void announceEnd(const std::string &id, const std::string &address);
