--- a/src/portpaddle/upstream_limits/limit_teller.cpp
+++ b/src/portpaddle/upstream_limits/limit_teller.cpp
@@ -3,14 +3,24 @@
 
 #include "portpaddle/upstream_limits/limit_teller.h"
 
+#include <algorithm>
+
 namespace Portpaddle {
 
 namespace {
 
 // Of ten datagrams one may be lost: all three are lost once in a thousand times.
 constexpr unsigned timesTold = 3;
-// A daemon that starts is told within this time; that is less than it takes to become known to callers.
-constexpr std::chrono::milliseconds tellInterval{ 300 };
+// Whoever missed what was told hears it again within this time.
+constexpr std::chrono::milliseconds shortestInterval{ 300 };
+// What one daemon sends for an upstream must not grow with their number: 50 datagrams a second.
+constexpr std::chrono::milliseconds intervalOfMember{ 20 };
+
+std::chrono::milliseconds intervalFor(const TellerPlace &place)
+{
+    const std::chrono::milliseconds each = intervalOfMember * static_cast<int>(place.members);
+    return std::max(shortestInterval, each) * static_cast<int>(place.rank + 1);
+}
 
 } // namespace
 
@@ -26,10 +36,10 @@
 
 // One daemon goes on telling. Each of the others waits for as many intervals as there are daemons before it, so that the next one
 // takes over when those fall silent, and nobody has to be chosen.
-bool LimitTeller::due(std::uint64_t upstream, std::size_t rank, SteadyTime now)
+bool LimitTeller::due(std::uint64_t upstream, const TellerPlace &place, SteadyTime now)
 {
     Turn &turn = turns_[upstream];
-    const bool again = now - turn.toldAt >= tellInterval * static_cast<int>(rank + 1);
+    const bool again = now - turn.toldAt >= intervalFor(place);
     if (turn.timesLeft == 0 && !again) {
         return false;
     }
--- a/src/portpaddle/upstream_limits/limit_teller.h
+++ b/src/portpaddle/upstream_limits/limit_teller.h
@@ -12,6 +12,14 @@
 
 namespace Portpaddle {
 
+/// Where a daemon stands for an upstream among those of its region.
+struct TellerPlace
+{
+    std::size_t rank = 0;
+    /// All daemons that are to be told, this one included.
+    std::size_t members = 1;
+};
+
 /// Belongs to one event loop.
 class LimitTeller
 {
@@ -20,9 +28,9 @@
     void changed(std::uint64_t upstream, SteadyTime now);
     /// Another daemon told what this one knows.
     void heardSame(std::uint64_t upstream, SteadyTime now);
-    /// Whether to tell now, for the daemon that stands at @p rank among those of the region; call once in each interval of the
-    /// news, and tell if it says so.
-    bool due(std::uint64_t upstream, std::size_t rank, SteadyTime now);
+    /// Whether to tell now, for the daemon that stands at @p place; call once in each interval of the news, and tell if it says
+    /// so.
+    bool due(std::uint64_t upstream, const TellerPlace &place, SteadyTime now);
     /// The same for what need not be told again and again.
     bool dueOnce(std::uint64_t upstream);
     void forget(std::uint64_t upstream);
--- a/src/portpaddle/upstream_limits/upstream_limits.cpp
+++ b/src/portpaddle/upstream_limits/upstream_limits.cpp
@@ -272,7 +272,7 @@
     };
     for (const auto &[key, limit] : book_.all()) {
         // What has ended is told when it ends, and to those that did not hear it.
-        const bool tells = limit.ended ? teller_.dueOnce(key) : teller_.due(key, owners_.rank(key), now);
+        const bool tells = limit.ended ? teller_.dueOnce(key) : teller_.due(key, { owners_.rank(key), owners_.members() }, now);
         if (!tells) {
             continue;
         }
--- a/tests/gateway/limit_book_tests.cpp
+++ b/tests/gateway/limit_book_tests.cpp
@@ -163,9 +163,22 @@
     LimitTeller second;
     first.changed(upstream, start);
     second.heardSame(upstream, start);
-    CHECK(first.due(upstream, 0, start));
-    CHECK_FALSE(second.due(upstream, 1, start + 400ms));
-    CHECK(second.due(upstream, 1, start + 600ms));
+    CHECK(first.due(upstream, { 0, 3 }, start));
+    CHECK_FALSE(second.due(upstream, { 1, 3 }, start + 400ms));
+    CHECK(second.due(upstream, { 1, 3 }, start + 600ms));
+}
+
+TEST_CASE("Limit teller, any size of the region, sends no more than fifty datagrams a second")
+{
+    for (const std::size_t members : { 3U, 61U, 300U }) {
+        CAPTURE(members);
+        LimitTeller teller;
+        std::size_t datagrams = 0;
+        for (auto time = 0ms; time < 60s; time += 100ms) {
+            datagrams += teller.due(upstream, { 0, members }, start + time) ? members - 1 : 0;
+        }
+        CHECK(datagrams <= 50 * 60 + members);
+    }
 }
 
 TEST_CASE("Holders of a limit, any rate and fleet, have shares of one a second or there is one")
