Limits: what only the platform's record says gives way to any word, and is told to nobody

The age of a record is not known. A VM that has just been made has a clock that counts from its start: a record taken as said then would have looked younger than what the others had heard from the upstream, and have been told to them as news.

--- a/src/portpaddle/upstream_limits/limit_book.cpp
+++ b/src/portpaddle/upstream_limits/limit_book.cpp
@@ -30,6 +30,7 @@
     const bool limitedBefore = !added && !known.ended;
     if (!added && sameTerms(known, limit)) {
         known.saidAt = limit.saidAt;
+        known.onlyStored = limit.onlyStored;
         return LimitChange::None;
     }
     if (limit.ended) {
@@ -44,17 +45,15 @@
 
 LimitChange LimitBook::named(std::uint64_t upstream, double perSecond, SteadyTime now)
 {
-    return put(upstream, { perSecond, false, now, now, "answer" });
+    return put(upstream, { perSecond, false, now, now, false, "answer" });
 }
 
 // An answer to a request that was on its way when the limit was named may be older than the answer that named it.
 LimitChange LimitBook::answeredWithout(std::uint64_t upstream, SteadyTime sentAt, SteadyTime now)
 {
     const KnownLimit *known = find(upstream);
-    if (known == nullptr || known->ended || sentAt <= known->saidAt) {
-        return LimitChange::None;
-    }
-    return put(upstream, { known->perSecond, true, now, now, "answer" });
+    const bool stands = known == nullptr || known->ended || (!known->onlyStored && sentAt <= known->saidAt);
+    return stands ? LimitChange::None : put(upstream, { known->perSecond, true, now, now, false, "answer" });
 }
 
 LimitChange LimitBook::told(std::uint64_t upstream, const KnownLimit &limit, SteadyTime now)
@@ -63,9 +62,9 @@
     if (known == nullptr && limit.ended) {
         return LimitChange::None;
     }
-    const bool newer = known == nullptr || limit.saidAt > known->saidAt;
-    const bool barelyNewer = known != nullptr && sameTerms(*known, limit) && limit.saidAt <= known->saidAt + longestTravel;
-    if (!newer || barelyNewer) {
+    const bool first = known == nullptr || known->onlyStored;
+    const SteadyTime::duration travel = !first && sameTerms(*known, limit) ? longestTravel : SteadyTime::duration::zero();
+    if (!first && limit.saidAt <= known->saidAt + travel) {
         return LimitChange::None;
     }
     KnownLimit taken = limit;
@@ -76,11 +75,11 @@
 LimitChange LimitBook::stored(std::uint64_t upstream, double perSecond, SteadyTime now)
 {
     const KnownLimit *known = find(upstream);
-    const bool onlyStored = known == nullptr || known->saidAt == SteadyTime{};
-    if (!onlyStored || (known == nullptr && perSecond <= 0)) {
+    const bool saidByOthers = known != nullptr && !known->onlyStored;
+    if (saidByOthers || (known == nullptr && perSecond <= 0)) {
         return LimitChange::None;
     }
-    return put(upstream, { perSecond, perSecond <= 0, now, SteadyTime{}, "platform" });
+    return put(upstream, { perSecond, perSecond <= 0, now, SteadyTime{}, true, "platform" });
 }
 
 const KnownLimit *LimitBook::find(std::uint64_t upstream) const
--- a/src/portpaddle/upstream_limits/limit_book.h
+++ b/src/portpaddle/upstream_limits/limit_book.h
@@ -23,8 +23,10 @@
     bool ended = false;
     /// When this daemon learned of this state.
     SteadyTime since{};
-    /// When the newest answer that says so reached a daemon; long ago where only the platform says it.
+    /// When the newest answer that says so reached a daemon; means nothing where only the platform says it.
     SteadyTime saidAt{};
+    /// Nobody has told it yet but the platform's record, whose age is unknown.
+    bool onlyStored = false;
     /// "answer", "platform", or the daemon that told.
     std::string source;
 };
--- a/src/portpaddle/upstream_limits/upstream_limits.cpp
+++ b/src/portpaddle/upstream_limits/upstream_limits.cpp
@@ -92,12 +92,13 @@
     }
 }
 
-/// A later life of an upstream has named nothing.
+/// A later life of an upstream has named nothing, and what only a record said goes with the record.
 void UpstreamLimits::forgetGone()
 {
     std::vector<std::uint64_t> gone;
     for (const auto &[key, limit] : book_.all()) {
-        if (!names_.contains(key)) {
+        const bool lapsed = limit.onlyStored && !view_->upstreamLimits.contains(key);
+        if (!names_.contains(key) || lapsed) {
             gone.push_back(key);
         }
     }
@@ -155,7 +156,7 @@
                { "per_second", fmt::format("{:.3f}", limit.perSecond) },
                { "own_share", fmt::format("{:.3f}", share) },
                { "heard_from", limit.source },
-               { "said_ms_ago", std::to_string(limit.saidAt == SteadyTime{} ? -1 : millisOf(now - limit.saidAt)) } });
+               { "said_ms_ago", limit.onlyStored ? std::string() : std::to_string(millisOf(now - limit.saidAt)) } });
 }
 
 const KnownLimit *UpstreamLimits::inForce(std::uint64_t key, SteadyTime now) const
@@ -271,6 +272,10 @@
         digest.upstream_limits.clear();
     };
     for (const auto &[key, limit] : book_.all()) {
+        if (limit.onlyStored) {
+            // All others have the record as well.
+            continue;
+        }
         // What has ended is told when it ends, and to those that did not hear it.
         const bool tells = limit.ended ? teller_.dueOnce(key) : teller_.due(key, { owners_.rank(key), owners_.members() }, now);
         if (!tells) {
@@ -310,7 +315,7 @@
         SteadyTime &writtenAt = writtenAt_[key];
         const auto stagger = writeStagger * static_cast<int>(owners_.rank(key));
         const bool waits = now < limit.since + stagger || now < writtenAt + betweenWrites + stagger;
-        if (isStored(key, limit) || waits) {
+        if (limit.onlyStored || isStored(key, limit) || waits) {
             continue;
         }
         writtenAt = now;
--- a/tests/gateway/limit_book_tests.cpp
+++ b/tests/gateway/limit_book_tests.cpp
@@ -32,7 +32,7 @@
 
     KnownLimit told(double perSecond, bool ended, SteadyTime saidAt) const
     {
-        return { perSecond, ended, {}, saidAt, "other" };
+        return { perSecond, ended, {}, saidAt, false, "other" };
     }
 
     LimitBook book;
@@ -128,10 +128,27 @@
     CHECK(book.find(upstream + 2) == nullptr);
 }
 
+// A VM that has just been made has a clock that counts from its start: what others say may be older than that.
+TEST_CASE("Limit of the platform's record, older news on a VM that has just started, gives way")
+{
+    LimitBook book;
+    CHECK(book.stored(upstream, 9, SteadyTime{ 2s }) == LimitChange::Named);
+    CHECK(book.told(upstream, { 4, false, {}, SteadyTime{ 3s } - 10min, false, "other" }, SteadyTime{ 3s })
+          == LimitChange::Changed);
+    CHECK(book.find(upstream)->perSecond == 4);
+}
+
+TEST_CASE("Limit of the platform's record, answer without one, has ended")
+{
+    LimitBook book;
+    book.stored(upstream, 9, start);
+    CHECK(book.answeredWithout(upstream, start + 1ms, start + 1s) == LimitChange::Ended);
+}
+
 TEST_CASE("Ended limit, told of an upstream that never named one, is nothing new")
 {
     LimitBook book;
-    CHECK(book.told(upstream, { 2, true, {}, start, "other" }, start) == LimitChange::None);
+    CHECK(book.told(upstream, { 2, true, {}, start, false, "other" }, start) == LimitChange::None);
     CHECK(book.find(upstream) == nullptr);
 }
 
