--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,6 +55,7 @@
         self.routes = []
         self.extra = 0
         self.copies = 0
+        self.joining = asyncio.Lock()
         self.copy_of = {}  # what a request names to go on from: (attempt, address that holds the copy)
 
     def now(self):
@@ -152,9 +153,10 @@
 
     async def add_spare(self):
         """A daemon that joins the running fleet."""
-        if len(self.daemons) < self.options.daemons + SPARES:
-            daemon = await self.add_daemon()
-            await daemon.start()
+        async with self.joining:  # the next one takes the name and the ports after its
+            if len(self.daemons) < self.options.daemons + SPARES:
+                daemon = await self.add_daemon()
+                await daemon.start()
 
     async def recovered(self):
         """Whether every daemon serves every route again; bounded only against a hang."""
