--- a/src/portpaddle/fleet/feed_server.cpp
+++ b/src/portpaddle/fleet/feed_server.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/http_status.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace Portpaddle {
@@ -61,9 +62,13 @@
 Task<WholeAnswer> FeedServer::answerChanges(std::uint64_t revision)
 {
     FeedNews news = feed_.since(revision);
-    if (news.reachable && !news.incomplete && news.changes.empty()) {
+    // Who is asked and has no contact with the store any more says so at once: where several in a row have none, the one that
+    // asks would otherwise spend the time in which a change must be in force on waiting for them.
+    const SteadyTime::duration counts = news.confirmedAt + oldestConfirmation - BootClock::now();
+    const auto wait = std::min<SteadyTime::duration>(longestFeedWait, counts);
+    if (news.reachable && !news.incomplete && news.changes.empty() && wait > SteadyTime::duration::zero()) {
         SteadyTimer timer(executor_);
-        timer.expires_after(longestFeedWait);
+        timer.expires_after(wait);
         waiting_.insert(&timer);
         NetError woken;
         co_await timer.async_wait(awaitingInto(woken));
--- a/src/portpaddle/fleet/feed_server.h
+++ b/src/portpaddle/fleet/feed_server.h
@@ -19,6 +19,9 @@
 inline constexpr const char *changesPath = "/portpaddle/changes";
 /// The longest that a question about changes waits for one. Whoever asks notices by the next one whether this daemon is well.
 inline constexpr std::chrono::milliseconds longestFeedWait{ 1'000 };
+/// What a daemon knows of the store counts as news while the store has confirmed it within this time: it asks the store every
+/// 1.2 s, and changes must be in force within a few seconds.
+inline constexpr std::chrono::milliseconds oldestConfirmation{ 2'500 };
 
 /// Questions of daemons about this one's knowledge of the store.
 class PeerQuestions
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -27,9 +27,6 @@
 // Beyond the time for which an answer waits: a small VM may stand still for some hundred milliseconds.
 constexpr Millis answerSlack{ 700 };
 constexpr std::chrono::milliseconds avoidTime{ 1'000 };
-// What a source knows of the store was confirmed within this time, or it may be cut off: it asks the store every 1.2 s, and
-// changes must be in force within a few seconds.
-constexpr std::chrono::milliseconds oldestConfirmation{ 2'500 };
 // How long a waiting call to the store takes where all sources failed: they may be back. Its answer may be lost, which shows only
 // when the call times out some seconds later; with 5 s here a configuration was missed for 5.7 s after the store had lost
 // answers.
