Sight: what upstreams say of themselves is read from the head of every answer, told in lines, and sends past it are counted

The two plays cannot tell whether a word is unread, known and passed by, or known and lost again. One reading of a head into one typed value takes the place of two in the attempt; Retry-After, which was read by strtod and cast (undefined for infinite, huge and not a number, negative passed on to the caller, a date as zero), is read with its bounds. Nothing is decided by it yet.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 42> catalogue{ {
+constexpr std::array<LogEventDescription, 45> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new work is taken, work in progress goes on." },
@@ -68,6 +68,12 @@
       "An upstream named a limit that is no rate; what it named before holds." },
     { LogEvent::UpstreamLimitNotWritten, "upstream_limit_not_written", "warning",
       "The platform did not take the record of an upstream's limit; it is tried again." },
+    { LogEvent::UpstreamLeavingHeard, "upstream_leaving_heard", "info",
+      "An upstream said in an answer that it leaves; this daemon sends it no new requests any more." },
+    { LogEvent::UpstreamBackoffAsked, "upstream_backoff_asked", "info",
+      "An upstream turned a request away and asked not to be sent anything for a time; later answers may ask for longer." },
+    { LogEvent::UpstreamNoticeUnreadable, "upstream_notice_unreadable", "warning",
+      "An answer says something of its upstream that cannot be read; what was known before holds." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call came again with a key already in use." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -51,6 +51,12 @@
     { "portpaddle_upstream_limits_ended_total", "Times that the limit of an upstream ended." },
     { "portpaddle_upstream_limits_unreadable_total", "Answers whose limit could not be read." },
     { "portpaddle_held_back_by_limits_total", "Requests refused because the upstreams that could run them named limits." },
+    { "portpaddle_upstream_leavings_heard_total", "Upstreams that said in an answer that they leave." },
+    { "portpaddle_upstream_backoffs_asked_total", "Answers in which an upstream asked not to be sent anything for a time." },
+    { "portpaddle_upstream_notices_unreadable_total",
+      "Answers in which an upstream said something of itself that could not be read." },
+    { "portpaddle_sent_past_notice_total",
+      "Requests sent to upstreams that had said that they leave, or within the time that they had asked for." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -46,6 +46,10 @@
     LimitsEnded,
     LimitsUnreadable,
     HeldBackByLimit,
+    LeavingsHeard,
+    BackoffsAsked,
+    NoticesUnreadable,
+    SentPastNotice,
     Count,
 };
 
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -72,16 +72,17 @@
         events.firstEvent = [this] { noteFirstEvent(); };
         events.streamed = [this](std::size_t count) { eventsSeen_ += count; };
         events.heard = [] {};
-        // What the answer of another daemon says of limits concerns upstreams that this one does not ask.
-        events.answered = [](const LimitReading &, bool) {};
+        // What the answer of another daemon says concerns upstreams that this one does not ask.
+        events.answered = [](const AnswerNotice &) {};
         return events;
     }
     events.sending = [this, &target, &ticket] {
         ++sends_;
+        gateway_.notices_.sent(target.upstream->id, BootClock::now());
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
-    events.answered = [this, &target, &ticket](const LimitReading &limit, bool own) {
-        gateway_.upstreamLimits_.answered(target.upstream->id, limit, own, ticket.sentAt, BootClock::now());
+    events.answered = [this, &target, &ticket](const AnswerNotice &notice) {
+        gateway_.answered(*target.upstream, notice, ticket.sentAt);
     };
     events.firstEvent = [this, &ticket] {
         noteFirstEvent();
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -34,6 +34,7 @@
     , news_(identity_.id, identity_.region, loads_, regions_, organisationLimits_)
     , owners_(identity_.id)
     , upstreamLimits_({ identity_.id, identity_.region }, owners_, metrics)
+    , notices_(metrics)
 {
     regions_.setOwnRegion(identity_.region);
 }
@@ -197,6 +198,13 @@
     }
 }
 
+void Gateway::answered(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt)
+{
+    const SteadyTime now = BootClock::now();
+    upstreamLimits_.answered(asked.id, notice.limit, notice.own, sentAt, now);
+    notices_.answered(asked.id, notice, now);
+}
+
 bool Gateway::gathersLimitOf(std::uint32_t organisation, SteadyTime now) const
 {
     return !sharesWork(*view_) || news_.gathers(shardOf(organisation), now);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
+#include "portpaddle/upstream_notices/upstream_notices.h"
 
 #include <map>
 #include <memory>
@@ -177,6 +178,8 @@
     /// Which daemons of the own region may own what cannot be divided among all of them.
     void chooseOwners(SteadyTime now);
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
+    /// The head of an answer of @p asked came, to what was sent then.
+    void answered(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt);
     std::size_t connectionShare(const ServiceSpec &spec) const;
     std::vector<const std::string *> localUpstreams(const std::string &service) const;
     /// When a request that begins to wait now gets its turn at an upstream with a limit; none where this daemon has no share.
@@ -216,6 +219,7 @@
     /// Which upstreams are this daemon's where a bound cannot be divided among all.
     SettledOwner owners_;
     UpstreamLimits upstreamLimits_;
+    UpstreamNotices notices_;
     /// Requests that wait for their turn at an upstream with a limit, by service.
     std::map<std::string, std::size_t> waitingForTurn_;
     /// Daemons of the own region in the view.
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -32,6 +32,8 @@
     std::string notRun = "X-Not-Run";
     /// In answers of an upstream in need: requests a second that it takes from all daemons together.
     std::string upstreamLimit = "X-Upstream-Limit";
+    /// In answers of an upstream that takes no new requests for the rest of its life.
+    std::string upstreamLeaving = "X-Upstream-Leaving";
     std::string priority = "X-Priority";
     /// Set by daemons only; removed from what callers send.
     std::string memoryHold = "X-Memory-Hold";
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -50,11 +50,6 @@
         || status == HttpStatus::unavailable;
 }
 
-bool isSigned(const http::fields &fields, const HeaderNames &names)
-{
-    return names.signature.empty() || !fields[names.signature].empty();
-}
-
 /// How many upstreams another daemon says that it asked; no value where it does not say, or says what cannot be.
 std::optional<unsigned> sendsTold(const http::fields &fields)
 {
@@ -214,10 +209,10 @@
     const http::fields &fields = parser->get();
     const unsigned status = parser->get().result_int();
     const std::optional<unsigned> relayedSends = sendsTold(fields);
-    const bool notRun = !fields[names_.notRun].empty() || status == HttpStatus::misdirected
-        || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
-    // Also what an upstream refuses tells how much it takes.
-    events.answered(readLimit(fields, names_.upstreamLimit), !notRun && isSigned(fields, names_));
+    const bool notRun = provesNotRun(parser->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
+    const auto wall = std::chrono::system_clock::now();
+    // Also what an upstream refuses tells of it.
+    events.answered(readNotice(parser->get(), names_, wall));
     AttemptReport report;
     if (notRun) {
         std::string dropped;
@@ -228,9 +223,9 @@
         const std::string_view life = viewOf(fields[names_.answeringUpstream]);
         report.relayedSends = relayedSends;
         report.lifeOver = status == HttpStatus::misdirected && !life.empty() && life != plan.expectedUpstream;
-        const std::string_view after = viewOf(fields[http::field::retry_after]);
-        if (!after.empty()) {
-            report.error.retryAfter = Millis(static_cast<std::int64_t>(std::strtod(std::string(after).c_str(), nullptr) * 1000));
+        const RetryAfter after = readRetryAfter(fields, wall);
+        if (after.word == RetryAfterWord::Named) {
+            report.error.retryAfter = after.time;
         }
         co_return report;
     }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -10,7 +10,7 @@
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/interfaces/attempt_target.h"
-#include "portpaddle/upstream_limits/limit_reading.h"
+#include "portpaddle/upstream_notices/answer_notice.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -94,8 +94,8 @@
 struct AttemptEvents
 {
     std::function<void()> sending;
-    /// The head of an answer came; whether it proves that the target itself gave it after it ran the request.
-    std::function<void(const LimitReading &limit, bool own)> answered;
+    /// The head of an answer came.
+    std::function<void(const AnswerNotice &notice)> answered;
     std::function<void()> firstEvent;
     /// So many whole events of a stream arrived.
     std::function<void(std::size_t)> streamed;
