Upstreams that say they leave or ask for time are heeded, by the daemon that was told

Callers saw nothing yet: their requests went to an upstream 3 to 5 s after it had said in its answers that it leaves, and would have met its end; and while all upstreams of a service turned requests away and asked for 3 s without any, one daemon sent 55 and 66 requests there in that time, spent the budget for repeats on them and refused 422 callers at one data centre in the lines that are left.

Cause: a word of the other side that is read and dropped, or read nowhere.

Now every head (streams, whole answers, refusals, failures, late answers, answers to orders, those of another life at the address) gives one AnswerNotice to one function of the gateway, which finds the life that speaks and tells limits and notices. That a life leaves or is over is final, and outlasts its entry in the view (the second lived in the loads and was forgotten when an entry lapsed: the same fault). Time that was asked for ends with the longest of several. Both bar in the choice, and once more when the connection is there. An upstream that asked for time is not learned to be ill. Refusals say when the first of them may be asked, spread; nobody waits for what will not come in time, and for upstreams that leave nobody waits at all. The reason of a refusal no longer hangs on the order of the upstreams.

The test that a life that is over takes nothing moved from the loads to the notices with what it tests.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -24,6 +24,8 @@
 // Callers honour at most a third of their time; shorter returns find nothing changed.
 constexpr Millis shortestReturn{ 100 };
 constexpr Millis longestReturn{ 2'000 };
+// Of a return at a known moment.
+constexpr Millis longestKnownReturn{ 60'000 };
 
 } // namespace
 
@@ -34,7 +36,10 @@
     , deadlineTimer_(gateway.executor_)
     , roomTimer_(gateway.executor_)
     , silenceTimer_(gateway.executor_)
-    , move_(gateway.executor_, gateway.pool_)
+    , move_(gateway.executor_, gateway.pool_,
+            [&gateway](const UpstreamRecord &asked, const boost::beast::http::response_header<> &head) {
+                gateway.answeredOrder(asked, head);
+            })
     , continuation_(request_.continuation)
     , sends_(request_.earlierSends)
 {
@@ -132,14 +137,15 @@
     while (interruption_ == Interruption::None && timeLeft() > shortestAttempt) {
         const Target target = chooseTarget();
         if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
-            const bool mayWait = mayWaitForRoom(target.placement.reason);
+            const LossReason reason = target.placement.reason;
+            const bool mayWait = mayWaitForRoom(reason);
             const bool again = mayWait ? co_await waitForRoom() : false;
             if (again) {
                 continue;
             }
             if (!attempted) {
                 report.end = AttemptEnd::NotRun;
-                report.error = noPlace(target.placement.reason);
+                report.error = noPlace(reason);
             }
             break;
         }
@@ -172,12 +178,19 @@
     Error error{ ErrorCode::NoUpstream, fmt::format("no room: {}", nameOf(reason)), RunState::NotRun, {} };
     if (reason == LossReason::UpstreamLimit) {
         gateway_.metrics_.count(Counter::HeldBackByLimit);
-        const auto back = std::chrono::duration_cast<Millis>(gateway_.limitReturn(service_, BootClock::now()));
-        error.retryAfter = std::clamp(back, shortestReturn, longestReturn);
+        error.retryAfter = std::min(heldBackReturn(), longestReturn);
+    } else if (reason == LossReason::BackingOff) {
+        error.retryAfter = heldBackReturn();
     }
     return error;
 }
 
+Millis Exchange::heldBackReturn()
+{
+    const auto back = std::chrono::duration_cast<Millis>(gateway_.returnIn(service_, BootClock::now()));
+    return std::clamp(back, shortestReturn, longestKnownReturn);
+}
+
 Target Exchange::chooseTarget()
 {
     if (request_.relayed && continuation_) {
@@ -289,17 +302,21 @@
     return bound - elapsedSince(request_.arrivedAt);
 }
 
-/// Upstreams that name limits say when there will be room: who would not get its turn in time is refused at once.
+/// Upstreams that name limits or ask for time say when there will be room, and of those that leave none comes: who would not get
+/// its turn in time is refused at once.
 bool Exchange::mayWaitForRoom(LossReason reason) const
 {
-    if (progress_.begun || sends_ > 0 || request_.relayed || reason == LossReason::TooLate) {
+    if (progress_.begun || sends_ > 0 || request_.relayed) {
+        return false;
+    }
+    if (reason == LossReason::TooLate || reason == LossReason::Leaving) {
         return false;
     }
-    if (reason != LossReason::UpstreamLimit) {
+    if (reason != LossReason::UpstreamLimit && reason != LossReason::BackingOff) {
         return true;
     }
-    const std::optional<SteadyTime::duration> turn = gateway_.limitTurn(service_, BootClock::now());
-    return turn && *turn <= waitLeft();
+    const std::optional<SteadyTime::duration> room = gateway_.roomIn(service_, BootClock::now());
+    return room && *room <= waitLeft();
 }
 
 Task<bool> Exchange::waitForRoom()
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -56,6 +56,10 @@
     /// Whether a stop that has begun leaves time for it; notes by when it has to be over.
     bool fitsStop();
     Error noPlace(LossReason reason);
+    /// When a request may come again that finds all upstreams held back.
+    Millis heldBackReturn();
+    /// The same after an attempt that was refused.
+    Millis returnAfter(const AttemptReport &report);
     void interrupt(Interruption reason);
     Task<void> attempts();
     /// After a broken attempt: goes on where the run's memory was moved to, as often as it is moved.
@@ -69,7 +73,8 @@
     Task<AttemptReport> attempt(const Target &target);
     Target chooseTarget();
     AttemptPlan planFor(const Target &target);
-    AttemptEvents eventsFor(const Target &target, LoadTicket &ticket);
+    /// @p goesOn: the target keeps the memory of the run.
+    AttemptEvents eventsFor(const Target &target, LoadTicket &ticket, bool goesOn);
     void noteFirstEvent();
     void noteEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
     /// Ends an attempt at an upstream that hangs, where another one may follow.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -64,7 +64,7 @@
 }
 
 /// @p ticket is filled when the request leaves for an upstream of the own region; it must outlive the events.
-AttemptEvents Exchange::eventsFor(const Target &target, LoadTicket &ticket)
+AttemptEvents Exchange::eventsFor(const Target &target, LoadTicket &ticket, bool goesOn)
 {
     AttemptEvents events;
     if (!target.upstream) {
@@ -72,18 +72,25 @@
         events.firstEvent = [this] { noteFirstEvent(); };
         events.streamed = [this](std::size_t count) { eventsSeen_ += count; };
         events.heard = [] {};
+        events.maySend = [] { return true; };
         // What the answer of another daemon says concerns upstreams that this one does not ask.
         events.answered = [](const AnswerNotice &) {};
         return events;
     }
+    events.maySend = [this, &target, goesOn] {
+        const std::string &upstream = target.upstream->id;
+        const SteadyTime now = BootClock::now();
+        const LossReason barred
+            = goesOn ? gateway_.notices_.barredForMovedRun(upstream, now) : gateway_.notices_.barred(upstream, now);
+        return barred == LossReason::None;
+    };
     events.sending = [this, &target, &ticket] {
         ++sends_;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
-    events.answered = [this, &target, &ticket](const AnswerNotice &notice) {
-        gateway_.answered(*target.upstream, notice, ticket.sentAt);
-    };
+    events.answered
+        = [this, &target, &ticket](const AnswerNotice &notice) { gateway_.answered(*target.upstream, notice, ticket.sentAt); };
     events.firstEvent = [this, &ticket] {
         noteFirstEvent();
         const double took = static_cast<double>(elapsedSince(ticket.sentAt).count());
@@ -116,7 +123,7 @@
 
     LoadTicket ticket;
     attemptBegan_.reset();
-    const AttemptEvents events = eventsFor(target, ticket);
+    const AttemptEvents events = eventsFor(target, ticket, !plan.memoryFrom.empty());
     UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
     const auto watch = std::make_shared<AttemptWatch>(AttemptWatch{ plan.peer, BootClock::now(), &sending });
@@ -147,7 +154,7 @@
     }
     const SteadyTime now = BootClock::now();
     const bool interrupted = interruption_ != Interruption::None;
-    if (!report.sent && !interrupted) {
+    if (!report.sent && !report.withheld && !interrupted) {
         if (target.upstream) {
             gateway_.loads_.connectFailed(target.upstream->id, now);
         } else {
@@ -164,15 +171,16 @@
         noteBrokenRun(*target.upstream, now);
     }
     if (target.upstream && report.lifeOver) {
-        gateway_.loads_.lifeOver(target.upstream->id);
+        gateway_.notices_.lifeOver(target.upstream->id, now);
     }
     if (!ticket.upstream.empty()) {
         const bool answered = report.end == AttemptEnd::Complete;
         // A run that was stopped to be moved says nothing against its upstream.
-        const LoadOutcome ended = answered     ? LoadOutcome::Answered
-            : interrupted || move_.begun()     ? LoadOutcome::Cancelled
-            : report.end == AttemptEnd::NotRun ? LoadOutcome::NotRun
-                                               : LoadOutcome::Failed;
+        const bool turnedAway = report.end == AttemptEnd::NotRun || report.turnedAway;
+        const LoadOutcome ended = answered ? LoadOutcome::Answered
+            : interrupted || move_.begun() ? LoadOutcome::Cancelled
+            : turnedAway                   ? LoadOutcome::TurnedAway
+                                           : LoadOutcome::Failed;
         gateway_.loads_.ended(ticket, ended, now);
     }
     if (target.daemon && report.sent) {
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -49,14 +49,22 @@
         if (countedUnits_ > 0 && organisation_ != nullptr) {
             gateway_.organisationLimits_.refund(*organisation_, countedUnits_);
         }
-        const Millis back = report.error.retryAfter.value_or(suggestedReturn());
-        co_await refuse(report.error.code, report.error.message, back);
+        co_await refuse(report.error.code, report.error.message, returnAfter(report));
         co_return;
     }
     const bool late = interruption_ == Interruption::Deadline || timeLeft() <= shortestAttempt;
     co_await fail(late ? HttpStatus::gatewayTimeout : HttpStatus::badGateway, report.error.message);
 }
 
+Millis Exchange::returnAfter(const AttemptReport &report)
+{
+    if (report.error.retryAfter) {
+        return *report.error.retryAfter;
+    }
+    const bool heldBack = report.turnedAway && gateway_.holdsBackAll(service_, BootClock::now());
+    return heldBack ? heldBackReturn() : suggestedReturn();
+}
+
 /// The request has not run and will not.
 Task<void> Exchange::refuse(ErrorCode code, std::string message, Millis retryAfter)
 {
--- a/src/portpaddle/gateway/fetch_offers.cpp
+++ b/src/portpaddle/gateway/fetch_offers.cpp
@@ -17,8 +17,15 @@
 /// An engine that is gone or tried in vain has nothing to give, and one in need is spared; a full one has.
 bool canGive(const UpstreamCandidate &upstream)
 {
-    return !upstream.limited && upstream.barred != LossReason::Unhealthy && upstream.barred != LossReason::Leaving
-        && upstream.barred != LossReason::AlreadyTried;
+    switch (upstream.barred) {
+    case LossReason::Unhealthy:
+    case LossReason::Leaving:
+    case LossReason::BackingOff:
+    case LossReason::AlreadyTried:
+        return false;
+    default:
+        return !upstream.limited;
+    }
 }
 
 } // namespace
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -182,6 +182,7 @@
     setLimits(now);
     chooseOwners(now);
     upstreamLimits_.setView(view_, now);
+    notices_.setView(*view_, now);
     std::set<std::string> ownDataCentre;
     for (const DaemonRecord &daemon : view_->daemons) {
         if (daemon.dataCentre == identity_.dataCentre) {
@@ -200,9 +201,34 @@
 
 void Gateway::answered(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt)
 {
+    const std::string *speaker = speakerOf(asked, notice);
+    if (speaker == nullptr) {
+        return;
+    }
     const SteadyTime now = BootClock::now();
-    upstreamLimits_.answered(asked.id, notice.limit, notice.own, sentAt, now);
-    notices_.answered(asked.id, notice, now);
+    upstreamLimits_.answered(*speaker, notice.limit, notice.own, sentAt, now);
+    notices_.answered(*speaker, notice, now);
+}
+
+void Gateway::answeredOrder(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)
+{
+    AnswerNotice notice = readNotice(head, names_, std::chrono::system_clock::now());
+    notice.own = false;
+    answered(asked, notice, BootClock::now());
+}
+
+/// Addresses are used again. A life that is not on the list is sent nothing, and tells again once it is.
+const std::string *Gateway::speakerOf(const UpstreamRecord &asked, const AnswerNotice &notice) const
+{
+    if (notice.life.empty() || notice.life == asked.registeredAs) {
+        return &asked.id;
+    }
+    for (const auto &[id, upstream] : view_->upstreams) {
+        if (upstream.registeredAs == notice.life) {
+            return &id;
+        }
+    }
+    return nullptr;
 }
 
 bool Gateway::gathersLimitOf(std::uint32_t organisation, SteadyTime now) const
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -178,15 +178,27 @@
     /// Which daemons of the own region may own what cannot be divided among all of them.
     void chooseOwners(SteadyTime now);
     LossReason bar(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
-    /// The head of an answer of @p asked came, to what was sent then.
+    /// The head of an answer came at the address of @p asked, to what was sent then.
     void answered(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt);
+    /// The same of an answer to an order, which tells nothing of requests.
+    void answeredOrder(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head);
+    /// The life that gave it; null where it is not on the list.
+    const std::string *speakerOf(const UpstreamRecord &asked, const AnswerNotice &notice) const;
     std::size_t connectionShare(const ServiceSpec &spec) const;
-    std::vector<const std::string *> localUpstreams(const std::string &service) const;
-    /// When a request that begins to wait now gets its turn at an upstream with a limit; none where this daemon has no share.
-    std::optional<SteadyTime::duration> limitTurn(const std::string &service, SteadyTime now);
-    /// When a request that finds all upstreams held back by their limits may come again: spread, so that they do not come
-    /// together.
-    SteadyTime::duration limitReturn(const std::string &service, SteadyTime now);
+    /// Upstreams of @p service in the own region that do not leave.
+    struct HeldBack
+    {
+        std::vector<const std::string *> askedForTime;
+        std::vector<const std::string *> others;
+    };
+    HeldBack heldBackUpstreams(const std::string &service, SteadyTime now) const;
+    /// No upstream of @p service may be asked, and one that asked for time may be later.
+    bool holdsBackAll(const std::string &service, SteadyTime now) const;
+    /// When there is room for a request that begins to wait now: its turn at an upstream with a limit, or the end of the time
+    /// that one asked for. None where neither is known.
+    std::optional<SteadyTime::duration> roomIn(const std::string &service, SteadyTime now);
+    /// When a request that finds all upstreams held back so may come again: spread, so that they do not come together.
+    SteadyTime::duration returnIn(const std::string &service, SteadyTime now);
     /// Daemons of the own region among which bounds of an upstream are divided: those listed or heard, whichever are more.
     unsigned daemonsSharing() const;
     Wire::DaemonPhase ownPhase() const;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -16,6 +16,8 @@
 
 // Connections beyond the running requests of a daemon's share bring nothing.
 constexpr std::size_t fewestConnections = 4;
+// Callers that were refused while an upstream wanted nothing come back over this part of the time that was left.
+constexpr double returnSpread = 0.5;
 
 /// Leaves of each one's failures what goes beyond those of all: requests that fail wherever they run say nothing against the
 /// upstream, and sending them to another region brings two ways more. Without this, seven in ten calls of a service that answers
@@ -53,6 +55,10 @@
     if (!view_->takesRequests(upstream)) {
         return LossReason::Leaving;
     }
+    const LossReason told = notices_.barred(upstream.id, now);
+    if (told != LossReason::None) {
+        return told;
+    }
     if (pool_.idle(upstream.id) == 0 && pool_.open(upstream.id) >= connectionShare(spec)) {
         return LossReason::Full;
     }
@@ -65,32 +71,48 @@
     return upstreamLimits_.allows(upstream.id, now) ? LossReason::None : LossReason::UpstreamLimit;
 }
 
-std::vector<const std::string *> Gateway::localUpstreams(const std::string &service) const
+Gateway::HeldBack Gateway::heldBackUpstreams(const std::string &service, SteadyTime now) const
 {
-    std::vector<const std::string *> ids;
+    HeldBack upstreams;
     const auto local = local_.find(service);
-    if (local != local_.end()) {
-        for (const UpstreamRecord *upstream : local->second) {
-            ids.push_back(&upstream->id);
+    if (local == local_.end()) {
+        return upstreams;
+    }
+    for (const UpstreamRecord *upstream : local->second) {
+        const LossReason barred = view_->takesRequests(*upstream) ? notices_.barred(upstream->id, now) : LossReason::Leaving;
+        if (barred == LossReason::BackingOff) {
+            upstreams.askedForTime.push_back(&upstream->id);
+        } else if (barred == LossReason::None) {
+            upstreams.others.push_back(&upstream->id);
         }
     }
-    return ids;
+    return upstreams;
+}
+
+bool Gateway::holdsBackAll(const std::string &service, SteadyTime now) const
+{
+    const HeldBack upstreams = heldBackUpstreams(service, now);
+    return upstreams.others.empty() && !upstreams.askedForTime.empty();
 }
 
-std::optional<SteadyTime::duration> Gateway::limitTurn(const std::string &service, SteadyTime now)
+std::optional<SteadyTime::duration> Gateway::roomIn(const std::string &service, SteadyTime now)
 {
+    const HeldBack upstreams = heldBackUpstreams(service, now);
     const auto waiting = waitingForTurn_.find(service);
     const std::size_t ahead = waiting == waitingForTurn_.end() ? 0 : waiting->second;
-    return upstreamLimits_.turn(localUpstreams(service), ahead, now);
+    const std::optional<SteadyTime::duration> turn = upstreamLimits_.turn(upstreams.others, ahead, now);
+    const std::optional<SteadyTime::duration> back = notices_.soonestReturn(upstreams.askedForTime, now);
+    return turn && back ? std::min(turn, back) : turn ? turn : back;
 }
 
-SteadyTime::duration Gateway::limitReturn(const std::string &service, SteadyTime now)
+SteadyTime::duration Gateway::returnIn(const std::string &service, SteadyTime now)
 {
-    const std::vector<const std::string *> ids = localUpstreams(service);
-    const SteadyTime::duration interval = upstreamLimits_.interval(ids, now).value_or(SteadyTime::duration::zero());
-    const SteadyTime::duration turn = limitTurn(service, now).value_or(interval);
-    const std::chrono::duration<double> spread = random_.fraction() * interval;
-    return turn + std::chrono::duration_cast<SteadyTime::duration>(spread);
+    const HeldBack upstreams = heldBackUpstreams(service, now);
+    const SteadyTime::duration interval = upstreamLimits_.interval(upstreams.others, now).value_or(SteadyTime::duration::zero());
+    const SteadyTime::duration room = roomIn(service, now).value_or(interval);
+    const bool timeAsked = notices_.soonestReturn(upstreams.askedForTime, now) == room;
+    const auto spread = random_.fraction() * (timeAsked ? returnSpread * room : 1.0 * interval);
+    return room + std::chrono::duration_cast<SteadyTime::duration>(spread);
 }
 
 std::vector<UpstreamCandidate> Gateway::localCandidates(const std::string &service, const ServiceSpec &spec,
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest)
+                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest,
+                            const HearOrderAnswer &hear)
 {
     NetError error;
     UpstreamConnection *opening = nullptr;
@@ -71,6 +72,7 @@
         }
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
+            hear(source, answer);
             const std::optional<StoppedRun> stopped = orders.stoppedRun(answer.result_int(), answer.body());
             moved.from = stopped ? std::optional(source.address + "/" + stopped->handle) : std::nullopt;
             moved.atSource = stopped && stopped->atSource;
--- a/src/portpaddle/gateway/memory_move.h
+++ b/src/portpaddle/gateway/memory_move.h
@@ -8,6 +8,9 @@
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/gateway/upstream_orders.h"
 
+#include <boost/beast/http/message.hpp>
+
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -24,8 +27,12 @@
     std::string outcome;
 };
 
+/// Told of the head of each answer to an order.
+using HearOrderAnswer = std::function<void(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)>;
+
 /// Orders the move and waits for its end, at most @p longest.
 Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest);
+                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds longest,
+                            const HearOrderAnswer &hear);
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -79,10 +79,28 @@
         || wholeMs > request.wholeBoundMs;
 }
 
-/// What to tell of two reasons: a limit only where nothing else stands in the way.
+/// How much a reason leaves to hope for: an upstream that leaves never returns, one that asked for time does so at a known
+/// moment, and most others may be ready at any.
+int hopeOf(LossReason reason)
+{
+    switch (reason) {
+    case LossReason::NoCapacity:
+        return 0;
+    case LossReason::Leaving:
+        return 1;
+    case LossReason::BackingOff:
+        return 2;
+    case LossReason::UpstreamLimit:
+        return 3;
+    default:
+        return 4;
+    }
+}
+
+/// What to tell of two reasons.
 LossReason barredBy(LossReason before, LossReason reason)
 {
-    return reason == LossReason::UpstreamLimit && before != LossReason::NoCapacity ? before : reason;
+    return hopeOf(reason) >= hopeOf(before) ? reason : before;
 }
 
 /// A random delay of up to @p spreadMs.
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/gateway/run_move.cpp
@@ -4,7 +4,6 @@
 #include "portpaddle/gateway/run_move.h"
 
 #include "portpaddle/base/log.h"
-#include "portpaddle/gateway/memory_move.h"
 
 #include <fmt/format.h>
 
@@ -17,7 +16,8 @@
 
 } // namespace
 
-RunMove::RunMove(Executor executor, ConnectionPool &pool) : pool_(pool), ended_(executor)
+RunMove::RunMove(Executor executor, ConnectionPool &pool, HearOrderAnswer hear)
+    : pool_(pool), hear_(std::move(hear)), ended_(executor)
 {
 }
 
@@ -40,7 +40,8 @@
     const bool placed = target.placement.verdict == Verdict::Serve;
     MemoryMove move;
     if (placed) {
-        move = co_await moveMemory(pool_, orders, requestId_, source_, *target.upstream, std::min(longestMove, longest));
+        const auto bound = std::min(longestMove, longest);
+        move = co_await moveMemory(pool_, orders, requestId_, source_, *target.upstream, bound, hear_);
     } else {
         move.outcome = fmt::format("no other engine: {}", nameOf(target.placement.reason));
     }
--- a/src/portpaddle/gateway/run_move.h
+++ b/src/portpaddle/gateway/run_move.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/memory_move.h"
 #include "portpaddle/gateway/target.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/gateway/upstream_orders.h"
@@ -25,7 +26,7 @@
 class RunMove
 {
 public:
-    RunMove(Executor executor, ConnectionPool &pool);
+    RunMove(Executor executor, ConnectionPool &pool, HearOrderAnswer hear);
 
     bool begun() const;
     /// The run of @p requestId is to go from @p source to @p target; run() follows.
@@ -39,6 +40,7 @@
     enum class State { None, Moving, Moved, Failed };
 
     ConnectionPool &pool_;
+    HearOrderAnswer hear_;
     SteadyTimer ended_;
     State state_ = State::None;
     std::string requestId_;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -114,6 +114,14 @@
     if (!opened) {
         co_return report;
     }
+    if (!events.maySend()) {
+        connection_.reset();
+        pool_.ended(plan.peer);
+        report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "the target takes nothing any more");
+        report.sent = false;
+        report.withheld = true;
+        co_return report;
+    }
     events.sending();
     report = co_await talk(plan, events);
     if (reusable_ && connection_->quiet() && !interrupted_) {
@@ -202,7 +210,7 @@
     co_await http::async_write(connection_->socket, message, awaitingInto(error));
     std::optional<Parser> parser;
     NetError readError;
-    const bool gotHead = co_await readHead(parser, readError);
+    const bool gotHead = co_await readHead(parser, events, readError);
     if (!gotHead) {
         co_return brokenConnection("no answer: " + (error ? error : readError).message());
     }
@@ -210,9 +218,10 @@
     const unsigned status = parser->get().result_int();
     const std::optional<unsigned> relayedSends = sendsTold(fields);
     const bool notRun = provesNotRun(parser->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
-    const auto wall = std::chrono::system_clock::now();
     // Also what an upstream refuses tells of it.
-    events.answered(readNotice(parser->get(), names_, wall));
+    const AnswerNotice notice = readNotice(parser->get(), names_, std::chrono::system_clock::now());
+    events.answered(notice);
+    const bool turnedAway = notice.backoff.word == RetryAfterWord::Named;
     AttemptReport report;
     if (notRun) {
         std::string dropped;
@@ -223,9 +232,9 @@
         const std::string_view life = viewOf(fields[names_.answeringUpstream]);
         report.relayedSends = relayedSends;
         report.lifeOver = status == HttpStatus::misdirected && !life.empty() && life != plan.expectedUpstream;
-        const RetryAfter after = readRetryAfter(fields, wall);
-        if (after.word == RetryAfterWord::Named) {
-            report.error.retryAfter = after.time;
+        report.turnedAway = turnedAway;
+        if (remote_ && turnedAway) {
+            report.error.retryAfter = notice.backoff.time;
         }
         co_return report;
     }
@@ -235,11 +244,12 @@
         report = co_await readWhole(*parser);
     }
     report.relayedSends = relayedSends;
+    report.turnedAway = turnedAway;
     settle(*parser, report.end == AttemptEnd::Complete || report.failedAnswer.has_value());
     co_return report;
 }
 
-Task<bool> UpstreamAttempt::readHead(std::optional<Parser> &parser, NetError &error)
+Task<bool> UpstreamAttempt::readHead(std::optional<Parser> &parser, const AttemptEvents &events, NetError &error)
 {
     while (true) {
         parser.emplace();
@@ -260,6 +270,9 @@
             co_return true;
         }
         // A late answer to an earlier request of this connection: ours comes after it.
+        AnswerNotice notice = readNotice(parser->get(), names_, std::chrono::system_clock::now());
+        notice.own = false;
+        events.answered(notice);
         std::string dropped;
         const bool whole = co_await readRest(*parser, dropped, error);
         if (!whole || !parser->keep_alive()) {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -84,6 +84,10 @@
     bool connectionRefused = false;
     /// Another life answered at the address: the one that was asked is gone.
     bool lifeOver = false;
+    /// The target asked for time, whatever became of the request.
+    bool turnedAway = false;
+    /// Not sent, as the target takes nothing now; the connection was there.
+    bool withheld = false;
     /// Upstreams that a daemon of another region says it sent the request to.
     std::optional<unsigned> relayedSends;
     /// A daemon of another region ends before its stream, which can go on there.
@@ -93,8 +97,10 @@
 /// Told of what an attempt shows of its target.
 struct AttemptEvents
 {
+    /// Asked once there is a connection, as the target may have changed its mind meanwhile.
+    std::function<bool()> maySend;
     std::function<void()> sending;
-    /// The head of an answer came.
+    /// The head of an answer came, also of a late one to an earlier request.
     std::function<void(const AnswerNotice &notice)> answered;
     std::function<void()> firstEvent;
     /// So many whole events of a stream arrived.
@@ -122,7 +128,7 @@
     Message compose(const AttemptPlan &plan) const;
     Task<AttemptReport> talk(const AttemptPlan &plan, const AttemptEvents &events);
     /// Reads heads until one belongs to this request; false with the error set.
-    Task<bool> readHead(std::optional<Parser> &parser, NetError &error);
+    Task<bool> readHead(std::optional<Parser> &parser, const AttemptEvents &events, NetError &error);
     Task<AttemptReport> passStream(Parser &parser, const AttemptEvents &events);
     Task<AttemptReport> readWhole(Parser &parser);
     AttemptReport brokenConnection(std::string message) const;
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -284,11 +284,6 @@
     failed(stateOf(upstream), now);
 }
 
-void UpstreamLoads::lifeOver(const std::string &upstream)
-{
-    stateOf(upstream).over = true;
-}
-
 UpstreamLoads::State *UpstreamLoads::stateByKey(std::uint32_t key)
 {
     const auto id = idsByKey_.find(key);
@@ -410,10 +405,7 @@
     candidate.tokenMs = now - state.tokenMsAt < tokenMsAge ? state.tokenMs : 0;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = decayedFailureShare(state, now);
-    if (state.over) {
-        // Its record stays in the store for some heartbeats after a crash.
-        candidate.barred = LossReason::Leaving;
-    } else if (now < state.avoidUntil || isSilent(state, now)) {
+    if (now < state.avoidUntil || isSilent(state, now)) {
         candidate.barred = LossReason::Unhealthy;
     }
     return candidate;
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -41,8 +41,8 @@
 /// send a token to some stream every few milliseconds.
 inline constexpr std::chrono::milliseconds upstreamSilenceBound{ 600 };
 
-/// How a request at an upstream ended.
-enum class LoadOutcome { Answered, Failed, NotRun, Cancelled };
+/// How a request at an upstream ended; turned away says nothing against the upstream.
+enum class LoadOutcome { Answered, Failed, TurnedAway, Cancelled };
 
 /// Belongs to one event loop.
 class UpstreamLoads
@@ -62,8 +62,6 @@
     bool heardSince(const std::string &upstream, SteadyTime time) const;
     void ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now);
     void connectFailed(const std::string &upstream, SteadyTime now);
-    /// Another life answers at its address; final, like the end of every life.
-    void lifeOver(const std::string &upstream);
 
     void takeDigest(const Wire::LoadDigestT &digest, SteadyTime now);
     /// Takes sums that include what this daemon last told their gatherer with told().
@@ -118,7 +116,6 @@
         SteadyTime lastHeard{};
         /// When the oldest request went out that nothing was heard after.
         SteadyTime silentSince{};
-        bool over = false;
     };
 
     State &stateOf(const std::string &upstream);
--- a/src/portpaddle/routing/decision.cpp
+++ b/src/portpaddle/routing/decision.cpp
@@ -16,10 +16,10 @@
 namespace {
 
 constexpr NameTable<Verdict, 4> verdictNames{ { "serve", "forward", "wait", "refuse" } };
-constexpr NameTable<LossReason, 17> lossReasonNames{ { "chosen", "leaving", "unhealthy", "version_absent", "already_tried",
+constexpr NameTable<LossReason, 18> lossReasonNames{ { "chosen", "leaving", "unhealthy", "version_absent", "already_tried",
                                                        "full", "worse_score", "residency_forbids", "already_visited", "hop_limit",
                                                        "unreachable", "no_capacity", "stale", "share_spent", "margin_not_reached",
-                                                       "too_late", "upstream_limit" } };
+                                                       "too_late", "upstream_limit", "backing_off" } };
 
 /// Part of a prompt that the engine ranked first by rendezvous is expected to hold.
 constexpr double expectedPrefixHit = 0.9;
--- a/src/portpaddle/routing/decision.h
+++ b/src/portpaddle/routing/decision.h
@@ -67,6 +67,7 @@
     MarginNotReached,
     TooLate,
     UpstreamLimit,
+    BackingOff,
 };
 
 std::string_view nameOf(Verdict verdict);
--- a/src/portpaddle/upstream_notices/retry_after.cpp
+++ b/src/portpaddle/upstream_notices/retry_after.cpp
@@ -29,7 +29,7 @@
     const char *end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
     const bool tooLong = parsed.ec == std::errc::result_out_of_range && text.front() != '-';
-    if (parsed.ptr != end || (parsed.ec != std::errc{} && !tooLong) || std::isnan(seconds) || seconds < 0) {
+    if (parsed.ptr != end || (parsed.ec != std::errc{} && !tooLong) || !std::isfinite(seconds) || seconds < 0) {
         return std::nullopt;
     }
     const double most = std::chrono::duration<double>(longestRetryAfter).count();
--- a/src/portpaddle/upstream_notices/upstream_notices.cpp
+++ b/src/portpaddle/upstream_notices/upstream_notices.cpp
@@ -6,6 +6,9 @@
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/metrics.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace Portpaddle {
 
 namespace {
@@ -18,10 +21,52 @@
 {
 }
 
+void UpstreamNotices::setView(const FleetView &view, SteadyTime now)
+{
+    std::size_t unlisted = 0;
+    for (auto entry = states_.begin(); entry != states_.end();) {
+        State &state = entry->second;
+        const bool listed = view.upstreams.contains(entry->first);
+        if (listed) {
+            state.knownAt = now;
+        } else if (state.stage == Stage::Serving && state.backoffUntil <= now) {
+            entry = states_.erase(entry);
+            continue;
+        }
+        unlisted += listed ? 0 : 1;
+        ++entry;
+    }
+    if (unlisted > mostUnlistedLives) {
+        forgetOldest(view);
+    }
+}
+
+void UpstreamNotices::forgetOldest(const FleetView &view)
+{
+    std::vector<std::pair<SteadyTime, const std::string *>> unlisted;
+    for (const auto &[upstream, state] : states_) {
+        if (!view.upstreams.contains(upstream)) {
+            unlisted.emplace_back(state.knownAt, &upstream);
+        }
+    }
+    const auto kept = unlisted.end() - static_cast<std::ptrdiff_t>(mostUnlistedLives);
+    std::nth_element(unlisted.begin(), kept, unlisted.end());
+    for (auto oldest = unlisted.begin(); oldest != kept; ++oldest) {
+        states_.erase(states_.find(*oldest->second));
+    }
+}
+
+UpstreamNotices::State &UpstreamNotices::stateOf(const std::string &upstream, SteadyTime now)
+{
+    State &state = states_[upstream];
+    state.knownAt = now;
+    return state;
+}
+
 void UpstreamNotices::answered(const std::string &upstream, const AnswerNotice &notice, SteadyTime now)
 {
     if (notice.leaving == LeavingWord::Leaving) {
-        noteLeaving(upstream);
+        noteLeaving(upstream, now);
     } else if (notice.leaving == LeavingWord::Unreadable) {
         noteUnreadable(upstream, "leaving", now);
     }
@@ -32,11 +77,11 @@
     }
 }
 
-void UpstreamNotices::noteLeaving(const std::string &upstream)
+void UpstreamNotices::noteLeaving(const std::string &upstream, SteadyTime now)
 {
-    State &state = states_[upstream];
-    if (!state.leaving) {
-        state.leaving = true;
+    State &state = stateOf(upstream, now);
+    if (state.stage == Stage::Serving) {
+        state.stage = Stage::Leaving;
         metrics_.count(Counter::LeavingsHeard);
         logEvent(LogEvent::UpstreamLeavingHeard, { { "upstream", upstream } });
     }
@@ -47,7 +92,7 @@
     if (time <= std::chrono::milliseconds(0)) {
         return;
     }
-    State &state = states_[upstream];
+    State &state = stateOf(upstream, now);
     const bool begins = state.backoffUntil <= now;
     state.backoffUntil = std::max(state.backoffUntil, now + time);
     metrics_.count(Counter::BackoffsAsked);
@@ -59,19 +104,65 @@
 void UpstreamNotices::noteUnreadable(const std::string &upstream, std::string_view what, SteadyTime now)
 {
     metrics_.count(Counter::NoticesUnreadable);
-    State &state = states_[upstream];
-    if (now - state.unreadableAt >= betweenUnreadableLines) {
+    State &state = stateOf(upstream, now);
+    if (!state.unreadableAt || now - *state.unreadableAt >= betweenUnreadableLines) {
         state.unreadableAt = now;
         logEvent(LogEvent::UpstreamNoticeUnreadable, { { "upstream", upstream }, { "notice", std::string(what) } });
     }
 }
 
+void UpstreamNotices::lifeOver(const std::string &upstream, SteadyTime now)
+{
+    stateOf(upstream, now).stage = Stage::Over;
+}
+
 void UpstreamNotices::sent(const std::string &upstream, SteadyTime now)
 {
-    const auto found = states_.find(upstream);
-    if (found != states_.end() && (found->second.leaving || found->second.backoffUntil > now)) {
+    if (barred(upstream, now) != LossReason::None) {
         metrics_.count(Counter::SentPastNotice);
     }
 }
 
+LossReason UpstreamNotices::barred(const std::string &upstream, SteadyTime now) const
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end()) {
+        return LossReason::None;
+    }
+    if (found->second.stage != Stage::Serving) {
+        return LossReason::Leaving;
+    }
+    return found->second.backoffUntil > now ? LossReason::BackingOff : LossReason::None;
+}
+
+LossReason UpstreamNotices::barredForMovedRun(const std::string &upstream, SteadyTime now) const
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end()) {
+        return LossReason::None;
+    }
+    if (found->second.stage == Stage::Over) {
+        return LossReason::Leaving;
+    }
+    return found->second.backoffUntil > now ? LossReason::BackingOff : LossReason::None;
+}
+
+std::optional<SteadyTime::duration> UpstreamNotices::soonestReturn(std::span<const std::string *const> upstreams,
+                                                                   SteadyTime now) const
+{
+    std::optional<SteadyTime::duration> soonest;
+    for (const std::string *upstream : upstreams) {
+        if (barred(*upstream, now) == LossReason::BackingOff) {
+            const SteadyTime::duration left = states_.at(*upstream).backoffUntil - now;
+            soonest = soonest ? std::min(*soonest, left) : left;
+        }
+    }
+    return soonest;
+}
+
+std::size_t UpstreamNotices::remembered() const
+{
+    return states_.size();
+}
+
 } // namespace Portpaddle
--- /dev/null
+++ b/tests/gateway/notice_book_tests.cpp
@@ -0,0 +1,156 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// What a daemon remembers of what upstreams said, and how it reads that.
+
+#include "portpaddle/base/metrics.h"
+#include "portpaddle/upstream_notices/upstream_notices.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Portpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+class NoticeBookFixture
+{
+public:
+    void leaves(const std::string &upstream)
+    {
+        AnswerNotice notice;
+        notice.leaving = LeavingWord::Leaving;
+        notices.answered(upstream, notice, now);
+    }
+
+    void asks(const std::string &upstream, std::chrono::milliseconds time)
+    {
+        AnswerNotice notice;
+        notice.backoff = { RetryAfterWord::Named, time };
+        notices.answered(upstream, notice, now);
+    }
+
+    LossReason barred(const std::string &upstream) const
+    {
+        return notices.barred(upstream, now);
+    }
+
+    void list(const std::vector<std::string> &upstreams)
+    {
+        FleetView view;
+        for (const std::string &id : upstreams) {
+            view.upstreams[id].id = id;
+        }
+        notices.setView(view, now);
+    }
+
+    Metrics metrics;
+    UpstreamNotices notices{ metrics };
+    SteadyTime now{ 1h };
+};
+
+RetryAfter read(const std::string &value, std::chrono::system_clock::time_point wall = {})
+{
+    boost::beast::http::fields head;
+    head.insert(boost::beast::http::field::retry_after, value);
+    return readRetryAfter(head, wall);
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, life that is over, takes nothing any more")
+{
+    notices.lifeOver("e", now);
+    CHECK(barred("e") == LossReason::Leaving);
+    leaves("e");
+    CHECK(notices.barredForMovedRun("e", now) == LossReason::Leaving);
+}
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, run whose memory lies at an upstream that leaves, may go on there")
+{
+    leaves("e");
+    CHECK(barred("e") == LossReason::Leaving);
+    CHECK(notices.barredForMovedRun("e", now) == LossReason::None);
+    asks("e", 1s);
+    CHECK(notices.barredForMovedRun("e", now) == LossReason::BackingOff);
+}
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, shorter time after a longer one, ends with the longer one")
+{
+    asks("e", 3s);
+    now += 1s;
+    asks("e", 500ms);
+    asks("e", 0ms);
+    now += 1900ms;
+    CHECK(barred("e") == LossReason::BackingOff);
+    now += 100ms;
+    CHECK(barred("e") == LossReason::None);
+}
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, several upstreams that asked for time, tell the first that may be asked")
+{
+    const std::vector<std::string> ids{ "a", "b", "c" };
+    asks("a", 3s);
+    asks("b", 2s);
+    leaves("b");
+    asks("c", 5s);
+    const std::vector<const std::string *> asked{ &ids[0], &ids[1], &ids[2] };
+    CHECK(notices.soonestReturn(asked, now) == 3s);
+}
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, more lives than there is room for, forget those that are longest out of the view")
+{
+    leaves("listed");
+    for (std::size_t life = 0; life < mostUnlistedLives + 500; ++life) {
+        leaves("e" + std::to_string(life));
+        now += 1ms;
+    }
+    list({ "listed" });
+    CHECK(notices.remembered() == mostUnlistedLives + 1);
+    CHECK(barred("listed") == LossReason::Leaving);
+    CHECK(barred("e0") == LossReason::None);
+    CHECK(barred("e" + std::to_string(mostUnlistedLives + 499)) == LossReason::Leaving);
+}
+
+TEST_CASE_FIXTURE(NoticeBookFixture, "Notices, time that is over for a life out of the view, are forgotten")
+{
+    asks("e", 1s);
+    list({});
+    CHECK(notices.remembered() == 1);
+    now += 2s;
+    list({});
+    CHECK(notices.remembered() == 0);
+}
+
+TEST_CASE("Retry-After, each form that HTTP allows, is read")
+{
+    const auto wall = std::chrono::system_clock::from_time_t(784'111'777);
+    CHECK(read("3").time == 3s);
+    CHECK(read("0.25").time == 250ms);
+    CHECK(read("0").time == 0ms);
+    CHECK(read("3600").time == 1h);
+    CHECK(read("999999999999999999999999").time == longestRetryAfter);
+    CHECK(read("Sun, 06 Nov 1994 08:49:40 GMT", wall).time == 3s);
+    CHECK(read("Sunday, 06-Nov-94 08:49:40 GMT", wall).time == 3s);
+    CHECK(read("Sun Nov  6 08:49:40 1994", wall).time == 3s);
+    CHECK(read("Sun, 06 Nov 1994 08:49:30 GMT", wall).time == 0s);
+}
+
+TEST_CASE("Retry-After, what is no time, is unreadable")
+{
+    for (const char *value : { "", "-1", "-0.5", "nan", "inf", "-inf", "soon", "3 s", "0x3", "1e3", "--1", "Sun, 06 Nov 1994" }) {
+        CAPTURE(value);
+        CHECK(read(value).word == RetryAfterWord::Unreadable);
+    }
+    CHECK(readRetryAfter({}, {}).word == RetryAfterWord::Absent);
+}
+
+TEST_CASE("Retry-After, any bytes, is a time within its bounds or none")
+{
+    rc::check([](const std::string &value) {
+        const RetryAfter after = read(value);
+        RC_ASSERT(after.time >= 0ms);
+        RC_ASSERT(after.time <= longestRetryAfter);
+    });
+}
--- /dev/null
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -0,0 +1,120 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// One sending of a request: what is looked at again once there is a connection, and which answers are told of.
+
+#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/net/spawn.h"
+#include "support/scripted_upstream.h"
+
+#include <doctest/doctest.h>
+
+using namespace Portpaddle;
+
+namespace {
+
+/// A caller that takes everything.
+class PatientCaller : public CallerWriter
+{
+public:
+    Task<bool> whole(WholeAnswer) override
+    {
+        co_return true;
+    }
+    Task<bool> begin(unsigned, boost::beast::http::fields) override
+    {
+        co_return true;
+    }
+    Task<bool> piece(std::string_view) override
+    {
+        co_return true;
+    }
+    Task<bool> end() override
+    {
+        co_return true;
+    }
+    Task<bool> endWith(const char *, const std::string &) override
+    {
+        co_return true;
+    }
+    void abort() override
+    {
+    }
+};
+
+/// Sends one request to an upstream.
+class AttemptFixture
+{
+public:
+    AttemptReport send(const ScriptedUpstream &upstream)
+    {
+        HttpRequest message(boost::beast::http::verb::post, "/plain/a", 11);
+        message.set(names.requestId, "id1");
+        const CallerRequest request = decodeRequest(std::move(message), names, BootClock::now());
+        AttemptPlan plan;
+        plan.peer = "u1";
+        plan.address = upstream.address();
+        plan.expectedUpstream = "u1";
+        AttemptEvents events;
+        events.maySend = [this] { return takes; };
+        events.sending = [this] { sent = true; };
+        events.answered = [this](const AnswerNotice &notice) { notices.push_back(notice); };
+        events.firstEvent = [] {};
+        events.streamed = [](std::size_t) {};
+        events.heard = [] {};
+        UpstreamAttempt attempt(pool, names, request, caller, progress);
+        AttemptReport report;
+        spawnTask(loop.get_executor(), "attempt", [&]() -> Task<void> { report = co_await attempt.run(plan, events); });
+        loop.restart();
+        loop.run();
+        return report;
+    }
+
+    boost::asio::io_context loop{ 1 };
+    ConnectionPool pool{ loop.get_executor() };
+    HeaderNames names;
+    PatientCaller caller;
+    StreamProgress progress;
+    /// What the daemon knows of the upstream once the connection is there.
+    bool takes = true;
+    bool sent = false;
+    std::vector<AnswerNotice> notices;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(AttemptFixture, "Attempt, upstream that takes nothing any more once the connection is there, is sent nothing")
+{
+    ScriptedUpstream upstream(echo);
+    takes = false;
+    const AttemptReport report = send(upstream);
+    CHECK(report.withheld);
+    CHECK_FALSE(report.sent);
+    CHECK_FALSE(sent);
+    CHECK(report.end == AttemptEnd::NotRun);
+    CHECK(pool.open("u1") == 0);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(AttemptFixture, "Attempt, late answer before its own, is told of both and takes the late one for no proof")
+{
+    ScriptedUpstream upstream([](const SeenRequest &request) {
+        return ScriptedAnswer{ wholeAnswer("earlier", "", "X-Upstream-Leaving: 1\r\n") + wholeAnswer(idOf(request), "") };
+    });
+    const AttemptReport report = send(upstream);
+    CHECK(report.end == AttemptEnd::Complete);
+    REQUIRE(notices.size() == 2);
+    CHECK(notices[0].leaving == LeavingWord::Leaving);
+    CHECK_FALSE(notices[0].own);
+    CHECK(notices[1].leaving == LeavingWord::Absent);
+    CHECK(notices[1].own);
+}
+
+TEST_CASE_FIXTURE(AttemptFixture, "Attempt, refusal that asks for time, is no word to the caller and none against the upstream")
+{
+    ScriptedUpstream upstream(
+        [](const SeenRequest &) { return ScriptedAnswer{ "HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n" }; });
+    const AttemptReport report = send(upstream);
+    CHECK(report.turnedAway);
+    CHECK_FALSE(report.error.retryAfter.has_value());
+}
