Soak: upstreams that tell in answers alone that they leave, or turn requests away and ask for time

Counted by daemon, for requests that it took in the upstream's own region: none that was sent after the daemon had passed the word on, whatever the time, and no more than two within each time that was asked for, 1.5 s after the answer on.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 
 from limits import NamedLimits
+from notices import ToldNotices
 from upstreams import event, stream_length, whole_body
 
 PROMISES = {408, 421, 429, 503}  # statuses that say: not run, and never will be
@@ -32,6 +33,7 @@
         self.refused = {}
         self.tally = Counter()
         self.limits = NamedLimits()
+        self.notices = ToldNotices()
         self.failures = []
         self.closest = (0.0, "none")  # the window in which repeats came closest to their budget
         self.highest = {}  # daemon's life: newest configuration seen in force
@@ -43,15 +45,17 @@
     def sending(self, attempt, route, daemon):
         self.sent[attempt] = route
         self.taken_by[attempt] = (daemon, self.soak.now())
+        self.notices.sending(attempt, daemon)
         split = route.get("split", [{"service": route["service"], "weight": 1}])
         whole = sum(entry["weight"] for entry in split)
         for entry in split:
             self.requests_at[entry["service"]].append((self.soak.now(), entry["weight"] / whole))
 
-    def reached(self, upstream, attempt):
+    def reached(self, upstream, attempt, goes_on=False):
         """Each arrival as the budget counts them: also one that is rejected, or that goes on with a run which was moved."""
         self.arrivals[attempt] += 1
         self.limits.arrived(upstream.id, self.soak.now())
+        self.notices.arrived(upstream, attempt, goes_on, self.soak.timing, self.soak.now(), self.fail)
         if self.arrivals[attempt] > 1:
             self.repeats_at[upstream.service].append(self.soak.now())
 
@@ -96,6 +100,7 @@
     def answered(self, attempt, route, life, newest, status, headers, body):
         """A whole answer, as its framing says. newest: the version that the daemon's life had shown before the request was sent."""
         self.tally[status] += 1
+        self.notices.passed_on(attempt, headers, self.soak.upstreams)
         if status in PROMISES:
             self.refused[attempt] = status
             if self.runs[attempt] and route["kind"] != "idempotent" and not route.get("resumable"):
--- a/tests/soak/checks_tests.py
+++ b/tests/soak/checks_tests.py
@@ -20,12 +20,15 @@
         self.clock = 100.0
         soak = SimpleNamespace(now=lambda: self.clock, timing=True, planned_only=False, calm_since=lambda moment: True)
         self.soak = soak
-        self.entry = SimpleNamespace(region="south", stop_ordered=None)
-        self.relay = SimpleNamespace(region="north", stop_ordered=None)
+        self.entry = SimpleNamespace(region="south", stop_ordered=None, life_id=lambda: "d/1", disturbed_at=0.0)
+        self.relay = SimpleNamespace(region="north", stop_ordered=None, life_id=lambda: f"r/{self.relay_life}", disturbed_at=0.0)
+        self.relay_life = 1
         soak.daemons = [self.entry, self.relay]
         self.checks = Checks(soak)
         self.engine = SimpleNamespace(id="e-1", service="engines", region="north", left_since=None)
-        self.app = SimpleNamespace(id="a-1", service="app", region="north", left_since=None)
+        self.app = SimpleNamespace(id="a-1", service="app", region="north", left_since=None,
+                                   proxy=SimpleNamespace(disturbed_at=0.0))
+        soak.upstreams = [self.engine, self.app]
 
     def rules(self):
         return [failure.split()[1].rstrip(":") for failure in self.checks.failures]
@@ -169,6 +172,61 @@
         self.checks.broke_off("a", "torn")
         self.assertEqual(self.rules(), ["lost"])
 
+    def at_home(self, attempt, goes_on=False):
+        """A request that a daemon of the upstream's region takes and sends to it."""
+        if attempt not in self.checks.sent:
+            self.checks.sending(attempt, PAY, self.relay)
+        self.checks.reached(self.app, attempt, goes_on)
+
+    def told_leaving(self):
+        self.at_home("told")
+        headers = {"Portpaddle-Server-Seal": "a-1.told", "Server-Leaving": "1"}
+        self.checks.answered("told", PAY, "r/1", 0, 200, headers, whole_body("told", "app").encode())
+
+    def test_request_sent_after_its_daemon_was_told_that_the_upstream_leaves(self):
+        self.checks.sending("before", PAY, self.relay)
+        self.told_leaving()
+        self.at_home("before")
+        self.assertEqual(self.rules(), [])
+        self.at_home("later")
+        self.assertEqual(self.rules(), ["leaving"])
+
+    def test_run_that_goes_on_or_daemon_started_anew_at_an_upstream_that_leaves(self):
+        self.told_leaving()
+        self.at_home("moved", goes_on=True)
+        self.relay_life = 2
+        self.at_home("later")
+        self.arrive(self.app, "away", PAY)  # taken in another region
+        self.assertEqual(self.rules(), [])
+
+    def ask_for_time(self, after, requests):
+        self.at_home("first")
+        self.checks.notices.turned_away(self.app, "first", 4.0, self.clock)
+        self.clock += after
+        for number in range(requests):
+            self.at_home(f"later{number}")
+        return self.rules()
+
+    def test_requests_within_the_time_that_an_upstream_asked_for(self):
+        self.assertEqual(self.ask_for_time(2.0, 2), [])
+        self.at_home("one more")
+        self.assertEqual(self.rules(), ["asked"])
+
+    def test_requests_on_their_way_or_after_the_time_that_an_upstream_asked_for(self):
+        self.assertEqual(self.ask_for_time(1.0, 5), [])
+        self.clock += 4
+        self.at_home("afterwards")
+        self.assertEqual(self.rules(), [])
+
+    def test_requests_of_a_daemon_that_was_held_within_the_time(self):
+        self.at_home("first")
+        self.checks.notices.turned_away(self.app, "first", 4.0, self.clock)
+        self.relay.disturbed_at = self.clock + 1
+        self.clock += 2
+        for number in range(5):
+            self.at_home(f"later{number}")
+        self.assertEqual(self.rules(), [])
+
     def stopped(self, daemon, ordered, sent, broke, route=LONG):
         """A stream sent and broken at such times before and after the order to stop @p daemon."""
         self.soak.planned_only = True
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -22,6 +22,7 @@
         self.process = None
         self.life = 0
         self.paused = False
+        self.disturbed_at = 0.0  # when it was last held or cut off, or ran again after it
         self.stop_ordered = None  # when the platform last asked it to stop
         self.watcher = None
         self.log = open(os.path.join(soak.directory, name + ".log"), "ab")
@@ -79,9 +80,12 @@
 
     def pause(self):
         self.paused = True
+        self.disturbed_at = self.soak.now()
         self.send(signal.SIGSTOP)
 
     def resume(self):
+        if self.paused:
+            self.disturbed_at = self.soak.now()
         self.paused = False
         self.send(signal.SIGCONT)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,10 @@
 # What presses on the limits that upstreams name: daemons that forget, miss or hold up, and upstreams that start again.
 LIMITING = ("name_limit", "name_limit", "name_limit", "name_limit", "kill_in_series", "power_loss", "kill", "kill_many", "pause", "stop",
             "join", "store_cut", "store_down", "link_silent", "link_delay", "upstream_crash", "spoil")
+# What presses on what upstreams say of themselves: daemons that forget or hold up, and a store that tells late or an older record.
+TELLING = ("tell_leaving", "tell_leaving", "tell_leaving", "ask_for_time", "ask_for_time", "ask_for_time", "kill_in_series", "power_loss",
+           "kill", "pause", "stop", "hang_up", "join", "move_callers", "store_away", "store_cut", "store_down", "forget", "link_silent",
+           "link_delay", "upstream_crash", "spoil", "evacuate")
 
 
 class Faults:
@@ -36,13 +40,15 @@
                       self.store_loses, self.store_refuses, self.store_cut, self.forget, self.link_delay, self.link_reset,
                       self.link_silent, self.entry_reset, self.spoil, self.upstream_crash, self.upstream_leaves,
                       self.upstream_vanishes, self.configure, self.storm, self.evacuate, self.kill_in_series, self.power_loss,
-                      self.join, self.spoil_service, self.name_limit]
+                      self.join, self.spoil_service, self.name_limit, self.tell_leaving, self.ask_for_time]
         if soak.planned_only:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in PLANNED]
         if soak.options.press:
             self.kinds = [getattr(self, name) for name in PRESSING]
         if soak.options.limits:
             self.kinds = [getattr(self, name) for name in LIMITING]
+        if soak.options.notices:
+            self.kinds = [getattr(self, name) for name in TELLING]
 
     async def run(self, seconds):
         end = self.soak.now() + seconds
@@ -59,7 +65,7 @@
         self.counts[kind.__name__] += 1
         lasts = lasts or self.random.uniform(0.2, LONGEST)
         if kind not in (self.configure, self.upstream_leaves, self.evacuate, self.name_limit):
-            self.soak.disturb(lasts + 1)
+            self.soak.disturb(lasts + (6 if kind == self.store_away else 1))
         self.tasks.append(asyncio.create_task(kind(lasts)))
 
     async def strike_after_calm(self):
@@ -184,10 +190,17 @@
     def any_proxy(self):
         return self.random.choice([one.proxy for one in self.soak.upstreams] + [one.entry_proxy for one in self.soak.daemons])
 
+    async def until_bytes_pass(self, proxy, lasts):
+        """Until then @p proxy holds bytes back; what was under way arrives late."""
+        end = self.soak.now() + lasts
+        while self.soak.now() < end:
+            proxy.disturbed_at = self.soak.now() + 0.1
+            await asyncio.sleep(0.1)
+
     async def link_delay(self, lasts):
         proxy = self.any_proxy()
         proxy.delay = 0.05
-        await asyncio.sleep(lasts)
+        await self.until_bytes_pass(proxy, lasts)
         proxy.delay = 0
 
     async def link_reset(self, lasts):
@@ -196,7 +209,7 @@
     async def link_silent(self, lasts):
         proxy = self.any_proxy()
         proxy.silent_up, proxy.silent_down = self.random.choice([(True, True), (True, False), (False, True)])
-        await asyncio.sleep(lasts)
+        await self.until_bytes_pass(proxy, lasts)
         proxy.silent_up = proxy.silent_down = False
 
     async def entry_reset(self, lasts):
@@ -227,8 +240,8 @@
         self.soak.store.remove(f"servers/{upstream.id}")
         await upstream.begin(upstream.host, None)
 
-    async def upstream_leaves(self, lasts):
-        upstream = self.upstream()
+    async def upstream_leaves(self, lasts, upstream=None):
+        upstream = upstream or self.upstream()
         life = upstream.id
         upstream.register("draining")
         await asyncio.sleep(4.5)
@@ -238,6 +251,38 @@
         if upstream.id == life:
             await upstream.begin(upstream.host, None)
 
+    async def tell_leaving(self, lasts):
+        """Only answers tell for a while, in which its entry may lapse and come back; then the store does."""
+        upstream = self.upstream()
+        life = upstream.id
+        if upstream.tells_leaving:
+            return
+        upstream.tells_leaving = True
+        await asyncio.sleep(lasts)
+        if upstream.id == life and self.random.random() < 0.5:
+            self.soak.store.remove(f"servers/{life}")
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            if upstream.id == life:
+                upstream.register()
+        await asyncio.sleep(2 * lasts)
+        if upstream.id == life:
+            await self.upstream_leaves(lasts, upstream)
+
+    async def ask_for_time(self, lasts):
+        """One upstream, or all of a service, turn most requests away and want nothing from who sent them for a time."""
+        one = self.upstream()
+        upstreams = [one] if self.random.random() < 0.5 else [other for other in self.soak.upstreams if other.service == one.service]
+        for upstream in upstreams:
+            upstream.asks_for = self.random.uniform(1, 5)
+        await asyncio.sleep(3 * lasts)
+        for upstream in upstreams:
+            upstream.asks_for = None
+
+    async def store_away(self, lasts):
+        self.soak.store.down = True
+        await asyncio.sleep(lasts + 5)
+        self.soak.store.down = False
+
     async def upstream_vanishes(self, lasts):
         upstream = self.upstream()
         life = upstream.id
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -12,6 +12,7 @@
         self.silent_up = False
         self.silent_down = False
         self.refusing = False
+        self.disturbed_at = 0.0  # when it last held bytes back, by the soak's clock; set by who holds them
         self.writers = set()
         self.port = 0
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,7 +3,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Runs real daemons on loopback under a seeded schedule of faults and checks what callers and upstreams see.
 
-Usage: soak.py PROGRAM [--seed N] [--for SECONDS] [--daemons N] [--planned] [--press] [--limits] [--no-timing] [--keep DIRECTORY]
+Usage: soak.py PROGRAM [--seed N] [--for SECONDS] [--daemons N] [--planned] [--press] [--limits] [--notices] [--no-timing]
+    [--keep DIRECTORY]
 """
 import argparse
 import asyncio
@@ -194,6 +195,7 @@
               f"answers {dict(self.checks.tally)}, faults {dict(faults.counts)}")
         if self.timing:
             print(f"closest to the budget of repeats: {self.checks.closest[1]}; to a named limit: {self.checks.limits.closest[1]}")
+        print(f"notices of upstreams: {dict(self.checks.notices.counts)}")
         for failure in self.checks.failures:
             print("FAILED", failure)
 
@@ -215,6 +217,7 @@
     parser.add_argument("--planned", action="store_true", help="only work that must not cost a request")
     parser.add_argument("--press", action="store_true", help="only what presses on the budget of repeats")
     parser.add_argument("--limits", action="store_true", help="only what presses on the limits that upstreams name")
+    parser.add_argument("--notices", action="store_true", help="only what presses on what upstreams say of themselves")
     parser.add_argument("--keep", help="directory for logs; kept only when a check fails")
     return parser.parse_args()
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 FULL = 64  # requests at once; more are declined unrun
+TURNED_AWAY = 0.9  # of what comes to an upstream that asks for time
 
 
 def whole_body(attempt, service):
@@ -40,6 +41,8 @@
         self.running = 0
         self.limit = None  # requests a second that it names
         self.mode = None  # how answers are spoiled: errors, lost, torn, extra, shed, slow
+        self.asks_for = None  # seconds that it wants nothing from a daemon that it turns away
+        self.tells_leaving = False  # in its answers
         self.left_since = None  # when its leaving was written
         self.transports = set()
         self.stopped = {}  # attempt: (ordered to stop, has stopped), for each stream in progress
@@ -53,8 +56,8 @@
         """A new life at the same address."""
         self.life += 1
         self.left_since = None
-        self.mode = None
-        self.limit = None
+        self.mode = self.asks_for = self.limit = None
+        self.tells_leaving = False
         if self.runner is None:
             app = web.Application(client_max_size=8 << 20)
             app.router.add_route("*", "/{tail:.*}", self.serve)
@@ -69,8 +72,9 @@
         self.register()
 
     def register(self, state="ready"):
-        if state != "ready" and self.left_since is None:
-            self.left_since = self.soak.now()
+        if state != "ready":
+            self.tells_leaving = True
+            self.left_since = self.left_since or self.soak.now()
         self.soak.store.write(f"servers/{self.id}", {
             "service": self.service, "address": f"{self.host}:{self.proxy.port}", "zone": self.data_centre, "version": "v1",
             "slots": FULL, "state": state, "coldRemainingMs": 0, "sequence": self.life})
@@ -93,18 +97,23 @@
             return await self.move(await request.json())
         attempt = request.headers.get("Portpaddle-Attempt-Id", "")
         expected = request.headers.get("Portpaddle-Expected-Instance")
-        self.soak.checks.reached(self, attempt)
+        goes_on_from = request.headers.get("Kv-From")
+        self.soak.checks.reached(self, attempt, goes_on_from is not None)
         head = {"Portpaddle-Attempt-Id": attempt, "Keep-Alive": "timeout=5"}
         if self.limit is not None:
             head["Server-Limit"] = f"{self.limit:.2f}"
+        if self.tells_leaving:
+            head["Server-Leaving"] = "1"
         if expected not in (None, self.id):
             return web.Response(status=421, headers={**head, "Portpaddle-Not-Executed": "1"})
         body = await request.read()
-        goes_on_from = request.headers.get("Kv-From")
         if goes_on_from is not None and not self.soak.take_copy(goes_on_from, attempt, self):
             return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1"})
         if goes_on_from is None:
             self.soak.checks.arrived(self, attempt, request, body)
+        if self.asks_for is not None and self.soak.random.random() < TURNED_AWAY:
+            self.soak.checks.notices.turned_away(self, attempt, self.asks_for, self.soak.now())
+            return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1", "Retry-After": f"{self.asks_for:.2f}"})
         if self.running >= FULL or self.mode == "shed":
             return web.Response(status=503, headers={**head, "Portpaddle-Not-Executed": "1"})
         self.running += 1
