--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -233,8 +233,10 @@
         report.relayedSends = relayedSends;
         report.lifeOver = status == HttpStatus::misdirected && !life.empty() && life != plan.expectedUpstream;
         report.turnedAway = turnedAway;
-        if (remote_ && turnedAway) {
-            report.error.retryAfter = notice.backoff.time;
+        // What an upstream asks of this daemon is not what the caller has to keep to.
+        if (remote_ || status != HttpStatus::unavailable) {
+            const RetryAfter after = readRetryAfter(fields, std::chrono::system_clock::now());
+            report.error.retryAfter = after.word == RetryAfterWord::Named ? std::optional(after.time) : std::nullopt;
         }
         co_return report;
     }
