--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -283,7 +283,7 @@
     if (repeatUnderWay_) {
         const SteadyTime now = BootClock::now();
         gateway_.retries_.repeatArrived(*repeatUnderWay_, now);
-        gateway_.metrics_.observe(Timer::RepeatArrival, static_cast<double>(elapsedSince(repeatTakenAt_).count()));
+        gateway_.metrics_.observe(Timer::RepeatArrival, std::chrono::duration<double, std::milli>(now - repeatTakenAt_).count());
         repeatUnderWay_.reset();
     }
 }
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -61,8 +61,7 @@
     if (report.error.retryAfter) {
         return *report.error.retryAfter;
     }
-    const bool heldBack = report.turnedAway && gateway_.holdsBackAll(service_, BootClock::now());
-    return heldBack ? heldBackReturn() : suggestedReturn();
+    return gateway_.holdsBackAll(service_, BootClock::now()) ? heldBackReturn() : suggestedReturn();
 }
 
 /// The request has not run and will not.
--- a/src/portpaddle/retries/retry_credit.cpp
+++ b/src/portpaddle/retries/retry_credit.cpp
@@ -61,7 +61,7 @@
     account.level = std::min(account.level, kept - account.underWay);
 }
 
-RetryCredit::Account &RetryCredit::account(const std::string &service, SteadyTime now)
+RetryCredit::Account &RetryCredit::accountAt(const std::string &service, SteadyTime now)
 {
     const auto [entry, added] = accounts_.try_emplace(service);
     Account &account = entry->second;
@@ -76,7 +76,7 @@
 
 void RetryCredit::firstSent(const std::string &service, SteadyTime now)
 {
-    Account &sent = account(service, now);
+    Account &sent = accountAt(service, now);
     sent.firsts.push_back(now);
     sent.level += (1 - terms_.savedShare) * terms_.ratio;
     limit(sent, now);
@@ -84,7 +84,7 @@
 
 double RetryCredit::left(const std::string &service, SteadyTime now)
 {
-    return account(service, now).level;
+    return accountAt(service, now).level;
 }
 
 bool RetryCredit::allowsRepeat(const std::string &service, SteadyTime now)
@@ -103,19 +103,19 @@
 
 void RetryCredit::forceRepeat(const std::string &service, SteadyTime now)
 {
-    Account &taken = account(service, now);
+    Account &taken = accountAt(service, now);
     taken.level -= 1;
     ++taken.underWay;
 }
 
 void RetryCredit::repeatArrived(const std::string &service, SteadyTime now)
 {
-    --account(service, now).underWay;
+    --accountAt(service, now).underWay;
 }
 
 void RetryCredit::returnRepeat(const std::string &service, SteadyTime now)
 {
-    Account &returned = account(service, now);
+    Account &returned = accountAt(service, now);
     --returned.underWay;
     returned.level += 1;
 }
--- a/src/portpaddle/retries/retry_credit.h
+++ b/src/portpaddle/retries/retry_credit.h
@@ -79,7 +79,7 @@
     };
 
     /// The account as of now.
-    Account &account(const std::string &service, SteadyTime now);
+    Account &accountAt(const std::string &service, SteadyTime now);
     void refill(Account &account, SteadyTime now) const;
     /// Drops what may not be kept.
     void limit(Account &account, SteadyTime now) const;
