--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -217,14 +217,15 @@
     answered(asked, notice, BootClock::now());
 }
 
-/// Addresses are used again. A life that is not on the list is sent nothing, and tells again once it is.
+/// Addresses are used again, and nobody may speak for a life at another one. A life that is not on the list is sent nothing, and
+/// tells again once it is.
 const std::string *Gateway::speakerOf(const UpstreamRecord &asked, const AnswerNotice &notice) const
 {
     if (notice.life.empty() || notice.life == asked.registeredAs) {
         return &asked.id;
     }
     for (const auto &[id, upstream] : view_->upstreams) {
-        if (upstream.registeredAs == notice.life) {
+        if (upstream.registeredAs == notice.life && upstream.address == asked.address) {
             return &id;
         }
     }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -182,7 +182,7 @@
     void answered(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt);
     /// The same of an answer to an order, which tells nothing of requests.
     void answeredOrder(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head);
-    /// The life that gave it; null where it is not on the list.
+    /// The life that gave it; null where it is not on the list at that address.
     const std::string *speakerOf(const UpstreamRecord &asked, const AnswerNotice &notice) const;
     std::size_t connectionShare(const ServiceSpec &spec) const;
     /// Upstreams of @p service in the own region that do not leave.
--- a/tests/gateway/upstream_notice_tests.cpp
+++ b/tests/gateway/upstream_notice_tests.cpp
@@ -255,6 +255,18 @@
     CHECK(telling.seen().size() == before);
 }
 
+TEST_CASE_FIXTURE(NoticesFixture, "Answer that names a life at another address, that life, is asked as before")
+{
+    answerWith("HTTP/1.1 500 Failed\r\nX-Upstream: u2\r\n" + std::string(leaves) + "Content-Length: 0\r\n\r\n");
+    askUntilTold();
+    removeUpstream("u1");
+    const std::size_t before = other.seen().size();
+    for (unsigned count = 0; count < many; ++count) {
+        CHECK(askOnce().status == 200);
+    }
+    CHECK(other.seen().size() == before + many);
+}
+
 TEST_CASE_FIXTURE(NoticesFixture, "Leaving said by a caller, or in words that are none, concerns nobody")
 {
     addLines("X-Upstream-Leaving: 0\r\nX-Upstream-Leaving: soon\r\n");
