--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 45> catalogue{ {
+constexpr std::array<LogEventDescription, 50> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -81,6 +81,13 @@
     { LogEvent::UpstreamNoticeUnreadable, "upstream_notice_unreadable", "warning",
       "An answer carries a notice about its upstream that cannot be parsed; earlier notices stay in force." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call arrived with a key that is already in use." },
+    { LogEvent::RolloutOrdered, "rollout_ordered", "info", "An operator ordered that a service change over to a version." },
+    { LogEvent::RolloutStageWritten, "rollout_stage_written", "info",
+      "This daemon decided a step of a rollout; the line gives the share of the new version and the reason of a rollback." },
+    { LogEvent::RolloutStageChanged, "rollout_stage_changed", "info", "A step of a rollout is in force on this daemon." },
+    { LogEvent::RolloutNotWritten, "rollout_not_written", "warning",
+      "A step of a rollout was not written; the step is decided again if it is still due." },
+    { LogEvent::RolloutUnreadable, "rollout_unreadable", "warning", "An order or a record of a rollout could not be parsed." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
     { LogEvent::OrderWithheld, "order_withheld", "warning", "An order was not sent because the lease could not be confirmed." },
--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -247,6 +247,8 @@
     case Wire::DigestKind::Direct:
     case Wire::DigestKind::Crashes:
     case Wire::DigestKind::UpstreamLimits:
+    case Wire::DigestKind::RolloutReport:
+    case Wire::DigestKind::RolloutSum:
         break;
     case Wire::DigestKind::Report:
         loads_.applyDigest(digest, now);
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -67,13 +67,9 @@
     return false;
 }
 
-bool RequestHandler::reserveBody(std::size_t)
-{
-    return true;
-}
-
-void RequestHandler::releaseBody(std::size_t)
+MemoryBudget *RequestHandler::bodyMemory()
 {
+    return nullptr;
 }
 
 CallerSession::CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler)
@@ -82,6 +78,7 @@
     , handler_(handler)
     , timer_(socket_.get_executor())
     , watchEnded_(socket_.get_executor())
+    , bodyShare_(handler.bodyMemory())
 {
     applySocketOptions(socket_.native_handle());
 }
@@ -122,6 +119,18 @@
     });
 }
 
+void CallerSession::disarmTimer()
+{
+    ++timerGeneration_;
+    timer_.cancel();
+}
+
+// A peer that stops reading would otherwise hold its answer, its request and a connection to an upstream for ever.
+void CallerSession::armWriteTimer()
+{
+    armTimer(handler_.limits().idleTimeout, &CallerSession::close);
+}
+
 Task<void> CallerSession::run()
 {
     while (keepOpen_ && socket_.is_open()) {
@@ -137,8 +146,7 @@
         // The head of a stream may have announced, before a stop began, that the connection stays open.
         keepOpen_ = keepOpen_ && !handler_.closing();
     }
-    ++timerGeneration_;
-    timer_.cancel();
+    disarmTimer();
     close();
 }
 
@@ -171,20 +179,31 @@
             co_return false;
         }
     }
-    ++timerGeneration_;
-    timer_.cancel();
+    disarmTimer();
     co_return true;
 }
 
 Task<bool> CallerSession::readBody(Parser &parser)
 {
     NetError error;
+    const boost::optional<std::uint64_t> announced = parser.content_length();
+    const bool fits = !announced || bodyShare_.growTo(static_cast<std::size_t>(*announced));
+    // Only received bytes count, so that a few callers that announce long bodies cannot take all memory.
+    bodyShare_.release();
+    if (!fits) {
+        co_await refuseForMemory();
+        co_return false;
+    }
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await boost::asio::async_write(socket_, boost::asio::buffer(continueResponse), awaitingInto(error));
     }
-    if (!error) {
-        co_await http::async_read(socket_, buffer_, parser, awaitingInto(error));
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
+        if (!error && !bodyShare_.growTo(parser.get().body().size())) {
+            co_await refuseForMemory();
+            co_return false;
+        }
     }
     if (error) {
         co_await reject(error);
@@ -193,6 +212,15 @@
     co_return true;
 }
 
+Task<void> CallerSession::refuseForMemory()
+{
+    keepOpen_ = false;
+    WholeAnswer answer;
+    answer.status = HttpStatus::unavailable;
+    answer.fields.set(http::field::retry_after, "1");
+    co_await whole(std::move(answer));
+}
+
 /// Answers a peer that broke the protocol or a bound with the reason; the connection closes afterwards.
 Task<void> CallerSession::reject(NetError error)
 {
@@ -211,15 +239,6 @@
 {
     keepOpen_ = message.keep_alive();
     headOnly_ = message.method() == http::verb::head;
-    const std::size_t reservedBytes = message.body().size();
-    if (!handler_.reserveBody(reservedBytes)) {
-        keepOpen_ = false;
-        WholeAnswer answer;
-        answer.status = HttpStatus::unavailable;
-        answer.fields.set(http::field::retry_after, "1");
-        co_await whole(std::move(answer));
-        co_return;
-    }
     serving_ = true;
     CallerRequest request = decodeRequest(std::move(message), handler_.names(), requestStarted_);
     request.relayed = peer_ == SessionPeer::Daemon;
@@ -236,7 +255,7 @@
     co_await handler_.serve(std::move(request), *this, onAbandoned_);
     onAbandoned_ = nullptr;
     co_await stopWatching();
-    handler_.releaseBody(reservedBytes);
+    bodyShare_.release();
     serving_ = false;
 }
 
@@ -295,7 +314,12 @@
         message.prepare_payload();
     }
     NetError error;
-    co_await http::async_write(socket_, message, awaitingInto(error));
+    http::response_serializer<http::string_body> serializer(message);
+    while (!error && !serializer.is_done()) {
+        armWriteTimer();
+        co_await http::async_write_some(socket_, serializer, awaitingInto(error));
+    }
+    disarmTimer();
     co_return !error;
 }
 
@@ -309,7 +333,9 @@
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
     NetError error;
+    armWriteTimer();
     co_await http::async_write_header(socket_, serializer, awaitingInto(error));
+    disarmTimer();
     co_return !error;
 }
 
@@ -319,14 +345,18 @@
         co_return true;
     }
     NetError error;
+    armWriteTimer();
     co_await boost::asio::async_write(socket_, http::make_chunk(boost::asio::buffer(bytes)), awaitingInto(error));
+    disarmTimer();
     co_return !error;
 }
 
 Task<bool> CallerSession::end()
 {
     NetError error;
+    armWriteTimer();
     co_await boost::asio::async_write(socket_, http::make_chunk_last(), awaitingInto(error));
+    disarmTimer();
     co_return !error;
 }
 
@@ -335,7 +365,9 @@
     http::fields trailer;
     trailer.set(name, value);
     NetError error;
+    armWriteTimer();
     co_await boost::asio::async_write(socket_, http::make_chunk_last(trailer), awaitingInto(error));
+    disarmTimer();
     co_return !error;
 }
 
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -27,9 +27,8 @@
     virtual const HeaderNames &names() const = 0;
     /// Whether connections are to close after the answer in progress.
     virtual bool closing() const;
-    /// Reserves memory for a request body; returns false if the handler's bound is exceeded. There is no bound by default.
-    virtual bool reserveBody(std::size_t bytes);
-    virtual void releaseBody(std::size_t bytes);
+    /// Returns the budget of the memory for request bodies; null, which is the default, if it is not bounded.
+    virtual MemoryBudget *bodyMemory();
 };
 
 /// The kind of peer at the other end of a connection.
@@ -62,11 +61,16 @@
     Task<bool> readBody(Parser &parser);
     Task<void> serve(HttpRequest message);
     Task<void> reject(NetError error);
+    /// Answers a request for whose body there is no memory; the request has not run.
+    Task<void> refuseForMemory();
     void watchCaller();
     Task<void> stopWatching();
     void callerLeft();
     /// Calls @p action after @p time; replaces an action that is still due.
     void armTimer(std::chrono::milliseconds time, void (CallerSession::*action)());
+    void disarmTimer();
+    /// Closes the connection if the peer takes nothing of what is written next for as long as a connection may be idle.
+    void armWriteTimer();
 
     Socket socket_;
     SessionPeer peer_;
@@ -76,6 +80,8 @@
     SteadyTimer watchEnded_;
     SteadyTime requestStarted_;
     std::function<void()> onAbandoned_;
+    /// The body of the request that is read or served.
+    MemoryShare bodyShare_;
     bool serving_ = false;
     /// The session waits for the first byte of a request.
     bool awaitingRequest_ = false;
--- a/src/portpaddle/gateway/caller_writer.h
+++ b/src/portpaddle/gateway/caller_writer.h
@@ -4,6 +4,7 @@
 /// The interface through which an exchange writes the answer to its caller.
 #pragma once
 
+#include "portpaddle/gateway/memory_budget.h"
 #include "portpaddle/net/asio.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -19,6 +20,8 @@
     unsigned status = 200;
     boost::beast::http::fields fields;
     std::string body;
+    /// What the body takes from the memory for answers; empty for answers that this daemon made itself.
+    MemoryShare memory;
 };
 
 /// Writes one answer, either whole or in chunks. Each call returns false once the caller is gone.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -43,6 +43,7 @@
             })
     , continuation_(request_.continuation)
     , sends_(request_.earlierSends)
+    , versionChance_(gateway.random_.fraction())
 {
 }
 
@@ -165,7 +166,7 @@
         }
     }
     refundRetry();
-    co_await finish(report);
+    co_await finish(std::move(report));
 }
 
 Error Exchange::noTargetError(ExclusionReason reason)
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -52,6 +52,9 @@
     Task<bool> passesQuarantine();
     unsigned priority() const;
     Gateway::ChoiceContext choiceContext() const;
+    /// Returns what the answer to an attempt tells about the version of its upstream; no value if nothing.
+    std::optional<AnswerSample> sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket, const AttemptReport &report,
+                                         SteadyTime now) const;
     void startDeadline();
     /// Whether the request may be accepted during a stop; sets latestPredictedEnd_ if this depends on the prediction.
     bool fitsStopDeadline();
@@ -106,7 +109,7 @@
     Millis capacityWaitLeft() const;
     /// Waits one polling interval for capacity; returns false when the request has waited for its maximum.
     Task<bool> waitForCapacity();
-    Task<void> finish(const AttemptReport &report);
+    Task<void> finish(AttemptReport report);
     Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
     Task<void> fail(unsigned status, std::string message);
     void log(LogEvent event, unsigned status, const std::string &message) const;
@@ -157,6 +160,10 @@
     std::string askedTargets_;
     /// Number of times that any daemon sent the request to an upstream.
     unsigned sends_ = 0;
+    /// Decides which version of a service that is rolled out the first attempt is sent to.
+    double versionChance_;
+    /// The attempt in progress, as it counts for a rollout of the service.
+    RolloutTicket rolloutTicket_;
     /// The service of a paid retry that has not reached its upstream; the payment covers attempts until one does.
     std::optional<std::string> retryUnderWay_;
     /// When that retry was paid for.
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -19,6 +19,8 @@
 
 constexpr Millis configurationPollInterval{ 20 };
 constexpr Millis retryAfterBeforeConfiguration{ 500 };
+// Below every chance that draws a new version unless it receives all requests.
+constexpr double retryVersionChance = 0.999'999;
 
 } // namespace
 
@@ -131,9 +133,12 @@
 
 Gateway::ChoiceContext Exchange::choiceContext() const
 {
-    return {
-        *route_, organisation_, services_->rankOf(priority()), service_, tried_, deadline_, eventsSeen_, latestPredictedEnd_
-    };
+    Gateway::ChoiceContext context{ *route_,     organisation_,      services_->rankOf(priority()), service_, tried_, deadline_,
+                                    eventsSeen_, latestPredictedEnd_ };
+    context.versionRule = gateway_.rollouts_.rule(service_);
+    // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
+    context.arm = drawArm(context.versionRule, askedTargets_.empty() ? versionChance_ : retryVersionChance);
+    return context;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -7,6 +7,7 @@
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
+#include "portpaddle/net/http_status.h"
 
 #include <algorithm>
 #include <cmath>
@@ -81,6 +82,9 @@
     callbacks.maySend = [this, &target, continuesMovedRun] {
         const std::string &upstream = target.upstream->id;
         const SteadyTime now = BootClock::now();
+        if (!admitsVersion(gateway_.rollouts_.rule(service_), target.upstream->version)) {
+            return false;
+        }
         const ExclusionReason exclusionReason = continuesMovedRun ? gateway_.notices_.exclusionForMovedRun(upstream, now)
                                                                   : gateway_.notices_.exclusionReason(upstream, now);
         return exclusionReason == ExclusionReason::None;
@@ -88,6 +92,7 @@
     callbacks.sending = [this, &target, &ticket] {
         ++sends_;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
+        rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
     callbacks.headReceived
@@ -126,7 +131,7 @@
     LoadTicket ticket;
     attemptFirstBytesAt_.reset();
     const AttemptCallbacks callbacks = callbacksFor(target, ticket, !plan.memoryFrom.empty());
-    UpstreamAttempt sending(gateway_.pool_, gateway_.names_, request_, writer_, progress_);
+    UpstreamAttempt sending(gateway_.pool_, gateway_.answerMemory_, gateway_.names_, request_, writer_, progress_);
     current_ = &sending;
     const auto watch = std::make_shared<SilenceWatch>(SilenceWatch{ plan.peer, BootClock::now(), &sending });
     if (local && route_->mayRunTwice() && !request_.relayed) {
@@ -175,6 +180,9 @@
     if (target.upstream && report.incarnationEnded) {
         gateway_.notices_.incarnationEnded(target.upstream->id, now);
     }
+    if (target.upstream) {
+        gateway_.rollouts_.ended(std::exchange(rolloutTicket_, {}), sampleOf(*target.upstream, ticket, report, now));
+    }
     if (!ticket.upstream.empty()) {
         const bool answered = report.end == AttemptEnd::Complete;
         // A run that was stopped in order to be moved is no failure of its upstream.
@@ -192,6 +200,21 @@
     mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
 }
 
+// A new version is not blamed for what happens to any upstream: one that crashes, refuses a request, or is still cold.
+std::optional<AnswerSample> Exchange::sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket,
+                                               const AttemptReport &report, SteadyTime now) const
+{
+    if (!report.sent || report.turnedAway || upstream.coldUntil > ticket.sentAt) {
+        return std::nullopt;
+    }
+    if (report.bufferedAnswer) {
+        return AnswerSample{ report.bufferedAnswer->status >= HttpStatus::internalError, now - ticket.sentAt };
+    }
+    const bool streams = route_->kind == RouteKind::Stream;
+    return streams && attemptFirstBytesAt_ ? std::optional(AnswerSample{ false, *attemptFirstBytesAt_ - ticket.sentAt })
+                                           : std::nullopt;
+}
+
 void Exchange::noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now)
 {
     if (!attemptFirstBytesAt_ || now - *attemptFirstBytesAt_ < crashSuspicionTime) {
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -16,7 +16,7 @@
 
 namespace http = boost::beast::http;
 
-Task<void> Exchange::finish(const AttemptReport &report)
+Task<void> Exchange::finish(AttemptReport report)
 {
     if (handedOver_) {
         log(LogEvent::RequestResumed, 0, "handed over to the daemon that forwarded the request");
@@ -39,7 +39,7 @@
     }
     if (report.bufferedAnswer) {
         const unsigned status = report.bufferedAnswer->status;
-        WholeAnswer answer = *report.bufferedAnswer;
+        WholeAnswer answer = std::move(*report.bufferedAnswer);
         setSendsHeader(answer);
         co_await writer_.whole(std::move(answer));
         log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
--- a/src/portpaddle/gateway/fleet_registry.cpp
+++ b/src/portpaddle/gateway/fleet_registry.cpp
@@ -230,6 +230,27 @@
     publish();
 }
 
+void FleetRegistry::listRollouts(Rollouts rollouts)
+{
+    const std::lock_guard lock(mutex_);
+    rollouts_ = std::move(rollouts);
+    publish();
+}
+
+void FleetRegistry::changeRolloutOrder(const std::string &service, std::optional<RolloutOrder> order)
+{
+    const std::lock_guard lock(mutex_);
+    rollouts_[service].order = std::move(order);
+    publish();
+}
+
+void FleetRegistry::changeRolloutRecord(const std::string &service, std::optional<RolloutRecord> record)
+{
+    const std::lock_guard lock(mutex_);
+    rollouts_[service].record = std::move(record);
+    publish();
+}
+
 void FleetRegistry::onStoreUnavailable(SteadyTime)
 {
     const std::lock_guard lock(mutex_);
@@ -291,6 +312,7 @@
     view->evacuated = evacuated_;
     view->quarantined = quarantined_;
     view->upstreamLimits = upstreamLimits_;
+    view->rollouts = rollouts_;
     view->storeReachable = storeReachable_;
     cell_.publish(std::move(view));
     published_();
--- a/src/portpaddle/gateway/fleet_registry.h
+++ b/src/portpaddle/gateway/fleet_registry.h
@@ -44,6 +44,11 @@
     void listUpstreamLimits(StoredLimits limits);
     /// @p limit has no value where the record of @p upstream is gone or cannot be read.
     void changeUpstreamLimit(std::uint64_t upstream, const std::optional<StoredLimit> &limit);
+    void listRollouts(Rollouts rollouts);
+    /// @p order has no value where the order is gone or cannot be read.
+    void changeRolloutOrder(const std::string &service, std::optional<RolloutOrder> order);
+    /// @p record has no value where the record is gone or cannot be read.
+    void changeRolloutRecord(const std::string &service, std::optional<RolloutRecord> record);
     void onStoreUnavailable(SteadyTime now);
     void onStoreAvailable(SteadyTime now);
     /// Removes records that expired and were not registered again; call a few times a second.
@@ -81,6 +86,7 @@
     std::set<std::string> evacuated_;
     QuarantinedRequests quarantined_;
     StoredLimits upstreamLimits_;
+    Rollouts rollouts_;
     bool storeReachable_ = false;
     bool everReachable_ = false;
     bool inBatch_ = false;
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -8,6 +8,7 @@
 #include "portpaddle/crashes/quarantine.h"
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/rollouts/rollout.h"
 #include "portpaddle/upstream_limits/limit_table.h"
 
 #include <memory>
@@ -27,6 +28,8 @@
     /// The name under which the upstream registered and answers.
     std::string registeredName;
     std::string service;
+    /// Version of the upstream's software.
+    std::string version;
     /// IP:PORT.
     std::string address;
     std::string dataCentre;
@@ -69,6 +72,7 @@
     /// Requests that must not be sent to upstreams.
     QuarantinedRequests quarantined;
     StoredLimits upstreamLimits;
+    Rollouts rollouts;
     bool storeReachable = false;
 
     /// Returns whether new requests may be sent to @p upstream.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -35,6 +35,8 @@
     , owners_(identity_.id)
     , upstreamLimits_({ identity_.id, identity_.region }, owners_, metrics)
     , notices_(metrics)
+    , rollouts_(identity_.id, identity_.region, random.below(std::numeric_limits<std::uint64_t>::max()),
+                [this](const std::string &daemon, SteadyTime now) { return regions_.fellSilent(daemon, now); })
 {
     regions_.setOwnRegion(identity_.region);
 }
@@ -72,25 +74,19 @@
     return stop_.has_value();
 }
 
-bool Gateway::reserveBody(std::size_t bytes)
+MemoryBudget *Gateway::bodyMemory()
 {
-    if (bodyBytes_ + bytes > options_.bodyMemoryBytes) {
-        return false;
-    }
-    bodyBytes_ += bytes;
-    return true;
-}
-
-void Gateway::releaseBody(std::size_t bytes)
-{
-    bodyBytes_ -= bytes;
+    return &bodyMemory_;
 }
 
 void Gateway::setOptions(const GatewayOptions &options)
 {
     options_ = options;
+    bodyMemory_.setLimit(options.bodyMemoryBytes);
+    answerMemory_.setLimit(options.answerMemoryBytes);
     organisationLimits_.setTolerance(options.limitTolerance);
     retryMembers_.setSettling(options.listSettling);
+    rollouts_.setTerms(options.rolloutTerms);
     updateRetryBudget(BootClock::now());
 }
 
@@ -184,6 +180,7 @@
     updateOwners(now);
     upstreamLimits_.setView(view_, now);
     notices_.setView(*view_, now);
+    rollouts_.setView(view_);
     std::set<std::string> ownDataCentre;
     for (const DaemonRecord &daemon : view_->daemons) {
         if (daemon.dataCentre == identity_.dataCentre) {
@@ -252,6 +249,11 @@
     crashes_.setWriteRecord(std::move(write));
 }
 
+void Gateway::setRolloutWriter(RolloutController::WriteRecord write)
+{
+    rollouts_.setWriter(std::move(write));
+}
+
 void Gateway::setLimitWriter(UpstreamLimits::WriteRecord write)
 {
     upstreamLimits_.setWriteRecord(std::move(write));
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "portpaddle/limits/organisation_limits.h"
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
+#include "portpaddle/rollouts/rollout_coordinator.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
 
@@ -69,8 +70,11 @@
     /// Minimum time for which a leaving upstream serves after its announcement.
     std::chrono::milliseconds drainBound{ 3'000 };
     std::size_t bodyMemoryBytes = 64 * 1024 * 1024;
+    /// Memory for answers that are held until they are complete; further answers are passed on as they arrive.
+    std::size_t answerMemoryBytes = 64 * 1024 * 1024;
     /// By how much organisations' limits may be exceeded.
     LimitTolerance limitTolerance;
+    RolloutTerms rolloutTerms;
 };
 
 /// Handles the requests of one event loop and must only be used from it; only the view is written by another thread.
@@ -84,8 +88,7 @@
     CallerLimits limits() const override;
     const HeaderNames &names() const override;
     bool closing() const override;
-    bool reserveBody(std::size_t bytes) override;
-    void releaseBody(std::size_t bytes) override;
+    MemoryBudget *bodyMemory() override;
 
     void setOptions(const GatewayOptions &options);
     void setPolicy(const PolicySettings &policy);
@@ -97,6 +100,10 @@
     void setLimitWriter(UpstreamLimits::WriteRecord write);
     /// Returns the digests about requests during which upstreams ended; call once in each interval.
     std::vector<OutgoingDigest> dueCrashDigests();
+    /// Sets the function that writes decisions about rollouts to the platform.
+    void setRolloutWriter(RolloutController::WriteRecord write);
+    /// Returns the digests about rollouts; call once in each interval.
+    std::vector<OutgoingDigest> dueRolloutDigests();
     /// Returns the digests about limits named by upstreams; call once in each interval.
     std::vector<OutgoingDigest> dueLimitDigests();
     /// Sets the handler for other daemons' requests for the state of the store; it must outlive the gateway.
@@ -158,6 +165,9 @@
         std::size_t eventsSeen = 0;
         /// The predicted end of the answer must not be later than this.
         SteadyTime completionDeadline = SteadyTime::max();
+        std::optional<VersionRule> versionRule{};
+        /// The versions of the service to which the request may be sent.
+        VersionArm arm = VersionArm::Any;
 
         bool allowsRegion(std::string_view region) const;
     };
@@ -166,6 +176,8 @@
     Target choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     /// Returns the target that choose() would choose, without counting the request.
     Target propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
+    /// As propose(), without regard to other versions if none of the wanted one is available.
+    Target proposeArm(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                                    const std::vector<std::string> &tried,
                                                    std::vector<const UpstreamRecord *> &records, SteadyTime now);
@@ -237,6 +249,7 @@
     StableOwner owners_;
     UpstreamLimits upstreamLimits_;
     UpstreamNotices notices_;
+    RolloutCoordinator rollouts_;
     /// Number of requests that wait to be sent to an upstream with a limit, by service.
     std::map<std::string, std::size_t> waitingRequests_;
     /// Daemons of the own region in the view.
@@ -253,7 +266,8 @@
     /// Streams in progress by upstream of the own region.
     std::unordered_map<std::string, std::set<Exchange *>> streams_;
     PeerRequestHandler *peerRequestHandler_ = nullptr;
-    std::size_t bodyBytes_ = 0;
+    MemoryBudget bodyMemory_;
+    MemoryBudget answerMemory_;
     std::set<const Exchange *> inProgress_;
     std::uint64_t digestSequence_ = 0;
     /// Prompt parts that the digests of this round announce, by reach.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/gateway/fetch_offers.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/prefix_affinity.h"
+#include "portpaddle/gateway/version_filter.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
@@ -163,6 +164,19 @@
     Portpaddle::applyPrefixAffinity(prompt, affinityRegions, std::move(affinityUpstreams));
 }
 
+Target Gateway::propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
+{
+    Target target = proposeArm(request, context, now);
+    const bool found = target.upstream || target.daemon;
+    const std::optional<VersionArm> fallback = found ? std::nullopt : fallbackArm(context.versionRule, context.arm);
+    if (!fallback) {
+        return target;
+    }
+    ChoiceContext other = context;
+    other.arm = *fallback;
+    return proposeArm(request, other, now);
+}
+
 Target Gateway::choose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
 {
     Target target = propose(request, context, now);
@@ -178,7 +192,7 @@
     return target;
 }
 
-Target Gateway::propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
+Target Gateway::proposeArm(const CallerRequest &request, const ChoiceContext &context, SteadyTime now)
 {
     const Route &route = context.route;
     const std::vector<std::string> &tried = context.tried;
@@ -207,10 +221,13 @@
     std::vector<UpstreamCandidate> upstreams;
     if (context.allowsRegion(identity_.region)) {
         upstreams = localCandidates(context.service, *spec, request.prompt, tried, records, now);
+        excludeOtherVersions(context.versionRule, context.arm, upstreams, records);
     }
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
-    if (!request.relayed) {
+    // A request in the trial of a new version stays here: another region draws the version of what is forwarded anew.
+    const bool inTrial = context.arm == VersionArm::Newer && context.versionRule && context.versionRule->share < 1;
+    if (!request.relayed && !inTrial) {
         regions = regions_.candidates(context.service, *spec, request.prompt, facts.urgency, now, regionNames);
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -6,10 +6,18 @@
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/gateway/service_summary.h"
+#include "portpaddle/gateway/version_filter.h"
 #include "portpaddle/limits/limit_digest.h"
 
 namespace Portpaddle {
 
+namespace {
+
+// The version that receives most of a service's requests is the one whose capacity other regions are told.
+constexpr double mainVersionChance = 0.5;
+
+} // namespace
+
 void Gateway::setDigestInterval(std::chrono::milliseconds interval)
 {
     regions_.setDigestInterval(interval);
@@ -29,6 +37,10 @@
         upstreamLimits_.takeNews(digest, now);
         return;
     }
+    if (digest.kind == Wire::DigestKind::RolloutReport || digest.kind == Wire::DigestKind::RolloutSum) {
+        rollouts_.take(digest, now);
+        return;
+    }
     regions_.applyDigest(digest, now);
     if (digest.kind != Wire::DigestKind::Direct) {
         loadAggregation_.take(digest, now);
@@ -81,6 +93,11 @@
     return crashes_.dueDigests(digestHeader());
 }
 
+std::vector<OutgoingDigest> Gateway::dueRolloutDigests()
+{
+    return rollouts_.due(digestHeader(), BootClock::now());
+}
+
 std::vector<OutgoingDigest> Gateway::dueLimitDigests()
 {
     return upstreamLimits_.dueDigests(digestHeader(), BootClock::now());
@@ -108,7 +125,10 @@
         }
         std::vector<const UpstreamRecord *> records;
         ServiceSummary summary;
-        for (const UpstreamCandidate &candidate : localCandidates(name, spec, noPrompt, {}, records, now)) {
+        std::vector<UpstreamCandidate> candidates = localCandidates(name, spec, noPrompt, {}, records, now);
+        const std::optional<VersionRule> rule = rollouts_.rule(name);
+        excludeOtherVersions(rule, drawArm(rule, mainVersionChance), candidates, records);
+        for (const UpstreamCandidate &candidate : candidates) {
             // The capacity of cold upstreams and of those with a limit is reserved for callers of the own region.
             const bool cold = policy_.reserveColdUpstreams && records[candidate.index]->coldUntil > now;
             const bool reserved = cold || candidate.limited;
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -177,6 +177,7 @@
     const std::shared_ptr<const FleetView> view = gateway_.view();
     send(gateway_.dueCrashDigests());
     send(gateway_.dueLimitDigests());
+    send(gateway_.dueRolloutDigests());
     if (usesAggregators(*view)) {
         sendDigests();
         return;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t maxWholeBytes = 8 * 1024 * 1024;
 // Maximum length of a late or refused answer that is read only to be discarded.
 constexpr std::size_t maxDiscardedBytes = 64 * 1024;
+// Events of engines hold a few tokens each.
+constexpr std::size_t maxEventBytes = 1024 * 1024;
 // A connection is no longer used from this long before the upstream may close it.
 constexpr std::chrono::milliseconds keepAliveMargin{ 1'000 };
 
@@ -87,9 +89,9 @@
     return result;
 }
 
-UpstreamAttempt::UpstreamAttempt(ConnectionPool &pool, const HeaderNames &names, const CallerRequest &request,
-                                 CallerWriter &writer, StreamProgress &progress)
-    : pool_(pool), names_(names), request_(request), writer_(writer), progress_(progress)
+UpstreamAttempt::UpstreamAttempt(ConnectionPool &pool, MemoryBudget &answerMemory, const HeaderNames &names,
+                                 const CallerRequest &request, CallerWriter &writer, StreamProgress &progress)
+    : pool_(pool), answerMemory_(answerMemory), names_(names), request_(request), writer_(writer), progress_(progress)
 {
 }
 
@@ -307,20 +309,54 @@
 Task<AttemptReport> UpstreamAttempt::readWholeAnswer(Parser &parser)
 {
     NetError error;
+    MemoryShare memory(&answerMemory_);
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
         if (error) {
             co_return brokenConnection("the answer was cut off: " + error.message());
         }
-        if (parser.get().body().size() > maxWholeBytes) {
-            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer is too large");
+        if (parser.get().body().size() > maxWholeBytes || !memory.growTo(parser.get().body().size())) {
+            memory.release();
+            co_return co_await passOn(parser);
         }
     }
-    co_return evaluateWholeAnswer(parser, std::move(parser.get().body()));
+    co_return evaluateWholeAnswer(parser, std::move(memory));
 }
 
-/// Turns a complete answer into a report; an answer that must not reach the caller becomes a failure.
-AttemptReport UpstreamAttempt::evaluateWholeAnswer(Parser &parser, std::string body) const
+// Holding the answer back would only let another attempt follow if this one breaks. Without memory for that, the caller's pace
+// bounds what is read from the upstream.
+Task<AttemptReport> UpstreamAttempt::passOn(Parser &parser)
+{
+    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
+        co_return std::move(*rejection);
+    }
+    progress_.begun = true;
+    http::fields fields = forwardableFields(parser.get());
+    if (reportedSends_) {
+        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
+    }
+    bool taken = co_await writer_.begin(parser.get().result_int(), std::move(fields));
+    NetError error;
+    while (taken) {
+        const std::string bytes = std::move(parser.get().body());
+        parser.get().body().clear();
+        taken = co_await writer_.writeChunk(bytes);
+        if (error) {
+            co_return brokenConnection("the answer was cut off: " + error.message());
+        }
+        if (taken && parser.is_done()) {
+            AttemptReport report;
+            report.sent = true;
+            co_return report;
+        }
+        if (taken) {
+            co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        }
+    }
+    co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
+}
+
+std::optional<AttemptReport> UpstreamAttempt::rejectionOf(const Parser &parser) const
 {
     const http::fields &fields = parser.get();
     const unsigned status = parser.get().result_int();
@@ -331,9 +367,20 @@
         return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                        "refusal without proof that the request did not run, status " + std::to_string(status));
     }
+    return std::nullopt;
+}
+
+/// Turns a complete answer into a report; an answer that must not reach the caller becomes a failure.
+AttemptReport UpstreamAttempt::evaluateWholeAnswer(Parser &parser, MemoryShare memory) const
+{
+    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
+        return std::move(*rejection);
+    }
+    const unsigned status = parser.get().result_int();
     AttemptReport report;
     report.sent = true;
-    report.bufferedAnswer = WholeAnswer{ status, forwardableFields(fields), std::move(body) };
+    report.bufferedAnswer
+        = WholeAnswer{ status, forwardableFields(parser.get()), std::move(parser.get().body()), std::move(memory) };
     report.end = status >= 500 ? AttemptEnd::Broken : AttemptEnd::Complete;
     if (status >= 500) {
         report.error
@@ -367,6 +414,10 @@
             progress_.splitter.dropPartial();
             co_return brokenConnection("the stream was cut off: " + error.message());
         }
+        if (progress_.splitter.partial().size() > maxEventBytes) {
+            progress_.splitter.dropPartial();
+            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "an event of the stream is too long");
+        }
     }
     if (!progress_.splitter.partial().empty()) {
         progress_.splitter.dropPartial();
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -117,8 +117,9 @@
 class UpstreamAttempt
 {
 public:
-    UpstreamAttempt(ConnectionPool &pool, const HeaderNames &names, const CallerRequest &request, CallerWriter &writer,
-                    StreamProgress &progress);
+    /// Complete answers are held within @p answerMemory until their end.
+    UpstreamAttempt(ConnectionPool &pool, MemoryBudget &answerMemory, const HeaderNames &names, const CallerRequest &request,
+                    CallerWriter &writer, StreamProgress &progress);
 
     Task<AttemptReport> run(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
     /// Closes the connection at once; run() returns soon after.
@@ -135,13 +136,18 @@
     Task<bool> readHead(std::optional<Parser> &parser, const AttemptCallbacks &callbacks, NetError &error);
     Task<AttemptReport> forwardStream(Parser &parser, const AttemptCallbacks &callbacks);
     Task<AttemptReport> readWholeAnswer(Parser &parser);
+    /// Passes an answer for which there is no memory on to the caller as it arrives.
+    Task<AttemptReport> passOn(Parser &parser);
+    /// Returns why the answer with this head must not reach the caller; no value if it may.
+    std::optional<AttemptReport> rejectionOf(const Parser &parser) const;
     AttemptReport brokenConnection(std::string message) const;
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
-    AttemptReport evaluateWholeAnswer(Parser &parser, std::string body) const;
+    AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
     void updateReusable(Parser &parser, bool whole);
 
     ConnectionPool &pool_;
+    MemoryBudget &answerMemory_;
     const HeaderNames &names_;
     const CallerRequest &request_;
     CallerWriter &writer_;
--- /dev/null
+++ b/src/portpaddle/gateway/version_filter.h
@@ -0,0 +1,20 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Keeps requests to the versions of a service that a rollout gives them.
+#pragma once
+
+#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/gateway/placement.h"
+
+#include <optional>
+#include <vector>
+
+namespace Portpaddle {
+
+/// Excludes the upstreams that a request of @p arm may not be sent to. @p records are those to which the candidates' indexes
+/// refer.
+void excludeOtherVersions(const std::optional<VersionRule> &rule, VersionArm arm, std::vector<UpstreamCandidate> &candidates,
+                          const std::vector<const UpstreamRecord *> &records);
+
+} // namespace Portpaddle
--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -15,6 +15,7 @@
 inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned tooMany = 429;
 inline constexpr unsigned headerTooLarge = 431;
+inline constexpr unsigned internalError = 500;
 inline constexpr unsigned badGateway = 502;
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gatewayTimeout = 504;
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -36,6 +36,8 @@
 
 struct UpstreamLimit;
 
+struct RolloutCount;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -87,37 +89,43 @@
   Region = 3,
   Crashes = 4,
   UpstreamLimits = 5,
+  RolloutReport = 6,
+  RolloutSum = 7,
   MIN = Direct,
-  MAX = UpstreamLimits
+  MAX = RolloutSum
 };
 
-inline const DigestKind (&EnumValuesDigestKind())[6] {
+inline const DigestKind (&EnumValuesDigestKind())[8] {
   static const DigestKind values[] = {
     DigestKind::Direct,
     DigestKind::Report,
     DigestKind::Sum,
     DigestKind::Region,
     DigestKind::Crashes,
-    DigestKind::UpstreamLimits
+    DigestKind::UpstreamLimits,
+    DigestKind::RolloutReport,
+    DigestKind::RolloutSum
   };
   return values;
 }
 
 inline const char * const *EnumNamesDigestKind() {
-  static const char * const names[7] = {
+  static const char * const names[9] = {
     "Direct",
     "Report",
     "Sum",
     "Region",
     "Crashes",
     "UpstreamLimits",
+    "RolloutReport",
+    "RolloutSum",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDigestKind(DigestKind e) {
-  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::UpstreamLimits)) return "";
+  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::RolloutSum)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDigestKind()[index];
 }
@@ -494,6 +502,60 @@
 };
 FLATBUFFERS_STRUCT_END(UpstreamLimit, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RolloutCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t route_;
+  uint8_t newer_;
+  int8_t padding0__;  int16_t padding1__;
+  uint32_t failed_;
+  uint32_t by_time_[20];
+
+ public:
+  RolloutCount()
+      : route_(0),
+        newer_(0),
+        padding0__(0),
+        padding1__(0),
+        failed_(0),
+        by_time_() {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  RolloutCount(uint32_t _route, bool _newer, uint32_t _failed)
+      : route_(flatbuffers::EndianScalar(_route)),
+        newer_(flatbuffers::EndianScalar(static_cast<uint8_t>(_newer))),
+        padding0__(0),
+        padding1__(0),
+        failed_(flatbuffers::EndianScalar(_failed)),
+        by_time_() {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  RolloutCount(uint32_t _route, bool _newer, uint32_t _failed, flatbuffers::span<const uint32_t, 20> _by_time)
+      : route_(flatbuffers::EndianScalar(_route)),
+        newer_(flatbuffers::EndianScalar(static_cast<uint8_t>(_newer))),
+        padding0__(0),
+        padding1__(0),
+        failed_(flatbuffers::EndianScalar(_failed)) {
+    (void)padding0__;
+    (void)padding1__;
+    flatbuffers::CastToArray(by_time_).CopyFromSpan(_by_time);
+  }
+  uint32_t route() const {
+    return flatbuffers::EndianScalar(route_);
+  }
+  bool newer() const {
+    return flatbuffers::EndianScalar(newer_) != 0;
+  }
+  uint32_t failed() const {
+    return flatbuffers::EndianScalar(failed_);
+  }
+  const flatbuffers::Array<uint32_t, 20> *by_time() const {
+    return &flatbuffers::CastToArray(by_time_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RolloutCount, 92);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -621,6 +683,10 @@
   std::vector<Portpaddle::Wire::EndedUnder> ended_under{};
   std::vector<Portpaddle::Wire::RequestDigest> quarantined{};
   std::vector<Portpaddle::Wire::UpstreamLimit> upstream_limits{};
+  uint64_t rollout_order = 0;
+  uint64_t rollout_life = 0;
+  uint32_t rollout_running_older = 0;
+  std::vector<Portpaddle::Wire::RolloutCount> rollout_counts{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -648,7 +714,11 @@
     VT_LIMIT_DEMANDS = 32,
     VT_ENDED_UNDER = 34,
     VT_QUARANTINED = 36,
-    VT_UPSTREAM_LIMITS = 38
+    VT_UPSTREAM_LIMITS = 38,
+    VT_ROLLOUT_ORDER = 40,
+    VT_ROLLOUT_LIFE = 42,
+    VT_ROLLOUT_RUNNING_OLDER = 44,
+    VT_ROLLOUT_COUNTS = 46
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -704,6 +774,18 @@
   const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *upstream_limits() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *>(VT_UPSTREAM_LIMITS);
   }
+  uint64_t rollout_order() const {
+    return GetField<uint64_t>(VT_ROLLOUT_ORDER, 0);
+  }
+  uint64_t rollout_life() const {
+    return GetField<uint64_t>(VT_ROLLOUT_LIFE, 0);
+  }
+  uint32_t rollout_running_older() const {
+    return GetField<uint32_t>(VT_ROLLOUT_RUNNING_OLDER, 0);
+  }
+  const flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *> *rollout_counts() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *> *>(VT_ROLLOUT_COUNTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -738,6 +820,11 @@
            verifier.VerifyVector(quarantined()) &&
            VerifyOffset(verifier, VT_UPSTREAM_LIMITS) &&
            verifier.VerifyVector(upstream_limits()) &&
+           VerifyField<uint64_t>(verifier, VT_ROLLOUT_ORDER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROLLOUT_LIFE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ROLLOUT_RUNNING_OLDER, 4) &&
+           VerifyOffset(verifier, VT_ROLLOUT_COUNTS) &&
+           verifier.VerifyVector(rollout_counts()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -803,6 +890,18 @@
   void add_upstream_limits(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> upstream_limits) {
     fbb_.AddOffset(LoadDigest::VT_UPSTREAM_LIMITS, upstream_limits);
   }
+  void add_rollout_order(uint64_t rollout_order) {
+    fbb_.AddElement<uint64_t>(LoadDigest::VT_ROLLOUT_ORDER, rollout_order, 0);
+  }
+  void add_rollout_life(uint64_t rollout_life) {
+    fbb_.AddElement<uint64_t>(LoadDigest::VT_ROLLOUT_LIFE, rollout_life, 0);
+  }
+  void add_rollout_running_older(uint32_t rollout_running_older) {
+    fbb_.AddElement<uint32_t>(LoadDigest::VT_ROLLOUT_RUNNING_OLDER, rollout_running_older, 0);
+  }
+  void add_rollout_counts(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts) {
+    fbb_.AddOffset(LoadDigest::VT_ROLLOUT_COUNTS, rollout_counts);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -833,10 +932,18 @@
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitDemand *>> limit_demands = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::EndedUnder *>> ended_under = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> quarantined = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> upstream_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> upstream_limits = 0,
+    uint64_t rollout_order = 0,
+    uint64_t rollout_life = 0,
+    uint32_t rollout_running_older = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts = 0) {
   LoadDigestBuilder builder_(_fbb);
+  builder_.add_rollout_life(rollout_life);
+  builder_.add_rollout_order(rollout_order);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_rollout_counts(rollout_counts);
+  builder_.add_rollout_running_older(rollout_running_older);
   builder_.add_upstream_limits(upstream_limits);
   builder_.add_quarantined(quarantined);
   builder_.add_ended_under(ended_under);
@@ -875,7 +982,11 @@
     const std::vector<Portpaddle::Wire::LimitDemand> *limit_demands = nullptr,
     const std::vector<Portpaddle::Wire::EndedUnder> *ended_under = nullptr,
     const std::vector<Portpaddle::Wire::RequestDigest> *quarantined = nullptr,
-    const std::vector<Portpaddle::Wire::UpstreamLimit> *upstream_limits = nullptr) {
+    const std::vector<Portpaddle::Wire::UpstreamLimit> *upstream_limits = nullptr,
+    uint64_t rollout_order = 0,
+    uint64_t rollout_life = 0,
+    uint32_t rollout_running_older = 0,
+    const std::vector<Portpaddle::Wire::RolloutCount> *rollout_counts = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -889,6 +1000,7 @@
   auto ended_under__ = ended_under ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::EndedUnder>(*ended_under) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*quarantined) : 0;
   auto upstream_limits__ = upstream_limits ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamLimit>(*upstream_limits) : 0;
+  auto rollout_counts__ = rollout_counts ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RolloutCount>(*rollout_counts) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -908,7 +1020,11 @@
       limit_demands__,
       ended_under__,
       quarantined__,
-      upstream_limits__);
+      upstream_limits__,
+      rollout_order,
+      rollout_life,
+      rollout_running_older,
+      rollout_counts__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -965,7 +1081,11 @@
         limit_demands(o.limit_demands),
         ended_under(o.ended_under),
         quarantined(o.quarantined),
-        upstream_limits(o.upstream_limits) {
+        upstream_limits(o.upstream_limits),
+        rollout_order(o.rollout_order),
+        rollout_life(o.rollout_life),
+        rollout_running_older(o.rollout_running_older),
+        rollout_counts(o.rollout_counts) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -989,6 +1109,10 @@
   std::swap(ended_under, o.ended_under);
   std::swap(quarantined, o.quarantined);
   std::swap(upstream_limits, o.upstream_limits);
+  std::swap(rollout_order, o.rollout_order);
+  std::swap(rollout_life, o.rollout_life);
+  std::swap(rollout_running_older, o.rollout_running_older);
+  std::swap(rollout_counts, o.rollout_counts);
   return *this;
 }
 
@@ -1019,6 +1143,10 @@
   { auto _e = ended_under(); if (_e) { _o->ended_under.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended_under[_i] = *_e->Get(_i); } } }
   { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = *_e->Get(_i); } } }
   { auto _e = upstream_limits(); if (_e) { _o->upstream_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstream_limits[_i] = *_e->Get(_i); } } }
+  { auto _e = rollout_order(); _o->rollout_order = _e; }
+  { auto _e = rollout_life(); _o->rollout_life = _e; }
+  { auto _e = rollout_running_older(); _o->rollout_running_older = _e; }
+  { auto _e = rollout_counts(); if (_e) { _o->rollout_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollout_counts[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1047,6 +1175,10 @@
   auto _ended_under = _o->ended_under.size() ? _fbb.CreateVectorOfStructs(_o->ended_under) : 0;
   auto _quarantined = _o->quarantined.size() ? _fbb.CreateVectorOfStructs(_o->quarantined) : 0;
   auto _upstream_limits = _o->upstream_limits.size() ? _fbb.CreateVectorOfStructs(_o->upstream_limits) : 0;
+  auto _rollout_order = _o->rollout_order;
+  auto _rollout_life = _o->rollout_life;
+  auto _rollout_running_older = _o->rollout_running_older;
+  auto _rollout_counts = _o->rollout_counts.size() ? _fbb.CreateVectorOfStructs(_o->rollout_counts) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1066,7 +1198,11 @@
       _limit_demands,
       _ended_under,
       _quarantined,
-      _upstream_limits);
+      _upstream_limits,
+      _rollout_order,
+      _rollout_life,
+      _rollout_running_older,
+      _rollout_counts);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/tests/gateway/upstream_attempt_tests.cpp
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -62,7 +62,7 @@
         callbacks.firstEvent = [] {};
         callbacks.eventsReceived = [](std::size_t) {};
         callbacks.bytesReceived = [] {};
-        UpstreamAttempt attempt(pool, names, request, caller, progress);
+        UpstreamAttempt attempt(pool, answerMemory, names, request, caller, progress);
         AttemptReport report;
         spawnTask(loop.get_executor(), "attempt", [&]() -> Task<void> { report = co_await attempt.run(plan, callbacks); });
         loop.restart();
@@ -72,6 +72,7 @@
 
     boost::asio::io_context loop{ 1 };
     ConnectionPool pool{ loop.get_executor() };
+    MemoryBudget answerMemory;
     HeaderNames names;
     AcceptingCaller caller;
     StreamProgress progress;
