--- a/src/portpaddle/fleet/aggregators.cpp
+++ b/src/portpaddle/fleet/aggregators.cpp
@@ -7,12 +7,16 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace Portpaddle {
 
 namespace {
 
-// Sums arrive ten times a second. A silent aggregator has failed, is partitioned, or does not know that it was selected.
-constexpr std::chrono::milliseconds maxSilence{ 1'000 };
+// An aggregator that sends no sums for this time has failed, is partitioned, or does not know that it was selected.
+constexpr std::chrono::milliseconds minMaxSilence{ 1'000 };
+// Where sums are sent less often, so many must be missing: datagrams are lost now and then.
+constexpr int maxMissingSums = 4;
 // Long enough for this daemon to hear of an aggregator that has recovered.
 constexpr std::chrono::milliseconds avoidTime{ 5'000 };
 
@@ -24,26 +28,38 @@
 
 void Aggregators::setView(std::shared_ptr<const FleetView> view)
 {
+    const bool sameDaemons = view_ && view_->daemons.sharesWith(view->daemons);
     view_ = std::move(view);
+    if (sameDaemons) {
+        return;
+    }
     rankings_.clear();
     for (const DaemonRecord &daemon : view_->daemons) {
-        if (rankings_.contains(daemon.region)) {
-            continue;
-        }
-        ShardRankings &rankings = rankings_[daemon.region];
-        for (unsigned shard = 0; shard < aggregationShards; ++shard) {
-            rankings.at(shard) = rankForRole(*view_, daemon.region, fmt::format("news {}", shard));
-        }
+        rankings_.try_emplace(daemon.region);
     }
 }
 
+void Aggregators::setSendInterval(std::chrono::milliseconds interval)
+{
+    sendInterval_ = interval;
+}
+
+std::chrono::milliseconds Aggregators::maxSilence() const
+{
+    return std::max(minMaxSilence, sendInterval_ * maxMissingSums);
+}
+
 const DaemonRecord *Aggregators::of(const std::string &region, unsigned shard, SteadyTime now) const
 {
     const auto found = rankings_.find(region);
     if (found == rankings_.end()) {
         return nullptr;
     }
-    for (const DaemonRecord *daemon : found->second.at(shard)) {
+    std::vector<const DaemonRecord *> &ranking = found->second.at(shard);
+    if (ranking.empty()) {
+        ranking = rankForRole(*view_, region, fmt::format("news {}", shard));
+    }
+    for (const DaemonRecord *daemon : ranking) {
         if (isSelf(*daemon) || (!isSilent_(daemon->id, now) && !isAvoided(daemon->id, now))) {
             return daemon;
         }
@@ -66,11 +82,11 @@
 {
     Response &response = responses_[aggregator];
     // After a gap in the reports another daemon was the aggregator in between, so that no sums were expected from this one.
-    const bool isFirstReport = now - response.lastReport > maxSilence;
+    const bool isFirstReport = now - response.lastReport > maxSilence();
     response.lastReport = now;
     if (isFirstReport) {
         response.awaitedSince = now;
-    } else if (now - response.awaitedSince > maxSilence) {
+    } else if (now - response.awaitedSince > maxSilence()) {
         response.avoidedUntil = now + avoidTime;
     }
 }
--- a/src/portpaddle/fleet/aggregators.h
+++ b/src/portpaddle/fleet/aggregators.h
@@ -26,6 +26,8 @@
     Aggregators(std::string ownId, IsSilent isSilent);
 
     void setView(std::shared_ptr<const FleetView> view);
+    /// Sets how often sums are expected.
+    void setSendInterval(std::chrono::milliseconds interval);
     /// Returns the aggregator of @p shard in @p region; null if the region has no daemon that can be one.
     const DaemonRecord *of(const std::string &region, unsigned shard, SteadyTime now) const;
     bool isSelf(const DaemonRecord &daemon) const;
@@ -37,6 +39,7 @@
     std::vector<std::string> regions() const;
 
 private:
+    /// Rankings that were needed since the list of daemons changed last, by shard.
     using ShardRankings = std::array<std::vector<const DaemonRecord *>, aggregationShards>;
 
     /// The responsiveness of an aggregator to which this daemon reports.
@@ -51,11 +54,16 @@
 
     bool isAvoided(const std::string &daemon, SteadyTime now) const;
 
+    /// Returns how long an aggregator may send no sums.
+    std::chrono::milliseconds maxSilence() const;
+
     std::string ownId_;
     IsSilent isSilent_;
     std::shared_ptr<const FleetView> view_;
-    std::unordered_map<std::string, ShardRankings> rankings_;
+    /// By region; has all regions of the fleet.
+    mutable std::unordered_map<std::string, ShardRankings> rankings_;
     std::unordered_map<std::string, Response> responses_;
+    std::chrono::milliseconds sendInterval_{ 100 };
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/feed_server.cpp
+++ b/src/portpaddle/fleet/feed_server.cpp
@@ -4,15 +4,26 @@
 #include "portpaddle/fleet/feed_server.h"
 
 #include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/net/gzip.h"
 #include "portpaddle/net/http_status.h"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace Portpaddle {
 
 namespace {
 
+// An encoded answer states when the store confirmed it, which may be this much longer ago when the answer is used again.
+constexpr std::chrono::milliseconds reuseTime{ 200 };
+// Daemons ask for the changes after the few revisions that they have.
+constexpr std::size_t maxEncoded = 8;
+// Stands for all items in place of the changes after a revision.
+constexpr std::uint64_t wholeState = std::numeric_limits<std::uint64_t>::max();
+// Shorter answers fit into a few packets.
+constexpr std::size_t minCompressedBytes = 4'096;
+
 /// Returns the revision named in a request for changes; no value if @p target is no valid request of this kind.
 std::optional<std::uint64_t> requestedRevision(const std::string &target)
 {
@@ -75,17 +86,44 @@
         waitingTimers_.erase(&timer);
         update = feed_.since(revision);
     }
-    WholeAnswer answer;
-    answer.body = encodeChanges(daemon_, update);
-    co_return answer;
+    co_return sharedAnswer(revision, update, [this, &update] { return encodeChanges(daemon_, update); });
 }
 
-WholeAnswer FeedServer::answerState() const
+WholeAnswer FeedServer::answerState()
 {
     // The feed is read first, so that the items may be newer than the stated revision but never older.
-    const FeedUpdate update = feed_.since(0);
+    FeedUpdate update = feed_.since(0);
+    update.changes.clear();
+    return sharedAnswer(wholeState, update, [this, &update] { return encodeState(daemon_, listItems_(), update); });
+}
+
+// After a loss of many daemons a hundred others ask for the same megabytes at once.
+WholeAnswer FeedServer::sharedAnswer(std::uint64_t after, const FeedUpdate &update, const std::function<std::string()> &encode)
+{
+    const SteadyTime now = BootClock::now();
+    std::erase_if(encoded_, [now](const Encoded &entry) { return entry.usableUntil <= now; });
+    auto found = std::find_if(encoded_.begin(), encoded_.end(), [&](const Encoded &entry) {
+        return entry.after == after && entry.revision == update.revision && entry.reachable == update.reachable;
+    });
+    if (found == encoded_.end()) {
+        Encoded entry{ after, update.revision, update.reachable, now + reuseTime, false, nullptr };
+        std::string bytes = encode();
+        if (bytes.size() >= minCompressedBytes) {
+            Result<std::string> compressed = gzip(bytes);
+            entry.compressed = isOk(compressed);
+            bytes = isOk(compressed) ? std::move(valueOf(compressed)) : std::move(bytes);
+        }
+        entry.bytes = std::make_shared<const std::string>(std::move(bytes));
+        if (encoded_.size() >= maxEncoded) {
+            encoded_.pop_front();
+        }
+        found = encoded_.insert(encoded_.end(), std::move(entry));
+    }
     WholeAnswer answer;
-    answer.body = encodeState(daemon_, listItems_(), update);
+    answer.sharedBody = found->bytes;
+    if (found->compressed) {
+        answer.fields.set(boost::beast::http::field::content_encoding, "gzip");
+    }
     return answer;
 }
 
--- a/src/portpaddle/fleet/feed_server.h
+++ b/src/portpaddle/fleet/feed_server.h
@@ -7,7 +7,9 @@
 #include "portpaddle/fleet/change_feed.h"
 #include "portpaddle/gateway/caller_writer.h"
 
+#include <deque>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,13 +49,28 @@
 
 private:
     Task<WholeAnswer> answerChanges(std::uint64_t revision);
-    WholeAnswer answerState() const;
+    WholeAnswer answerState();
+    /// Returns an answer with the encoding of @p update that @p encode makes. Requests for the same bytes share them.
+    WholeAnswer sharedAnswer(std::uint64_t after, const FeedUpdate &update, const std::function<std::string()> &encode);
 
     Executor executor_;
     std::string daemon_;
     const ChangeFeed &feed_;
     std::function<std::vector<KeyValue>()> listItems_;
     std::set<SteadyTimer *> waitingTimers_;
+    /// An encoded answer, for as long as it can be used for other requests.
+    struct Encoded
+    {
+        std::uint64_t after = 0;
+        std::uint64_t revision = 0;
+        bool reachable = false;
+        SteadyTime usableUntil{};
+        bool compressed = false;
+        std::shared_ptr<const std::string> bytes;
+    };
+
+    /// The newest last.
+    std::deque<Encoded> encoded_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -21,6 +21,11 @@
 constexpr std::size_t regionDigestTurns = aggregationShards;
 // Limit per shard and interval. Further parts are still found at the upstreams that prefix affinity ranks first.
 constexpr std::size_t maxPartsPerShard = 4 * maxDigestParts;
+// A region of this many daemons sends at every turn; a larger one at as many fewer turns, so that what an aggregator sends and
+// receives in a second does not grow with the region.
+constexpr std::size_t daemonsPerTurn = 128;
+// Every member of a region is named by one aggregator or another within this many sends.
+constexpr std::size_t sendsPerMemberCycle = 8;
 
 void addPart(std::vector<Wire::PlacedPart> &parts, const Wire::PlacedPart &part)
 {
@@ -79,7 +84,14 @@
 
 void LoadAggregation::setView(std::shared_ptr<const FleetView> view)
 {
+    const bool sameDaemons = view_ && view_->daemons.sharesWith(view->daemons);
     view_ = std::move(view);
+    if (usesAggregators(*view_)) {
+        aggregators_.setView(view_);
+    }
+    if (sameDaemons) {
+        return;
+    }
     members_.clear();
     memberLinkAddresses_.clear();
     for (const DaemonRecord &daemon : view_->daemons) {
@@ -91,9 +103,18 @@
             memberLinkAddresses_.push_back(daemon.linkAddress);
         }
     }
-    if (usesAggregators(*view_)) {
-        aggregators_.setView(view_);
-    }
+    turnsBetweenSends_ = turnsBetweenSends(members_.size());
+    aggregators_.setSendInterval(sendInterval());
+}
+
+std::size_t turnsBetweenSends(std::size_t daemons)
+{
+    return std::max<std::size_t>(1, (daemons + daemonsPerTurn - 1) / daemonsPerTurn);
+}
+
+std::chrono::milliseconds LoadAggregation::sendInterval() const
+{
+    return digestInterval * static_cast<int>(turnsBetweenSends_);
 }
 
 std::vector<OutgoingDigest> LoadAggregation::due(std::size_t turn, const Wire::LoadDigestT &header,
@@ -105,16 +126,22 @@
     for (const Wire::UpstreamShare &share : loads_.shares(now)) {
         shares.at(shardOf(share.key())).push_back(share);
     }
+    // Daemons take different turns, so that their reports do not arrive together.
+    const bool sends = (turn + stableHash(ownId_)) % turnsBetweenSends_ == 0;
     for (unsigned shard = 0; shard < aggregationShards; ++shard) {
         const DaemonRecord *aggregator = aggregators_.of(ownRegion_, shard, now);
         if (aggregator == nullptr) {
             continue;
         }
         if (!aggregators_.isSelf(*aggregator)) {
-            addReport(*aggregator, shard, shares.at(shard), header, now, out);
+            if (sends) {
+                addReport(*aggregator, shard, shares.at(shard), header, now, out);
+            }
             continue;
         }
-        addSums(shard, header, now, out);
+        if (sends) {
+            addSums(shard, header, now, out);
+        }
         if ((turn + shard) % regionDigestTurns == 0) {
             addRegionDigests(shard, header, addWaits, now, out);
         }
@@ -152,10 +179,11 @@
     }
 }
 
-std::vector<Wire::MemberNews> LoadAggregation::nextMembers(std::size_t &cursor, Wire::DaemonPhase ownPhase, SteadyTime now) const
+std::vector<Wire::MemberNews> LoadAggregation::nextMembers(std::size_t &cursor, std::size_t count, Wire::DaemonPhase ownPhase,
+                                                           SteadyTime now) const
 {
     std::vector<Wire::MemberNews> result;
-    for (std::size_t count = std::min(maxDigestMembers, members_.size()); count > 0; --count) {
+    for (count = std::min(count, members_.size()); count > 0; --count) {
         const DaemonRecord &member = *members_[cursor++ % members_.size()];
         if (member.id == ownId_) {
             result.emplace_back(memberKey(member.id), 0, ownPhase);
@@ -181,12 +209,24 @@
     for (Wire::LoadDigestT &part : parts) {
         out.push_back({ memberLinkAddresses_, std::move(part) });
     }
-    digest.members = nextMembers(localMemberCursor_, header.phase, now);
+    addMembers(digest, now, out);
     addRelayedRegions(digest, memberLinkAddresses_, now, out);
 }
 
-/// Adds one digest for each other region with new data; if there is none, a digest with only the members of the own region.
-void LoadAggregation::addRelayedRegions(const Wire::LoadDigestT &header, std::vector<std::string> to, SteadyTime now,
+void LoadAggregation::addMembers(const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out)
+{
+    Wire::LoadDigestT digest = header;
+    std::size_t left = std::max(maxDigestMembers, (members_.size() + sendsPerMemberCycle - 1) / sendsPerMemberCycle);
+    while (left > 0) {
+        const std::size_t count = std::min(left, maxDigestMembers);
+        left -= count;
+        digest.members = nextMembers(localMemberCursor_, count, header.phase, now);
+        out.push_back({ memberLinkAddresses_, digest });
+    }
+}
+
+/// Adds one digest for each other region with new data.
+void LoadAggregation::addRelayedRegions(const Wire::LoadDigestT &header, const std::vector<std::string> &to, SteadyTime now,
                                         std::vector<OutgoingDigest> &out)
 {
     Wire::LoadDigestT digest = header;
@@ -203,12 +243,8 @@
         regionNews->members = withIncreasedAge(region.members, now - region.at);
         digest.regions.push_back(std::move(regionNews));
         out.push_back({ to, digest });
-        digest.members.clear();
         digest.regions.clear();
     }
-    if (!digest.members.empty()) {
-        out.push_back({ std::move(to), std::move(digest) });
-    }
 }
 
 void LoadAggregation::addRegionDigests(unsigned shard, Wire::LoadDigestT digest,
@@ -230,7 +266,7 @@
     addWaits(digest);
     digest.placed = drainParts(partsForRegions_.at(shard));
     digest.placed.resize(std::min(digest.placed.size(), maxDigestParts));
-    digest.members = nextMembers(regionMemberCursor_, digest.phase, now);
+    digest.members = nextMembers(regionMemberCursor_, maxDigestMembers, digest.phase, now);
     Wire::LoadDigestT header = digest;
     header.placed.clear();
     header.members.clear();
--- a/src/portpaddle/fleet/load_aggregation.h
+++ b/src/portpaddle/fleet/load_aggregation.h
@@ -24,8 +24,10 @@
     Wire::LoadDigestT digest;
 };
 
-/// Interval at which daemons send reports and aggregators send sums.
+/// Interval of turns. In a region of some hundred daemons each daemon sends at only some of the turns; see turnsBetweenSends().
 inline constexpr std::chrono::milliseconds digestInterval{ 100 };
+/// Returns the number of turns from one report or sum to the next in a region of @p daemons daemons.
+std::size_t turnsBetweenSends(std::size_t daemons);
 /// Maximum number of members whose state one digest contains; successive digests cycle through all members.
 inline constexpr std::size_t maxDigestMembers = 48;
 /// Maximum number of parts from another region that one digest relays.
@@ -39,6 +41,8 @@
                     OrganisationLimits &limits);
 
     void setView(std::shared_ptr<const FleetView> view);
+    /// Returns the time from one report or sum to the next.
+    std::chrono::milliseconds sendInterval() const;
     /// Returns the digests to send at @p turn; there is one turn per interval. @p header holds the sender and its phase;
     /// @p addWaits adds the waiting times of the own region to digests for other regions.
     std::vector<OutgoingDigest> due(std::size_t turn, const Wire::LoadDigestT &header,
@@ -64,12 +68,15 @@
     void addReport(const DaemonRecord &aggregator, unsigned shard, const std::vector<Wire::UpstreamShare> &shares,
                    const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
     void addSums(unsigned shard, const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
-    void addRelayedRegions(const Wire::LoadDigestT &header, std::vector<std::string> to, SteadyTime now,
+    void addRelayedRegions(const Wire::LoadDigestT &header, const std::vector<std::string> &to, SteadyTime now,
                            std::vector<OutgoingDigest> &out);
     void addRegionDigests(unsigned shard, Wire::LoadDigestT digest, const std::function<void(Wire::LoadDigestT &)> &addWaits,
                           SteadyTime now, std::vector<OutgoingDigest> &out);
-    /// Returns the next members of the own region, this daemon and those that it heard directly; advances @p cursor.
-    std::vector<Wire::MemberNews> nextMembers(std::size_t &cursor, Wire::DaemonPhase ownPhase, SteadyTime now) const;
+    /// Returns the next @p count members of the own region, this daemon and those that it heard directly; advances @p cursor.
+    std::vector<Wire::MemberNews> nextMembers(std::size_t &cursor, std::size_t count, Wire::DaemonPhase ownPhase,
+                                              SteadyTime now) const;
+    /// Adds digests with the next members of the own region.
+    void addMembers(const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
 
     std::string ownId_;
     std::string ownRegion_;
@@ -82,6 +89,7 @@
     std::vector<const DaemonRecord *> members_;
     /// Link addresses of the other daemons of the own region.
     std::vector<std::string> memberLinkAddresses_;
+    std::size_t turnsBetweenSends_ = 1;
     /// Parts to send within the own region, by shard.
     std::array<std::vector<Wire::PlacedPart>, aggregationShards> parts_;
     /// Parts to send to other regions, by shard.
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -304,17 +305,18 @@
 
 Task<bool> CallerSession::whole(WholeAnswer answer)
 {
-    http::response<http::string_body> message(http::int_to_status(answer.status), 11);
+    const std::string &body = answer.sharedBody ? *answer.sharedBody : answer.body;
+    http::response<http::span_body<const char>> message(http::int_to_status(answer.status), 11);
     message.result(answer.status);
     static_cast<http::fields &>(message) = std::move(answer.fields);
-    message.body() = std::move(answer.body);
+    message.body() = boost::beast::span<const char>(body.data(), body.size());
     keepOpen_ = keepOpen_ && !handler_.closing();
     message.keep_alive(keepOpen_);
     if (!headOnly_) {
         message.prepare_payload();
     }
     NetError error;
-    http::response_serializer<http::string_body> serializer(message);
+    http::response_serializer<http::span_body<const char>> serializer(message);
     while (!error && !serializer.is_done()) {
         armWriteTimer();
         co_await http::async_write_some(socket_, serializer, awaitingInto(error));
--- a/src/portpaddle/gateway/caller_writer.h
+++ b/src/portpaddle/gateway/caller_writer.h
@@ -9,6 +9,7 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
     unsigned status = 200;
     boost::beast::http::fields fields;
     std::string body;
+    /// Sent instead of the body if set; several answers may share it.
+    std::shared_ptr<const std::string> sharedBody{};
     /// What the body takes from the memory for answers; empty for answers that this daemon made itself.
     MemoryShare memory;
 };
--- a/src/portpaddle/gateway/fleet_registry.cpp
+++ b/src/portpaddle/gateway/fleet_registry.cpp
@@ -54,26 +54,47 @@
 
 void FleetRegistry::storeUpstream(UpstreamRecord record)
 {
-    const auto known = upstreams_.find(record.registeredName);
-    const bool sameIncarnation = known != upstreams_.end() && known->second.record.id == record.id;
-    if (sameIncarnation) {
+    UpstreamEntry &entry = upstreamEntries_[record.registeredName];
+    const auto known = upstreams_.find(entry.id);
+    if (entry.id == record.id && known != upstreams_.end()) {
         // Leaving is final for one incarnation: an older record that arrives late must not undo it.
-        record.leaving = record.leaving || known->second.record.leaving;
+        record.leaving = record.leaving || known->second.leaving;
         // The first announcement counts: a repeated one would move the end into the future.
-        record.goneAt = known->second.record.goneAt ? known->second.record.goneAt : record.goneAt;
-        record.leavingSince = known->second.record.leavingSince;
+        record.goneAt = known->second.goneAt ? known->second.goneAt : record.goneAt;
+        record.leavingSince = known->second.leavingSince;
+    } else {
+        upstreams_.erase(entry.id);
     }
     if (record.leaving && !record.leavingSince) {
         record.leavingSince = BootClock::now();
     }
-    const std::string name = record.registeredName;
-    upstreams_[name] = Entry<UpstreamRecord>{ std::move(record), std::nullopt };
+    entry = { record.id, std::nullopt };
+    upstreams_[entry.id] = std::move(record);
 }
 
-template<typename Record>
-bool FleetRegistry::drop(std::map<std::string, Entry<Record>> &entries, const std::string &id, SteadyTime now)
+void FleetRegistry::storeDaemon(DaemonRecord record)
 {
-    const auto found = entries.find(id);
+    const std::string id = record.id;
+    daemonEntries_[id] = { std::move(record), std::nullopt };
+    daemonsChanged_ = true;
+}
+
+void FleetRegistry::erase(std::unordered_map<std::string, UpstreamEntry> &entries, const std::string &name)
+{
+    upstreams_.erase(entries.at(name).id);
+    entries.erase(name);
+}
+
+void FleetRegistry::erase(std::map<std::string, DaemonEntry> &entries, const std::string &id)
+{
+    entries.erase(id);
+    daemonsChanged_ = true;
+}
+
+template<typename Entries>
+bool FleetRegistry::drop(Entries &entries, const std::string &key, SteadyTime now)
+{
+    const auto found = entries.find(key);
     if (found == entries.end()) {
         return false;
     }
@@ -82,28 +103,36 @@
         found->second.expiresAt = found->second.expiresAt.value_or(*grace);
         return false;
     }
-    entries.erase(found);
+    erase(entries, key);
     return true;
 }
 
-template<typename Record>
-bool FleetRegistry::dropExpired(std::map<std::string, Entry<Record>> &entries, SteadyTime now)
+template<typename Entries>
+bool FleetRegistry::dropExpired(Entries &entries, SteadyTime now)
 {
-    return std::erase_if(entries, [now](const auto &item) { return item.second.expiresAt && *item.second.expiresAt <= now; }) > 0;
+    std::vector<std::string> expired;
+    for (const auto &[key, entry] : entries) {
+        if (entry.expiresAt && *entry.expiresAt <= now) {
+            expired.push_back(key);
+        }
+    }
+    for (const std::string &key : expired) {
+        erase(entries, key);
+    }
+    return !expired.empty();
 }
 
-template<typename Record>
-void FleetRegistry::dropUnlisted(std::map<std::string, Entry<Record>> &entries, const std::set<std::string> &listed,
-                                 SteadyTime now)
+template<typename Entries>
+void FleetRegistry::dropUnlisted(Entries &entries, const std::set<std::string> &listed, SteadyTime now)
 {
     std::vector<std::string> missing;
-    for (const auto &[id, record] : entries) {
-        if (!listed.contains(id)) {
-            missing.push_back(id);
+    for (const auto &[key, entry] : entries) {
+        if (!listed.contains(key)) {
+            missing.push_back(key);
         }
     }
-    for (const std::string &id : missing) {
-        drop(entries, id, now);
+    for (const std::string &key : missing) {
+        drop(entries, key, now);
     }
 }
 
@@ -115,7 +144,7 @@
         listed.insert(record.registeredName);
         storeUpstream(std::move(record));
     }
-    dropUnlisted(upstreams_, listed, now);
+    dropUnlisted(upstreamEntries_, listed, now);
     publish();
 }
 
@@ -129,7 +158,7 @@
 void FleetRegistry::removeUpstream(const std::string &name, SteadyTime now)
 {
     const std::lock_guard lock(mutex_);
-    if (drop(upstreams_, name, now)) {
+    if (drop(upstreamEntries_, name, now)) {
         publish();
     }
 }
@@ -137,7 +166,8 @@
 void FleetRegistry::rejectUpstream(const std::string &name)
 {
     const std::lock_guard lock(mutex_);
-    if (upstreams_.erase(name) > 0) {
+    if (upstreamEntries_.contains(name)) {
+        erase(upstreamEntries_, name);
         publish();
     }
 }
@@ -166,25 +196,23 @@
     std::set<std::string> listed;
     for (DaemonRecord &daemon : daemons) {
         listed.insert(daemon.id);
-        const std::string id = daemon.id;
-        daemons_[id] = Entry<DaemonRecord>{ std::move(daemon), std::nullopt };
+        storeDaemon(std::move(daemon));
     }
-    dropUnlisted(daemons_, listed, now);
+    dropUnlisted(daemonEntries_, listed, now);
     publish();
 }
 
 void FleetRegistry::changeDaemon(DaemonRecord daemon)
 {
     const std::lock_guard lock(mutex_);
-    const std::string id = daemon.id;
-    daemons_[id] = Entry<DaemonRecord>{ std::move(daemon), std::nullopt };
+    storeDaemon(std::move(daemon));
     publish();
 }
 
 void FleetRegistry::removeDaemon(const std::string &id, SteadyTime now)
 {
     const std::lock_guard lock(mutex_);
-    if (drop(daemons_, id, now)) {
+    if (drop(daemonEntries_, id, now)) {
         publish();
     }
 }
@@ -279,8 +307,8 @@
     if (!storeReachable_) {
         return;
     }
-    const bool upstreams = dropExpired(upstreams_, now);
-    const bool daemons = dropExpired(daemons_, now);
+    const bool upstreams = dropExpired(upstreamEntries_, now);
+    const bool daemons = dropExpired(daemonEntries_, now);
     if (upstreams || daemons) {
         publish();
     }
@@ -289,26 +317,30 @@
 bool FleetRegistry::knowsDaemon(const std::string &id) const
 {
     const std::lock_guard lock(mutex_);
-    const auto found = daemons_.find(id);
-    return found != daemons_.end() && !found->second.expiresAt;
+    const auto found = daemonEntries_.find(id);
+    return found != daemonEntries_.end() && !found->second.expiresAt;
 }
 
-// A view is a copy of all records. Changes are published in batches, because a restart of half of the daemons would otherwise
-// create one view per daemon.
+// Changes are published in batches, because a restart of half of the daemons would otherwise create one view per daemon.
 void FleetRegistry::publish()
 {
     publishPending_ = inBatch_;
     if (inBatch_) {
         return;
     }
+    if (daemonsChanged_) {
+        daemonsChanged_ = false;
+        std::vector<DaemonRecord> daemons;
+        daemons.reserve(daemonEntries_.size());
+        for (const auto &[id, entry] : daemonEntries_) {
+            daemons.push_back(entry.record);
+        }
+        daemons_ = SharedList<DaemonRecord>(std::move(daemons));
+    }
     auto view = std::make_shared<FleetView>();
     view->services = services_;
-    for (const auto &[name, entry] : upstreams_) {
-        view->upstreams.emplace(entry.record.id, entry.record);
-    }
-    for (const auto &[id, entry] : daemons_) {
-        view->daemons.push_back(entry.record);
-    }
+    view->upstreams = upstreams_;
+    view->daemons = daemons_;
     view->evacuated = evacuated_;
     view->quarantined = quarantined_;
     view->upstreamLimits = upstreamLimits_;
--- a/src/portpaddle/gateway/fleet_registry.h
+++ b/src/portpaddle/gateway/fleet_registry.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 namespace Portpaddle {
 
@@ -57,23 +58,34 @@
     bool knowsDaemon(const std::string &id) const;
 
 private:
-    template<typename Record>
-    struct Entry
+    struct UpstreamEntry
     {
-        Record record;
+        /// Id of the incarnation that is registered.
+        std::string id;
         /// Set where the record expired during an outage of the store: it counts until this time.
         std::optional<SteadyTime> expiresAt;
     };
 
+    struct DaemonEntry
+    {
+        DaemonRecord record;
+        /// As in UpstreamEntry.
+        std::optional<SteadyTime> expiresAt;
+    };
+
     /// Returns until when a record that is missing now still counts; no value when it is removed at once.
     std::optional<SteadyTime> graceFor(SteadyTime now) const;
     void storeUpstream(UpstreamRecord record);
-    template<typename Record>
-    bool drop(std::map<std::string, Entry<Record>> &entries, const std::string &id, SteadyTime now);
-    template<typename Record>
-    void dropUnlisted(std::map<std::string, Entry<Record>> &entries, const std::set<std::string> &listed, SteadyTime now);
-    template<typename Record>
-    bool dropExpired(std::map<std::string, Entry<Record>> &entries, SteadyTime now);
+    void storeDaemon(DaemonRecord record);
+    /// Removes the entry @p key of @p entries, or lets it expire later; returns whether it was removed.
+    template<typename Entries>
+    bool drop(Entries &entries, const std::string &key, SteadyTime now);
+    template<typename Entries>
+    void dropUnlisted(Entries &entries, const std::set<std::string> &listed, SteadyTime now);
+    template<typename Entries>
+    bool dropExpired(Entries &entries, SteadyTime now);
+    void erase(std::unordered_map<std::string, UpstreamEntry> &entries, const std::string &name);
+    void erase(std::map<std::string, DaemonEntry> &entries, const std::string &id);
     void publish();
 
     RcuCell<FleetView> &cell_;
@@ -81,8 +93,12 @@
     mutable std::mutex mutex_;
     std::shared_ptr<const ServiceMap> services_;
     /// By the name under which they registered.
-    std::map<std::string, Entry<UpstreamRecord>> upstreams_;
-    std::map<std::string, Entry<DaemonRecord>> daemons_;
+    std::unordered_map<std::string, UpstreamEntry> upstreamEntries_;
+    CopyOnWriteMap<UpstreamRecord> upstreams_;
+    std::map<std::string, DaemonEntry> daemonEntries_;
+    /// The records of daemonEntries_, unless they have changed since.
+    SharedList<DaemonRecord> daemons_;
+    bool daemonsChanged_ = false;
     std::set<std::string> evacuated_;
     QuarantinedRequests quarantined_;
     StoredLimits upstreamLimits_;
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -5,6 +5,8 @@
 /// never changed afterwards.
 #pragma once
 
+#include "portpaddle/base/copy_on_write_map.h"
+#include "portpaddle/base/shared_list.h"
 #include "portpaddle/crashes/quarantine.h"
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
@@ -15,8 +17,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace Portpaddle {
 
@@ -60,15 +60,16 @@
     double cpuCores = 0;
 };
 
-/// The state of the fleet at one moment.
+/// The state of the fleet at one moment. Views that follow each other share all records that did not change.
 struct FleetView
 {
     /// Null until a configuration is known.
     std::shared_ptr<const ServiceMap> services;
-    std::unordered_map<std::string, UpstreamRecord> upstreams;
+    /// By id.
+    CopyOnWriteMap<UpstreamRecord> upstreams;
     /// Data centres whose upstreams receive no requests for now.
     std::set<std::string> evacuated;
-    std::vector<DaemonRecord> daemons;
+    SharedList<DaemonRecord> daemons;
     /// Requests that must not be sent to upstreams.
     QuarantinedRequests quarantined;
     StoredLimits upstreamLimits;
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -170,17 +170,29 @@
 
 void Gateway::viewChanged()
 {
-    view_ = viewCell_.read();
-    loads_.keepOnly(*view_);
+    const std::shared_ptr<const FleetView> earlier = std::exchange(view_, viewCell_.read());
     const SteadyTime now = BootClock::now();
+    if (!view_->upstreams.sharesAllWith(earlier->upstreams)) {
+        loads_.follow(*view_, *earlier);
+        localUpstreams_.clear();
+        localUpstreamsCurrent_ = false;
+    }
     crashes_.setView(view_, now);
-    regions_.setDaemons(*view_, now);
     loadAggregation_.setView(view_);
+    if (!view_->daemons.sharesWith(earlier->daemons)) {
+        daemonsChanged(now);
+    }
     setLimits(now);
-    updateOwners(now);
     upstreamLimits_.setView(view_, now);
     notices_.setView(*view_, now);
     rollouts_.setView(view_);
+    updateRetryBudget(now);
+}
+
+void Gateway::daemonsChanged(SteadyTime now)
+{
+    regions_.setDaemons(*view_, now);
+    updateOwners(now);
     std::set<std::string> ownDataCentre;
     for (const DaemonRecord &daemon : view_->daemons) {
         if (daemon.dataCentre == identity_.dataCentre) {
@@ -188,13 +200,24 @@
         }
     }
     retryMembers_.setListed(std::move(ownDataCentre), now);
-    updateRetryBudget(now);
-    localUpstreams_.clear();
-    for (const auto &[id, upstream] : view_->upstreams) {
-        if (upstream.region == identity_.region) {
-            localUpstreams_[upstream.service].push_back(&upstream);
+}
+
+const UpstreamSelection *Gateway::localUpstreams(const std::string &service)
+{
+    if (!localUpstreamsCurrent_) {
+        std::unordered_map<std::string, std::vector<const UpstreamRecord *>> byService;
+        for (const auto &[id, upstream] : view_->upstreams) {
+            if (upstream.region == identity_.region) {
+                byService[upstream.service].push_back(&upstream);
+            }
+        }
+        for (auto &[name, upstreams] : byService) {
+            localUpstreams_.emplace(name, UpstreamSelection(std::move(upstreams), identity_.id, identity_.dataCentre));
         }
+        localUpstreamsCurrent_ = true;
     }
+    const auto found = localUpstreams_.find(service);
+    return found == localUpstreams_.end() ? nullptr : &found->second;
 }
 
 void Gateway::noteAnswer(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt)
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "portpaddle/gateway/target.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/gateway/upstream_selection.h"
 #include "portpaddle/limits/organisation_limits.h"
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
@@ -178,13 +179,19 @@
     Target propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     /// As propose(), without regard to other versions if none of the wanted one is available.
     Target proposeArm(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
-    std::vector<UpstreamCandidate> localCandidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
-                                                   const std::vector<std::string> &tried,
-                                                   std::vector<const UpstreamRecord *> &records, SteadyTime now);
+    /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
+    std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
+                                            const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
+    /// Returns the candidates for a request and fills @p records with the records to which their indexes refer.
+    std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
+                                                   const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
+                                                   SteadyTime now);
     /// Raises the cached tokens expected at the upstreams and the region that prefix affinity ranks first for @p prompt.
-    void applyPrefixAffinity(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
+    void applyPrefixAffinity(const PromptFacts &prompt, const std::string &service, std::vector<UpstreamCandidate> &upstreams,
                              const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
-                             const std::vector<std::string> &regionNames) const;
+                             const std::vector<std::string> &regionNames);
+    /// Returns the share of a service's upstreams in the own region that one daemon considers.
+    double consideredShare(const std::string &service);
     /// Recomputes this daemon's share of the retry budget.
     void updateRetryBudget(SteadyTime now);
     /// Returns whether this daemon aggregates the usage of @p organisation for its region.
@@ -206,9 +213,9 @@
         std::vector<const std::string *> backingOff;
         std::vector<const std::string *> others;
     };
-    ActiveUpstreams activeUpstreams(const std::string &service, SteadyTime now) const;
+    ActiveUpstreams activeUpstreams(const std::string &service, SteadyTime now);
     /// Returns whether every upstream of @p service is excluded and at least one of them is only backing off.
-    bool allBackingOff(const std::string &service, SteadyTime now) const;
+    bool allBackingOff(const std::string &service, SteadyTime now);
     /// Returns the time until a request that begins to wait now can be sent: its turn at an upstream with a limit, or the end of
     /// an upstream's back-off. No value where neither is known.
     std::optional<SteadyTime::duration> timeUntilRoom(const std::string &service, SteadyTime now);
@@ -254,8 +261,13 @@
     std::map<std::string, std::size_t> waitingRequests_;
     /// Daemons of the own region in the view.
     unsigned listedInOwnRegion_ = 0;
-    /// Upstreams of the own region by service; points into the view.
-    std::unordered_map<std::string, std::vector<const UpstreamRecord *>> localUpstreams_;
+    /// Upstreams of the own region by service; points into the view. Built when it is first needed after a change.
+    std::unordered_map<std::string, UpstreamSelection> localUpstreams_;
+    bool localUpstreamsCurrent_ = false;
+    /// Returns the upstreams of @p service in the own region; null if there are none.
+    const UpstreamSelection *localUpstreams(const std::string &service);
+    /// Adapts to the daemons of the view, which differ from those of the view before.
+    void daemonsChanged(SteadyTime now);
     /// Moves runs away from upstreams that end soon, and hands over those of other daemons when this daemon does.
     void moveEndingRuns(SteadyTime now);
     /// Returns whether @p upstream ends within the lead time of a move.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t minConnections = 4;
 // Callers refused during a back-off are told to return spread over this share of the time that was left.
 constexpr double retrySpread = 0.5;
+// With fewer usable upstreams in its subset, a daemon considers all of the region.
+constexpr std::ptrdiff_t minUsableOfSubset = 8;
 
 /// Subtracts the mean failure share from each candidate: requests that fail wherever they run say nothing about the upstream, and
 /// sending them to another region adds a round trip. Without this, a service that answers 6 % of its calls with its own errors
@@ -72,14 +74,14 @@
     return upstreamLimits_.allows(upstream.id, now) ? ExclusionReason::None : ExclusionReason::UpstreamLimit;
 }
 
-Gateway::ActiveUpstreams Gateway::activeUpstreams(const std::string &service, SteadyTime now) const
+Gateway::ActiveUpstreams Gateway::activeUpstreams(const std::string &service, SteadyTime now)
 {
     ActiveUpstreams upstreams;
-    const auto local = localUpstreams_.find(service);
-    if (local == localUpstreams_.end()) {
+    const UpstreamSelection *local = localUpstreams(service);
+    if (local == nullptr) {
         return upstreams;
     }
-    for (const UpstreamRecord *upstream : local->second) {
+    for (const UpstreamRecord *upstream : local->all()) {
         const ExclusionReason exclusionReason
             = view_->takesRequests(*upstream) ? notices_.exclusionReason(upstream->id, now) : ExclusionReason::Leaving;
         if (exclusionReason == ExclusionReason::BackingOff) {
@@ -91,7 +93,7 @@
     return upstreams;
 }
 
-bool Gateway::allBackingOff(const std::string &service, SteadyTime now) const
+bool Gateway::allBackingOff(const std::string &service, SteadyTime now)
 {
     const ActiveUpstreams upstreams = activeUpstreams(service, now);
     return upstreams.others.empty() && !upstreams.backingOff.empty();
@@ -117,47 +119,82 @@
     return room + std::chrono::duration_cast<SteadyTime::duration>(spread);
 }
 
-std::vector<UpstreamCandidate> Gateway::localCandidates(const std::string &service, const ServiceSpec &spec,
-                                                        const PromptFacts &prompt, const std::vector<std::string> &tried,
-                                                        std::vector<const UpstreamRecord *> &records, SteadyTime now)
+std::vector<UpstreamCandidate> Gateway::describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
+                                                 const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now)
 {
     std::vector<UpstreamCandidate> candidates;
-    const auto local = localUpstreams_.find(service);
-    if (local == localUpstreams_.end()) {
-        return candidates;
-    }
-    for (const UpstreamRecord *record : local->second) {
-        const UpstreamRecord &upstream = *record;
-        const std::string &id = upstream.id;
-        UpstreamCandidate candidate = loads_.describe(upstream, spec, prompt, now);
-        candidate.index = static_cast<std::uint32_t>(records.size());
+    candidates.reserve(records.size());
+    for (const UpstreamRecord *record : records) {
+        const std::string &id = record->id;
+        UpstreamCandidate candidate = loads_.describe(*record, spec, prompt, now);
+        candidate.index = static_cast<std::uint32_t>(candidates.size());
         candidate.needsConnection = pool_.idle(id) == 0;
         candidate.limited = upstreamLimits_.isLimited(id, now);
-        const ExclusionReason exclusionReason = exclusionReasonOf(upstream, spec, now);
+        const ExclusionReason exclusionReason = exclusionReasonOf(*record, spec, now);
         if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
             candidate.exclusionReason = ExclusionReason::AlreadyTried;
         } else if (exclusionReason != ExclusionReason::None) {
             candidate.exclusionReason = exclusionReason;
         }
-        records.push_back(&upstream);
         candidates.push_back(candidate);
     }
     compareFailures(candidates);
     return candidates;
 }
 
-void Gateway::applyPrefixAffinity(const PromptFacts &prompt, std::vector<UpstreamCandidate> &upstreams,
-                                  const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
-                                  const std::vector<std::string> &regionNames) const
+std::vector<UpstreamCandidate> Gateway::localCandidates(const CallerRequest &request, const ChoiceContext &context,
+                                                        const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
+                                                        SteadyTime now)
+{
+    const UpstreamSelection *local = localUpstreams(context.service);
+    if (local == nullptr) {
+        return {};
+    }
+    records = local->considered(request.prompt);
+    std::vector<UpstreamCandidate> candidates = describe(records, spec, request.prompt, context.tried, now);
+    excludeOtherVersions(context.versionRule, context.arm, candidates, records);
+    const auto usable = std::count_if(candidates.begin(), candidates.end(), [](const UpstreamCandidate &candidate) {
+        return candidate.exclusionReason == ExclusionReason::None;
+    });
+    // The own subset may be evacuated, cut off or of another version as a whole.
+    if (!local->isWhole() && usable < minUsableOfSubset) {
+        records = local->all();
+        candidates = describe(records, spec, request.prompt, context.tried, now);
+        excludeOtherVersions(context.versionRule, context.arm, candidates, records);
+    }
+    return candidates;
+}
+
+double Gateway::consideredShare(const std::string &service)
+{
+    const UpstreamSelection *local = localUpstreams(service);
+    if (local == nullptr || local->isWhole()) {
+        return 1;
+    }
+    return static_cast<double>(UpstreamSelection::maxConsidered) / static_cast<double>(local->all().size());
+}
+
+void Gateway::applyPrefixAffinity(const PromptFacts &prompt, const std::string &service,
+                                  std::vector<UpstreamCandidate> &upstreams, const std::vector<const UpstreamRecord *> &records,
+                                  std::vector<RegionCandidate> &regions, const std::vector<std::string> &regionNames)
 {
+    const UpstreamSelection *local = localUpstreams(service);
+    const bool whole = local == nullptr || local->isWhole();
+    const std::vector<const UpstreamRecord *> homes = whole ? std::vector<const UpstreamRecord *>{} : local->homes(prompt);
     std::vector<AffinityUpstream> affinityUpstreams;
+    std::size_t usable = 0;
     for (UpstreamCandidate &upstream : upstreams) {
-        if (upstream.exclusionReason == ExclusionReason::None && !upstream.limited) {
-            affinityUpstreams.push_back({ &upstream, upstreamKey(records[upstream.index]->id) });
+        if (upstream.exclusionReason != ExclusionReason::None || upstream.limited) {
+            continue;
+        }
+        ++usable;
+        const UpstreamRecord *record = records[upstream.index];
+        if (whole || std::find(homes.begin(), homes.end(), record) != homes.end()) {
+            affinityUpstreams.push_back({ &upstream, upstreamKey(record->id) });
         }
     }
-    std::vector<AffinityRegion> affinityRegions{ { nullptr, stableHash(identity_.region),
-                                                   static_cast<double>(affinityUpstreams.size()) } };
+    const std::size_t ownUpstreams = whole ? usable : usable * local->all().size() / std::max<std::size_t>(1, upstreams.size());
+    std::vector<AffinityRegion> affinityRegions{ { nullptr, stableHash(identity_.region), static_cast<double>(ownUpstreams) } };
     for (RegionCandidate &region : regions) {
         affinityRegions.push_back({ &region, stableHash(regionNames[region.index]), region.upstreams });
     }
@@ -220,8 +257,7 @@
     std::vector<const UpstreamRecord *> records;
     std::vector<UpstreamCandidate> upstreams;
     if (context.allowsRegion(identity_.region)) {
-        upstreams = localCandidates(context.service, *spec, request.prompt, tried, records, now);
-        excludeOtherVersions(context.versionRule, context.arm, upstreams, records);
+        upstreams = localCandidates(request, context, *spec, records, now);
     }
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
@@ -237,10 +273,10 @@
     }
     const FetchSources sources = policy_.fetching ? offerFetching(*spec, upstreams, records) : FetchSources{};
     if (policy_.prefixAffinity) {
-        applyPrefixAffinity(request.prompt, upstreams, records, regions, regionNames);
+        applyPrefixAffinity(request.prompt, context.service, upstreams, records, regions, regionNames);
     }
     PlacementWeights weights = policy_.weights;
-    weights.spreadMs *= regions_.daemonsInOwnRegion() - 1;
+    weights.spreadMs *= (regions_.daemonsInOwnRegion() - 1) * consideredShare(context.service);
     target.placement = place(facts, upstreams, regions, weights, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == ExclusionReason::Unhealthy) {
         // All remaining upstreams look unhealthy: the best of them is still better than none.
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -81,6 +81,7 @@
 {
     const SteadyTime now = BootClock::now();
     const auto addWaits = [this, now](Wire::LoadDigestT &digest) { addServiceWaits(digest, now); };
+    setDigestInterval(loadAggregation_.sendInterval());
     std::vector<OutgoingDigest> due = loadAggregation_.due(turn, digestHeader(), addWaits, now);
     for (OutgoingDigest &outgoing : due) {
         outgoing.digest.sequence = ++digestSequence_;
@@ -123,11 +124,14 @@
         if (digest.services.size() >= maxDigestServices) {
             break;
         }
-        std::vector<const UpstreamRecord *> records;
-        ServiceSummary summary;
-        std::vector<UpstreamCandidate> candidates = localCandidates(name, spec, noPrompt, {}, records, now);
+        const UpstreamSelection *local = localUpstreams(name);
+        const std::vector<const UpstreamRecord *> records = local == nullptr ? std::vector<const UpstreamRecord *>{} : local->sample();
+        std::vector<UpstreamCandidate> candidates = describe(records, spec, noPrompt, {}, now);
         const std::optional<VersionRule> rule = rollouts_.rule(name);
         excludeOtherVersions(rule, drawArm(rule, mainVersionChance), candidates, records);
+        ServiceSummary summary(local == nullptr || records.empty()
+                                   ? 1
+                                   : static_cast<double>(local->all().size()) / static_cast<double>(records.size()));
         for (const UpstreamCandidate &candidate : candidates) {
             // The capacity of cold upstreams and of those with a limit is reserved for callers of the own region.
             const bool cold = policy_.reserveColdUpstreams && records[candidate.index]->coldUntil > now;
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -240,7 +240,6 @@
 
 void GatewayServer::sendDigests()
 {
-    gateway_.setDigestInterval(digestInterval);
     send(gateway_.dueFleetDigests(tickNumber_));
 }
 
--- a/src/portpaddle/gateway/service_summary.cpp
+++ b/src/portpaddle/gateway/service_summary.cpp
@@ -3,8 +3,15 @@
 
 #include "portpaddle/gateway/service_summary.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace Portpaddle {
 
+ServiceSummary::ServiceSummary(double represented) : represented_(represented)
+{
+}
+
 void ServiceSummary::add(const UpstreamCandidate &upstream)
 {
     for (const Urgency urgency : { Urgency::Urgent, Urgency::Usual, Urgency::Patient }) {
@@ -28,7 +35,7 @@
              wait(Urgency::Urgent),
              wait(Urgency::Usual),
              wait(Urgency::Patient),
-             count_,
+             static_cast<std::uint16_t>(std::min<double>(count_ * represented_, std::numeric_limits<std::uint16_t>::max())),
              static_cast<float>(tokensPerMs_ * share),
              static_cast<float>(running_ * share),
              static_cast<float>(tokenMs_ * share) };
--- a/src/portpaddle/gateway/service_summary.h
+++ b/src/portpaddle/gateway/service_summary.h
@@ -11,10 +11,13 @@
 
 namespace Portpaddle {
 
-/// Adds up upstreams and returns their means.
+/// Adds up upstreams, which may stand for others that are not added, and returns their means.
 class ServiceSummary
 {
 public:
+    /// Each added upstream stands for @p represented upstreams.
+    explicit ServiceSummary(double represented = 1);
+
     /// Adds an upstream that other regions may use.
     void add(const UpstreamCandidate &upstream);
     /// Returns the summary of the service that digests name by @p key; its upstream count is zero where none was added.
@@ -26,6 +29,7 @@
     double running_ = 0;
     double tokenMs_ = 0;
     std::uint16_t count_ = 0;
+    double represented_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -55,6 +55,42 @@
     coalescingDelay_ = delay;
 }
 
+bool WatchListener::knows(const std::string &) const
+{
+    return false;
+}
+
+void StoreWatcher::setFilter(const ChangeFilter *filter)
+{
+    filter_ = filter;
+}
+
+std::vector<KeyValue> StoreWatcher::filtered(std::vector<KeyValue> items) const
+{
+    if (filter_ != nullptr) {
+        std::erase_if(items, [this](const KeyValue &item) { return !filter_->keeps(item); });
+    }
+    return items;
+}
+
+/// A known item that is to be kept no longer is reported as removed.
+std::vector<KeyChange> StoreWatcher::filtered(std::vector<KeyChange> changes) const
+{
+    if (filter_ == nullptr) {
+        return changes;
+    }
+    std::vector<KeyChange> result;
+    for (KeyChange &change : changes) {
+        const bool kept = !change.removed && filter_->keeps(change.item);
+        if (kept) {
+            result.push_back(std::move(change));
+        } else if (listener_.knows(change.item.key)) {
+            result.push_back({ { change.item.key, {}, change.item.revision }, true });
+        }
+    }
+    return result;
+}
+
 void StoreWatcher::setFeed(ChangeFeed *feed)
 {
     feed_ = feed;
@@ -95,7 +131,7 @@
         return false;
     }
     recordSuccess();
-    listener_.listed(valueOf(listing).items);
+    listener_.listed(filtered(valueOf(listing).items));
     revision_ = valueOf(listing).revision;
     listed_ = true;
     if (feed_ != nullptr) {
@@ -116,14 +152,15 @@
     }
     recordSuccess();
     const KeyChanges &update = valueOf(reply);
+    const std::vector<KeyChange> changes = filtered(update.changes);
     relayed_ = update.relayed;
     answeredAt_ = BootClock::now();
-    if (!update.changes.empty()) {
-        listener_.changed(update.changes);
+    if (!changes.empty()) {
+        listener_.changed(changes);
     }
     revision_ = std::max(revision_.load(), update.revision);
     if (feed_ != nullptr) {
-        feed_->add(update.changes, revision_, update.confirmedAt);
+        feed_->add(changes, revision_, update.confirmedAt);
     }
     if (!update.changes.empty() && !stopping_) {
         std::this_thread::sleep_for(update.relayed ? relayedCoalescingDelay : coalescingDelay_);
@@ -182,7 +219,7 @@
     fetchedFromPeersAt_ = now;
     const Result<std::vector<KeyValue>> items = peers_->fetch();
     if (isOk(items)) {
-        listener_.receivedFromPeer(valueOf(items));
+        listener_.receivedFromPeer(filtered(valueOf(items)));
     }
 }
 
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -6,6 +6,7 @@
 
 #include "portpaddle/base/thread.h"
 #include "portpaddle/fleet/change_feed.h"
+#include "portpaddle/fleet/change_filter.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/interfaces/watched_store.h"
 
@@ -27,6 +28,8 @@
     virtual void onStoreAvailable() = 0;
     /// Reports what another daemon last knew of the store; it may add keys but does not imply removals.
     virtual void receivedFromPeer(const std::vector<KeyValue> &items) = 0;
+    /// Whether @p key was reported and not removed since; false if the listener does not remember keys.
+    virtual bool knows(const std::string &key) const;
 };
 
 /// Watches the store on its own thread until the process ends or stop() is called.
@@ -40,6 +43,8 @@
                  WatchedStore *verifier = nullptr);
     ~StoreWatcher();
 
+    /// Drops what @p filter does not keep, before it is reported or relayed; @p filter must outlive the watcher. Call before start().
+    void setFilter(const ChangeFilter *filter);
     /// Fills @p feed, which must outlive the watcher, with changes for other daemons. Call before start().
     void setFeed(ChangeFeed *feed);
     /// Sets how long changes are collected before the next watch call takes them. Call before start().
@@ -56,6 +61,8 @@
     void fetchFromPeers();
     void verify();
     void recordSuccess();
+    std::vector<KeyValue> filtered(std::vector<KeyValue> items) const;
+    std::vector<KeyChange> filtered(std::vector<KeyChange> changes) const;
     void updateFeedReachability(bool reachable);
 
     std::string prefix_;
@@ -64,6 +71,7 @@
     const PeerStateClient *peers_;
     SteadyTime fetchedFromPeersAt_{};
     WatchedStore *verifier_;
+    const ChangeFilter *filter_ = nullptr;
     ChangeFeed *feed_ = nullptr;
     Millis coalescingDelay_;
     std::atomic<std::uint64_t> revision_{ 0 };
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -379,8 +379,12 @@
     const unsigned status = parser.get().result_int();
     AttemptReport report;
     report.sent = true;
-    report.bufferedAnswer
-        = WholeAnswer{ status, forwardableFields(parser.get()), std::move(parser.get().body()), std::move(memory) };
+    WholeAnswer answer;
+    answer.status = status;
+    answer.fields = forwardableFields(parser.get());
+    answer.body = std::move(parser.get().body());
+    answer.memory = std::move(memory);
+    report.bufferedAnswer = std::move(answer);
     report.end = status >= 500 ? AttemptEnd::Broken : AttemptEnd::Complete;
     if (status >= 500) {
         report.error
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -33,6 +33,11 @@
 // Units of tokens in digests, see wire/load.fbs.
 constexpr double tokensUnit = 64;
 constexpr double memoryUnit = 256;
+// Sums of more upstreams than this are cut to the most loaded ones. What a daemon is told then does not grow with its region.
+constexpr std::size_t maxSumsPerShard = maxDigestUpstreams;
+// Below these loads an upstream serves another request about as soon as an idle one.
+constexpr unsigned minNotableRunning = 3;
+constexpr double minNotableTokens = 8'000;
 // An upstream without requests is reported as idle for this long, since some digests are lost.
 constexpr std::chrono::milliseconds idleReportTime{ 1'000 };
 constexpr double learningRate = 0.1;
@@ -85,6 +90,30 @@
              toUnits(share.running, 1) };
 }
 
+std::uint64_t totalPending(const Wire::UpstreamShare &share)
+{
+    return std::uint64_t{ share.urgent() } + share.usual() + share.patient() + share.late();
+}
+
+/// Returns all of a few shares. Of many, returns those of upstreams where another request would wait, the most loaded first and no
+/// more than a bounded number.
+std::vector<Wire::UpstreamShare> mostLoaded(std::vector<Wire::UpstreamShare> shares)
+{
+    if (shares.size() <= maxSumsPerShard) {
+        return shares;
+    }
+    std::erase_if(shares, [](const Wire::UpstreamShare &share) {
+        return share.running() < minNotableRunning && static_cast<double>(totalPending(share)) * tokensUnit < minNotableTokens;
+    });
+    const auto more = [](const Wire::UpstreamShare &one, const Wire::UpstreamShare &other) {
+        return std::pair(totalPending(one), one.running()) > std::pair(totalPending(other), other.running());
+    };
+    const std::size_t count = std::min(shares.size(), maxSumsPerShard);
+    std::partial_sort(shares.begin(), shares.begin() + static_cast<std::ptrdiff_t>(count), shares.end(), more);
+    shares.erase(shares.begin() + static_cast<std::ptrdiff_t>(count), shares.end());
+    return shares;
+}
+
 double millisBetween(SteadyTime from, SteadyTime to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
@@ -109,11 +138,7 @@
 
 UpstreamLoads::State &UpstreamLoads::stateOf(const std::string &upstream)
 {
-    const auto [entry, added] = states_.try_emplace(upstream);
-    if (added) {
-        idsByKey_[upstreamKey(upstream)] = upstream;
-    }
-    return entry->second;
+    return states_[upstream];
 }
 
 void UpstreamLoads::setPolicy(const PolicySettings &policy)
@@ -123,11 +148,51 @@
 
 void UpstreamLoads::keepOnly(const FleetView &view)
 {
-    std::erase_if(states_,
-                  [&view](const auto &item) { return !view.upstreams.contains(item.first) && item.second.running == 0; });
-    std::erase_if(idsByKey_, [this](const auto &item) { return !states_.contains(item.second); });
+    std::vector<std::string> gone;
+    for (const auto &[key, id] : idsByKey_) {
+        if (!view.upstreams.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string &id : gone) {
+        removeListed(id);
+    }
     for (const auto &[id, record] : view.upstreams) {
-        stateOf(id);
+        addListed(id);
+    }
+}
+
+void UpstreamLoads::follow(const FleetView &view, const FleetView &earlier)
+{
+    view.upstreams.forEachChangedShard(earlier.upstreams, [this](const auto &shard, const auto &earlierShard) {
+        for (const auto &[id, record] : earlierShard) {
+            if (!shard.contains(id)) {
+                removeListed(id);
+            }
+        }
+        for (const auto &[id, record] : shard) {
+            addListed(id);
+        }
+    });
+}
+
+void UpstreamLoads::addListed(const std::string &upstream)
+{
+    idsByKey_[upstreamKey(upstream)] = upstream;
+    unlisted_.erase(upstream);
+}
+
+void UpstreamLoads::removeListed(const std::string &upstream)
+{
+    idsByKey_.erase(upstreamKey(upstream));
+    const auto state = states_.find(upstream);
+    if (state == states_.end()) {
+        return;
+    }
+    if (state->second.running > 0) {
+        unlisted_.insert(upstream);
+    } else {
+        states_.erase(state);
     }
 }
 
@@ -276,6 +341,9 @@
     } else if (outcome == LoadOutcome::Failed || (outcome == LoadOutcome::Cancelled && wasSilent)) {
         recordFailure(state, now);
     }
+    if (state.running == 0 && unlisted_.erase(ticket.upstream) > 0) {
+        states_.erase(ticket.upstream);
+    }
 }
 
 void UpstreamLoads::connectFailed(const std::string &upstream, SteadyTime now)
@@ -308,7 +376,7 @@
         }
         LoadShare others = decodeShare(share);
         std::uint32_t readTokens = share.read_tokens();
-        if (state->reported.aggregator == digest.daemon) {
+        if (reports_.at(shardOf(share.key())).aggregator == digest.daemon) {
             others -= state->reported.share;
             readTokens -= state->reported.readTokens;
         }
@@ -328,14 +396,19 @@
 
 void UpstreamLoads::noteReported(const std::string &aggregator, unsigned shard, const std::vector<Wire::UpstreamShare> &shares)
 {
-    for (auto &[id, state] : states_) {
-        if (shardOf(upstreamKey(id)) == shard) {
-            state.reported = { aggregator, {}, toWrappingCounter(state.readTokens) };
+    // Upstreams that are not reported have been idle for a while, so that the tokens reported for them last are still right.
+    ShardReport &report = reports_.at(shard);
+    for (const std::uint32_t key : report.keys) {
+        if (State *state = stateByKey(key)) {
+            state->reported.share = {};
         }
     }
+    report.aggregator = aggregator;
+    report.keys.clear();
     for (const Wire::UpstreamShare &share : shares) {
         if (State *state = stateByKey(share.key())) {
-            state->reported.share = decodeShare(share);
+            state->reported = { decodeShare(share), share.read_tokens() };
+            report.keys.push_back(share.key());
         }
     }
 }
@@ -370,7 +443,7 @@
             result.push_back(encodeShare(key, sum, state.prefixes.clock()));
         }
     }
-    return result;
+    return mostLoaded(std::move(result));
 }
 
 std::vector<Wire::PlacedPart> UpstreamLoads::takePlaced(DigestReach reach)
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -14,12 +14,18 @@
 #include <array>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace Portpaddle {
 
+/// Number of shards of the upstreams, each aggregated by another daemon: one datagram holds a shard of a region with a hundred
+/// upstreams, and when an aggregator dies three quarters of the sums still arrive.
+inline constexpr unsigned aggregationShards = 4;
+unsigned shardOf(std::uint32_t upstreamKey);
+
 /// One request at an upstream, from its sending to its end.
 struct LoadTicket
 {
@@ -51,6 +57,8 @@
     void setPolicy(const PolicySettings &policy);
     /// Removes upstreams that are not in @p view.
     void keepOnly(const FleetView &view);
+    /// As keepOnly(), where @p earlier is the view of the last call.
+    void follow(const FleetView &view, const FleetView &earlier);
 
     LoadTicket sent(const UpstreamRecord &upstream, const ServiceSpec &spec, const PromptFacts &prompt,
                     const Placement &placement, SteadyTime now);
@@ -83,11 +91,18 @@
     /// What an aggregator counts of this daemon at an upstream.
     struct Reported
     {
-        std::string aggregator;
         LoadShare share;
         std::uint32_t readTokens = 0;
     };
 
+    /// The last report of this daemon for one shard.
+    struct ShardReport
+    {
+        std::string aggregator;
+        /// The upstreams at which the aggregator counts a share of this daemon.
+        std::vector<std::uint32_t> keys;
+    };
+
     struct State
     {
         PendingTokens pendingTokens{};
@@ -119,6 +134,8 @@
     };
 
     State &stateOf(const std::string &upstream);
+    void addListed(const std::string &upstream);
+    void removeListed(const std::string &upstream);
     static LoadShare ownShare(const State &state);
     bool isSilent(const State &state, SteadyTime now) const;
     static void finishReading(State &state, LoadTicket &ticket);
@@ -132,8 +149,13 @@
     static double decayedFailureShare(const State &state, SteadyTime now);
 
     PolicySettings policy_;
+    /// The upstreams that this daemon or one that reports to it has used.
     std::unordered_map<std::string, State> states_;
+    /// All listed upstreams.
     std::unordered_map<std::uint32_t, std::string> idsByKey_;
+    /// Upstreams that are no longer listed but still run requests.
+    std::set<std::string> unlisted_;
+    std::array<ShardReport, aggregationShards> reports_;
     /// Prompt parts that are still to be announced, by reach of the digest.
     std::array<std::deque<Wire::PlacedPart>, 2> placed_;
 };
@@ -141,9 +163,4 @@
 /// Returns the key by which digests name an upstream.
 std::uint32_t upstreamKey(const std::string &id);
 
-/// Number of shards of the upstreams, each aggregated by another daemon: one datagram holds a shard of a region with a hundred
-/// upstreams, and when an aggregator dies three quarters of the sums still arrive.
-inline constexpr unsigned aggregationShards = 4;
-unsigned shardOf(std::uint32_t upstreamKey);
-
 } // namespace Portpaddle
--- a/src/portpaddle/upstream_limits/upstream_limits.cpp
+++ b/src/portpaddle/upstream_limits/upstream_limits.cpp
@@ -71,17 +71,26 @@
 
 void UpstreamLimits::setView(std::shared_ptr<const FleetView> view, SteadyTime now)
 {
+    const std::shared_ptr<const FleetView> earlier = view_ ? std::exchange(view_, view) : std::make_shared<const FleetView>();
     view_ = std::move(view);
-    upstreamIds_.clear();
-    for (const auto &[id, upstream] : view_->upstreams) {
-        if (upstream.region == scope_.region) {
-            upstreamIds_.emplace(stableHash(id), id);
+    view_->upstreams.forEachChangedShard(earlier->upstreams, [this](const auto &shard, const auto &earlierShard) {
+        for (const auto &[id, upstream] : earlierShard) {
+            if (!shard.contains(id)) {
+                upstreamIds_.erase(stableHash(id));
+            }
         }
-    }
-    linkAddresses_.clear();
-    for (const DaemonRecord &daemon : view_->daemons) {
-        if (daemon.region == scope_.region && daemon.id != scope_.daemon) {
-            linkAddresses_.push_back(daemon.linkAddress);
+        for (const auto &[id, upstream] : shard) {
+            if (upstream.region == scope_.region) {
+                upstreamIds_.try_emplace(stableHash(id), id);
+            }
+        }
+    });
+    if (!view_->daemons.sharesWith(earlier->daemons)) {
+        linkAddresses_.clear();
+        for (const DaemonRecord &daemon : view_->daemons) {
+            if (daemon.region == scope_.region && daemon.id != scope_.daemon) {
+                linkAddresses_.push_back(daemon.linkAddress);
+            }
         }
     }
     forgetRemoved();
--- a/tests/gateway/load_aggregation_tests.cpp
+++ b/tests/gateway/load_aggregation_tests.cpp
@@ -293,7 +293,7 @@
 {
     build(50, 0);
     for (std::size_t index = 0; index < 4; ++index) {
-        view->daemons.at(index * 10).cpuCores = 0.5;
+        view->daemons.writable().at(index * 10).cpuCores = 0.5;
     }
     unsigned strongFirst = 0;
     for (int role = 0; role < 100; ++role) {
