--- a/tests/gateway/load_aggregation_tests.cpp
+++ b/tests/gateway/load_aggregation_tests.cpp
@@ -119,6 +119,7 @@
             CHECK(datagram.size() <= maxLoadDatagramBytes);
             for (const std::string &to : outgoing.to) {
                 ++sent[id];
+                bytesOf[id] += datagram.size();
                 bytes += datagram.size();
                 deliver(datagram, *daemons.at(to));
             }
@@ -157,6 +158,7 @@
     std::shared_ptr<FleetView> view;
     std::map<std::string, std::unique_ptr<Daemon>> daemons;
     std::map<std::string, unsigned> sent;
+    std::map<std::string, std::size_t> bytesOf;
     /// Total size of all datagrams.
     std::size_t bytes = 0;
     SteadyTime now = start;
@@ -269,6 +271,29 @@
     CHECK(allOfMany < 4 * allOfFew);
 }
 
+TEST_CASE("Load aggregation, region that doubles with its upstreams and load, busiest aggregator sends hardly more")
+{
+    const auto busiestBytes = [](unsigned each) {
+        LoadAggregationFixture fleet;
+        fleet.build(each, 10 * each);
+        SeededRandom random(5);
+        std::vector<LoadTicket> tickets;
+        for (unsigned index = 0; index < each; ++index) {
+            tickets.push_back(fleet.send(fmt::format("north-{}", random.below(each)),
+                                         fmt::format("u-north-{}", random.below(10 * each)), 12'000));
+        }
+        fleet.run(600ms);
+        fleet.bytesOf.clear();
+        fleet.run(1'200ms);
+        std::size_t most = 0;
+        for (const auto &[id, bytes] : fleet.bytesOf) {
+            most = std::max(most, bytes);
+        }
+        return static_cast<double>(most);
+    };
+    CHECK(busiestBytes(360) < 1.25 * busiestBytes(180));
+}
+
 TEST_CASE_FIXTURE(LoadAggregationFixture,
                   "Aggregators, one that receives reports and sends no sums, is avoided, but not while reports go to others")
 {
