--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -125,13 +125,13 @@
     // The state that this daemon knows already must not go backwards; a daemon without any state catches up with the first
     // changes.
     const ReadFreshness freshness = revision_ == 0 ? ReadFreshness::MayBeStale : ReadFreshness::Newest;
-    const Result<KeyListing> listing = store_.listAll(prefix_, freshness);
+    Result<KeyListing> listing = store_.listAll(prefix_, freshness);
     if (!isOk(listing)) {
         recordFailure(errorOf(listing));
         return false;
     }
     recordSuccess();
-    listener_.listed(filtered(valueOf(listing).items));
+    listener_.listed(filtered(std::move(valueOf(listing).items)));
     revision_ = valueOf(listing).revision;
     listed_ = true;
     if (feed_ != nullptr) {
@@ -142,7 +142,7 @@
 
 void StoreWatcher::follow()
 {
-    const Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
+    Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
     if (!isOk(reply)) {
         listed_ = errorOf(reply).code != ErrorCode::HistoryCompacted;
         if (listed_) {
@@ -151,8 +151,8 @@
         return;
     }
     recordSuccess();
-    const KeyChanges &update = valueOf(reply);
-    const std::vector<KeyChange> changes = filtered(update.changes);
+    KeyChanges &update = valueOf(reply);
+    const std::vector<KeyChange> changes = filtered(std::move(update.changes));
     relayed_ = update.relayed;
     answeredAt_ = BootClock::now();
     if (!changes.empty()) {
@@ -162,7 +162,7 @@
     if (feed_ != nullptr) {
         feed_->add(changes, revision_, update.confirmedAt);
     }
-    if (!update.changes.empty() && !stopping_) {
+    if (!changes.empty() && !stopping_) {
         std::this_thread::sleep_for(update.relayed ? relayedCoalescingDelay : coalescingDelay_);
     }
 }
@@ -217,9 +217,9 @@
         return;
     }
     fetchedFromPeersAt_ = now;
-    const Result<std::vector<KeyValue>> items = peers_->fetch();
+    Result<std::vector<KeyValue>> items = peers_->fetch();
     if (isOk(items)) {
-        listener_.receivedFromPeer(filtered(valueOf(items)));
+        listener_.receivedFromPeer(filtered(std::move(valueOf(items))));
     }
 }
 
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -22,8 +22,6 @@
 namespace {
 
 constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
-// Answers that are not streams are buffered until they are complete, so that a cut answer can be retried.
-constexpr std::size_t maxWholeBytes = 8 * 1024 * 1024;
 // Maximum length of a late or refused answer that is read only to be discarded.
 constexpr std::size_t maxDiscardedBytes = 64 * 1024;
 // Events of engines hold a few tokens each.
@@ -31,27 +29,6 @@
 // A connection is no longer used from this long before the upstream may close it.
 constexpr std::chrono::milliseconds keepAliveMargin{ 1'000 };
 
-AttemptReport failure(AttemptEnd end, ErrorCode code, std::string message)
-{
-    AttemptReport report;
-    report.end = end;
-    report.error = Error{ code, std::move(message), end == AttemptEnd::NotRun ? RunState::NotRun : RunState::MayHaveRun, {} };
-    report.sent = true;
-    return report;
-}
-
-bool isSuccess(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
-/// Whether the status implies that the request did not run. Without the header that proves it, this is not believed.
-bool impliesNotRun(unsigned status)
-{
-    return status == HttpStatus::requestTimeout || status == HttpStatus::misdirected || status == HttpStatus::tooMany
-        || status == HttpStatus::unavailable;
-}
-
 /// Returns how often another daemon says it sent the request; no value if it does not say or the number is implausible.
 std::optional<unsigned> readReportedSends(const http::fields &fields)
 {
@@ -78,6 +55,15 @@
 
 } // namespace
 
+AttemptReport failedAttempt(AttemptEnd end, ErrorCode code, std::string message)
+{
+    AttemptReport report;
+    report.end = end;
+    report.error = Error{ code, std::move(message), end == AttemptEnd::NotRun ? RunState::NotRun : RunState::MayHaveRun, {} };
+    report.sent = true;
+    return report;
+}
+
 boost::beast::http::fields forwardableFields(const http::fields &fields)
 {
     http::fields result;
@@ -118,7 +104,7 @@
     if (!callbacks.maySend()) {
         connection_.reset();
         pool_.ended(plan.peer);
-        report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "the target no longer accepts requests");
+        report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "the target no longer accepts requests");
         report.sent = false;
         report.withheld = true;
         co_return report;
@@ -148,7 +134,7 @@
         error = boost::asio::error::operation_aborted;
     }
     if (!connection_) {
-        report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "no connection: " + error.message());
+        report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "no connection: " + error.message());
         report.sent = false;
         report.connectionRefused = error == boost::asio::error::connection_refused;
         co_return false;
@@ -228,8 +214,8 @@
         std::string discarded;
         const bool whole = co_await readRest(*parser, discarded, readError);
         updateReusable(*parser, whole);
-        report = failure(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
-                         "upstream did not run the request, status " + std::to_string(status));
+        report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
+                               "upstream did not run the request, status " + std::to_string(status));
         const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
         report.relayedSends = relayedSends;
         report.incarnationEnded
@@ -242,7 +228,7 @@
         }
         co_return report;
     }
-    if (plan.streamed && isSuccess(status)) {
+    if (plan.streamed && HttpStatus::isSuccess(status)) {
         report = co_await forwardStream(*parser, callbacks);
     } else {
         report = co_await readWholeAnswer(*parser);
@@ -301,103 +287,16 @@
 
 AttemptReport UpstreamAttempt::brokenConnection(std::string message) const
 {
-    AttemptReport report = failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, std::move(message));
+    AttemptReport report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, std::move(message));
     report.connectionBroke = !interrupted_;
     return report;
 }
 
-Task<AttemptReport> UpstreamAttempt::readWholeAnswer(Parser &parser)
-{
-    NetError error;
-    MemoryShare memory(&answerMemory_);
-    while (!parser.is_done()) {
-        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
-        if (error) {
-            co_return brokenConnection("the answer was cut off: " + error.message());
-        }
-        if (parser.get().body().size() > maxWholeBytes || !memory.growTo(parser.get().body().size())) {
-            memory.release();
-            co_return co_await passOn(parser);
-        }
-    }
-    co_return evaluateWholeAnswer(parser, std::move(memory));
-}
-
-// Holding the answer back would only let another attempt follow if this one breaks. Without memory for that, the caller's pace
-// bounds what is read from the upstream.
-Task<AttemptReport> UpstreamAttempt::passOn(Parser &parser)
-{
-    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
-        co_return std::move(*rejection);
-    }
-    progress_.begun = true;
-    http::fields fields = forwardableFields(parser.get());
-    if (reportedSends_) {
-        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
-    }
-    bool taken = co_await writer_.begin(parser.get().result_int(), std::move(fields));
-    NetError error;
-    while (taken) {
-        const std::string bytes = std::move(parser.get().body());
-        parser.get().body().clear();
-        taken = co_await writer_.writeChunk(bytes);
-        if (error) {
-            co_return brokenConnection("the answer was cut off: " + error.message());
-        }
-        if (taken && parser.is_done()) {
-            AttemptReport report;
-            report.sent = true;
-            co_return report;
-        }
-        if (taken) {
-            co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
-        }
-    }
-    co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
-}
-
-std::optional<AttemptReport> UpstreamAttempt::rejectionOf(const Parser &parser) const
-{
-    const http::fields &fields = parser.get();
-    const unsigned status = parser.get().result_int();
-    if (isSuccess(status) && (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty())) {
-        return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no valid signature or is encoded");
-    }
-    if (impliesNotRun(status)) {
-        return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
-                       "refusal without proof that the request did not run, status " + std::to_string(status));
-    }
-    return std::nullopt;
-}
-
-/// Turns a complete answer into a report; an answer that must not reach the caller becomes a failure.
-AttemptReport UpstreamAttempt::evaluateWholeAnswer(Parser &parser, MemoryShare memory) const
-{
-    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
-        return std::move(*rejection);
-    }
-    const unsigned status = parser.get().result_int();
-    AttemptReport report;
-    report.sent = true;
-    WholeAnswer answer;
-    answer.status = status;
-    answer.fields = forwardableFields(parser.get());
-    answer.body = std::move(parser.get().body());
-    answer.memory = std::move(memory);
-    report.bufferedAnswer = std::move(answer);
-    report.end = status >= 500 ? AttemptEnd::Broken : AttemptEnd::Complete;
-    if (status >= 500) {
-        report.error
-            = Error{ ErrorCode::UpstreamFailed, "upstream answered " + std::to_string(status), RunState::MayHaveRun, {} };
-    }
-    return report;
-}
-
 Task<AttemptReport> UpstreamAttempt::forwardStream(Parser &parser, const AttemptCallbacks &callbacks)
 {
     const http::fields &fields = parser.get();
     if (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty()) {
-        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no valid signature or is encoded");
+        co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no valid signature or is encoded");
     }
     NetError error;
     bool first = true;
@@ -412,7 +311,7 @@
         callbacks.bytesReceived();
         const bool taken = co_await forwardEvents(parser, bytes, callbacks);
         if (!taken) {
-            co_return failure(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
+            co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
         }
         if (error) {
             progress_.splitter.dropPartial();
@@ -420,17 +319,17 @@
         }
         if (progress_.splitter.partial().size() > maxEventBytes) {
             progress_.splitter.dropPartial();
-            co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "an event of the stream is too long");
+            co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "an event of the stream is too long");
         }
     }
     if (!progress_.splitter.partial().empty()) {
         progress_.splitter.dropPartial();
-        co_return failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the stream ended within an event");
+        co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the stream ended within an event");
     }
     const std::string_view unfinished = remote_ ? viewOf(fields[continueAtHeader]) : std::string_view{};
     if (!unfinished.empty()) {
-        AttemptReport report
-            = failure(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the other daemon stops before the stream is complete");
+        AttemptReport report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
+                                             "the other daemon stops before the stream is complete");
         report.continuation = decodeContinuation(unfinished);
         co_return report;
     }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -162,6 +162,8 @@
     bool reusable_ = false;
 };
 
+/// Returns the report of an attempt that was sent and failed.
+AttemptReport failedAttempt(AttemptEnd end, ErrorCode code, std::string message);
 /// Returns the headers of an answer that may be forwarded.
 boost::beast::http::fields forwardableFields(const boost::beast::http::fields &fields);
 
--- /dev/null
+++ b/src/portpaddle/gateway/upstream_attempt_answers.cpp
@@ -0,0 +1,118 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Answers that are not streams: held until they are complete, or passed on as they arrive where there is no memory to hold them.
+
+#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/net/http_status.h"
+
+#include <boost/beast/http/read.hpp>
+
+#include <utility>
+
+namespace Portpaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Answers that are not streams are buffered until they are complete, so that a cut answer can be retried.
+constexpr std::size_t maxWholeBytes = 8 * 1024 * 1024;
+
+/// Whether the status implies that the request did not run. Without the header that proves it, this is not believed.
+bool impliesNotRun(unsigned status)
+{
+    return status == HttpStatus::requestTimeout || status == HttpStatus::misdirected || status == HttpStatus::tooMany
+        || status == HttpStatus::unavailable;
+}
+
+} // namespace
+
+Task<AttemptReport> UpstreamAttempt::readWholeAnswer(Parser &parser)
+{
+    NetError error;
+    MemoryShare memory(&answerMemory_);
+    while (!parser.is_done()) {
+        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        if (error) {
+            co_return brokenConnection("the answer was cut off: " + error.message());
+        }
+        if (parser.get().body().size() > maxWholeBytes || !memory.growTo(parser.get().body().size())) {
+            memory.release();
+            co_return co_await passOn(parser);
+        }
+    }
+    co_return evaluateWholeAnswer(parser, std::move(memory));
+}
+
+// Holding the answer back would only let another attempt follow if this one breaks. Without memory for that, the caller's pace
+// bounds what is read from the upstream.
+Task<AttemptReport> UpstreamAttempt::passOn(Parser &parser)
+{
+    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
+        co_return std::move(*rejection);
+    }
+    progress_.begun = true;
+    http::fields fields = forwardableFields(parser.get());
+    if (reportedSends_) {
+        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
+    }
+    bool taken = co_await writer_.begin(parser.get().result_int(), std::move(fields));
+    NetError error;
+    while (taken) {
+        const std::string bytes = std::move(parser.get().body());
+        parser.get().body().clear();
+        taken = co_await writer_.writeChunk(bytes);
+        if (error) {
+            co_return brokenConnection("the answer was cut off: " + error.message());
+        }
+        if (taken && parser.is_done()) {
+            AttemptReport report;
+            report.sent = true;
+            co_return report;
+        }
+        if (taken) {
+            co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        }
+    }
+    co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
+}
+
+std::optional<AttemptReport> UpstreamAttempt::rejectionOf(const Parser &parser) const
+{
+    const http::fields &fields = parser.get();
+    const unsigned status = parser.get().result_int();
+    if (HttpStatus::isSuccess(status) && (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty())) {
+        return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no valid signature or is encoded");
+    }
+    if (impliesNotRun(status)) {
+        return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
+                             "refusal without proof that the request did not run, status " + std::to_string(status));
+    }
+    return std::nullopt;
+}
+
+/// Turns a complete answer into a report; an answer that must not reach the caller becomes a failure.
+AttemptReport UpstreamAttempt::evaluateWholeAnswer(Parser &parser, MemoryShare memory) const
+{
+    if (std::optional<AttemptReport> rejection = rejectionOf(parser)) {
+        return std::move(*rejection);
+    }
+    const unsigned status = parser.get().result_int();
+    AttemptReport report;
+    report.sent = true;
+    WholeAnswer answer;
+    answer.status = status;
+    answer.fields = forwardableFields(parser.get());
+    answer.body = std::move(parser.get().body());
+    answer.memory = std::move(memory);
+    report.bufferedAnswer = std::move(answer);
+    report.end = status >= 500 ? AttemptEnd::Broken : AttemptEnd::Complete;
+    if (status >= 500) {
+        report.error
+            = Error{ ErrorCode::UpstreamFailed, "upstream answered " + std::to_string(status), RunState::MayHaveRun, {} };
+    }
+    return report;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -9,6 +9,7 @@
 #include "portpaddle/gateway/peer_shares.h"
 #include "portpaddle/gateway/policy_settings.h"
 #include "portpaddle/gateway/prefix_memory.h"
+#include "portpaddle/gateway/upstream_shares.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
@@ -21,11 +22,6 @@
 
 namespace Portpaddle {
 
-/// Number of shards of the upstreams, each aggregated by another daemon: one datagram holds a shard of a region with a hundred
-/// upstreams, and when an aggregator dies three quarters of the sums still arrive.
-inline constexpr unsigned aggregationShards = 4;
-unsigned shardOf(std::uint32_t upstreamKey);
-
 /// One request at an upstream, from its sending to its end.
 struct LoadTicket
 {
@@ -160,7 +156,4 @@
     std::array<std::deque<Wire::PlacedPart>, 2> placed_;
 };
 
-/// Returns the key by which digests name an upstream.
-std::uint32_t upstreamKey(const std::string &id);
-
 } // namespace Portpaddle
--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -20,4 +20,9 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gatewayTimeout = 504;
 
+constexpr bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace Portpaddle::HttpStatus
