--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -190,8 +190,6 @@
     void applyPrefixAffinity(const PromptFacts &prompt, const std::string &service, std::vector<UpstreamCandidate> &upstreams,
                              const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                              const std::vector<std::string> &regionNames);
-    /// Returns the share of a service's upstreams in the own region that one daemon considers.
-    double consideredShare(const std::string &service);
     /// Recomputes this daemon's share of the retry budget.
     void updateRetryBudget(SteadyTime now);
     /// Returns whether this daemon aggregates the usage of @p organisation for its region.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -165,15 +165,6 @@
     return candidates;
 }
 
-double Gateway::consideredShare(const std::string &service)
-{
-    const UpstreamSelection *local = localUpstreams(service);
-    if (local == nullptr || local->isWhole()) {
-        return 1;
-    }
-    return static_cast<double>(UpstreamSelection::maxConsidered) / static_cast<double>(local->all().size());
-}
-
 void Gateway::applyPrefixAffinity(const PromptFacts &prompt, const std::string &service,
                                   std::vector<UpstreamCandidate> &upstreams, const std::vector<const UpstreamRecord *> &records,
                                   std::vector<RegionCandidate> &regions, const std::vector<std::string> &regionNames)
@@ -276,7 +267,9 @@
         applyPrefixAffinity(request.prompt, context.service, upstreams, records, regions, regionNames);
     }
     PlacementWeights weights = policy_.weights;
-    weights.spreadMs *= (regions_.daemonsInOwnRegion() - 1) * consideredShare(context.service);
+    // The spread keeps apart the daemons that choose between the same upstreams.
+    const UpstreamSelection *local = localUpstreams(context.service);
+    weights.spreadMs *= (regions_.daemonsInOwnRegion() - 1) * (local == nullptr ? 1 : local->consideredShare());
     target.placement = place(facts, upstreams, regions, weights, random_);
     if (target.placement.verdict == Verdict::Refuse && target.placement.reason == ExclusionReason::Unhealthy) {
         // All remaining upstreams look unhealthy: the best of them is still better than none.
--- a/src/portpaddle/gateway/upstream_selection.cpp
+++ b/src/portpaddle/gateway/upstream_selection.cpp
@@ -88,6 +88,11 @@
     return result;
 }
 
+double UpstreamSelection::consideredShare() const
+{
+    return isWhole() ? 1 : static_cast<double>(subset_.size()) / static_cast<double>(upstreams_.size());
+}
+
 std::vector<const UpstreamRecord *> UpstreamSelection::sample() const
 {
     if (isWhole()) {
--- a/src/portpaddle/gateway/upstream_selection.h
+++ b/src/portpaddle/gateway/upstream_selection.h
@@ -32,6 +32,8 @@
     /// Returns the upstreams that all daemons of the region prefer for the shared parts of @p prompt. Empty if the selection is whole
     /// or no part is shared.
     std::vector<const UpstreamRecord *> homes(const PromptFacts &prompt) const;
+    /// Returns the share of all upstreams that is in the subset of one daemon.
+    double consideredShare() const;
     /// Returns upstreams that stand for all, the same at all daemons.
     std::vector<const UpstreamRecord *> sample() const;
 
