--- a/benchmarks/fleet_growth.cpp
+++ b/benchmarks/fleet_growth.cpp
@@ -190,8 +190,9 @@
     RcuCell<FleetView> view;
     SeededRandom random{ 7 };
     Metrics metrics;
-    Gateway gateway{ loop.get_executor(), { ownDaemon, regionNames.front(), regionNames.front() + "-1" }, HeaderNames{}, view, random,
-                     metrics };
+    Gateway gateway{
+        loop.get_executor(), { ownDaemon, regionNames.front(), regionNames.front() + "-1" }, HeaderNames{}, view, random, metrics
+    };
     bool published = false;
     FleetRegistry registry{ view, [this] { published = true; } };
     FleetListener listener{ registry, regionOfDataCentre() };
@@ -254,8 +255,8 @@
             header.daemon = ids[index];
             header.region = regionNames.front();
             header.sequence = turn + 1;
-            for (const OutgoingDigest &outgoing :
-                 daemons[index]->aggregation->due(turn, header, [](Wire::LoadDigestT &) {}, now)) {
+            for (const OutgoingDigest &outgoing : daemons[index]->aggregation->due(
+                     turn, header, [](Wire::LoadDigestT &) {}, now)) {
                 const auto bytes = static_cast<double>(encodeDigest(outgoing.digest).size());
                 for (const std::string &to : outgoing.to) {
                     daemons[index]->sent += bytes;
@@ -316,6 +317,8 @@
 
     FeedUpdate update;
     const std::string state = encodeState(ownDaemon, daemon.listener.known(), update);
+    // Before the digests of a whole region, whose freed memory would be tidied up within the time of the choice.
+    const double choiceMs = daemon.choiceMs();
     const DigestTraffic traffic = measureDigests(daemon.gateway.view());
     return { { "daemons", daemonCount },
              { "upstreams", daemonCount * upstreamsPerDaemon },
@@ -324,7 +327,7 @@
              { "state_kb", static_cast<double>(state.size()) / 1'024 },
              { "change_ms", changeMs },
              { "tick_ms", tickMs },
-             { "choice_ms", daemon.choiceMs() },
+             { "choice_ms", choiceMs },
              { "aggregator_sent_kb_per_s", traffic.busiestSentKb },
              { "aggregator_messages_per_s", traffic.busiestMessages },
              { "received_kb_per_s", traffic.middleReceivedKb } };
@@ -334,7 +337,7 @@
 
 int main()
 {
-    for (const unsigned daemons : { 100U, 300U, 1'000U }) {
+    for (const unsigned daemons : { 100U, 300U, 1'000U, 2'000U }) {
         fmt::print("{}\n", measure(daemons).dump());
         std::fflush(stdout);
     }
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/base/log.h"
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/fleet/role_ranking.h"
+#include "portpaddle/gateway/daemon_registration.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/endpoint.h"
 
@@ -65,7 +66,20 @@
     return role;
 }
 
-RelayedStore::RelayedStore(WatchedStore &store, std::function<FollowRole()> role) : store_(store), role_(std::move(role))
+FollowRole followRoleAmong(const std::vector<KeyValue> &records, const std::string &id, const std::string &region)
+{
+    FleetView view;
+    for (const KeyValue &item : records) {
+        const Result<DaemonRecord> daemon = decodeDaemonRecord(item.value);
+        if (isOk(daemon)) {
+            view.daemons.push_back(valueOf(daemon));
+        }
+    }
+    return followRole(view, id, region);
+}
+
+RelayedStore::RelayedStore(WatchedStore &store, std::function<FollowRole()> role, RoleAmong roleAmong)
+    : store_(store), role_(std::move(role)), roleAmong_(std::move(roleAmong))
 {
 }
 
@@ -194,14 +208,26 @@
     for (KeyChange &change : valueOf(update).changes) {
         listing.items.push_back(std::move(change.item));
     }
+    listing.relayed = true;
     listing.revision = valueOf(update).revision;
     listing.confirmedAt = valueOf(update).confirmedAt;
     return listing;
 }
 
+// A daemon that has just started knows no others. In a large fleet the records of the daemons are a small part of the store's
+// contents, and the link of the store would need a minute to send all of them to each of a thousand daemons.
+FollowRole RelayedStore::roleAmongRegistered()
+{
+    const Result<KeyListing> listing = store_.listAll(daemonRecordPrefix, ReadFreshness::MayBeStale);
+    return isOk(listing) ? roleAmong_(valueOf(listing).items) : FollowRole{};
+}
+
 Result<KeyListing> RelayedStore::listAll(const std::string &prefix, ReadFreshness freshness)
 {
-    const FollowRole role = currentRole();
+    FollowRole role = currentRole();
+    if (role.direct && highestRevision_ == 0) {
+        role = roleAmongRegistered();
+    }
     if (!role.direct) {
         for (const std::string &address : usableSources(role, BootClock::now())) {
             Result<KeyListing> listing = listPeer(address);
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -34,13 +34,21 @@
 
 /// Returns the role of daemon @p id of @p region in @p view: the few daemons that rank first follow the store itself.
 FollowRole followRole(const FleetView &view, const std::string &id, const std::string &region);
+/// As followRole(), of the fleet whose daemons have these @p records in the store.
+FollowRole followRoleAmong(const std::vector<KeyValue> &records, const std::string &id, const std::string &region);
 
 /// Reads the store's contents from other daemons while these are healthy, and from the store itself otherwise. Calls must not
 /// overlap, except interrupt().
 class RelayedStore : public WatchedStore
 {
 public:
-    RelayedStore(WatchedStore &store, std::function<FollowRole()> role);
+    /// Returns the role that follows from the records of the registered daemons.
+    using RoleAmong = std::function<FollowRole(const std::vector<KeyValue> &records)>;
+
+    /// @p role returns the current role, and @p roleAmong is asked before the first listing, when no other daemon is known.
+    RelayedStore(
+        WatchedStore &store, std::function<FollowRole()> role,
+        RoleAmong roleAmong = [](const std::vector<KeyValue> &) { return FollowRole{}; });
     ~RelayedStore() override;
 
     Result<KeyListing> listAll(const std::string &prefix, ReadFreshness freshness) override;
@@ -68,9 +76,11 @@
     void avoidSource(const std::string &address, const Error &why);
     /// Returns the current role and logs a change.
     FollowRole currentRole();
+    FollowRole roleAmongRegistered();
 
     WatchedStore &store_;
     std::function<FollowRole()> role_;
+    RoleAmong roleAmong_;
     std::mutex mutex_;
     std::unordered_map<std::string, Source> sources_;
     /// The client of the request in progress; interrupt() stops it.
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/store_watcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <thread>
 
 namespace Portpaddle {
@@ -16,6 +17,8 @@
 constexpr Millis initialBackoff{ 100 };
 constexpr Millis maxBackoff{ 400 };
 constexpr unsigned maxDoublings = 4;
+// After a listing that took longer, its urgent items are read again.
+constexpr Millis maxListingTime{ 1'000 };
 // Changes come in bursts and each watch call is paid for: the next call takes what was collected meanwhile. The delay is short
 // enough for leaving upstreams and configurations to take effect within three seconds.
 constexpr Millis usualCoalescingDelay{ 500 };
@@ -91,6 +94,26 @@
     return result;
 }
 
+void StoreWatcher::setUrgentPrefix(std::string prefix)
+{
+    urgentPrefix_ = std::move(prefix);
+}
+
+// The first pages of a listing are as old as the listing took. Of many thousand keys that may be longer than a configuration may
+// take to be in force, and longer than the store keeps its history.
+void StoreWatcher::renewUrgent(KeyListing &listing)
+{
+    if (urgentPrefix_.empty()) {
+        return;
+    }
+    Result<KeyListing> urgent = store_.listAll(urgentPrefix_, ReadFreshness::Newest);
+    if (!isOk(urgent) || valueOf(urgent).relayed) {
+        return;
+    }
+    std::erase_if(listing.items, [this](const KeyValue &item) { return item.key.starts_with(urgentPrefix_); });
+    std::move(valueOf(urgent).items.begin(), valueOf(urgent).items.end(), std::back_inserter(listing.items));
+}
+
 void StoreWatcher::setFeed(ChangeFeed *feed)
 {
     feed_ = feed;
@@ -125,12 +148,16 @@
     // The state that this daemon knows already must not go backwards; a daemon without any state catches up with the first
     // changes.
     const ReadFreshness freshness = revision_ == 0 ? ReadFreshness::MayBeStale : ReadFreshness::Newest;
+    const SteadyTime begin = BootClock::now();
     Result<KeyListing> listing = store_.listAll(prefix_, freshness);
     if (!isOk(listing)) {
         recordFailure(errorOf(listing));
         return false;
     }
     recordSuccess();
+    if (BootClock::now() - begin > maxListingTime && !valueOf(listing).relayed) {
+        renewUrgent(valueOf(listing));
+    }
     listener_.listed(filtered(std::move(valueOf(listing).items)));
     revision_ = valueOf(listing).revision;
     listed_ = true;
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -43,8 +43,11 @@
                  WatchedStore *verifier = nullptr);
     ~StoreWatcher();
 
-    /// Drops what @p filter does not keep, before it is reported or relayed; @p filter must outlive the watcher. Call before start().
+    /// Drops what @p filter does not keep, before it is reported or relayed; @p filter must outlive the watcher. Call before
+    /// start().
     void setFilter(const ChangeFilter *filter);
+    /// Keys with this prefix are listed again after a listing that took long. Call before start().
+    void setUrgentPrefix(std::string prefix);
     /// Fills @p feed, which must outlive the watcher, with changes for other daemons. Call before start().
     void setFeed(ChangeFeed *feed);
     /// Sets how long changes are collected before the next watch call takes them. Call before start().
@@ -61,6 +64,8 @@
     void fetchFromPeers();
     void verify();
     void recordSuccess();
+    /// Replaces the urgent items of @p listing by those that the store has now; leaves them if the store does not answer.
+    void renewUrgent(KeyListing &listing);
     std::vector<KeyValue> filtered(std::vector<KeyValue> items) const;
     std::vector<KeyChange> filtered(std::vector<KeyChange> changes) const;
     void updateFeedReachability(bool reachable);
@@ -72,6 +77,7 @@
     SteadyTime fetchedFromPeersAt_{};
     WatchedStore *verifier_;
     const ChangeFilter *filter_ = nullptr;
+    std::string urgentPrefix_;
     ChangeFeed *feed_ = nullptr;
     Millis coalescingDelay_;
     std::atomic<std::uint64_t> revision_{ 0 };
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -21,6 +21,8 @@
     std::uint64_t revision = 0;
     /// The time at which the store confirmed this state.
     SteadyTime confirmedAt{};
+    /// Whether another daemon relayed the listing.
+    bool relayed = false;
 };
 
 /// Whether a listing may be some seconds old, which is cheaper for the store. Following changes from the revision of such a
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -12,8 +12,10 @@
 #include "support/daemon_records.h"
 #include "support/eventually.h"
 #include "support/scripted_store.h"
+#include "support/suspended_clock.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <httplib.h>
 #include <rapidcheck.h>
 
@@ -137,6 +139,59 @@
     CHECK(listener.unavailableCount == 0);
 }
 
+namespace {
+
+/// A store of which a listing takes seconds, during which the operator writes a configuration.
+class SlowStore : public ScriptedStore
+{
+public:
+    Result<KeyListing> listAll(const std::string &prefix, ReadFreshness freshness) override
+    {
+        Result<KeyListing> listing = ScriptedStore::listAll(prefix, freshness);
+        if (prefix.empty()) {
+            delay = std::make_unique<Suspension>(5s);
+            set("op/config", "new");
+        }
+        return listing;
+    }
+
+    std::unique_ptr<Suspension> delay;
+};
+
+/// Remembers the value of one key of the first listing.
+class FirstListing : public RecordingListener
+{
+public:
+    void listed(const std::vector<KeyValue> &items) override
+    {
+        for (const KeyValue &item : items) {
+            const std::lock_guard lock(mutex);
+            if (item.key == "op/config" && configuration.empty()) {
+                configuration = item.value;
+            }
+        }
+        RecordingListener::listed(items);
+    }
+
+    std::string configuration;
+};
+
+} // namespace
+
+TEST_CASE("Store watcher, listing that takes seconds, reports what the operator wrote meanwhile")
+{
+    SlowStore store;
+    store.set("op/config", "old");
+    store.set("servers/a", "1");
+    FirstListing listener;
+    StoreWatcher watcher("", store, listener);
+    watcher.setUrgentPrefix("op/");
+    watcher.start();
+    CHECK(eventually([&] { return listener.has("servers/a"); }));
+    const std::lock_guard lock(listener.mutex);
+    CHECK(listener.configuration == "new");
+}
+
 TEST_CASE("Store watcher, store unavailable from the start, uses the state of a peer and then the list of the store")
 {
     httplib::Server peer;
@@ -288,6 +343,44 @@
     CHECK(store.calls() == 1);
 }
 
+TEST_CASE_FIXTURE(RelayFixture,
+                  "Relayed store, first listing in a large fleet, reads the list of daemons and the rest from one of them")
+{
+    source.items = { { "servers/a", "1", 4 } };
+    std::size_t records = 0;
+    RelayedStore fresh(
+        store, [] { return FollowRole{}; },
+        [this, &records](const std::vector<KeyValue> &registered) {
+            records = registered.size();
+            return role;
+        });
+    store.set(std::string(daemonRecordPrefix) + "d1", "{}");
+    store.set("servers/a", "0");
+    const auto listing = fresh.listAll("", ReadFreshness::MayBeStale);
+    REQUIRE(isOk(listing));
+    CHECK(valueOf(listing).relayed);
+    CHECK(valueOf(listing).items.size() == 1);
+    CHECK(records == 1);
+    CHECK(store.calls() == 1);
+}
+
+TEST_CASE("Follow role, records of many daemons, is that of a fleet with these daemons")
+{
+    std::vector<KeyValue> records;
+    for (unsigned index = 0; index < 60; ++index) {
+        DaemonRecord record;
+        record.id = fmt::format("d{}", index);
+        record.region = "north";
+        record.linkAddress = record.id;
+        records.push_back({ record.id, encodeDaemonRecord(record), 1 });
+    }
+    records.push_back({ "damaged", "{", 1 });
+    CHECK_FALSE(followRoleAmong(records, "starting", "north").direct);
+    CHECK(followRoleAmong(records, "starting", "south").direct);
+    records.resize(5);
+    CHECK(followRoleAmong(records, "starting", "north").direct);
+}
+
 TEST_CASE_FIXTURE(RelayFixture, "Relayed store, source and store unavailable, does not call the store on every attempt")
 {
     source.feed.setReachable(false);
