A follower that is behind the store asks again at once

Cause: after each answer of the store a daemon waited (a sixth of the drain bound, 1 s here) before it asked again. Change: no wait after an answer of 64 changes or more. Test: a store that answers in parts of a hundred, with a wait longer than the test may take.

--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -22,6 +22,9 @@
 // Changes come in bursts and each watch call is paid for: the next call takes what was collected meanwhile. The delay is short
 // enough for leaving upstreams and configurations to take effect within three seconds.
 constexpr Millis usualCoalescingDelay{ 500 };
+// The store answers a watch call with some hundred changes at most. After so many, more may be waiting, and a delay after each
+// answer would let a daemon fall behind a store that has more changes a second than answers in that time hold.
+constexpr std::size_t minChangesWhenBehind = 64;
 // Delay for changes relayed by another daemon, which has already coalesced them.
 constexpr Millis relayedCoalescingDelay{ 100 };
 // Two rounds of the check detect a lost answer well within the few seconds in which a configuration must take effect. Each round
@@ -179,6 +182,7 @@
     }
     recordSuccess();
     KeyChanges &update = valueOf(reply);
+    const bool behind = update.changes.size() >= minChangesWhenBehind;
     const std::vector<KeyChange> changes = filtered(std::move(update.changes));
     relayed_ = update.relayed;
     answeredAt_ = BootClock::now();
@@ -189,7 +193,7 @@
     if (feed_ != nullptr) {
         feed_->add(changes, revision_, update.confirmedAt);
     }
-    if (!changes.empty() && !stopping_) {
+    if (!changes.empty() && !behind && !stopping_) {
         std::this_thread::sleep_for(update.relayed ? relayedCoalescingDelay : coalescingDelay_);
     }
 }
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -178,6 +178,46 @@
 
 } // namespace
 
+namespace {
+
+/// A store that answers a watch call with at most a hundred changes.
+class StoreInParts : public ScriptedStore
+{
+public:
+    Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) override
+    {
+        Result<KeyChanges> reply = ScriptedStore::follow(prefix, revision, timeout);
+        constexpr std::size_t maxChanges = 100;
+        if (isOk(reply) && valueOf(reply).changes.size() > maxChanges) {
+            valueOf(reply).changes.resize(maxChanges);
+            valueOf(reply).revision = valueOf(reply).changes.back().item.revision;
+        }
+        return reply;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Store watcher, store with many answers' worth of changes, is followed without a pause between them")
+{
+    StoreInParts store;
+    RecordingListener listener;
+    StoreWatcher watcher("", store, listener);
+    // Longer than the test may take.
+    watcher.setCoalescingDelay(10s);
+    store.set("first", "1");
+    watcher.start();
+    REQUIRE(eventually([&] { return listener.has("first"); }));
+    store.setFailing(true);
+    for (unsigned index = 0; index < 1'000; ++index) {
+        store.set(fmt::format("servers/{}", index), "1");
+    }
+    store.set("op/config", "1");
+    store.setFailing(false);
+    CHECK(eventually([&] { return listener.has("op/config"); }));
+    watcher.stop();
+}
+
 TEST_CASE("Store watcher, listing that takes seconds, reports what the operator wrote meanwhile")
 {
     SlowStore store;
