--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -125,7 +125,8 @@
             break;
         }
         const UpstreamSelection *local = localUpstreams(name);
-        const std::vector<const UpstreamRecord *> records = local == nullptr ? std::vector<const UpstreamRecord *>{} : local->sample();
+        const std::vector<const UpstreamRecord *> records
+            = local == nullptr ? std::vector<const UpstreamRecord *>{} : local->sample();
         std::vector<UpstreamCandidate> candidates = describe(records, spec, noPrompt, {}, now);
         const std::optional<VersionRule> rule = rollouts_.rule(name);
         excludeOtherVersions(rule, drawArm(rule, mainVersionChance), candidates, records);
--- a/src/portpaddle/gateway/upstream_selection.h
+++ b/src/portpaddle/gateway/upstream_selection.h
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Which upstreams of a service a daemon considers for a request. In a large region it does not compare all of them: the time of a
-/// choice, the connections and the load that a daemon has to know would otherwise grow with the region.
+/// Which upstreams of a service a daemon considers for a request. In a large region it does not compare all of them: the time of
+/// a choice, the connections and the load that a daemon has to know would otherwise grow with the region.
 #pragma once
 
 #include "portpaddle/gateway/caller_request.h"
@@ -29,8 +29,8 @@
     bool isWhole() const;
     /// Returns the upstreams considered for a request with @p prompt: the own subset and the homes of the prompt.
     std::vector<const UpstreamRecord *> considered(const PromptFacts &prompt) const;
-    /// Returns the upstreams that all daemons of the region prefer for the shared parts of @p prompt. Empty if the selection is whole
-    /// or no part is shared.
+    /// Returns the upstreams that all daemons of the region prefer for the shared parts of @p prompt. Empty if the selection is
+    /// whole or no part is shared.
     std::vector<const UpstreamRecord *> homes(const PromptFacts &prompt) const;
     /// Returns the share of all upstreams that is in the subset of one daemon.
     double consideredShare() const;
