Log the inputs of each choice

Cause: the log line of a request told its predicted time but neither its urgency class nor the load that the prediction was made from, so that requests which starved behind less urgent ones could not be told from slow upstreams. Change: urgency, target_ms, queued_tokens, prefill_tokens and running of the last choice. Result: placement, request path and docs tests pass.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -199,7 +199,9 @@
         continuation_.reset();
         return target;
     }
-    return gateway_.choose(request_, choiceContext(), BootClock::now());
+    Target target = gateway_.choose(request_, choiceContext(), BootClock::now());
+    placement_ = target.placement;
+    return target;
 }
 
 bool Exchange::canContinue() const
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -172,7 +172,8 @@
     RetryPayment payment_ = RetryPayment::Nobody;
     /// Why no attempt followed the last one.
     RetryDenial retryDenial_ = RetryDenial::None;
-    double predictedMs_ = 0;
+    /// The last choice of a target.
+    Placement placement_;
     /// Computed when it is first needed.
     std::optional<RequestFingerprint> fingerprint_;
     /// When the first bytes of the answer to the attempt in progress arrived.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -123,7 +123,6 @@
 {
     const bool local = target.upstream.has_value();
     const AttemptPlan plan = planFor(target);
-    predictedMs_ = target.placement.predictedMs;
     tried_.push_back(local ? target.upstream->id : target.daemon->region);
     askedTargets_
         += (askedTargets_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -223,6 +223,7 @@
         keepBetter(remote, static_cast<std::size_t>(&candidate - regions.data()), score, predicted, random);
     }
     Placement placement;
+    placement.remainingTargetMs = request.remainingTargetMs;
     placement.reason = exclusionReason;
     if (local.tied > 0 && (remote.tied == 0 || local.score <= remote.score)) {
         placement.verdict = Verdict::Serve;
@@ -230,6 +231,9 @@
         placement.index = chosen.index;
         placement.predictedMs = local.predictedMs;
         placement.keptTokens = keptTokens(chosen);
+        placement.queuedTokens = tokensAhead(chosen, request.urgency);
+        placement.prefillTokens = std::max(0.0, request.promptTokens - placement.keptTokens);
+        placement.running = chosen.running;
         placement.fetches = isWorthFetching(chosen);
     } else if (remote.tied > 0) {
         placement.verdict = Verdict::Forward;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -150,6 +150,13 @@
     bool fetches = false;
     /// Late where the target is missed anyway, so that other requests still meet theirs.
     Urgency urgency = Urgency::Usual;
+    /// Time that was left until the target.
+    double remainingTargetMs = 0;
+    /// Prompt tokens that the chosen upstream prefills before those of the request, and those of the request itself.
+    double queuedTokens = 0;
+    double prefillTokens = 0;
+    /// Requests in progress at the chosen upstream.
+    double running = 0;
     ExclusionReason reason = ExclusionReason::NoCapacity;
 };
 
