Order requests by the priority of their organisation, then by that of their route

The most urgent kind waited behind the others at every upstream. Change: PriorityOrder compares the pair of both. Of more than three pairs in force the neighbours with the least limits share a class. Upstreams are told priorities that keep all pairs apart. The urgency classes move to a room of their own, admission/.

--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -50,7 +50,7 @@
     bool hasNoAllowedRegion() const;
     /// Answers the caller and returns false if the request is quarantined; see CrashGuard.
     Task<bool> passesQuarantine();
-    unsigned priority() const;
+    RequestPriority priority() const;
     Gateway::ChoiceContext choiceContext() const;
     /// Returns what the answer to an attempt tells about the version of its upstream; no value if nothing.
     std::optional<AnswerSample> sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket, const AttemptReport &report,
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -126,14 +126,14 @@
     co_return false;
 }
 
-unsigned Exchange::priority() const
+RequestPriority Exchange::priority() const
 {
-    return organisation_ != nullptr ? organisation_->priority.value_or(route_->priority) : route_->priority;
+    return ServiceMap::priorityOf(*route_, organisation_);
 }
 
 Gateway::ChoiceContext Exchange::choiceContext() const
 {
-    Gateway::ChoiceContext context{ *route_,     organisation_,      services_->rankOf(priority()), service_, tried_, deadline_,
+    Gateway::ChoiceContext context{ *route_,     organisation_,      services_->priorities().urgencyOf(priority()), service_, tried_, deadline_,
                                     eventsSeen_, latestPredictedEnd_ };
     context.versionRule = gateway_.rollouts_.rule(service_);
     // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -25,8 +25,6 @@
 // Runs longer than this are not reported as possible causes of a crash: requests that crashed an upstream did so 48 to 82 ms
 // after it began to run them, before their first event.
 constexpr Millis crashSuspicionTime{ 250 };
-// The least urgent priority that upstreams know.
-constexpr unsigned lowestPriority = 9;
 
 } // namespace
 
@@ -55,7 +53,8 @@
     if (request_.relayed) {
         plan.reportedSends = sendsByThisDaemon() + 1;
     }
-    plan.priority = target.placement.urgency == Urgency::Late ? lowestPriority : std::min(priority(), lowestPriority - 1);
+    const bool late = target.placement.urgency == Urgency::Late;
+    plan.priority = late ? lowestUpstreamPriority : services_->priorities().upstreamPriorityOf(priority());
     plan.organisation = organisationName_;
     plan.removesAuthorization = !services_->organisations.empty();
     plan.streamed = route_->kind == RouteKind::Stream;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -155,8 +155,7 @@
         const Route &route;
         /// The organisation of the request; null where it does not matter for the choice.
         const Organisation *organisation;
-        /// See ServiceMap::rankOf().
-        unsigned rank;
+        Urgency urgency;
         const std::string &service;
         /// Upstreams and regions to which the request must not be sent again.
         const std::vector<std::string> &tried;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -232,7 +232,7 @@
     }
     target.spec = std::shared_ptr<const ServiceSpec>(view_->services, spec);
     PlacementRequest facts;
-    facts.urgency = urgencyOfRank(context.rank);
+    facts.urgency = context.urgency;
     facts.promptTokens = request.prompt.promptTokens;
     facts.sharedTokens = request.prompt.sharedTokens();
     facts.memoryTokens = request.prompt.promptTokens + request.prompt.maxTokensOut;
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -3,8 +3,6 @@
 
 #include "portpaddle/gateway/placement.h"
 
-#include "portpaddle/base/name_table.h"
-
 #include <algorithm>
 #include <limits>
 #include <optional>
@@ -24,7 +22,6 @@
 constexpr double prefillInProgressTokens = 2'000;
 // Prefilling fewer tokens takes no longer than setting up a transfer.
 constexpr double minFetchedTokens = 256;
-constexpr NameTable<Urgency, urgencyCount> urgencyNames{ { "urgent", "usual", "patient", "late" } };
 // A prediction above this multiple of the remaining target time counts as a miss.
 constexpr double missThreshold = 1.3;
 // Scores that differ by less than this are a tie; a random choice breaks it, so that daemons with the same data do not all choose
@@ -138,17 +135,6 @@
 
 } // namespace
 
-std::string_view nameOf(Urgency urgency)
-{
-    return urgencyNames[urgency];
-}
-
-Urgency urgencyOfRank(unsigned rank)
-{
-    constexpr auto last = static_cast<unsigned>(Urgency::Patient);
-    return static_cast<Urgency>(std::min(rank, last));
-}
-
 double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency)
 {
     double tokens = 0;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -4,6 +4,7 @@
 /// Chooses the upstream or region for a request: a pure function of the known state of upstreams and other regions.
 #pragma once
 
+#include "portpaddle/admission/urgency.h"
 #include "portpaddle/interfaces/random_source.h"
 #include "portpaddle/routing/decision.h"
 
@@ -11,17 +12,9 @@
 #include <cstdint>
 #include <limits>
 #include <span>
-#include <string_view>
 
 namespace Portpaddle {
 
-/// Scheduling classes of requests: an upstream prefills all prompts of one class before those of the next.
-enum class Urgency { Urgent, Usual, Patient, Late };
-inline constexpr std::size_t urgencyCount = 4;
-std::string_view nameOf(Urgency urgency);
-/// Returns the class for a route's @p rank among the priorities in force; rank 0 is the most urgent.
-Urgency urgencyOfRank(unsigned rank);
-
 /// Prompt tokens that are still to be prefilled, by urgency.
 using PendingTokens = std::array<double, urgencyCount>;
 
--- a/src/portpaddle/gateway/service_map.cpp
+++ b/src/portpaddle/gateway/service_map.cpp
@@ -6,7 +6,6 @@
 #include "portpaddle/base/name_table.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace Portpaddle {
 
@@ -72,16 +71,10 @@
 void ServiceMap::index()
 {
     byHost_.clear();
-    priorities_.clear();
     for (const Route &route : routes) {
-        priorities_.insert(route.priority);
         byHost_[route.host].push_back(&route);
     }
-    for (const auto &organisation : organisations.all()) {
-        if (organisation->priority) {
-            priorities_.insert(*organisation->priority);
-        }
-    }
+    priorities_ = PriorityOrder(priorityWeights());
     for (auto &[host, entries] : byHost_) {
         std::sort(entries.begin(), entries.end(),
                   [](const Route *a, const Route *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
@@ -102,9 +95,38 @@
     return nullptr;
 }
 
-unsigned ServiceMap::rankOf(unsigned priority) const
+RequestPriority ServiceMap::priorityOf(const Route &route, const Organisation *organisation)
+{
+    const unsigned ofOrganisation = organisation != nullptr ? organisation->priority.value_or(route.priority) : route.priority;
+    return { ofOrganisation, route.priority };
+}
+
+/// Weighs each priority by the limits of the organisations that have it: the configuration says no more about the demand. Each
+/// further priority of routes weighs half, so that the most urgent ones are kept apart.
+std::map<RequestPriority, double> ServiceMap::priorityWeights() const
+{
+    std::map<unsigned, bool> hasPublicRoute;
+    for (const Route &route : routes) {
+        hasPublicRoute[route.priority] |= route.isPublic;
+    }
+    std::map<RequestPriority, double> weights;
+    double routeWeight = 1;
+    for (const auto &[priority, isPublic] : hasPublicRoute) {
+        if (organisations.empty() || isPublic) {
+            weights[{ priority, priority }] += routeWeight;
+        }
+        for (const auto &organisation : organisations.all()) {
+            const double weight = organisation->limit.isSet() ? organisation->limit.perSecond : 1;
+            weights[{ organisation->priority.value_or(priority), priority }] += routeWeight * weight;
+        }
+        routeWeight /= 2;
+    }
+    return weights;
+}
+
+const PriorityOrder &ServiceMap::priorities() const
 {
-    return static_cast<unsigned>(std::distance(priorities_.begin(), priorities_.lower_bound(priority)));
+    return priorities_;
 }
 
 const ServiceSpec *ServiceMap::service(const std::string &name) const
--- a/src/portpaddle/gateway/service_map.h
+++ b/src/portpaddle/gateway/service_map.h
@@ -4,11 +4,12 @@
 /// Routes and services in force: which service a host and path lead to, and under which limits.
 #pragma once
 
+#include "portpaddle/admission/priority_order.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/limits/organisations.h"
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -105,11 +106,15 @@
     /// Returns the route with the longest prefix of @p path among those of @p host; null when there is none.
     const Route *find(std::string_view host, std::string_view path) const;
     const ServiceSpec *service(const std::string &name) const;
-    /// Returns how many different priorities of routes and organisations are more urgent than @p priority.
-    unsigned rankOf(unsigned priority) const;
+    /// Returns the priority of the requests of @p organisation, which may be null, on @p route.
+    static RequestPriority priorityOf(const Route &route, const Organisation *organisation);
+    /// Returns the order of all priorities in force.
+    const PriorityOrder &priorities() const;
 
 private:
-    std::set<unsigned> priorities_;
+    std::map<RequestPriority, double> priorityWeights() const;
+
+    PriorityOrder priorities_;
     std::unordered_map<std::string, std::vector<const Route *>> byHost_;
 };
 
--- a/src/portpaddle/limits/organisations.h
+++ b/src/portpaddle/limits/organisations.h
@@ -43,7 +43,7 @@
 struct Organisation
 {
     std::string name;
-    /// Overrides the priority of the route if set.
+    /// Takes precedence over the priority of the route, which decides among organisations of one priority.
     std::optional<unsigned> priority;
     OrganisationLimit limit;
     /// Regions that may serve it; empty means all.
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -195,14 +195,6 @@
     CHECK(offerFetching(spec, engines, views).empty());
 }
 
-TEST_CASE("Urgency, more ranks than classes, is patient for the last ranks")
-{
-    CHECK(urgencyOfRank(0) == Urgency::Urgent);
-    CHECK(urgencyOfRank(1) == Urgency::Usual);
-    CHECK(urgencyOfRank(2) == Urgency::Patient);
-    CHECK(urgencyOfRank(7) == Urgency::Patient);
-}
-
 TEST_CASE("Upstream loads, events of a stream, give the time between tokens until they expire")
 {
     UpstreamLoads loads;
