--- a/src/portpaddle/admission/priority_order.cpp
+++ b/src/portpaddle/admission/priority_order.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-// There are few classes, since each one adds to every load digest. Merging the lightest neighbours keeps the priorities apart that
-// most requests have. All daemons with the same configuration get the same classes.
+// There are few classes, since each one adds to every load digest. Merging the lightest neighbours keeps the priorities apart
+// that most requests have. All daemons with the same configuration get the same classes.
 PriorityOrder::PriorityOrder(const std::map<RequestPriority, double> &weights)
 {
     std::vector<PriorityGroup> groups;
--- a/src/portpaddle/admission/priority_order.h
+++ b/src/portpaddle/admission/priority_order.h
@@ -32,8 +32,8 @@
     /// @p weights holds each priority in force with its expected share of the requests, on any scale.
     explicit PriorityOrder(const std::map<RequestPriority, double> &weights);
 
-    /// Returns the priority that upstreams are told: that of the organisation, or a less urgent one that keeps apart the priorities
-    /// in force, but never lowestUpstreamPriority.
+    /// Returns the priority that upstreams are told: that of the organisation, or a less urgent one that keeps apart the
+    /// priorities in force, but never lowestUpstreamPriority.
     unsigned upstreamPriorityOf(RequestPriority priority) const;
     Urgency urgencyOf(RequestPriority priority) const;
 
