Log the longest pause within a stream

Cause: the log could not tell a stream that is late because of its first event from one with a pause in its middle. Change: longest_pause_ms, the longest time between two events that passed through this daemon.

--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -80,6 +80,8 @@
     /// Returns the callbacks of one attempt. @p continuesMovedRun is true if the attempt continues a run from moved memory.
     AttemptCallbacks callbacksFor(const Target &target, LoadTicket &ticket, bool continuesMovedRun);
     void noteFirstEvent();
+    /// Records that @p count whole events of the answer arrived.
+    void noteEvents(std::size_t count);
     void noteAttemptEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
     /// Interrupts the attempt when its upstream hangs and another attempt is possible.
     void watchSilence(const std::shared_ptr<SilenceWatch> &watch);
@@ -182,6 +184,9 @@
     double firstEventMs_ = 0;
     /// Number of complete events of the answer so far.
     std::size_t eventsSeen_ = 0;
+    /// When the last of them arrived, and the longest time between two of them.
+    std::optional<SteadyTime> lastEventAt_;
+    SteadyTime::duration longestPause_{};
     /// Some upstream may have run the request.
     bool mayHaveRun_ = false;
 };
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -71,7 +71,7 @@
     if (!target.upstream) {
         callbacks.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
         callbacks.firstEvent = [this] { noteFirstEvent(); };
-        callbacks.eventsReceived = [this](std::size_t count) { eventsSeen_ += count; };
+        callbacks.eventsReceived = [this](std::size_t count) { noteEvents(count); };
         callbacks.bytesReceived = [] {};
         callbacks.maySend = [] { return true; };
         // The answer of another daemon concerns upstreams to which this daemon sends nothing.
@@ -103,7 +103,7 @@
         gateway_.loads_.firstToken(ticket, BootClock::now());
     };
     callbacks.eventsReceived = [this, &target, &ticket](std::size_t count) {
-        eventsSeen_ += count;
+        noteEvents(count);
         gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, BootClock::now());
     };
     callbacks.bytesReceived = [this, &target] { gateway_.loads_.heard(target.upstream->id, BootClock::now()); };
@@ -118,6 +118,16 @@
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
 
+void Exchange::noteEvents(std::size_t count)
+{
+    const SteadyTime now = BootClock::now();
+    if (lastEventAt_) {
+        longestPause_ = std::max(longestPause_, now - *lastEventAt_);
+    }
+    lastEventAt_ = now;
+    eventsSeen_ += count;
+}
+
 Task<AttemptReport> Exchange::attempt(const Target &target)
 {
     const bool local = target.upstream.has_value();
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -130,6 +130,7 @@
                { "tokens_out", std::to_string(request_.prompt.expectedTokensOut) },
                { "first_event_ms", fmt::format("{:.0f}", firstEventMs_) },
                { "events", std::to_string(eventsSeen_) },
+               { "longest_pause_ms", std::to_string(std::chrono::duration_cast<Millis>(longestPause_).count()) },
                { "took_ms", std::to_string(elapsedSince(request_.arrivedAt).count()) },
                { "relayed", request_.relayed ? "true" : "false" },
                { "status", std::to_string(status) },
