Admit requests by prediction and urgency, with a learned load model

Cause: a queue of short requests stood at their target of 2 s, so that most of what was admitted came late, and urgent requests that were predicted a third beyond their target went behind all others, where they waited until their callers left. Predictions used constants of one kind of engine: measured over predicted time 2.0 in the median and 5 to 7 at the ninth decile in the first seconds. Change: admission/ decides for each candidate whether the request is timely with the learned error of predictions, goes behind all others while these leave time, or is refused, with the time of the queue as Retry-After. load_model/ learns fixed time, time per token, slowness of each upstream and the error from each first token and each caller that left before it.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Portpaddle {
 
@@ -177,7 +178,10 @@
                       suggestedRetryAfter() };
     }
     Error error{ ErrorCode::NoUpstream, fmt::format("no target can take the request: {}", nameOf(reason)), RunState::NotRun, {} };
-    if (reason == ExclusionReason::UpstreamLimit) {
+    if (reason == ExclusionReason::TooLate && placement_.predictedMs > 0) {
+        const double delayMs = returnDelayMs(placement_.predictedMs, gateway_.random_.fraction());
+        error.retryAfter = std::max(minRetryAfter, Millis(std::llround(delayMs)));
+    } else if (reason == ExclusionReason::UpstreamLimit) {
         gateway_.metrics_.count(Counter::HeldBackByLimit);
         error.retryAfter = std::min(retryAfterBackoff(), maxRetryAfter);
     } else if (reason == ExclusionReason::BackingOff) {
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -80,6 +80,8 @@
     /// Returns the callbacks of one attempt. @p continuesMovedRun is true if the attempt continues a run from moved memory.
     AttemptCallbacks callbacksFor(const Target &target, LoadTicket &ticket, bool continuesMovedRun);
     void noteFirstEvent();
+    /// Records that the first token of the attempt in progress took @p ms, or would have taken longer if @p unfinished.
+    void measureFirstToken(const Target &target, double ms, bool unfinished);
     /// Records that @p count whole events of the answer arrived.
     void noteEvents(std::size_t count);
     void noteAttemptEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -96,11 +96,12 @@
     };
     callbacks.headReceived
         = [this, &target, &ticket](const AnswerNotice &notice) { gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt); };
-    callbacks.firstEvent = [this, &ticket] {
+    callbacks.firstEvent = [this, &target, &ticket] {
         noteFirstEvent();
         const double took = static_cast<double>(elapsedSince(ticket.sentAt).count());
         gateway_.metrics_.observe(Timer::PredictionError, std::abs(took - ticket.predictedMs));
         gateway_.loads_.firstToken(ticket, BootClock::now());
+        measureFirstToken(target, took, false);
     };
     callbacks.eventsReceived = [this, &target, &ticket](std::size_t count) {
         noteEvents(count);
@@ -118,6 +119,21 @@
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
 
+void Exchange::measureFirstToken(const Target &target, double ms, bool unfinished)
+{
+    const Placement &placement = target.placement;
+    if (request_.prompt.promptTokens == 0 || placement.fetches || placement.predictedMs <= 0) {
+        return;
+    }
+    FirstTokenSample sample;
+    sample.upstream = upstreamKey(target.upstream->id);
+    sample.tokens = placement.queuedTokens + placement.prefillTokens;
+    sample.ms = ms;
+    sample.urgency = placement.urgency;
+    sample.unfinished = unfinished;
+    gateway_.models_.measured(service_, sample);
+}
+
 void Exchange::noteEvents(std::size_t count)
 {
     const SteadyTime now = BootClock::now();
@@ -191,6 +207,10 @@
     if (target.upstream) {
         gateway_.rollouts_.ended(std::exchange(rolloutTicket_, {}), sampleOf(*target.upstream, ticket, report, now));
     }
+    const bool waited = interrupted && !ticket.upstream.empty() && !attemptFirstBytesAt_;
+    if (waited) {
+        measureFirstToken(target, static_cast<double>(elapsedSince(ticket.sentAt).count()), true);
+    }
     if (!ticket.upstream.empty()) {
         const bool answered = report.end == AttemptEnd::Complete;
         // A run that was stopped in order to be moved is no failure of its upstream.
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -120,6 +120,7 @@
                { "retry_credit",
                  logsBudget() ? fmt::format("{:.1f}", gateway_.retries_.left(service_, BootClock::now())) : std::string() },
                { "fingerprint", fingerprint_ ? fingerprint_->hex() : std::string() },
+               { "admission", std::string(nameOf(placement_.admission)) },
                { "urgency", std::string(nameOf(placement_.urgency)) },
                { "target_ms", fmt::format("{:.0f}", placement_.remainingTargetMs) },
                { "predicted_ms", fmt::format("{:.0f}", placement_.predictedMs) },
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -183,12 +183,27 @@
         daemonsChanged(now);
     }
     setLimits(now);
+    setModels(*earlier);
     upstreamLimits_.setView(view_, now);
     notices_.setView(*view_, now);
     rollouts_.setView(view_);
     updateRetryBudget(now);
 }
 
+void Gateway::setModels(const FleetView &earlier)
+{
+    if (view_->services && view_->services != earlier.services) {
+        models_.setServices(*view_->services);
+    }
+    view_->upstreams.forEachChangedShard(earlier.upstreams, [this](const auto &shard, const auto &earlierShard) {
+        for (const auto &[id, record] : earlierShard) {
+            if (!shard.contains(id)) {
+                models_.forgetUpstream(upstreamKey(id));
+            }
+        }
+    });
+}
+
 void Gateway::daemonsChanged(SteadyTime now)
 {
     regions_.setDaemons(*view_, now);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "portpaddle/gateway/upstream_loads.h"
 #include "portpaddle/gateway/upstream_selection.h"
 #include "portpaddle/limits/organisation_limits.h"
+#include "portpaddle/load_model/load_models.h"
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
@@ -181,6 +182,8 @@
     /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
     std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
                                             const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
+    /// Returns the load model of @p service; the initial one if models are not to be learned.
+    const FirstTokenModel &modelOf(const std::string &service) const;
     /// Returns the candidates for a request and fills @p records with the records to which their indexes refer.
     std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
@@ -194,6 +197,8 @@
     /// Returns whether this daemon aggregates the usage of @p organisation for its region.
     bool aggregatesLimitOf(std::uint32_t organisation, SteadyTime now) const;
     void setLimits(SteadyTime now);
+    /// Adapts the load models to the services and upstreams of the view.
+    void setModels(const FleetView &earlier);
     /// Updates the daemons of the own region that may own a bound that cannot be divided among all of them.
     void updateOwners(SteadyTime now);
     ExclusionReason exclusionReasonOf(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
@@ -239,6 +244,7 @@
     ConnectionPool pool_;
     CrashGuard crashes_;
     UpstreamLoads loads_;
+    LoadModels models_;
     RetryCredit retries_;
     RetryMembers retryMembers_;
     /// Random rounding of this daemon's share of extra retries; drawn once for the life of the process. See updateRetryBudget().
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -119,15 +119,25 @@
     return room + std::chrono::duration_cast<SteadyTime::duration>(spread);
 }
 
+const FirstTokenModel &Gateway::modelOf(const std::string &service) const
+{
+    static const FirstTokenModel initial;
+    return policy_.learnedSlowness ? models_.model(service) : initial;
+}
+
 std::vector<UpstreamCandidate> Gateway::describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
                                                  const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now)
 {
     std::vector<UpstreamCandidate> candidates;
     candidates.reserve(records.size());
+    const FirstTokenModel &model = modelOf(spec.name);
     for (const UpstreamRecord *record : records) {
         const std::string &id = record->id;
         UpstreamCandidate candidate = loads_.describe(*record, spec, prompt, now);
         candidate.index = static_cast<std::uint32_t>(candidates.size());
+        candidate.fixedMs = model.fixedMs();
+        candidate.tokensPerMs = 1 / model.msPerToken();
+        candidate.slowness = model.slowness(upstreamKey(id));
         candidate.needsConnection = pool_.idle(id) == 0;
         candidate.limited = upstreamLimits_.isLimited(id, now);
         const ExclusionReason exclusionReason = exclusionReasonOf(*record, spec, now);
@@ -241,6 +251,7 @@
     facts.answerStarted = context.eventsSeen > 0;
     facts.firstTokenTimeoutMs = std::min(timeLeftMs, millisLeft(request.arrivedAt + route.firstEventTimeout(), now));
     facts.completionTimeoutMs = std::min(timeLeftMs, millisLeft(context.completionDeadline, now));
+    facts.marginMs = spec->isModelEngine() ? modelOf(context.service).marginMs(context.urgency) : 0;
     facts.lateLast = policy_.lateLast;
     facts.targetMs = static_cast<double>(route.targetLatency.count());
     facts.remainingTargetMs = millisLeft(request.arrivedAt + route.targetLatency, now);
@@ -261,6 +272,9 @@
             return !context.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
                 || regions_.pick(*view_, region, now, random_) == nullptr;
         });
+        for (RegionCandidate &candidate : regions) {
+            candidate.fixedMs = modelOf(context.service).fixedMs();
+        }
     }
     const FetchSources sources = policy_.fetching ? offerFetching(*spec, upstreams, records) : FetchSources{};
     if (policy_.prefixAffinity) {
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -15,15 +15,9 @@
 // documentation gives 3.2 ms; measured steps grow by some hundredths of a millisecond per request in the batch.
 constexpr double decodeStepMs = 3.2;
 constexpr double decodeStepMsPerRunning = 0.05;
-// Prompt tokens prefilled between two steps; engines prefill prompts in chunks of about this size.
-constexpr double prefillChunkTokens = 2'048;
-// Time from the last chunk of a prompt to its first token, whatever the load; measured on idle engines.
-constexpr double firstTokenMs = 45;
 constexpr double prefillInProgressTokens = 2'000;
 // Prefilling fewer tokens takes no longer than setting up a transfer.
 constexpr double minFetchedTokens = 256;
-// A prediction above this multiple of the remaining target time counts as a miss.
-constexpr double missThreshold = 1.3;
 // Scores that differ by less than this are a tie; a random choice breaks it, so that daemons with the same data do not all choose
 // the same upstream.
 constexpr double scoreToleranceMs = 2.0;
@@ -67,17 +61,6 @@
     return candidate.fetchableTokens >= candidate.cachedTokens + minFetchedTokens;
 }
 
-/// Returns whether a request with these predictions would end after its caller has left.
-bool isTooLate(const PlacementRequest &request, double firstMs, double tokenMs, const PlacementWeights &weights)
-{
-    if (request.answerStarted) {
-        return false;
-    }
-    const double wholeMs = firstMs + weights.wholeMargin * request.tokensOut * tokenMs;
-    return firstMs > std::min(weights.firstTokenBound * request.targetMs, request.firstTokenTimeoutMs)
-        || wholeMs > request.completionTimeoutMs;
-}
-
 /// Ranks how soon an upstream excluded for @p reason may be usable again: never if it is leaving, at a known time if it is
 /// backing off, at any time for most other reasons.
 int recoveryRank(ExclusionReason reason)
@@ -109,6 +92,15 @@
     return spreadMs > 0 ? spreadMs * static_cast<double>(random.below(steps)) / static_cast<double>(steps) : 0;
 }
 
+/// What choosing a candidate means for the request.
+struct Option
+{
+    Admission admission = Admission::Refused;
+    /// Predicted time to the first token, in the class in which the request is admitted.
+    double predictedMs = 0;
+    double score = 0;
+};
+
 struct BestCandidate
 {
     /// Index into the span of candidates.
@@ -119,20 +111,96 @@
 };
 
 /// Keeps the candidate with the lower score; each of several tied candidates is equally likely.
-void keepBetter(BestCandidate &best, std::size_t position, double score, double predictedMs, RandomSource &random)
+void keepBetter(BestCandidate &best, std::size_t position, const Option &option, RandomSource &random)
 {
-    if (score > best.score + scoreToleranceMs) {
+    if (option.score > best.score + scoreToleranceMs) {
         return;
     }
-    const bool better = score < best.score - scoreToleranceMs;
+    const bool better = option.score < best.score - scoreToleranceMs;
     best.tied = better ? 1 : best.tied + 1;
     if (better || random.below(best.tied) == 0) {
         best.position = position;
-        best.score = score;
-        best.predictedMs = predictedMs;
+        best.score = option.score;
+        best.predictedMs = option.predictedMs;
     }
 }
 
+/// The best candidates of one span, by how they admit the request, and the shortest prediction of those that do not.
+struct Shortlist
+{
+    BestCandidate timely;
+    BestCandidate late;
+    std::optional<double> refusedMs;
+
+    void add(std::size_t position, const Option &option, RandomSource &random)
+    {
+        if (option.admission == Admission::Refused) {
+            refusedMs = std::min(refusedMs.value_or(option.predictedMs), option.predictedMs);
+        } else {
+            keepBetter(option.admission == Admission::Timely ? timely : late, position, option, random);
+        }
+    }
+};
+
+AdmissionTerms termsOf(const PlacementRequest &request, const PlacementWeights &weights)
+{
+    AdmissionTerms terms;
+    // The rest of an answer that has begun is sent on in its class, late or not: a refusal would cut the answer off.
+    if (request.answerStarted) {
+        return terms;
+    }
+    terms.targetMs = request.remainingTargetMs;
+    terms.firstTokenTimeoutMs = std::min(weights.firstTokenBound * request.targetMs, request.firstTokenTimeoutMs);
+    terms.completionTimeoutMs = request.completionTimeoutMs;
+    terms.marginMs = request.marginMs;
+    return terms;
+}
+
+/// Returns the cost to the request itself of a first token after @p predictedMs.
+double delayCost(const PlacementRequest &request, double predictedMs, double tokenMs, const PlacementWeights &weights)
+{
+    return predictedMs + weights.lateMs * missProbability(predictedMs, request.remainingTargetMs)
+        + weights.streamingShare * request.tokensOut * tokenMs;
+}
+
+Option assess(const PlacementRequest &request, const UpstreamCandidate &candidate, const PlacementWeights &weights,
+              RandomSource &random)
+{
+    PlacementRequest behindOthers = request;
+    behindOthers.urgency = request.lateLast ? Urgency::Late : request.urgency;
+    const double tokenMs = predictedTokenMs(candidate);
+    AdmissionForecast forecast;
+    forecast.timelyMs = predictedFirstTokenMs(candidate, request);
+    forecast.lateMs = predictedFirstTokenMs(candidate, behindOthers);
+    forecast.streamingMs = weights.wholeMargin * request.tokensOut * tokenMs;
+    Option option;
+    option.admission = decideAdmission(termsOf(request, weights), forecast);
+    option.predictedMs = option.admission == Admission::Late ? forecast.lateMs : forecast.timelyMs;
+    const double msPerToken = candidate.slowness / candidate.tokensPerMs;
+    option.score = delayCost(request, option.predictedMs, tokenMs, weights)
+        + prefillCost(request, keptTokens(candidate), msPerToken, candidate.running, weights)
+        + (isWorthFetching(candidate) ? weights.fetchingShare * candidate.fetchMs : 0)
+        + weights.failureMs * candidate.failureShare + (candidate.needsConnection ? weights.connectMs : 0)
+        + randomDelayMs(weights.spreadMs, random);
+    return option;
+}
+
+Option assess(const PlacementRequest &request, const RegionCandidate &candidate, const PlacementWeights &weights)
+{
+    const double ownPrefillMs = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
+    const double fixedMs = candidate.distanceMs + ownPrefillMs + (request.promptTokens > 0 ? candidate.fixedMs : 0);
+    AdmissionForecast forecast;
+    forecast.timelyMs = candidate.waitMs + fixedMs;
+    forecast.lateMs = candidate.lateWaitMs + fixedMs;
+    forecast.streamingMs = weights.wholeMargin * request.tokensOut * candidate.tokenMs;
+    Option option;
+    option.admission = decideAdmission(termsOf(request, weights), forecast);
+    option.predictedMs = option.admission == Admission::Late ? forecast.lateMs : forecast.timelyMs;
+    option.score = delayCost(request, option.predictedMs, candidate.tokenMs, weights) + weights.awayMs
+        + prefillCost(request, candidate.cachedTokens, 1 / candidate.tokensPerMs, candidate.running, weights);
+    return option;
+}
+
 } // namespace
 
 double tokensAhead(const UpstreamCandidate &candidate, Urgency urgency)
@@ -156,13 +224,9 @@
 {
     const double ownTokens = std::max(0.0, request.promptTokens - keptTokens(candidate));
     const double fetchDelayMs = isWorthFetching(candidate) ? candidate.fetchMs : 0;
-    const double ahead = tokensAhead(candidate, request.urgency);
-    const double totalPrefillMs = (ahead + ownTokens) / candidate.tokensPerMs;
-    const double decodeSteps = 1 + (ahead + ownTokens) / prefillChunkTokens;
-    const double msPerStep = decodeStepMs + decodeStepMsPerRunning * candidate.running;
-    const double fixedMs = request.promptTokens > 0 ? firstTokenMs : 0;
-    return fixedMs + admissionDelayMs(candidate, request) + fetchDelayMs
-        + candidate.slowness * (totalPrefillMs + decodeSteps * msPerStep);
+    const double prefillMs = (tokensAhead(candidate, request.urgency) + ownTokens) / candidate.tokensPerMs;
+    const double fixedMs = request.promptTokens > 0 ? candidate.fixedMs : 0;
+    return admissionDelayMs(candidate, request) + fetchDelayMs + candidate.slowness * (fixedMs + prefillMs);
 }
 
 double predictedTokenMs(const UpstreamCandidate &candidate)
@@ -170,65 +234,74 @@
     return std::max(candidate.tokenMs, decodeStepMs + decodeStepMsPerRunning * candidate.running);
 }
 
-Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
-                std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random)
+namespace {
+
+void chooseUpstream(Placement &placement, const PlacementRequest &request, const UpstreamCandidate &chosen, double predictedMs)
+{
+    placement.verdict = Verdict::Serve;
+    placement.index = chosen.index;
+    placement.predictedMs = predictedMs;
+    placement.keptTokens = keptTokens(chosen);
+    placement.queuedTokens = tokensAhead(chosen, placement.urgency);
+    placement.prefillTokens = std::max(0.0, request.promptTokens - placement.keptTokens);
+    placement.running = chosen.running;
+    placement.fetches = isWorthFetching(chosen);
+}
+
+/// Returns the placement at the better of two candidates; a refusal if there is neither.
+Placement chooseBetter(const PlacementRequest &request, Admission admission, const BestCandidate &local,
+                       std::span<const UpstreamCandidate> upstreams, const BestCandidate &remote,
+                       std::span<const RegionCandidate> regions)
 {
-    BestCandidate local;
-    ExclusionReason exclusionReason = ExclusionReason::NoCapacity;
-    for (const UpstreamCandidate &candidate : upstreams) {
-        if (candidate.exclusionReason != ExclusionReason::None) {
-            exclusionReason = reasonToReport(exclusionReason, candidate.exclusionReason);
-            continue;
-        }
-        const double predicted = predictedFirstTokenMs(candidate, request);
-        const double tokenMs = predictedTokenMs(candidate);
-        if (isTooLate(request, predicted, tokenMs, weights)) {
-            exclusionReason = ExclusionReason::TooLate;
-            continue;
-        }
-        const double msPerToken = candidate.slowness / candidate.tokensPerMs;
-        const double score = predicted + prefillCost(request, keptTokens(candidate), msPerToken, candidate.running, weights)
-            + (isWorthFetching(candidate) ? weights.fetchingShare * candidate.fetchMs : 0)
-            + weights.failureMs * candidate.failureShare + weights.lateMs * missProbability(predicted, request.remainingTargetMs)
-            + (candidate.needsConnection ? weights.connectMs : 0) + weights.streamingShare * request.tokensOut * tokenMs
-            + randomDelayMs(weights.spreadMs, random);
-        keepBetter(local, static_cast<std::size_t>(&candidate - upstreams.data()), score, predicted, random);
-    }
-    BestCandidate remote;
-    for (const RegionCandidate &candidate : regions) {
-        const double ownPrefillMs = std::max(0.0, request.promptTokens - candidate.cachedTokens) / candidate.tokensPerMs;
-        const double predicted = candidate.waitMs + candidate.distanceMs + ownPrefillMs + firstTokenMs;
-        if (isTooLate(request, predicted, candidate.tokenMs, weights)) {
-            exclusionReason = ExclusionReason::TooLate;
-            continue;
-        }
-        const double score = predicted + weights.awayMs
-            + prefillCost(request, candidate.cachedTokens, 1 / candidate.tokensPerMs, candidate.running, weights)
-            + weights.lateMs * missProbability(predicted, request.remainingTargetMs)
-            + weights.streamingShare * request.tokensOut * candidate.tokenMs;
-        keepBetter(remote, static_cast<std::size_t>(&candidate - regions.data()), score, predicted, random);
-    }
     Placement placement;
     placement.remainingTargetMs = request.remainingTargetMs;
-    placement.reason = exclusionReason;
+    placement.urgency = admission == Admission::Late && request.lateLast ? Urgency::Late : request.urgency;
+    placement.admission = admission;
     if (local.tied > 0 && (remote.tied == 0 || local.score <= remote.score)) {
-        placement.verdict = Verdict::Serve;
-        const UpstreamCandidate &chosen = upstreams[local.position];
-        placement.index = chosen.index;
-        placement.predictedMs = local.predictedMs;
-        placement.keptTokens = keptTokens(chosen);
-        placement.queuedTokens = tokensAhead(chosen, request.urgency);
-        placement.prefillTokens = std::max(0.0, request.promptTokens - placement.keptTokens);
-        placement.running = chosen.running;
-        placement.fetches = isWorthFetching(chosen);
+        chooseUpstream(placement, request, upstreams[local.position], local.predictedMs);
     } else if (remote.tied > 0) {
         placement.verdict = Verdict::Forward;
         placement.index = regions[remote.position].index;
         placement.predictedMs = remote.predictedMs;
     }
-    const bool late = request.lateLast && placement.predictedMs > missThreshold * request.remainingTargetMs;
-    placement.urgency = late ? Urgency::Late : request.urgency;
     return placement;
 }
 
+} // namespace
+
+Placement place(const PlacementRequest &request, std::span<const UpstreamCandidate> upstreams,
+                std::span<const RegionCandidate> regions, const PlacementWeights &weights, RandomSource &random)
+{
+    ExclusionReason reason = ExclusionReason::NoCapacity;
+    Shortlist local;
+    for (std::size_t position = 0; position < upstreams.size(); ++position) {
+        const UpstreamCandidate &candidate = upstreams[position];
+        if (candidate.exclusionReason == ExclusionReason::None) {
+            local.add(position, assess(request, candidate, weights, random), random);
+        } else {
+            reason = reasonToReport(reason, candidate.exclusionReason);
+        }
+    }
+    Shortlist remote;
+    for (std::size_t position = 0; position < regions.size(); ++position) {
+        remote.add(position, assess(request, regions[position], weights), random);
+    }
+    const Placement timely = chooseBetter(request, Admission::Timely, local.timely, upstreams, remote.timely, regions);
+    if (timely.verdict != Verdict::Refuse) {
+        return timely;
+    }
+    const Placement late = chooseBetter(request, Admission::Late, local.late, upstreams, remote.late, regions);
+    if (late.verdict != Verdict::Refuse) {
+        return late;
+    }
+    Placement refused;
+    refused.remainingTargetMs = request.remainingTargetMs;
+    refused.urgency = request.urgency;
+    refused.reason = local.refusedMs || remote.refusedMs ? ExclusionReason::TooLate : reason;
+    constexpr double never = std::numeric_limits<double>::infinity();
+    const double shortestMs = std::min(local.refusedMs.value_or(never), remote.refusedMs.value_or(never));
+    refused.predictedMs = shortestMs < never ? shortestMs : 0;
+    return refused;
+}
+
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -4,7 +4,7 @@
 /// Chooses the upstream or region for a request: a pure function of the known state of upstreams and other regions.
 #pragma once
 
-#include "portpaddle/admission/urgency.h"
+#include "portpaddle/admission/admission.h"
 #include "portpaddle/interfaces/random_source.h"
 #include "portpaddle/routing/decision.h"
 
@@ -36,9 +36,11 @@
     double fetchableTokens = 0;
     /// Duration of that fetch.
     double fetchMs = 0;
-    /// Prompt tokens that engines of this kind prefill in a millisecond.
+    /// Time to the first token at an idle upstream without any prefill.
+    double fixedMs = 0;
+    /// Prompt tokens that the service's upstreams prefill in a millisecond.
     double tokensPerMs = 1;
-    /// Measured time to the first token as a multiple of the prediction.
+    /// Time to the first token as a multiple of that at the service's other upstreams.
     double slowness = 1;
     /// Recent time between two tokens of one stream at the upstream; zero where none was measured.
     double tokenMs = 0;
@@ -60,6 +62,10 @@
     std::uint32_t index = 0;
     /// How long a new request of the same urgency waits there before its own prompt is prefilled.
     double waitMs = 0;
+    /// The same for a request behind all that are to meet their targets.
+    double lateWaitMs = 0;
+    /// Time to the first token at an idle upstream without any prefill.
+    double fixedMs = 0;
     /// Prompt tokens that one upstream there prefills in a millisecond.
     double tokensPerMs = 1;
     /// Mean number of requests in progress on one upstream there.
@@ -82,6 +88,8 @@
     double sharedTokens = 0;
     double memoryTokens = 0;
     Urgency urgency = Urgency::Usual;
+    /// Most requests of this urgency get their first token within this time after the predicted one.
+    double marginMs = 0;
     /// Whether a request that is predicted to miss its target is prefilled after all others.
     bool lateLast = true;
     /// Time left until the target latency.
@@ -135,7 +143,9 @@
 struct Placement
 {
     Verdict verdict = Verdict::Refuse;
+    Admission admission = Admission::Refused;
     std::uint32_t index = 0;
+    /// Predicted time to the first token; of a refused request the shortest one, zero if there is no prediction.
     double predictedMs = 0;
     /// Leading tokens that are cached at the chosen upstream, or fetched from another engine.
     double keptTokens = 0;
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -205,8 +205,9 @@
         const double capacity = sharedPartShare * static_cast<double>(spec.memoryTokens) * summary->second.upstreams;
         RegionCandidate candidate;
         candidate.index = static_cast<std::uint32_t>(regionNames.size());
-        candidate.waitMs = summary->second.waitMs.at(static_cast<std::size_t>(urgency))
-            + summary->second.forwardedTokens / (summary->second.tokensPerMs * summary->second.upstreams);
+        const double forwardedMs = summary->second.forwardedTokens / (summary->second.tokensPerMs * summary->second.upstreams);
+        candidate.waitMs = summary->second.waitMs.at(static_cast<std::size_t>(urgency)) + forwardedMs;
+        candidate.lateWaitMs = summary->second.waitMs.back() + forwardedMs;
         candidate.cachedTokens = known.prefixes.keptTokens(prompt.parts, capacity);
         candidate.upstreams = summary->second.upstreams;
         candidate.tokensPerMs = summary->second.tokensPerMs;
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-// Used until the speed of an upstream is known. Current engines prefill about 110 prompt tokens in a millisecond.
-constexpr double assumedTokensPerMs = 110;
-// Bounds of the learned slowness.
-constexpr double minSlowness = 0.6;
-constexpr double maxSlowness = 8;
 constexpr double assumedServiceMs = 25;
 // Share of the memory that is available for cached parts even where requests seem to fill it: estimates of requests run high,
 // since few generate as many tokens as they may.
@@ -41,8 +36,6 @@
 constexpr unsigned failuresBeforeAvoiding = 2;
 constexpr std::chrono::milliseconds minAvoidance{ 300 };
 constexpr std::chrono::milliseconds maxAvoidance{ 3'000 };
-// Only prompts whose prefill outweighs the decode steps around it count for the learned slowness.
-constexpr double minMeasuredTokens = 1'000;
 
 double movingAverage(double old, double sample, double rate)
 {
@@ -194,11 +187,6 @@
     State &state = stateOf(ticket.upstream);
     finishReading(state, ticket);
     heard(ticket.upstream, now);
-    if (policy_.learnedSlowness && ticket.pendingTokens >= minMeasuredTokens && ticket.predictedMs > 0) {
-        const double ratio = std::clamp(millisBetween(ticket.sentAt, now) / ticket.predictedMs, minSlowness, maxSlowness);
-        state.slowness *= std::pow(ratio, learningRate);
-        state.slowness = std::clamp(state.slowness, minSlowness, maxSlowness);
-    }
 }
 
 void UpstreamLoads::streamed(LoadTicket &ticket, std::size_t events, unsigned tokensPerEvent, SteadyTime now)
@@ -385,7 +373,6 @@
     UpstreamCandidate candidate;
     candidate.slots = std::max(1U, upstream.slots);
     candidate.memoryTotal = static_cast<double>(spec.memoryTokens);
-    candidate.tokensPerMs = assumedTokensPerMs;
     candidate.serviceMs = assumedServiceMs;
     const auto found = states_.find(upstream.id);
     if (found == states_.end()) {
@@ -398,7 +385,6 @@
     candidate.running = load.running;
     candidate.memoryUsed = load.memoryTokens;
     candidate.cachedTokens = state.prefixes.keptTokens(prompt.parts, cacheCapacity(state, spec, now));
-    candidate.slowness = state.slowness;
     candidate.tokenMs = now - state.tokenMsAt < maxTokenMsAge ? state.tokenMs : 0;
     candidate.serviceMs = state.serviceMs > 0 ? state.serviceMs : assumedServiceMs;
     candidate.failureShare = decayedFailureShare(state, now);
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -113,8 +113,6 @@
         double readTokens = 0;
         /// When the last request ended.
         SteadyTime lastEnd{};
-        /// Recent time to the first token as a multiple of the prediction.
-        double slowness = 1;
         double serviceMs = 0;
         /// Recent time between two tokens of a stream.
         double tokenMs = 0;
