Reported loads: read, kept, passed on, and shown to the choice

Cause: upstreams report running and waiting requests, slots and pace in their answers, and daemons ignored the header. A choice knows only what daemons have sent. Change: HeaderNames::upstreamLoad; readNotice() reads the header with bounds on each figure; ReportedLoads keeps the newest report of each listed upstream of the region for 1 s and counts the requests sent since. Digests of the region pass reports on (wire struct UpstreamReport, appended to LoadDigest), from the daemon that read them over the aggregator of the shard, or directly in small fleets. UpstreamCandidate::reported has them, without effect on the choice. Three counters and one log event.

--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -53,6 +53,7 @@
     UpstreamLeavingHeard = 4113,
     UpstreamBackoffAsked = 4114,
     UpstreamNoticeUnreadable = 4115,
+    UpstreamLoadUnreadable = 4116,
     ClaimConflict = 4201,
     RolloutOrdered = 4301,
     RolloutStageWritten = 4302,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -60,6 +60,10 @@
     { "portpaddle_upstream_notices_unreadable_total", "Answers with a notice about their upstream that could not be parsed." },
     { "portpaddle_sent_past_notice_total",
       "Requests sent to upstreams that had announced that they are leaving, or within a backoff that they had asked for." },
+    { "portpaddle_upstream_load_reports_total", "Answers in which an upstream reported its load." },
+    { "portpaddle_upstream_load_reports_unreadable_total", "Answers with a reported load that could not be parsed." },
+    { "portpaddle_upstream_load_reports_from_daemons_total",
+      "Reported loads received from other daemons that were newer than those known." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -50,6 +50,9 @@
     BackoffsAsked,
     NoticesUnreadable,
     SentPastNotice,
+    LoadReportsReceived,
+    LoadReportsUnreadable,
+    LoadReportsFromDaemons,
     Count,
 };
 
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -92,6 +92,7 @@
     callbacks.sending = [this, &target, &ticket] {
         ++sends_;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
+        gateway_.reportedLoads_.sent(target.upstream->id, BootClock::now());
         rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -35,6 +35,7 @@
     , owners_(identity_.id)
     , upstreamLimits_({ identity_.id, identity_.region }, owners_, metrics)
     , notices_(metrics)
+    , reportedLoads_(identity_.region, metrics)
     , rollouts_(identity_.id, identity_.region, random.below(std::numeric_limits<std::uint64_t>::max()),
                 [this](const std::string &daemon, SteadyTime now) { return regions_.fellSilent(daemon, now); })
 {
@@ -174,6 +175,7 @@
     const SteadyTime now = BootClock::now();
     if (!view_->upstreams.sharesAllWith(earlier->upstreams)) {
         loads_.follow(*view_, *earlier);
+        reportedLoads_.setView(*view_, *earlier);
         localUpstreams_.clear();
         localUpstreamsCurrent_ = false;
     }
@@ -229,6 +231,7 @@
     const SteadyTime now = BootClock::now();
     upstreamLimits_.answered(*upstreamId, notice.limit, notice.fromUpstream, sentAt, now);
     notices_.answered(*upstreamId, notice, now);
+    reportedLoads_.answered(*upstreamId, notice.load, now);
 }
 
 void Gateway::noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)
@@ -316,6 +319,7 @@
     regions_.tick(now);
     updateOwners(now);
     upstreamLimits_.tick(now);
+    reportedLoads_.tick(now);
     updateRetryBudget(now);
     coldGate_.setOptions({ options_.coldOvershoot, options_.coldSlack, sharingDaemonCount(), retryMembers_.ownListedSince() });
 }
@@ -357,6 +361,11 @@
     return regions_;
 }
 
+const ReportedLoads &Gateway::reportedLoads() const
+{
+    return reportedLoads_;
+}
+
 const GatewayIdentity &Gateway::identity() const
 {
     return identity_;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "portpaddle/rollouts/rollout_coordinator.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
+#include "portpaddle/upstream_reports/reported_loads.h"
 
 #include <map>
 #include <memory>
@@ -134,6 +135,7 @@
     void logUnfinished() const;
     std::shared_ptr<const FleetView> view() const;
     const RegionTable &regions() const;
+    const ReportedLoads &reportedLoads() const;
     const GatewayIdentity &identity() const;
     /// Returns whether a configuration is known and no stop has begun.
     bool ready() const;
@@ -254,6 +256,9 @@
     StableOwner owners_;
     UpstreamLimits upstreamLimits_;
     UpstreamNotices notices_;
+    ReportedLoads reportedLoads_;
+    /// Number of turns in which all daemons of the own region are sent a digest, in a fleet without aggregators.
+    unsigned localDigestTurns_ = 1;
     RolloutCoordinator rollouts_;
     /// Number of requests that wait to be sent to an upstream with a limit, by service.
     std::map<std::string, std::size_t> waitingRequests_;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -130,6 +130,7 @@
         candidate.index = static_cast<std::uint32_t>(candidates.size());
         candidate.needsConnection = pool_.idle(id) == 0;
         candidate.limited = upstreamLimits_.isLimited(id, now);
+        candidate.reported = reportedLoads_.latest(id, now);
         const ExclusionReason exclusionReason = exclusionReasonOf(*record, spec, now);
         if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
             candidate.exclusionReason = ExclusionReason::AlreadyTried;
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -8,6 +8,7 @@
 #include "portpaddle/gateway/service_summary.h"
 #include "portpaddle/gateway/version_filter.h"
 #include "portpaddle/limits/limit_digest.h"
+#include "portpaddle/upstream_reports/report_digest.h"
 
 namespace Portpaddle {
 
@@ -21,6 +22,7 @@
 void Gateway::setDigestInterval(std::chrono::milliseconds interval)
 {
     regions_.setDigestInterval(interval);
+    localDigestTurns_ = static_cast<unsigned>(interval / digestInterval);
 }
 
 void Gateway::applyDigest(const Wire::LoadDigestT &digest)
@@ -42,6 +44,7 @@
         return;
     }
     regions_.applyDigest(digest, now);
+    reportedLoads_.takeNews(digest, now);
     if (digest.kind != Wire::DigestKind::Direct) {
         loadAggregation_.take(digest, now);
     } else if (digest.region == identity_.region) {
@@ -73,6 +76,9 @@
         limits.demands = organisationLimits_.demands(all, now);
     }
     attachLimits(result, header, std::move(limits));
+    if (reach == DigestReach::OwnRegion) {
+        attachReports(result, header, localDigestTurns_, reportedLoads_, now);
+    }
     digestSequence_ += result.size();
     return result;
 }
@@ -83,6 +89,7 @@
     const auto addWaits = [this, now](Wire::LoadDigestT &digest) { addServiceWaits(digest, now); };
     setDigestInterval(loadAggregation_.sendInterval());
     std::vector<OutgoingDigest> due = loadAggregation_.due(turn, digestHeader(), addWaits, now);
+    attachReports(due, digestHeader(), reportedLoads_, now);
     for (OutgoingDigest &outgoing : due) {
         outgoing.digest.sequence = ++digestSequence_;
     }
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -32,6 +32,9 @@
     std::string notRun = "X-Not-Run";
     /// In answers of an overloaded upstream: requests per second that it accepts from all daemons together.
     std::string upstreamLimit = "X-Upstream-Limit";
+    /// "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,PACE" in answers: the load of the upstream, and the time that its work
+    /// takes in percent of the usual time.
+    std::string upstreamLoad = "X-Upstream-Load";
     /// In answers of an upstream that accepts no new requests in its current incarnation.
     std::string upstreamLeaving = "X-Upstream-Leaving";
     std::string priority = "X-Priority";
--- a/src/portpaddle/gateway/load_digest.h
+++ b/src/portpaddle/gateway/load_digest.h
@@ -24,6 +24,8 @@
 inline constexpr std::size_t maxDigestCrashes = 40;
 /// Maximum number of upstreams in a digest that has no other content.
 inline constexpr std::size_t maxDigestUpstreamLimits = 40;
+/// Maximum number of reported loads in a digest; a digest with other content may have room for fewer.
+inline constexpr std::size_t maxDigestReports = 48;
 
 /// Splits @p shares and @p parts into as many digests as needed, each to be sent in a datagram of its own. @p header has the
 /// sender, the sequence of the first digest, and the content that only the first one carries.
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -6,10 +6,12 @@
 
 #include "portpaddle/interfaces/random_source.h"
 #include "portpaddle/routing/decision.h"
+#include "portpaddle/upstream_reports/reported_load.h"
 
 #include <array>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -59,6 +61,8 @@
     bool limited = false;
     /// Why no request may be sent to the upstream now.
     ExclusionReason exclusionReason = ExclusionReason::None;
+    /// The newest load that the upstream has reported within the last second; does not influence the choice.
+    std::optional<LoadReportView> reported = std::nullopt;
 };
 
 /// Summary of a service that another region reported.
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -262,6 +262,8 @@
         // This is a late answer to an earlier request on this connection; the answer to the current request follows it.
         AnswerNotice notice = readNotice(parser->get(), names_, std::chrono::system_clock::now());
         notice.fromUpstream = false;
+        // The answer may have waited on the idle connection for any time.
+        notice.load = {};
         callbacks.headReceived(notice);
         std::string discarded;
         const bool whole = co_await readRest(*parser, discarded, error);
--- a/src/portpaddle/upstream_notices/answer_notice.cpp
+++ b/src/portpaddle/upstream_notices/answer_notice.cpp
@@ -45,6 +45,7 @@
     notice.fromUpstream = !provesNotRun(head, names) && isSigned(head, names);
     notice.limit = readLimit(head, names.upstreamLimit);
     notice.leaving = readLeaving(head, names.upstreamLeaving);
+    notice.load = readReportedLoad(head, names.upstreamLoad);
     if (head.result_int() == HttpStatus::unavailable) {
         notice.backoff = readRetryAfter(head, wall);
     }
--- a/src/portpaddle/upstream_notices/answer_notice.h
+++ b/src/portpaddle/upstream_notices/answer_notice.h
@@ -7,6 +7,7 @@
 #include "portpaddle/gateway/header_names.h"
 #include "portpaddle/upstream_limits/limit_reading.h"
 #include "portpaddle/upstream_notices/retry_after.h"
+#include "portpaddle/upstream_reports/load_reading.h"
 
 #include <boost/beast/http/message.hpp>
 
@@ -27,6 +28,7 @@
     bool fromUpstream = false;
     LimitReading limit;
     LeavingNotice leaving = LeavingNotice::Absent;
+    LoadReading load;
     /// How long the upstream asks this daemon not to send requests.
     RetryAfter backoff;
 };
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -38,6 +38,8 @@
 
 struct RolloutCount;
 
+struct UpstreamReport;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -556,6 +558,53 @@
 };
 FLATBUFFERS_STRUCT_END(RolloutCount, 92);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t key_;
+  uint32_t running_;
+  uint32_t waiting_;
+  uint32_t slots_;
+  uint16_t pace_percent_;
+  uint16_t age_ms_;
+
+ public:
+  UpstreamReport()
+      : key_(0),
+        running_(0),
+        waiting_(0),
+        slots_(0),
+        pace_percent_(0),
+        age_ms_(0) {
+  }
+  UpstreamReport(uint32_t _key, uint32_t _running, uint32_t _waiting, uint32_t _slots, uint16_t _pace_percent, uint16_t _age_ms)
+      : key_(flatbuffers::EndianScalar(_key)),
+        running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        pace_percent_(flatbuffers::EndianScalar(_pace_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint32_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint32_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+  uint16_t pace_percent() const {
+    return flatbuffers::EndianScalar(pace_percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamReport, 20);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -687,6 +736,7 @@
   uint64_t rollout_life = 0;
   uint32_t rollout_running_older = 0;
   std::vector<Portpaddle::Wire::RolloutCount> rollout_counts{};
+  std::vector<Portpaddle::Wire::UpstreamReport> upstream_reports{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -718,7 +768,8 @@
     VT_ROLLOUT_ORDER = 40,
     VT_ROLLOUT_LIFE = 42,
     VT_ROLLOUT_RUNNING_OLDER = 44,
-    VT_ROLLOUT_COUNTS = 46
+    VT_ROLLOUT_COUNTS = 46,
+    VT_UPSTREAM_REPORTS = 48
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -786,6 +837,9 @@
   const flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *> *rollout_counts() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *> *>(VT_ROLLOUT_COUNTS);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *> *upstream_reports() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *> *>(VT_UPSTREAM_REPORTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -825,6 +879,8 @@
            VerifyField<uint32_t>(verifier, VT_ROLLOUT_RUNNING_OLDER, 4) &&
            VerifyOffset(verifier, VT_ROLLOUT_COUNTS) &&
            verifier.VerifyVector(rollout_counts()) &&
+           VerifyOffset(verifier, VT_UPSTREAM_REPORTS) &&
+           verifier.VerifyVector(upstream_reports()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -902,6 +958,9 @@
   void add_rollout_counts(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts) {
     fbb_.AddOffset(LoadDigest::VT_ROLLOUT_COUNTS, rollout_counts);
   }
+  void add_upstream_reports(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *>> upstream_reports) {
+    fbb_.AddOffset(LoadDigest::VT_UPSTREAM_REPORTS, upstream_reports);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -936,12 +995,14 @@
     uint64_t rollout_order = 0,
     uint64_t rollout_life = 0,
     uint32_t rollout_running_older = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *>> upstream_reports = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
   builder_.add_rollout_order(rollout_order);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_upstream_reports(upstream_reports);
   builder_.add_rollout_counts(rollout_counts);
   builder_.add_rollout_running_older(rollout_running_older);
   builder_.add_upstream_limits(upstream_limits);
@@ -986,7 +1047,8 @@
     uint64_t rollout_order = 0,
     uint64_t rollout_life = 0,
     uint32_t rollout_running_older = 0,
-    const std::vector<Portpaddle::Wire::RolloutCount> *rollout_counts = nullptr) {
+    const std::vector<Portpaddle::Wire::RolloutCount> *rollout_counts = nullptr,
+    const std::vector<Portpaddle::Wire::UpstreamReport> *upstream_reports = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -1001,6 +1063,7 @@
   auto quarantined__ = quarantined ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*quarantined) : 0;
   auto upstream_limits__ = upstream_limits ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamLimit>(*upstream_limits) : 0;
   auto rollout_counts__ = rollout_counts ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RolloutCount>(*rollout_counts) : 0;
+  auto upstream_reports__ = upstream_reports ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamReport>(*upstream_reports) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -1024,7 +1087,8 @@
       rollout_order,
       rollout_life,
       rollout_running_older,
-      rollout_counts__);
+      rollout_counts__,
+      upstream_reports__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1085,7 +1149,8 @@
         rollout_order(o.rollout_order),
         rollout_life(o.rollout_life),
         rollout_running_older(o.rollout_running_older),
-        rollout_counts(o.rollout_counts) {
+        rollout_counts(o.rollout_counts),
+        upstream_reports(o.upstream_reports) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -1113,6 +1178,7 @@
   std::swap(rollout_life, o.rollout_life);
   std::swap(rollout_running_older, o.rollout_running_older);
   std::swap(rollout_counts, o.rollout_counts);
+  std::swap(upstream_reports, o.upstream_reports);
   return *this;
 }
 
@@ -1147,6 +1213,7 @@
   { auto _e = rollout_life(); _o->rollout_life = _e; }
   { auto _e = rollout_running_older(); _o->rollout_running_older = _e; }
   { auto _e = rollout_counts(); if (_e) { _o->rollout_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollout_counts[_i] = *_e->Get(_i); } } }
+  { auto _e = upstream_reports(); if (_e) { _o->upstream_reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstream_reports[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1179,6 +1246,7 @@
   auto _rollout_life = _o->rollout_life;
   auto _rollout_running_older = _o->rollout_running_older;
   auto _rollout_counts = _o->rollout_counts.size() ? _fbb.CreateVectorOfStructs(_o->rollout_counts) : 0;
+  auto _upstream_reports = _o->upstream_reports.size() ? _fbb.CreateVectorOfStructs(_o->upstream_reports) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1202,7 +1270,8 @@
       _rollout_order,
       _rollout_life,
       _rollout_running_older,
-      _rollout_counts);
+      _rollout_counts,
+      _upstream_reports);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
