Reported loads: tests of a daemon in a fleet with aggregators and of its candidates

Cause: no test failed when a daemon with aggregators sent no reports, or when candidates lacked them. Change: two tests; Gateway::describe() is public, so that they see the candidates.

--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -144,6 +144,9 @@
     unsigned retryDivisor() const;
     /// Returns the phase in which callers should expect @p daemon to be.
     Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
+    /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
+    std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
+                                            const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
 
 private:
     friend class Exchange;
@@ -181,9 +184,6 @@
     Target propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     /// As propose(), without regard to other versions if none of the wanted one is available.
     Target proposeArm(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
-    /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
-    std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
-                                            const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
     /// Returns the candidates for a request and fills @p records with the records to which their indexes refer.
     std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
--- a/tests/gateway/upstream_load_tests.cpp
+++ b/tests/gateway/upstream_load_tests.cpp
@@ -57,6 +57,28 @@
         return result;
     }
 
+    /// Returns the digests with reports that the daemon sends at turn @p turn in a fleet with aggregators.
+    std::vector<Wire::LoadDigestT> fleetDigestsWithReports(std::size_t turn)
+    {
+        std::vector<Wire::LoadDigestT> result;
+        onLoop([&result, turn](Gateway &gateway) {
+            for (OutgoingDigest &outgoing : gateway.dueFleetDigests(turn)) {
+                if (!outgoing.digest.upstream_reports.empty()) {
+                    result.push_back(std::move(outgoing.digest));
+                }
+            }
+        });
+        return result;
+    }
+
+    /// Adds so many daemons of the own region that the fleet has aggregators.
+    void addManyDaemons()
+    {
+        for (unsigned index = 0; index < 30; ++index) {
+            addDaemon("other-" + std::to_string(index));
+        }
+    }
+
     static Wire::LoadDigestT digestOf(const std::string &region)
     {
         Wire::LoadDigestT digest;
@@ -197,3 +219,37 @@
         }
     });
 }
+
+// Guards against a daemon that reads reports and sends them to nobody once its fleet has aggregators.
+TEST_CASE("Upstream that reports its load, fleet with aggregators, is in one digest of the daemon, which another daemon reads")
+{
+    ReportingUpstreamFixture one;
+    ReportingUpstreamFixture another;
+    one.addManyDaemons();
+    CHECK(one.ask("/plain/a", "id1").status == 200);
+    std::vector<Wire::LoadDigestT> digests = one.fleetDigestsWithReports(1);
+    REQUIRE(digests.size() == 1);
+    CHECK((digests.front().kind == Wire::DigestKind::Report || digests.front().kind == Wire::DigestKind::Sum));
+    CHECK(digests.front().shard == shardOf(upstreamKey("u1")));
+    CHECK(digests.front().sequence > 0);
+    CHECK(one.fleetDigestsWithReports(2).empty());
+    digests.front().daemon = "other-1";
+    another.apply(digests.front());
+    REQUIRE(another.latest());
+    CHECK(another.latest()->running == 5);
+}
+
+// Guards against reports that are known and not shown to the choice.
+TEST_CASE_FIXTURE(ReportingUpstreamFixture, "Upstream that reports its load, candidate for a request, has the report")
+{
+    CHECK(ask("/plain/a", "id1").status == 200);
+    onLoop([](Gateway &gateway) {
+        const std::shared_ptr<const FleetView> view = gateway.view();
+        const std::vector<UpstreamCandidate> candidates
+            = gateway.describe({ &view->upstreams.at("u1") }, view->services->services.at("s"), {}, {}, BootClock::now());
+        REQUIRE(candidates.size() == 1);
+        REQUIRE(candidates.front().reported);
+        CHECK(candidates.front().reported->running == 5);
+        CHECK(candidates.front().reported->slots == 8);
+    });
+}
