--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "portpaddle/rollouts/rollout_coordinator.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
+#include "portpaddle/upstream_reports/reported_loads.h"
 
 #include <map>
 #include <memory>
@@ -135,6 +136,7 @@
     void logUnfinished() const;
     std::shared_ptr<const FleetView> view() const;
     const RegionTable &regions() const;
+    const ReportedLoads &reportedLoads() const;
     const GatewayIdentity &identity() const;
     /// Returns whether a configuration is known and no stop has begun.
     bool ready() const;
@@ -143,6 +145,9 @@
     unsigned retryDivisor() const;
     /// Returns the phase in which callers should expect @p daemon to be.
     Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
+    /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
+    std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
+                                            const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
 
 private:
     friend class Exchange;
@@ -179,9 +184,6 @@
     Target propose(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
     /// As propose(), without regard to other versions if none of the wanted one is available.
     Target proposeArm(const CallerRequest &request, const ChoiceContext &context, SteadyTime now);
-    /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
-    std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
-                                            const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
     /// Returns the load model of @p service; the initial one if models are not to be learned.
     const FirstTokenModel &modelOf(const std::string &service) const;
     /// Returns the candidates for a request and fills @p records with the records to which their indexes refer.
@@ -259,6 +261,9 @@
     StableOwner owners_;
     UpstreamLimits upstreamLimits_;
     UpstreamNotices notices_;
+    ReportedLoads reportedLoads_;
+    /// Number of turns in which all daemons of the own region are sent a digest, in a fleet without aggregators.
+    unsigned localDigestTurns_ = 1;
     RolloutCoordinator rollouts_;
     /// Number of requests that wait to be sent to an upstream with a limit, by service.
     std::map<std::string, std::size_t> waitingRequests_;
--- a/src/portpaddle/gateway/placement.h
+++ b/src/portpaddle/gateway/placement.h
@@ -7,10 +7,12 @@
 #include "portpaddle/admission/admission.h"
 #include "portpaddle/interfaces/random_source.h"
 #include "portpaddle/routing/decision.h"
+#include "portpaddle/upstream_reports/reported_load.h"
 
 #include <array>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <span>
 
 namespace Portpaddle {
@@ -54,6 +56,8 @@
     bool limited = false;
     /// Why no request may be sent to the upstream now.
     ExclusionReason exclusionReason = ExclusionReason::None;
+    /// The newest load that the upstream has reported within the last second; does not influence the choice.
+    std::optional<LoadReportView> reported = std::nullopt;
 };
 
 /// Summary of a service that another region reported.
