Share samples of the time to the first token between daemons

Cause: a daemon of a region of thirty gets a sample of one upstream every ten seconds or less, so that its model was wrong for most of a minute after a start. Change: samples travel with reports to the aggregators and with sums to all daemons, at most 16 in a digest. The code that fills datagrams is shared with the reports of upstreams. New tests pass.

--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -197,13 +197,7 @@
     if (view_->services && view_->services != earlier.services) {
         models_.setServices(*view_->services);
     }
-    view_->upstreams.forEachChangedShard(earlier.upstreams, [this](const auto &shard, const auto &earlierShard) {
-        for (const auto &[id, record] : earlierShard) {
-            if (!shard.contains(id)) {
-                models_.forgetUpstream(upstreamKey(id));
-            }
-        }
-    });
+    models_.follow(*view_, earlier);
 }
 
 void Gateway::daemonsChanged(SteadyTime now)
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -233,6 +233,8 @@
     /// Returns a digest that has only the fields of the sender.
     Wire::LoadDigestT digestHeader() const;
     void addServiceWaits(Wire::LoadDigestT &digest, SteadyTime now);
+    /// Adds the samples for the load models of the other daemons to digests for the own region.
+    void attachSamples(std::vector<Wire::LoadDigestT> &digests, const Wire::LoadDigestT &header);
 
     Executor executor_;
     GatewayIdentity identity_;
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -3,6 +3,7 @@
 
 // Collects the digests that a gateway sends to other daemons, and applies those that it receives.
 
+#include "portpaddle/fleet/digest_attachments.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/gateway/service_summary.h"
@@ -45,6 +46,9 @@
     }
     regions_.applyDigest(digest, now);
     reportedLoads_.takeNews(digest, now);
+    if (digest.region == identity_.region) {
+        models_.take(digest);
+    }
     if (digest.kind != Wire::DigestKind::Direct) {
         loadAggregation_.take(digest, now);
     } else if (digest.region == identity_.region) {
@@ -78,11 +82,22 @@
     attachLimits(result, header, std::move(limits));
     if (reach == DigestReach::OwnRegion) {
         attachReports(result, header, localDigestTurns_, reportedLoads_, now);
+        attachSamples(result, header);
     }
     digestSequence_ += result.size();
     return result;
 }
 
+void Gateway::attachSamples(std::vector<Wire::LoadDigestT> &digests, const Wire::LoadDigestT &header)
+{
+    std::vector<Wire::FirstTokenTime> samples;
+    for (unsigned shard = 0; shard < aggregationShards; ++shard) {
+        const std::vector<Wire::FirstTokenTime> due = models_.takeDue(shard);
+        samples.insert(samples.end(), due.begin(), due.end());
+    }
+    attachToAll(digests, header, &Wire::LoadDigestT::first_token_times, samples, maxDigestSamples);
+}
+
 std::vector<OutgoingDigest> Gateway::dueFleetDigests(std::size_t turn)
 {
     const SteadyTime now = BootClock::now();
@@ -90,6 +105,12 @@
     setDigestInterval(loadAggregation_.sendInterval());
     std::vector<OutgoingDigest> due = loadAggregation_.due(turn, digestHeader(), addWaits, now);
     attachReports(due, digestHeader(), reportedLoads_, now);
+    for (unsigned shard = 0; shard < aggregationShards; ++shard) {
+        if (firstOfShard(due, shard) != nullptr) {
+            attachToShard(due, digestHeader(), shard, &Wire::LoadDigestT::first_token_times, models_.takeDue(shard),
+                          maxDigestSamples);
+        }
+    }
     for (OutgoingDigest &outgoing : due) {
         outgoing.digest.sequence = ++digestSequence_;
     }
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/gateway/load_digest.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/load_digest.h"
 
 #include "portpaddle/limits/limit_digest.h"
+#include "portpaddle/load_model/load_models.h"
 #include "portpaddle/rollouts/rollout_digest.h"
 
 #include <algorithm>
@@ -62,8 +63,8 @@
         && digest.services.size() <= maxDigestServices && digest.limit_counts.size() <= maxDigestLimits
         && digest.limit_grants.size() <= maxDigestLimits && digest.limit_demands.size() <= maxDigestLimits
         && digest.ended_under.size() <= maxDigestCrashes && digest.quarantined.size() <= maxDigestCrashes
-        && digest.upstream_limits.size() <= maxDigestUpstreamLimits && digest.rollout_counts.size() <= maxDigestRolloutCounts
-        && digest.upstream_reports.size() <= maxDigestReports;
+        && digest.first_token_times.size() <= maxDigestSamples && digest.upstream_limits.size() <= maxDigestUpstreamLimits
+        && digest.rollout_counts.size() <= maxDigestRolloutCounts && digest.upstream_reports.size() <= maxDigestReports;
     if (!bounded) {
         return Error{ ErrorCode::BadRequest, "load digest has too many entries", RunState::NotRun, {} };
     }
--- a/src/portpaddle/load_model/load_models.cpp
+++ b/src/portpaddle/load_model/load_models.cpp
@@ -3,9 +3,11 @@
 
 #include "portpaddle/load_model/load_models.h"
 
-#include "portpaddle/gateway/service_map.h"
+#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/routing/rendezvous.h"
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -13,14 +15,32 @@
 
 namespace {
 
-// What a busy daemon measures between two digests; more would not change the model within that time.
-constexpr std::size_t maxKeptSamples = 64;
-
 std::uint32_t sampleKey(const std::string &service)
 {
     return static_cast<std::uint32_t>(stableHash(service));
 }
 
+Wire::FirstTokenTime encode(std::uint32_t service, const FirstTokenSample &sample)
+{
+    return { service,
+             sample.upstream,
+             static_cast<std::uint32_t>(std::clamp(sample.tokens, 0.0, maxSampleTokens)),
+             static_cast<std::uint16_t>(std::clamp(std::round(sample.ms), 1.0, maxSampleMs)),
+             static_cast<std::uint8_t>(sample.urgency),
+             sample.unfinished };
+}
+
+FirstTokenSample decode(const Wire::FirstTokenTime &time)
+{
+    FirstTokenSample sample;
+    sample.upstream = time.upstream();
+    sample.tokens = time.tokens();
+    sample.ms = time.ms();
+    sample.urgency = static_cast<Urgency>(std::min<std::size_t>(time.urgency(), urgencyCount - 1));
+    sample.unfinished = time.unfinished();
+    return sample;
+}
+
 } // namespace
 
 void LoadModels::setServices(const ServiceMap &services)
@@ -35,30 +55,52 @@
     std::erase_if(models_, [&current](const auto &entry) { return !current.contains(entry.first); });
 }
 
+void LoadModels::follow(const FleetView &view, const FleetView &earlier)
+{
+    view.upstreams.forEachChangedShard(earlier.upstreams, [this](const auto &shard, const auto &earlierShard) {
+        for (const auto &[id, record] : earlierShard) {
+            if (!shard.contains(id)) {
+                for (auto &[service, model] : models_) {
+                    model.forget(upstreamKey(id));
+                }
+            }
+        }
+    });
+}
+
 void LoadModels::measured(const std::string &service, const FirstTokenSample &sample)
 {
-    const ServiceSample own{ sampleKey(service), sample };
-    if (!models_.contains(own.service)) {
-        return;
+    const Wire::FirstTokenTime time = encode(sampleKey(service), sample);
+    if (learn(time)) {
+        keepForOthers(time);
     }
-    learn(own);
-    if (measured_.size() < maxKeptSamples) {
-        measured_.push_back(own);
+}
+
+void LoadModels::take(const Wire::LoadDigestT &digest)
+{
+    for (const Wire::FirstTokenTime &time : digest.first_token_times) {
+        if (learn(time) && digest.kind == Wire::DigestKind::Report) {
+            keepForOthers(time);
+        }
     }
 }
 
-void LoadModels::learn(const ServiceSample &sample)
+bool LoadModels::learn(const Wire::FirstTokenTime &time)
 {
-    const auto model = models_.find(sample.service);
-    if (model != models_.end()) {
-        model->second.learn(sample.sample);
+    const auto model = models_.find(time.service());
+    if (model == models_.end()) {
+        return false;
     }
+    model->second.learn(decode(time));
+    return true;
 }
 
-void LoadModels::forgetUpstream(std::uint32_t upstream)
+// A digest has room for the samples of about a tenth of a second; further ones would not change the model within that time.
+void LoadModels::keepForOthers(const Wire::FirstTokenTime &time)
 {
-    for (auto &[service, model] : models_) {
-        model.forget(upstream);
+    std::vector<Wire::FirstTokenTime> &due = due_.at(shardOf(time.upstream()));
+    if (due.size() < maxDigestSamples) {
+        due.push_back(time);
     }
 }
 
@@ -69,9 +111,9 @@
     return found == models_.end() ? initial : found->second;
 }
 
-std::vector<ServiceSample> LoadModels::takeMeasured()
+std::vector<Wire::FirstTokenTime> LoadModels::takeDue(unsigned shard)
 {
-    return std::exchange(measured_, {});
+    return std::exchange(due_.at(shard), {});
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -40,6 +40,8 @@
 
 struct UpstreamReport;
 
+struct FirstTokenTime;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -605,6 +607,53 @@
 };
 FLATBUFFERS_STRUCT_END(UpstreamReport, 20);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) FirstTokenTime FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t service_;
+  uint32_t upstream_;
+  uint32_t tokens_;
+  uint16_t ms_;
+  uint8_t urgency_;
+  uint8_t unfinished_;
+
+ public:
+  FirstTokenTime()
+      : service_(0),
+        upstream_(0),
+        tokens_(0),
+        ms_(0),
+        urgency_(0),
+        unfinished_(0) {
+  }
+  FirstTokenTime(uint32_t _service, uint32_t _upstream, uint32_t _tokens, uint16_t _ms, uint8_t _urgency, bool _unfinished)
+      : service_(flatbuffers::EndianScalar(_service)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        ms_(flatbuffers::EndianScalar(_ms)),
+        urgency_(flatbuffers::EndianScalar(_urgency)),
+        unfinished_(flatbuffers::EndianScalar(static_cast<uint8_t>(_unfinished))) {
+  }
+  uint32_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+  uint16_t ms() const {
+    return flatbuffers::EndianScalar(ms_);
+  }
+  uint8_t urgency() const {
+    return flatbuffers::EndianScalar(urgency_);
+  }
+  bool unfinished() const {
+    return flatbuffers::EndianScalar(unfinished_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(FirstTokenTime, 16);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -737,6 +786,7 @@
   uint32_t rollout_running_older = 0;
   std::vector<Portpaddle::Wire::RolloutCount> rollout_counts{};
   std::vector<Portpaddle::Wire::UpstreamReport> upstream_reports{};
+  std::vector<Portpaddle::Wire::FirstTokenTime> first_token_times{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -769,7 +819,8 @@
     VT_ROLLOUT_LIFE = 42,
     VT_ROLLOUT_RUNNING_OLDER = 44,
     VT_ROLLOUT_COUNTS = 46,
-    VT_UPSTREAM_REPORTS = 48
+    VT_UPSTREAM_REPORTS = 48,
+    VT_FIRST_TOKEN_TIMES = 50
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -840,6 +891,9 @@
   const flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *> *upstream_reports() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *> *>(VT_UPSTREAM_REPORTS);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::FirstTokenTime *> *first_token_times() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::FirstTokenTime *> *>(VT_FIRST_TOKEN_TIMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -881,6 +935,8 @@
            verifier.VerifyVector(rollout_counts()) &&
            VerifyOffset(verifier, VT_UPSTREAM_REPORTS) &&
            verifier.VerifyVector(upstream_reports()) &&
+           VerifyOffset(verifier, VT_FIRST_TOKEN_TIMES) &&
+           verifier.VerifyVector(first_token_times()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -961,6 +1017,9 @@
   void add_upstream_reports(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *>> upstream_reports) {
     fbb_.AddOffset(LoadDigest::VT_UPSTREAM_REPORTS, upstream_reports);
   }
+  void add_first_token_times(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::FirstTokenTime *>> first_token_times) {
+    fbb_.AddOffset(LoadDigest::VT_FIRST_TOKEN_TIMES, first_token_times);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -996,12 +1055,14 @@
     uint64_t rollout_life = 0,
     uint32_t rollout_running_older = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RolloutCount *>> rollout_counts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *>> upstream_reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamReport *>> upstream_reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::FirstTokenTime *>> first_token_times = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
   builder_.add_rollout_order(rollout_order);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_first_token_times(first_token_times);
   builder_.add_upstream_reports(upstream_reports);
   builder_.add_rollout_counts(rollout_counts);
   builder_.add_rollout_running_older(rollout_running_older);
@@ -1048,7 +1109,8 @@
     uint64_t rollout_life = 0,
     uint32_t rollout_running_older = 0,
     const std::vector<Portpaddle::Wire::RolloutCount> *rollout_counts = nullptr,
-    const std::vector<Portpaddle::Wire::UpstreamReport> *upstream_reports = nullptr) {
+    const std::vector<Portpaddle::Wire::UpstreamReport> *upstream_reports = nullptr,
+    const std::vector<Portpaddle::Wire::FirstTokenTime> *first_token_times = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -1064,6 +1126,7 @@
   auto upstream_limits__ = upstream_limits ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamLimit>(*upstream_limits) : 0;
   auto rollout_counts__ = rollout_counts ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RolloutCount>(*rollout_counts) : 0;
   auto upstream_reports__ = upstream_reports ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamReport>(*upstream_reports) : 0;
+  auto first_token_times__ = first_token_times ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::FirstTokenTime>(*first_token_times) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -1088,7 +1151,8 @@
       rollout_life,
       rollout_running_older,
       rollout_counts__,
-      upstream_reports__);
+      upstream_reports__,
+      first_token_times__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1150,7 +1214,8 @@
         rollout_life(o.rollout_life),
         rollout_running_older(o.rollout_running_older),
         rollout_counts(o.rollout_counts),
-        upstream_reports(o.upstream_reports) {
+        upstream_reports(o.upstream_reports),
+        first_token_times(o.first_token_times) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -1179,6 +1244,7 @@
   std::swap(rollout_running_older, o.rollout_running_older);
   std::swap(rollout_counts, o.rollout_counts);
   std::swap(upstream_reports, o.upstream_reports);
+  std::swap(first_token_times, o.first_token_times);
   return *this;
 }
 
@@ -1214,6 +1280,7 @@
   { auto _e = rollout_running_older(); _o->rollout_running_older = _e; }
   { auto _e = rollout_counts(); if (_e) { _o->rollout_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollout_counts[_i] = *_e->Get(_i); } } }
   { auto _e = upstream_reports(); if (_e) { _o->upstream_reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstream_reports[_i] = *_e->Get(_i); } } }
+  { auto _e = first_token_times(); if (_e) { _o->first_token_times.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->first_token_times[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1247,6 +1314,7 @@
   auto _rollout_running_older = _o->rollout_running_older;
   auto _rollout_counts = _o->rollout_counts.size() ? _fbb.CreateVectorOfStructs(_o->rollout_counts) : 0;
   auto _upstream_reports = _o->upstream_reports.size() ? _fbb.CreateVectorOfStructs(_o->upstream_reports) : 0;
+  auto _first_token_times = _o->first_token_times.size() ? _fbb.CreateVectorOfStructs(_o->first_token_times) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1271,7 +1339,8 @@
       _rollout_life,
       _rollout_running_older,
       _rollout_counts,
-      _upstream_reports);
+      _upstream_reports,
+      _first_token_times);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/tests/gateway/load_model_tests.cpp
+++ b/tests/gateway/load_model_tests.cpp
@@ -123,20 +123,41 @@
     CHECK(predictedMs(2'000) == before);
 }
 
-TEST_CASE("Load models, own samples, are learned and kept once for other daemons")
+// A daemon alone gets a sample of an upstream only every few seconds.
+TEST_CASE("Load models, samples of a daemon, reach the others through its aggregator")
 {
-    LoadModels own;
-    own.setServices(services("a"));
-    own.measured("a", { 1, 10'000, 2'000 });
-    own.measured("unknown", { 1, 10'000, 2'000 });
-    CHECK(own.model("a").msPerToken() > own.model("unknown").msPerToken());
-    const std::vector<ServiceSample> samples = own.takeMeasured();
-    REQUIRE(samples.size() == 1);
-    CHECK(own.takeMeasured().empty());
+    LoadModels daemon;
+    LoadModels aggregator;
     LoadModels other;
-    other.setServices(services("a"));
-    other.learn(samples.front());
-    CHECK(other.model("a").msPerToken() == own.model("a").msPerToken());
+    for (LoadModels *models : { &daemon, &aggregator, &other }) {
+        models->setServices(services("a"));
+    }
+    daemon.measured("a", { 0, 10'000, 2'000 });
+    daemon.measured("unknown", { 0, 10'000, 2'000 });
+    Wire::LoadDigestT report;
+    report.kind = Wire::DigestKind::Report;
+    report.first_token_times = daemon.takeDue(0);
+    CHECK(report.first_token_times.size() == 1);
+    CHECK(daemon.takeDue(0).empty());
+    aggregator.take(report);
+    Wire::LoadDigestT sum;
+    sum.kind = Wire::DigestKind::Sum;
+    sum.first_token_times = aggregator.takeDue(0);
+    other.take(sum);
+    CHECK(other.model("a").msPerToken() == daemon.model("a").msPerToken());
+    CHECK(other.model("a").msPerToken() > other.model("unknown").msPerToken());
+    // A Sum is not passed on.
+    CHECK(other.takeDue(0).empty());
+}
+
+TEST_CASE("Load models, more samples than a digest holds, are bounded")
+{
+    LoadModels models;
+    models.setServices(services("a"));
+    for (unsigned count = 0; count < 10 * maxDigestSamples; ++count) {
+        models.measured("a", { 0, 10'000, 2'000 });
+    }
+    CHECK(models.takeDue(0).size() == maxDigestSamples);
 }
 
 TEST_CASE("Load models, service that is no longer configured, is forgotten")
