Fleet: regions regain contact after a partition of any length

Cause: aggregators sent region digests only to a daemon of the other region that was not silent. After 2 s of partition, in one direction or both, all of them were, nothing was sent, and each side waited for the other.

Change: while a region sends no summaries for 1 s, its daemons get the region digests in turn, one at each time at which a digest is due. A daemon that aggregates nothing forwards it to the aggregator of its own region in a Report; the sender is always among the relayed members. A silent region is not told the demand for limits, since the shares of both sides would otherwise exceed the limit.

--- a/src/portpaddle/fleet/aggregators.cpp
+++ b/src/portpaddle/fleet/aggregators.cpp
@@ -37,6 +37,7 @@
     for (const DaemonRecord &daemon : view_->daemons) {
         rankings_.try_emplace(daemon.region);
     }
+    std::erase_if(nextCursors_, [this](const auto &entry) { return !rankings_.contains(entry.first); });
 }
 
 void Aggregators::setSendInterval(std::chrono::milliseconds interval)
@@ -49,7 +50,7 @@
     return std::max(minMaxSilence, sendInterval_ * maxMissingSums);
 }
 
-const DaemonRecord *Aggregators::of(const std::string &region, unsigned shard, SteadyTime now) const
+const std::vector<const DaemonRecord *> *Aggregators::rankingOf(const std::string &region, unsigned shard) const
 {
     const auto found = rankings_.find(region);
     if (found == rankings_.end()) {
@@ -59,12 +60,28 @@
     if (ranking.empty()) {
         ranking = rankForRole(*view_, region, fmt::format("news {}", shard));
     }
-    for (const DaemonRecord *daemon : ranking) {
-        if (isSelf(*daemon) || (!isSilent_(daemon->id, now) && !isAvoided(daemon->id, now))) {
-            return daemon;
-        }
+    return &ranking;
+}
+
+const DaemonRecord *Aggregators::of(const std::string &region, unsigned shard, SteadyTime now) const
+{
+    const std::vector<const DaemonRecord *> *ranking = rankingOf(region, shard);
+    if (ranking == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(ranking->begin(), ranking->end(), [this, now](const DaemonRecord *daemon) {
+        return isSelf(*daemon) || (!isSilent_(daemon->id, now) && !isAvoided(daemon->id, now));
+    });
+    return found == ranking->end() ? nullptr : *found;
+}
+
+const DaemonRecord *Aggregators::next(const std::string &region, unsigned shard)
+{
+    const std::vector<const DaemonRecord *> *ranking = rankingOf(region, shard);
+    if (ranking == nullptr || ranking->empty()) {
+        return nullptr;
     }
-    return nullptr;
+    return ranking->at(nextCursors_[region].at(shard)++ % ranking->size());
 }
 
 bool Aggregators::isSelf(const DaemonRecord &daemon) const
--- a/src/portpaddle/fleet/aggregators.h
+++ b/src/portpaddle/fleet/aggregators.h
@@ -30,6 +30,8 @@
     void setSendInterval(std::chrono::milliseconds interval);
     /// Returns the aggregator of @p shard in @p region; null if the region has no daemon that can be one.
     const DaemonRecord *of(const std::string &region, unsigned shard, SteadyTime now) const;
+    /// Returns the daemons of @p region in turn, silent ones included; null if the region has no daemon that is not leaving.
+    const DaemonRecord *next(const std::string &region, unsigned shard);
     bool isSelf(const DaemonRecord &daemon) const;
     /// Records that this daemon sent a report to @p aggregator, from which sums are expected from now on.
     void noteReportSent(const std::string &aggregator, SteadyTime now);
@@ -53,6 +55,8 @@
     };
 
     bool isAvoided(const std::string &daemon, SteadyTime now) const;
+    /// Returns the daemons that can aggregate @p shard in @p region, the preferred one first; null if the region is not listed.
+    const std::vector<const DaemonRecord *> *rankingOf(const std::string &region, unsigned shard) const;
 
     /// Returns how long an aggregator may send no sums.
     std::chrono::milliseconds maxSilence() const;
@@ -62,6 +66,9 @@
     std::shared_ptr<const FleetView> view_;
     /// By region; has all regions of the fleet.
     mutable std::unordered_map<std::string, ShardRankings> rankings_;
+    /// By region and shard: how many daemons next() has returned. They are kept when the list of daemons changes: beginning again
+    /// with the first one each time could return the same dead daemons only.
+    std::unordered_map<std::string, std::array<std::size_t, aggregationShards>> nextCursors_;
     std::unordered_map<std::string, Response> responses_;
     std::chrono::milliseconds sendInterval_{ 100 };
 };
--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -67,6 +67,21 @@
     return result;
 }
 
+/// Adds the sender of @p digest to @p members: it is certainly alive, and may be the only daemon of its region known to be.
+void addSender(const Wire::LoadDigestT &digest, std::vector<Wire::MemberNews> &members)
+{
+    const std::uint32_t key = memberKey(digest.daemon);
+    const bool known
+        = std::any_of(members.begin(), members.end(), [key](const Wire::MemberNews &member) { return member.daemon() == key; });
+    if (known) {
+        return;
+    }
+    if (members.size() >= maxDigestMembers) {
+        members.pop_back();
+    }
+    members.emplace_back(key, 0, digest.phase);
+}
+
 } // namespace
 
 LoadAggregation::LoadAggregation(std::string ownId, std::string ownRegion, UpstreamLoads &loads, RegionTable &regions,
@@ -128,6 +143,9 @@
     }
     // Daemons take different turns, so that their reports do not arrive together.
     const bool sends = (turn + stableHash(ownId_)) % turnsBetweenSends_ == 0;
+    if (!isAnyAggregator(now)) {
+        addForwardedRegions(header, now, out);
+    }
     for (unsigned shard = 0; shard < aggregationShards; ++shard) {
         const DaemonRecord *aggregator = aggregators_.of(ownRegion_, shard, now);
         if (aggregator == nullptr) {
@@ -155,6 +173,16 @@
     return aggregator != nullptr && aggregators_.isSelf(*aggregator);
 }
 
+bool LoadAggregation::isAnyAggregator(SteadyTime now) const
+{
+    for (unsigned shard = 0; shard < aggregationShards; ++shard) {
+        if (isAggregator(shard, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void LoadAggregation::collectParts()
 {
     for (const Wire::PlacedPart &part : loads_.takePlaced(DigestReach::OwnRegion)) {
@@ -234,31 +262,66 @@
         if (!region.isUnsent) {
             continue;
         }
-        region.isUnsent = false;
-        auto regionNews = std::make_unique<Wire::RegionNewsT>();
-        regionNews->region = name;
-        regionNews->services = region.services;
-        regionNews->placed = drainParts(region.placed);
-        regionNews->placed.resize(std::min(regionNews->placed.size(), maxRelayedParts));
-        regionNews->members = withIncreasedAge(region.members, now - region.at);
-        digest.regions.push_back(std::move(regionNews));
+        digest.regions.push_back(takeUnsent(name, region, now));
         out.push_back({ to, digest });
         digest.regions.clear();
     }
 }
 
-void LoadAggregation::addRegionDigests(unsigned shard, Wire::LoadDigestT digest,
-                                       const std::function<void(Wire::LoadDigestT &)> &addWaits, SteadyTime now,
-                                       std::vector<OutgoingDigest> &out)
+// The aggregator learns from a Report with the data of another region that the region can be reached. It is sent at once, not at
+// the next turn for reports, since all daemons of the region wait for it.
+void LoadAggregation::addForwardedRegions(const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out)
 {
-    std::vector<std::string> to;
+    for (auto &[name, region] : otherRegions_) {
+        const DaemonRecord *aggregator = region.isUnsent ? aggregators_.of(ownRegion_, region.shard, now) : nullptr;
+        if (aggregator == nullptr) {
+            continue;
+        }
+        Wire::LoadDigestT digest = header;
+        digest.kind = Wire::DigestKind::Report;
+        digest.shard = static_cast<std::uint8_t>(region.shard);
+        digest.regions.push_back(takeUnsent(name, region, now));
+        out.push_back({ { aggregator->linkAddress }, std::move(digest) });
+    }
+}
+
+std::unique_ptr<Wire::RegionNewsT> LoadAggregation::takeUnsent(const std::string &name, OtherRegion &region, SteadyTime now)
+{
+    region.isUnsent = false;
+    auto regionNews = std::make_unique<Wire::RegionNewsT>();
+    regionNews->region = name;
+    regionNews->services = region.services;
+    regionNews->placed = drainParts(region.placed);
+    regionNews->placed.resize(std::min(regionNews->placed.size(), maxRelayedParts));
+    regionNews->members = withIncreasedAge(region.members, now - region.at);
+    return regionNews;
+}
+
+// A silent region may have silenced this one in the same way, and its first-ranked daemons may be dead: its daemons are sent
+// digests in turn, as many as its aggregator would get.
+LoadAggregation::RegionRecipients LoadAggregation::regionRecipients(unsigned shard, SteadyTime now)
+{
+    RegionRecipients to;
     for (const std::string &region : aggregators_.regions()) {
-        const DaemonRecord *aggregator = region == ownRegion_ ? nullptr : aggregators_.of(region, shard, now);
+        if (region == ownRegion_) {
+            continue;
+        }
+        const DaemonRecord *aggregator = regions_.isSilentRegion(region, now) ? nullptr : aggregators_.of(region, shard, now);
         if (aggregator != nullptr) {
-            to.push_back(aggregator->linkAddress);
+            to.reachable.push_back(aggregator->linkAddress);
+        } else if (const DaemonRecord *daemon = aggregators_.next(region, shard)) {
+            to.silent.push_back(daemon->linkAddress);
         }
     }
-    if (to.empty()) {
+    return to;
+}
+
+void LoadAggregation::addRegionDigests(unsigned shard, Wire::LoadDigestT digest,
+                                       const std::function<void(Wire::LoadDigestT &)> &addWaits, SteadyTime now,
+                                       std::vector<OutgoingDigest> &out)
+{
+    const RegionRecipients to = regionRecipients(shard, now);
+    if (to.reachable.empty() && to.silent.empty()) {
         return;
     }
     digest.kind = Wire::DigestKind::Region;
@@ -267,13 +330,20 @@
     digest.placed = drainParts(partsForRegions_.at(shard));
     digest.placed.resize(std::min(digest.placed.size(), maxDigestParts));
     digest.members = nextMembers(regionMemberCursor_, maxDigestMembers, digest.phase, now);
+    // A silent region is not told the demand for limits: it would adapt its share to it, while this region, which cannot know
+    // that share, keeps its own, and both together would exceed the limit.
+    if (!to.silent.empty()) {
+        out.push_back({ to.silent, digest });
+    }
     Wire::LoadDigestT header = digest;
     header.placed.clear();
     header.members.clear();
     std::vector<Wire::LoadDigestT> parts{ std::move(digest) };
     attachLimits(parts, header, { {}, {}, limits_.demands(inShard(shard), now) });
     for (Wire::LoadDigestT &part : parts) {
-        out.push_back({ to, std::move(part) });
+        if (!to.reachable.empty()) {
+            out.push_back({ to.reachable, std::move(part) });
+        }
     }
 }
 
@@ -287,47 +357,84 @@
     case Wire::DigestKind::RolloutSum:
         break;
     case Wire::DigestKind::Report:
-        loads_.applyDigest(digest, now);
-        limits_.takeCounts(digest.daemon, digest.limit_counts, now);
-        for (const Wire::PlacedPart &part : digest.placed) {
-            addPart(parts_.at(shardOf(part.upstream())), part);
-        }
+        takeReport(digest, now);
         break;
-    case Wire::DigestKind::Sum: {
-        aggregators_.noteSumsReceived(digest.daemon, now);
-        regions_.takeMembers(digest.members, now);
-        for (const std::unique_ptr<Wire::RegionNewsT> &regionNews : digest.regions) {
-            regions_.takeRegion(regionNews->region, regionNews->services, regionNews->placed, now);
-            regions_.takeMembers(regionNews->members, now);
-        }
-        // An aggregator ignores sums of its own shard: if two daemons aggregate one shard, each would include the other's counts.
-        const DaemonRecord *aggregator
-            = digest.shard < aggregationShards ? aggregators_.of(ownRegion_, digest.shard, now) : nullptr;
-        if (aggregator != nullptr && !aggregators_.isSelf(*aggregator)) {
-            loads_.applySums(digest, now);
-            if (aggregator->id == digest.daemon) {
-                limits_.takeGrants(digest.limit_grants, now);
-            }
-        }
+    case Wire::DigestKind::Sum:
+        takeSum(digest, now);
+        break;
+    case Wire::DigestKind::Region:
+        takeRegionDigest(digest, now);
         break;
     }
-    case Wire::DigestKind::Region: {
-        regions_.takeMembers(digest.members, now);
-        if (!regions_.listedRegions().contains(digest.region)) {
-            break;
+}
+
+void LoadAggregation::takeReport(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    loads_.applyDigest(digest, now);
+    limits_.takeCounts(digest.daemon, digest.limit_counts, now);
+    for (const Wire::PlacedPart &part : digest.placed) {
+        addPart(parts_.at(shardOf(part.upstream())), part);
+    }
+    for (const std::unique_ptr<Wire::RegionNewsT> &regionNews : digest.regions) {
+        takeRelayed(*regionNews, now);
+        // A daemon that aggregates nothing does not forward this once more: two that take each other for the aggregator would
+        // send it back and forth.
+        if (regions_.listedRegions().contains(regionNews->region) && regionNews->region != ownRegion_ && isAnyAggregator(now)) {
+            keepForRelay(*regionNews, digest.shard, now);
         }
-        limits_.takeDemands(digest.region, digest.limit_demands, now);
-        OtherRegion &region = otherRegions_[digest.region];
-        region.services = digest.services;
-        for (const Wire::PlacedPart &part : digest.placed) {
-            addPart(region.placed, part);
+    }
+}
+
+void LoadAggregation::takeSum(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    aggregators_.noteSumsReceived(digest.daemon, now);
+    regions_.takeMembers(digest.members, now);
+    for (const std::unique_ptr<Wire::RegionNewsT> &regionNews : digest.regions) {
+        takeRelayed(*regionNews, now);
+    }
+    // An aggregator ignores sums of its own shard: if two daemons aggregate one shard, each would include the other's counts.
+    const DaemonRecord *aggregator = digest.shard < aggregationShards ? aggregators_.of(ownRegion_, digest.shard, now) : nullptr;
+    if (aggregator != nullptr && !aggregators_.isSelf(*aggregator)) {
+        loads_.applySums(digest, now);
+        if (aggregator->id == digest.daemon) {
+            limits_.takeGrants(digest.limit_grants, now);
         }
-        region.members = digest.members;
-        region.at = now;
-        region.isUnsent = true;
-        break;
     }
+}
+
+void LoadAggregation::takeRegionDigest(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    regions_.takeMembers(digest.members, now);
+    if (!regions_.listedRegions().contains(digest.region)) {
+        return;
+    }
+    limits_.takeDemands(digest.region, digest.limit_demands, now);
+    Wire::RegionNewsT regionNews;
+    regionNews.region = digest.region;
+    regionNews.services = digest.services;
+    regionNews.placed = digest.placed;
+    regionNews.members = digest.members;
+    addSender(digest, regionNews.members);
+    keepForRelay(regionNews, digest.shard, now);
+}
+
+void LoadAggregation::takeRelayed(const Wire::RegionNewsT &regionNews, SteadyTime now)
+{
+    regions_.takeRegion(regionNews.region, regionNews.services, regionNews.placed, now);
+    regions_.takeMembers(regionNews.members, now);
+}
+
+void LoadAggregation::keepForRelay(const Wire::RegionNewsT &regionNews, unsigned shard, SteadyTime now)
+{
+    OtherRegion &region = otherRegions_[regionNews.region];
+    region.services = regionNews.services;
+    for (const Wire::PlacedPart &part : regionNews.placed) {
+        addPart(region.placed, part);
     }
+    region.members = regionNews.members;
+    region.at = now;
+    region.shard = shard % aggregationShards;
+    region.isUnsent = true;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/load_aggregation.h
+++ b/src/portpaddle/fleet/load_aggregation.h
@@ -60,9 +60,20 @@
         std::vector<Wire::PlacedPart> placed;
         std::vector<Wire::MemberNews> members;
         SteadyTime at{};
+        /// The shard of the aggregator that sent the newest data.
+        unsigned shard = 0;
         bool isUnsent = false;
     };
 
+    /// The addresses to which the next region digests of a shard go.
+    struct RegionRecipients
+    {
+        /// Aggregators of regions that send summaries.
+        std::vector<std::string> reachable;
+        /// Of each silent region, the daemon whose turn it is.
+        std::vector<std::string> silent;
+    };
+
     void collectParts();
     /// Adds this daemon's report to @p aggregator. @p shares are this daemon's at the upstreams of @p shard.
     void addReport(const DaemonRecord &aggregator, unsigned shard, const std::vector<Wire::UpstreamShare> &shares,
@@ -70,6 +81,20 @@
     void addSums(unsigned shard, const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
     void addRelayedRegions(const Wire::LoadDigestT &header, const std::vector<std::string> &to, SteadyTime now,
                            std::vector<OutgoingDigest> &out);
+    /// Adds the data of other regions that came to this daemon although it aggregates nothing, for aggregators of the own region.
+    void addForwardedRegions(const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
+    RegionRecipients regionRecipients(unsigned shard, SteadyTime now);
+    /// Takes the data of @p region that was not sent yet, in the form in which digests carry it.
+    static std::unique_ptr<Wire::RegionNewsT> takeUnsent(const std::string &name, OtherRegion &region, SteadyTime now);
+    /// Whether this daemon is the aggregator of any shard in its region.
+    bool isAnyAggregator(SteadyTime now) const;
+    void takeReport(const Wire::LoadDigestT &digest, SteadyTime now);
+    void takeSum(const Wire::LoadDigestT &digest, SteadyTime now);
+    void takeRegionDigest(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// Applies data of other regions that a daemon of the own region passed on.
+    void takeRelayed(const Wire::RegionNewsT &regionNews, SteadyTime now);
+    /// Keeps data of another region, which an aggregator of @p shard there sent, until it is relayed in the own region.
+    void keepForRelay(const Wire::RegionNewsT &regionNews, unsigned shard, SteadyTime now);
     void addRegionDigests(unsigned shard, Wire::LoadDigestT digest, const std::function<void(Wire::LoadDigestT &)> &addWaits,
                           SteadyTime now, std::vector<OutgoingDigest> &out);
     /// Returns the next @p count members of the own region, this daemon and those that it heard directly; advances @p cursor.
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -18,6 +18,9 @@
 // Summaries of another region come a few times a second; an older one means that the link is cut.
 constexpr std::chrono::milliseconds maxSummaryAge{ 1'500 };
 constexpr std::chrono::milliseconds livenessTimeout{ 2'000 };
+// The four aggregators of a region each send a summary every 400 ms; after this time about ten in a row are missing. It is
+// shorter than the age at which a summary no longer counts, so that other daemons of the region are tried before.
+constexpr std::chrono::milliseconds maxRegionSilence{ 1'000 };
 constexpr std::chrono::milliseconds avoidanceTime{ 1'000 };
 // Digests of a newly listed daemon reach all others within about two seconds, also in small fleets, where daemons take turns to
 // send.
@@ -78,6 +81,7 @@
         return;
     }
     Region &region = regions_[name];
+    region.summaryAt = now;
     for (const Wire::ServiceWait &service : services) {
         const double patientWaitMs = service.patient_wait_ms();
         ServiceState summary;
@@ -184,6 +188,12 @@
     return now - found->second.heard > (near ? silenceBound() : livenessTimeout);
 }
 
+bool RegionTable::isSilentRegion(const std::string &region, SteadyTime now) const
+{
+    const auto found = regions_.find(region);
+    return found == regions_.end() || now - found->second.summaryAt > maxRegionSilence;
+}
+
 Wire::DaemonPhase RegionTable::phaseOf(const std::string &daemon) const
 {
     const auto found = peers_.find(daemon);
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -48,6 +48,8 @@
     void markUnreachable(const std::string &daemon, SteadyTime now);
     /// Returns whether the daemon is listed or was heard from, but is not heard from any more.
     bool fellSilent(const std::string &daemon, SteadyTime now) const;
+    /// Returns whether no summary of @p region, which is another one, has arrived for a while.
+    bool isSilentRegion(const std::string &region, SteadyTime now) const;
     /// Returns the phase that the daemon last reported; Serving before any report.
     Wire::DaemonPhase phaseOf(const std::string &daemon) const;
     /// Returns the number of daemons of the own region that were heard from recently, this one included; as of the last tick.
@@ -123,6 +125,8 @@
     struct Region
     {
         std::unordered_map<std::uint64_t, ServiceState> services;
+        /// When the last summary came.
+        SteadyTime summaryAt{};
         /// Prompt parts that some upstream there has prefilled.
         PrefixMemory prefixes;
     };
