Fleet: the demands of a region digest no longer replace its summary

Cause: a region digest with many entries is sent in parts, and the further ones hold only demands for limits. The aggregator kept the content of the last part, so that it relayed a region without services and members.

Change: a part without services and members replaces nothing.

Measured: the new test failed before (the relayed services and members were empty) and passes after.

--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -409,6 +409,10 @@
         return;
     }
     limits_.takeDemands(digest.region, digest.limit_demands, now);
+    // The further parts of a digest hold only demands.
+    if (digest.services.empty() && digest.members.empty()) {
+        return;
+    }
     Wire::RegionNewsT regionNews;
     regionNews.region = digest.region;
     regionNews.services = digest.services;
--- a/tests/gateway/region_contact_tests.cpp
+++ b/tests/gateway/region_contact_tests.cpp
@@ -321,3 +321,35 @@
     run(1s);
     CHECK(demandsSent[{ "north", "south" }] > 0);
 }
+
+// Guards against a digest in several parts, of which the last holds only demands and replaced what the first said of the region.
+TEST_CASE_FIXTURE(RegionContactFixture, "Region contact, digest whose second part holds only demands, its summary is relayed")
+{
+    build(30);
+    run(4s);
+    const auto aggregator = std::find_if(daemons.begin(), daemons.end(), [this](const auto &entry) {
+        return entry.second->region == "north" && entry.second->aggregation.isAggregator(0, now);
+    });
+    REQUIRE(aggregator != daemons.end());
+    Wire::LoadDigestT digest;
+    digest.daemon = "south-1";
+    digest.region = "south";
+    digest.kind = Wire::DigestKind::Region;
+    Wire::LoadDigestT demands = digest;
+    digest.services.emplace_back(serviceKey(serviceName), 10, 20, 30, 5, 100.0F, 2.0F, 1.0F);
+    digest.members.emplace_back(memberKey("south-1"), 0, Wire::DaemonPhase::Serving);
+    demands.limit_demands.emplace_back(7, 1.0F);
+    LoadAggregation &aggregation = aggregator->second->aggregation;
+    aggregation.take(digest, now);
+    aggregation.take(demands, now);
+    std::size_t relayed = 0;
+    for (const OutgoingDigest &outgoing : aggregation.due(
+             turn, {}, [](Wire::LoadDigestT &) {}, now)) {
+        for (const auto &regionNews : outgoing.digest.regions) {
+            relayed += regionNews->region == "south" ? 1 : 0;
+            CHECK_FALSE(regionNews->services.empty());
+            CHECK_FALSE(regionNews->members.empty());
+        }
+    }
+    CHECK(relayed == 1);
+}
