Region table: forget daemons that ended

Cause: at most 4,096 daemons are remembered, and none was ever forgotten. In a fleet whose daemons are replaced under new names, digests of new ones were dropped once the bound was reached, until a restart.

Change: a daemon that is no longer listed and was silent for 120 s is forgotten when the list changes.

Measured: the new test, 5,000 daemons one after another, failed before and passes after.

--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -36,6 +36,9 @@
 constexpr double sharedPartShare = 0.3;
 // A daemon that vanished is counted for this time, because it may return and spend its share of a bound at once.
 constexpr std::chrono::milliseconds countedPeerAge{ 20'000 };
+// A daemon that is no longer listed is forgotten after this time without digests; the counters of organisation limits remember it
+// for 60 s.
+constexpr std::chrono::milliseconds peerRetention{ 120'000 };
 // Ten times the daemons of the largest planned fleet; datagrams under further names are dropped.
 constexpr std::size_t maxPeers = 4'096;
 
@@ -111,6 +114,10 @@
     }
     listedDaemons_ = std::move(listed);
     usableDaemons_.clear();
+    // Otherwise daemons that ended long ago would use up the bound, and digests of new ones would be dropped.
+    std::erase_if(peers_, [this, now](const auto &entry) {
+        return now - entry.second.heard > peerRetention && !listedDaemons_.contains(memberKey(entry.first));
+    });
 }
 
 const std::set<std::string> &RegionTable::listedRegions() const
--- a/tests/gateway/region_contact_tests.cpp
+++ b/tests/gateway/region_contact_tests.cpp
@@ -353,3 +353,28 @@
     }
     CHECK(relayed == 1);
 }
+
+// Guards against a bound on known daemons that counts those that ended long ago, and then ignores every new one.
+TEST_CASE("Region table, thousands of daemons replaced one after another, digests of new ones are still accepted")
+{
+    RegionTable table;
+    table.setOwnRegion("north");
+    SeededRandom random{ 5 };
+    FleetView view;
+    SteadyTime now = start;
+    for (unsigned index = 0; index < 5'000; ++index) {
+        DaemonRecord record;
+        record.id = fmt::format("south-{}", index);
+        record.region = "south";
+        view.daemons.writable() = { record };
+        table.setDaemons(view, now);
+        Wire::LoadDigestT digest;
+        digest.daemon = record.id;
+        digest.region = record.region;
+        digest.sequence = 1;
+        digest.phase = Wire::DaemonPhase::Serving;
+        table.applyDigest(digest, now);
+        now += 60s;
+    }
+    CHECK(table.pick(view, "south", now - 60s, random) != nullptr);
+}
