Membership: groups that forgot each other meet again

Cause: seeds were pinged only by a daemon that knew no other member. Two halves of a data centre that had forgotten each other as dead, or a region all of whose daemons were replaced in a partition, each knew other members and never asked a seed again.

--- a/src/portpaddle/membership/gossip_node.h
+++ b/src/portpaddle/membership/gossip_node.h
@@ -63,7 +63,8 @@
     /// Handles a received datagram; returns the datagrams to send in response.
     std::vector<Datagram> receive(const SocketAddress &from, std::string_view bytes, Millis now);
 
-    /// Sets the addresses that are pinged while no other member is known.
+    /// Sets the addresses of daemons that may be running. All are pinged while no other member is known, and now and then those
+    /// at which no member is known.
     void setSeeds(std::vector<SocketAddress> seeds);
     /// Announces that this daemon leaves; cannot be undone in this incarnation.
     void leave();
@@ -107,6 +108,8 @@
         std::string target;
     };
 
+    static constexpr std::size_t maxRelays = 256;
+
     GossipMessage newMessage(GossipKind kind, const std::string &target, std::uint32_t sequence) const;
     void send(GossipMessage message, const SocketAddress &to, bool sameDataCentre, Millis now, std::vector<Datagram> &out);
     void beginProbeRound(Millis now, std::vector<Datagram> &out);
@@ -114,9 +117,10 @@
     void probeTarget(const std::string &target, bool remote, Millis now, std::vector<Datagram> &out);
     void addAntiEntropyRecords(GossipMessage &message);
     void push(Millis now, std::vector<Datagram> &out);
-    /// Sends all members to a newcomer, regardless of the byte budget: this happens once per start of a daemon.
+    /// Sends all members to a newcomer, regardless of the byte budget: this happens once or twice per start of a daemon.
     void sendMembers(const SocketAddress &newcomer, Millis now, std::vector<Datagram> &out);
-    void pingSeeds(Millis now, std::vector<Datagram> &out);
+    /// Asks for all members at the address of a daemon that may not know this one.
+    void pingSeed(const SocketAddress &seed, Millis now, std::vector<Datagram> &out);
     void applyMessage(const GossipMessage &message, Millis now);
     void applyUpdate(const MemberUpdate &update, Millis now);
     void announceMember(const MemberUpdate &update);
--- a/src/portpaddle/membership/probe_targets.cpp
+++ b/src/portpaddle/membership/probe_targets.cpp
@@ -65,6 +65,20 @@
     return pickRandom(dead);
 }
 
+std::optional<SocketAddress> ProbeTargets::unknownSeed(const std::vector<SocketAddress> &seeds)
+{
+    for (std::size_t count = 0; count < seeds.size(); ++count) {
+        const SocketAddress &seed = seeds[nextSeed_++ % seeds.size()];
+        const bool known = std::any_of(members_.records().begin(), members_.records().end(), [&seed](const auto &entry) {
+            return entry.second.update.state != MemberState::Dead && entry.second.update.gossip == seed;
+        });
+        if (!known) {
+            return seed;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> ProbeTargets::pickRandom(const std::vector<std::string> &ids)
 {
     return ids.empty() ? std::nullopt : std::optional{ ids[random_.below(ids.size())] };
--- a/src/portpaddle/membership/probe_targets.h
+++ b/src/portpaddle/membership/probe_targets.h
@@ -4,6 +4,8 @@
 /// Selects the members that are probed or sent a push next.
 #pragma once
 
+#include "portpaddle/base/socket_address.h"
+
 #include <deque>
 #include <optional>
 #include <string>
@@ -26,6 +28,8 @@
     std::optional<std::string> randomRemote();
     /// Returns a random member that is believed dead.
     std::optional<std::string> randomDead();
+    /// Returns, in turn, one of @p seeds at whose address no active member is known.
+    std::optional<SocketAddress> unknownSeed(const std::vector<SocketAddress> &seeds);
     /// Returns one of @p ids.
     std::optional<std::string> pickRandom(const std::vector<std::string> &ids);
 
@@ -33,6 +37,7 @@
     const MemberList &members_;
     RandomSource &random_;
     std::deque<std::string> probeOrder_;
+    std::size_t nextSeed_ = 0;
 };
 
 } // namespace Portpaddle
--- a/tests/introspective/membership_tests.cpp
+++ b/tests/introspective/membership_tests.cpp
@@ -160,6 +160,42 @@
     CHECK(network.passUntil(Millis{ 120'000 }, [&] { return network.allSeeAllAlive(); }));
 }
 
+// Guards against halves that forgot each other as dead and that, since each knows other members, never ask a seed again.
+TEST_CASE("Membership, data centre partitioned until the dead are forgotten, both halves find each other again")
+{
+    GossipNetwork network;
+    network.config.deadRetention = Millis{ 20'000 };
+    for (const char *id : { "n-a", "n-b", "x-a", "x-b" }) {
+        network.add(id, "n1");
+    }
+    REQUIRE(network.passUntil(Millis{ 30'000 }, [&] { return network.allSeeAllAlive(); }));
+    network.lost = GossipFixture::across;
+    network.pass(Millis{ 120'000 });
+    REQUIRE(network.node("n-a").members().find("x-a") == nullptr);
+    REQUIRE(network.node("x-a").members().find("n-a") == nullptr);
+    network.lost = [](const std::string &, const std::string &) { return false; };
+    CHECK(network.passUntil(Millis{ 30'000 }, [&] { return network.allSeeAllAlive(); }));
+}
+
+// Guards against new members that found each other in a partition and were told of no member beyond it.
+TEST_CASE_FIXTURE(GossipFixture, "Membership, all members of a region replaced in a partition, regions regain contact")
+{
+    network.lost = across;
+    for (const char *id : { "s-a", "s-b", "s-c" }) {
+        network.remove(id);
+    }
+    network.add("s-d", "s1");
+    network.add("s-e", "s1");
+    const SocketAddress beyond = network.node("n-a").members().self().gossip;
+    network.node("s-d").setSeeds({ beyond, network.node("s-e").members().self().gossip });
+    network.node("s-e").setSeeds({ beyond, network.node("s-d").members().self().gossip });
+    network.pass(Millis{ 30'000 });
+    REQUIRE(network.node("s-d").members().find("s-e") != nullptr);
+    network.lost = [](const std::string &, const std::string &) { return false; };
+    const auto know = [&](const char *id, const char *other) { return network.node(id).members().find(other) != nullptr; };
+    CHECK(network.passUntil(Millis{ 30'000 }, [&] { return know("s-d", "n-a") && know("s-e", "n-b") && know("n-c", "s-d"); }));
+}
+
 TEST_CASE_FIXTURE(GossipFixture, "Membership, VM replaced at the same address under the same name, new incarnation is accepted")
 {
     network.remove("n-b");
