Small fleets: digests reach all daemons of other regions within 1.2 s

Cause: a daemon of a fleet without aggregators sent digests to three daemons of other regions every 300 ms. A region of a single daemon beside 13 to 23 others needed 1.5 to 2.4 s for all of them, but a summary counts for 1.5 s: the region was a candidate only part of the time, and not yet 1.5 s after a partition healed.

Change: the number of recipients grows with the daemons of other regions, so that four rounds reach all; at most 6 in each round instead of 3.

Measured: the new test failed for 13 to 23 others and passes after.

--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -25,8 +25,11 @@
 constexpr std::size_t ticksPerLocalRound = 3;
 // Daemons of other regions are sent the load less often: digests cost traffic between regions and only affect which requests
 // are forwarded.
-constexpr std::size_t ticksBetweenRemoteDigests = 3;
-constexpr std::size_t remotePeersPerRound = 3;
+constexpr std::size_t ticksBetweenRemoteDigests = remoteDigestInterval / tickInterval;
+constexpr std::size_t minRemotePeersPerRound = 3;
+// Each daemon of another region gets a digest within this many rounds, also from a region of a single daemon: summaries count for
+// 1.5 s only.
+constexpr std::size_t maxRemoteRounds = 4;
 
 boost::asio::ip::udp::endpoint datagramEndpoint(const boost::asio::ip::tcp::endpoint &endpoint)
 {
@@ -35,6 +38,12 @@
 
 } // namespace
 
+std::size_t remotePeersPerRound(std::size_t daemons)
+{
+    const std::size_t perRound = (daemons + maxRemoteRounds - 1) / maxRemoteRounds;
+    return std::min(daemons, std::max(minRemotePeersPerRound, perRound));
+}
+
 GatewayServer::GatewayServer(boost::asio::io_context &loop, Gateway &gateway, GatewayServerConfig config)
     : loop_(loop)
     , gateway_(gateway)
@@ -224,7 +233,7 @@
     }
     gateway_.beginDigestRound(DigestReach::OtherRegions);
     const auto datagrams = encodedDigests(DigestReach::OtherRegions);
-    for (std::size_t count = std::min(daemons.size(), remotePeersPerRound); count > 0; --count) {
+    for (std::size_t count = remotePeersPerRound(daemons.size()); count > 0; --count) {
         sendTo(daemons[remoteCursor_.next(daemons.size())]->linkAddress, datagrams);
     }
 }
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -20,6 +20,11 @@
 
 namespace Portpaddle {
 
+/// Interval at which a daemon of a fleet without aggregators sends digests to other regions.
+inline constexpr std::chrono::milliseconds remoteDigestInterval{ 300 };
+/// Returns to how many of the @p daemons of other regions it sends them each time, in turn.
+std::size_t remotePeersPerRound(std::size_t daemons);
+
 /// The addresses of a daemon, and the times of its graceful stop, which count from the order to stop.
 struct GatewayServerConfig
 {
--- a/tests/gateway/region_contact_tests.cpp
+++ b/tests/gateway/region_contact_tests.cpp
@@ -7,6 +7,7 @@
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/role_ranking.h"
+#include "portpaddle/gateway/gateway_server.h"
 #include "portpaddle/gateway/load_digest.h"
 
 #include <doctest/doctest.h>
@@ -378,3 +379,16 @@
     }
     CHECK(table.pick(view, "south", now - 60s, random) != nullptr);
 }
+
+// Guards against a region of one daemon that reaches the daemons of a larger one less often than its summary counts there (1.5
+// s).
+TEST_CASE("Small fleet, region of a single daemon, sends its summary to each daemon of other regions within 1.5 s")
+{
+    for (std::size_t others = 1; others < maxDirectFleetSize; ++others) {
+        CAPTURE(others);
+        const std::size_t perRound = remotePeersPerRound(others);
+        CHECK(perRound <= 6);
+        const std::size_t rounds = (others + perRound - 1) / perRound;
+        CHECK(remoteDigestInterval * static_cast<int>(rounds) < maxRecovery);
+    }
+}
