Tests: a region digest to a daemon that aggregates nothing is forwarded

The tests of whole partitions also passed with the forwarding removed where the daemons that were tried happened to include an aggregator. The new test sends the only digest to another daemon; with the forwarding removed it fails, with it it passes.

--- a/tests/gateway/region_contact_tests.cpp
+++ b/tests/gateway/region_contact_tests.cpp
@@ -297,6 +297,36 @@
     checkCuts(300, { 3s }, Deaths::AtHeal);
 }
 
+// Guards against a digest that is lost with a daemon that aggregates nothing: in a region of hundreds of daemons, those that are
+// tried in 1.5 s are often none of the aggregators.
+TEST_CASE_FIXTURE(RegionContactFixture,
+                  "Region contact, only digest after a partition goes to a daemon that aggregates nothing, all know the region")
+{
+    build(87);
+    cuts = { { "north", "south" }, { "south", "north" } };
+    run(4s);
+    const auto isOrdinary = [this](const auto &entry) {
+        bool aggregates = false;
+        for (unsigned shard = 0; shard < aggregationShards; ++shard) {
+            aggregates = aggregates || entry.second->aggregation.isAggregator(shard, now);
+        }
+        return entry.second->region == "north" && !aggregates;
+    };
+    const auto receiver = std::find_if(daemons.begin(), daemons.end(), isOrdinary);
+    REQUIRE(receiver != daemons.end());
+    CHECK(daemonsWithout("north", "south").size() == 29);
+    Wire::LoadDigestT digest;
+    digest.daemon = "south-1";
+    digest.region = "south";
+    digest.kind = Wire::DigestKind::Region;
+    digest.sequence = 1'000'000;
+    digest.phase = Wire::DaemonPhase::Serving;
+    digest.services.emplace_back(serviceKey(serviceName), 10, 20, 30, 5, 100.0F, 2.0F, 1.0F);
+    deliver(digest, *receiver->second);
+    run(400ms);
+    CHECK(daemonsWithout("north", "south").empty());
+}
+
 // Guards against a limit that is exceeded while one direction is cut: a region told of the other's demand would change its share,
 // and the other one could not know of it.
 TEST_CASE_FIXTURE(RegionContactFixture, "Region contact, region that hears nothing of another, sends it no demands for limits")
