--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -18,6 +18,9 @@
 // Summaries of another region come a few times a second; an older one means that the link is cut.
 constexpr std::chrono::milliseconds maxSummaryAge{ 1'500 };
 constexpr std::chrono::milliseconds livenessTimeout{ 2'000 };
+// The four aggregators of a region each send a summary every 400 ms; after this time about ten in a row are missing. It is
+// shorter than the age at which a summary no longer counts, so that other daemons of the region are tried before.
+constexpr std::chrono::milliseconds maxRegionSilence{ 1'000 };
 constexpr std::chrono::milliseconds avoidanceTime{ 1'000 };
 // Digests of a newly listed daemon reach all others within about two seconds, also in small fleets, where daemons take turns to
 // send.
@@ -33,6 +36,9 @@
 constexpr double sharedPartShare = 0.3;
 // A daemon that vanished is counted for this time, because it may return and spend its share of a bound at once.
 constexpr std::chrono::milliseconds countedPeerAge{ 20'000 };
+// A daemon that is no longer listed is forgotten after this time without digests; the counters of organisation limits remember it
+// for 60 s.
+constexpr std::chrono::milliseconds peerRetention{ 120'000 };
 // Ten times the daemons of the largest planned fleet; datagrams under further names are dropped.
 constexpr std::size_t maxPeers = 4'096;
 
@@ -78,6 +84,7 @@
         return;
     }
     Region &region = regions_[name];
+    region.summaryAt = now;
     for (const Wire::ServiceWait &service : services) {
         const double patientWaitMs = service.patient_wait_ms();
         ServiceState summary;
@@ -107,6 +114,10 @@
     }
     listedDaemons_ = std::move(listed);
     usableDaemons_.clear();
+    // Otherwise daemons that ended long ago would use up the bound, and digests of new ones would be dropped.
+    std::erase_if(peers_, [this, now](const auto &entry) {
+        return now - entry.second.heard > peerRetention && !listedDaemons_.contains(memberKey(entry.first));
+    });
 }
 
 const std::set<std::string> &RegionTable::listedRegions() const
@@ -184,6 +195,12 @@
     return now - found->second.heard > (near ? silenceBound() : livenessTimeout);
 }
 
+bool RegionTable::isSilentRegion(const std::string &region, SteadyTime now) const
+{
+    const auto found = regions_.find(region);
+    return found == regions_.end() || now - found->second.summaryAt > maxRegionSilence;
+}
+
 Wire::DaemonPhase RegionTable::phaseOf(const std::string &daemon) const
 {
     const auto found = peers_.find(daemon);
