Limits: fractions of demand by urgency as a pure function

A grant has one fraction for all requests, so that an urgent request is rejected as often as any other. The new function takes the demand by class and what may be spent and returns a fraction for each class: cheap requests first, within a tenth of the limit, then by urgency. Not used yet.

--- /dev/null
+++ b/src/portpaddle/limits/urgency_fractions.cpp
@@ -0,0 +1,85 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/limits/urgency_fractions.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Portpaddle {
+
+namespace {
+
+// A request is cheap below this fraction of the mean cost. All cheap requests together then cost less than this fraction of the
+// demand, however many they are.
+constexpr double cheapFraction = 0.1;
+// Fraction of a limit that cheap requests may use before the other classes; more of them compete by their urgency.
+constexpr double maxCheapPart = 0.1;
+// Less urgent classes leave the bucket this many seconds of the more urgent demand, which covers its random variation while the
+// reports of it are under way (up to 400 ms).
+constexpr double reserveSeconds = 0.5;
+// Maximum of that reserve as a fraction of the burst, so that a full bucket is never reserved as a whole.
+constexpr double maxReservePart = 0.5;
+
+std::size_t indexOf(LimitClass limitClass)
+{
+    return static_cast<std::size_t>(limitClass);
+}
+
+} // namespace
+
+LimitClass limitClassOf(Urgency urgency, double units, double cheapBelow)
+{
+    if (units < cheapBelow) {
+        return LimitClass::Cheap;
+    }
+    switch (urgency) {
+    case Urgency::Urgent:
+        return LimitClass::Urgent;
+    case Urgency::Usual:
+        return LimitClass::Usual;
+    case Urgency::Patient:
+    case Urgency::Late:
+        break;
+    }
+    return LimitClass::Patient;
+}
+
+double cheapBelow(double meanUnits)
+{
+    return cheapFraction * meanUnits;
+}
+
+ByLimitClass admittedFractions(const ByLimitClass &asked, const SpendingLimit &limit)
+{
+    const bool excessIsHarmless = std::accumulate(asked.begin(), asked.end(), -limit.perSecond) <= limit.harmlessExcess;
+    ByLimitClass fractions{};
+    double moreUrgent = 0;
+    double spent = 0;
+    for (std::size_t index = 0; index < limitClassCount; ++index) {
+        const bool cheap = index == indexOf(LimitClass::Cheap);
+        const double spendable = limit.spendable - std::min(maxReservePart * limit.burst, reserveSeconds * moreUrgent);
+        const double budget = std::max(0.0, limit.perSecond + spendable / limit.settleSeconds - spent);
+        const double available = cheap ? std::min(budget, maxCheapPart * limit.perSecond) : budget;
+        const bool all = asked.at(index) <= available || (excessIsHarmless && spendable >= 0);
+        fractions.at(index) = all ? 1 : available / asked.at(index);
+        spent += fractions.at(index) * asked.at(index);
+        moreUrgent += cheap ? 0 : asked.at(index);
+    }
+    return fractions;
+}
+
+double totalFraction(const ByLimitClass &asked, const ByLimitClass &fractions)
+{
+    const double all = std::accumulate(asked.begin(), asked.end(), 0.0);
+    return all > 0 ? std::inner_product(asked.begin(), asked.end(), fractions.begin(), 0.0) / all : 1;
+}
+
+double fractionFor(const ByLimitClass &fractions, Urgency urgency, double units, double cheapBelow)
+{
+    const double byUrgency = fractions.at(indexOf(limitClassOf(urgency, units, 0)));
+    const bool cheap = limitClassOf(urgency, units, cheapBelow) == LimitClass::Cheap;
+    return cheap ? std::max(byUrgency, fractions.at(indexOf(LimitClass::Cheap))) : byUrgency;
+}
+
+} // namespace Portpaddle
