--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -60,6 +60,12 @@
     { "portpaddle_upstream_notices_unreadable_total", "Answers with a notice about their upstream that could not be parsed." },
     { "portpaddle_sent_past_notice_total",
       "Requests sent to upstreams that had announced that they are leaving, or within a backoff that they had asked for." },
+    { "portpaddle_limit_admitted_urgent_total", "Urgent requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_admitted_usual_total", "Usual requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_admitted_patient_total", "Patient requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_refused_urgent_total", "Urgent requests refused by the limit of their organisation." },
+    { "portpaddle_limit_refused_usual_total", "Usual requests refused by the limit of their organisation." },
+    { "portpaddle_limit_refused_patient_total", "Patient requests refused by the limit of their organisation." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -50,6 +50,12 @@
     BackoffsAsked,
     NoticesUnreadable,
     SentPastNotice,
+    LimitAdmittedUrgent,
+    LimitAdmittedUsual,
+    LimitAdmittedPatient,
+    LimitRefusedUrgent,
+    LimitRefusedUsual,
+    LimitRefusedPatient,
     Count,
 };
 
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -22,6 +22,20 @@
 // Below every chance that draws a new version unless it receives all requests.
 constexpr double retryVersionChance = 0.999'999;
 
+Counter limitCounter(Urgency urgency, bool admitted)
+{
+    switch (urgency) {
+    case Urgency::Urgent:
+        return admitted ? Counter::LimitAdmittedUrgent : Counter::LimitRefusedUrgent;
+    case Urgency::Usual:
+        return admitted ? Counter::LimitAdmittedUsual : Counter::LimitRefusedUsual;
+    case Urgency::Patient:
+    case Urgency::Late:
+        break;
+    }
+    return admitted ? Counter::LimitAdmittedPatient : Counter::LimitRefusedPatient;
+}
+
 } // namespace
 
 Task<bool> Exchange::awaitConfiguration()
@@ -97,6 +111,9 @@
     const LimitAsk ask{ units, urgency, timeLeft(), admissionChance(request_.idHash, std::chrono::duration_cast<Millis>(wall)) };
     const std::optional<Millis> back
         = gateway_.organisationLimits_.admit(*organisation_, ask, BootClock::now(), gateway_.random_);
+    if (limit.isSet()) {
+        gateway_.metrics_.count(limitCounter(urgency, !back));
+    }
     if (back) {
         co_await refuse(ErrorCode::LimitReached,
                         fmt::format("the limit of {} {} per second is exhausted; {:.0f} % of the {} demand is admitted",
