--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -64,6 +64,12 @@
     { "portpaddle_upstream_load_reports_unreadable_total", "Answers with a reported load that could not be parsed." },
     { "portpaddle_upstream_load_reports_from_daemons_total",
       "Reported loads received from other daemons that were newer than those known." },
+    { "portpaddle_limit_admitted_urgent_total", "Urgent requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_admitted_usual_total", "Usual requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_admitted_patient_total", "Patient requests admitted by the limit of their organisation." },
+    { "portpaddle_limit_refused_urgent_total", "Urgent requests refused by the limit of their organisation." },
+    { "portpaddle_limit_refused_usual_total", "Usual requests refused by the limit of their organisation." },
+    { "portpaddle_limit_refused_patient_total", "Patient requests refused by the limit of their organisation." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -53,6 +53,12 @@
     LoadReportsReceived,
     LoadReportsUnreadable,
     LoadReportsFromDaemons,
+    LimitAdmittedUrgent,
+    LimitAdmittedUsual,
+    LimitAdmittedPatient,
+    LimitRefusedUrgent,
+    LimitRefusedUsual,
+    LimitRefusedPatient,
     Count,
 };
 
--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -69,6 +69,11 @@
     return parts.empty() ? 0 : std::max(0.0, static_cast<double>(promptTokens) - parts.back().tokens);
 }
 
+std::uint64_t CallerRequest::contentHash() const
+{
+    return prompt.parts.empty() ? idHash : prompt.parts.back().chainHash;
+}
+
 CallerRequest decodeRequest(HttpRequest message, const HeaderNames &names, SteadyTime arrivedAt)
 {
     CallerRequest request;
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -67,6 +67,8 @@
     unsigned earlierSends = 0;
     /// The forwarding daemon can have the stream continued elsewhere.
     bool senderCanContinue = false;
+    /// Returns a hash that a further try of the caller also has: that of its prompt, or of the id where there is none.
+    std::uint64_t contentHash() const;
     /// Where the request resumes a run whose memory was moved; absent for a run that starts anew.
     std::optional<Continuation> continuation;
 };
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -22,6 +22,20 @@
 // Below every chance that draws a new version unless it receives all requests.
 constexpr double retryVersionChance = 0.999'999;
 
+Counter limitCounter(Urgency urgency, bool admitted)
+{
+    switch (urgency) {
+    case Urgency::Urgent:
+        return admitted ? Counter::LimitAdmittedUrgent : Counter::LimitRefusedUrgent;
+    case Urgency::Usual:
+        return admitted ? Counter::LimitAdmittedUsual : Counter::LimitRefusedUsual;
+    case Urgency::Patient:
+    case Urgency::Late:
+        break;
+    }
+    return admitted ? Counter::LimitAdmittedPatient : Counter::LimitRefusedPatient;
+}
+
 } // namespace
 
 Task<bool> Exchange::awaitConfiguration()
@@ -92,13 +106,21 @@
     }
     const OrganisationLimit &limit = organisation_->limit;
     const double units = limit.costOf(double(request_.prompt.promptTokens) + request_.prompt.maxTokensOut);
-    const std::optional<std::chrono::milliseconds> back
-        = gateway_.organisationLimits_.admit(*organisation_, units, BootClock::now(), gateway_.random_);
+    const Urgency urgency = services_->urgencyOfRoute(*route_);
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    const LimitAsk ask{ units, urgency, timeLeft(),
+                        admissionChance(request_.contentHash(), std::chrono::duration_cast<Millis>(wall)) };
+    const std::optional<Millis> back
+        = gateway_.organisationLimits_.admit(*organisation_, ask, BootClock::now(), gateway_.random_);
+    if (limit.isSet()) {
+        gateway_.metrics_.count(limitCounter(urgency, !back));
+    }
     if (back) {
         co_await refuse(ErrorCode::LimitReached,
-                        fmt::format("the limit of {} {} per second is exhausted; {:.0f} % of the demand is admitted",
+                        fmt::format("the limit of {} {} per second is exhausted; {:.0f} % of the {} demand is admitted",
                                     limit.perSecond, nameOf(limit.unit),
-                                    100 * gateway_.organisationLimits_.admittedPart(organisation_->name)),
+                                    100 * gateway_.organisationLimits_.admittedPart(organisation_->name, urgency),
+                                    nameOf(urgency)),
                         *back);
         co_return false;
     }
@@ -133,8 +155,10 @@
 
 Gateway::ChoiceContext Exchange::choiceContext() const
 {
-    Gateway::ChoiceContext context{ *route_,     organisation_,      services_->priorities().urgencyOf(priority()), service_, tried_, deadline_,
-                                    eventsSeen_, latestPredictedEnd_ };
+    Gateway::ChoiceContext context{
+        *route_,     organisation_,      services_->priorities().urgencyOf(priority()), service_, tried_, deadline_,
+        eventsSeen_, latestPredictedEnd_
+    };
     context.versionRule = gateway_.rollouts_.rule(service_);
     // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
     context.arm = drawArm(context.versionRule, askedTargets_.empty() ? versionChance_ : retryVersionChance);
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/gateway/load_digest.cpp
@@ -62,9 +62,11 @@
     const bool bounded = digest.upstreams.size() <= maxDigestUpstreams && digest.placed.size() <= maxDigestParts
         && digest.services.size() <= maxDigestServices && digest.limit_counts.size() <= maxDigestLimits
         && digest.limit_grants.size() <= maxDigestLimits && digest.limit_demands.size() <= maxDigestLimits
-        && digest.ended_under.size() <= maxDigestCrashes && digest.quarantined.size() <= maxDigestCrashes
-        && digest.first_token_times.size() <= maxDigestSamples && digest.upstream_limits.size() <= maxDigestUpstreamLimits
-        && digest.rollout_counts.size() <= maxDigestRolloutCounts && digest.upstream_reports.size() <= maxDigestReports;
+        && digest.limit_urgency_counts.size() <= maxDigestLimits && digest.limit_urgency_grants.size() <= maxDigestLimits
+        && digest.limit_urgency_demands.size() <= maxDigestLimits && digest.ended_under.size() <= maxDigestCrashes
+        && digest.quarantined.size() <= maxDigestCrashes && digest.first_token_times.size() <= maxDigestSamples
+        && digest.upstream_limits.size() <= maxDigestUpstreamLimits && digest.rollout_counts.size() <= maxDigestRolloutCounts
+        && digest.upstream_reports.size() <= maxDigestReports;
     if (!bounded) {
         return Error{ ErrorCode::BadRequest, "load digest has too many entries", RunState::NotRun, {} };
     }
--- a/src/portpaddle/gateway/service_map.cpp
+++ b/src/portpaddle/gateway/service_map.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/base/name_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Portpaddle {
 
@@ -18,6 +19,8 @@
 constexpr Millis minFirstEventTimeout{ 2'000 };
 constexpr int timeoutPerTargetLatency = 4;
 constexpr int timeoutPerLongestPause = 8;
+// Each further priority of routes weighs so much of the one before, so that the most urgent ones keep classes of their own.
+constexpr double furtherRouteWeight = 0.5;
 
 } // namespace
 
@@ -75,6 +78,7 @@
         byHost_[route.host].push_back(&route);
     }
     priorities_ = PriorityOrder(priorityWeights());
+    routePriorities_ = PriorityOrder(routeWeights());
     for (auto &[host, entries] : byHost_) {
         std::sort(entries.begin(), entries.end(),
                   [](const Route *a, const Route *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
@@ -101,8 +105,7 @@
     return { ofOrganisation, route.priority };
 }
 
-/// Weighs each priority by the limits of the organisations that have it: the configuration says no more about the demand. Each
-/// further priority of routes weighs half, so that the most urgent ones are kept apart.
+/// Weighs each priority by the limits of the organisations that have it: the configuration says no more about the demand.
 std::map<RequestPriority, double> ServiceMap::priorityWeights() const
 {
     std::map<unsigned, bool> hasPublicRoute;
@@ -119,11 +122,31 @@
             const double weight = organisation->limit.isSet() ? organisation->limit.perSecond : 1;
             weights[{ organisation->priority.value_or(priority), priority }] += routeWeight * weight;
         }
-        routeWeight /= 2;
+        routeWeight *= furtherRouteWeight;
     }
     return weights;
 }
 
+std::map<RequestPriority, double> ServiceMap::routeWeights() const
+{
+    std::set<unsigned> distinct;
+    for (const Route &route : routes) {
+        distinct.insert(route.priority);
+    }
+    std::map<RequestPriority, double> weights;
+    double weight = 1;
+    for (const unsigned priority : distinct) {
+        weights[{ 0, priority }] = weight;
+        weight *= furtherRouteWeight;
+    }
+    return weights;
+}
+
+Urgency ServiceMap::urgencyOfRoute(const Route &route) const
+{
+    return routePriorities_.urgencyOf({ 0, route.priority });
+}
+
 const PriorityOrder &ServiceMap::priorities() const
 {
     return priorities_;
--- a/src/portpaddle/gateway/service_map.h
+++ b/src/portpaddle/gateway/service_map.h
@@ -108,13 +108,18 @@
     const ServiceSpec *service(const std::string &name) const;
     /// Returns the priority of the requests of @p organisation, which may be null, on @p route.
     static RequestPriority priorityOf(const Route &route, const Organisation *organisation);
+    /// Returns the class of the requests on @p route among those of the same organisation.
+    Urgency urgencyOfRoute(const Route &route) const;
     /// Returns the order of all priorities in force.
     const PriorityOrder &priorities() const;
 
 private:
     std::map<RequestPriority, double> priorityWeights() const;
+    std::map<RequestPriority, double> routeWeights() const;
 
     PriorityOrder priorities_;
+    /// The order of the routes alone.
+    PriorityOrder routePriorities_;
     std::unordered_map<std::string, std::vector<const Route *>> byHost_;
 };
 
