--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -19,24 +19,12 @@
 // Each shard sends digests to other regions only once in this many turns: the digests cost bandwidth between regions, and only
 // decisions to forward requests depend on them.
 constexpr std::size_t regionDigestTurns = aggregationShards;
-// Limit per shard and interval. Further parts are still found at the upstreams that prefix affinity ranks first.
-constexpr std::size_t maxPartsPerShard = 4 * maxDigestParts;
 // A region of this many daemons sends at every turn; a larger one at as many fewer turns, so that what an aggregator sends and
 // receives in a second does not grow with the region.
 constexpr std::size_t daemonsPerTurn = 128;
 // Every member of a region is named by one aggregator or another within this many sends.
 constexpr std::size_t sendsPerMemberCycle = 8;
 
-void addPart(std::vector<Wire::PlacedPart> &parts, const Wire::PlacedPart &part)
-{
-    const bool known = std::any_of(parts.begin(), parts.end(), [&part](const Wire::PlacedPart &other) {
-        return other.chain() == part.chain() && other.upstream() == part.upstream();
-    });
-    if (!known && parts.size() < maxPartsPerShard) {
-        parts.push_back(part);
-    }
-}
-
 std::vector<Wire::PlacedPart> drainParts(std::vector<Wire::PlacedPart> &parts)
 {
     return std::exchange(parts, {});
@@ -67,21 +55,6 @@
     return result;
 }
 
-/// Adds the sender of @p digest to @p members: it is certainly alive, and may be the only daemon of its region known to be.
-void addSender(const Wire::LoadDigestT &digest, std::vector<Wire::MemberNews> &members)
-{
-    const std::uint32_t key = memberKey(digest.daemon);
-    const bool known
-        = std::any_of(members.begin(), members.end(), [key](const Wire::MemberNews &member) { return member.daemon() == key; });
-    if (known) {
-        return;
-    }
-    if (members.size() >= maxDigestMembers) {
-        members.pop_back();
-    }
-    members.emplace_back(key, 0, digest.phase);
-}
-
 } // namespace
 
 LoadAggregation::LoadAggregation(std::string ownId, std::string ownRegion, UpstreamLoads &loads, RegionTable &regions,
@@ -356,98 +329,4 @@
     }
 }
 
-void LoadAggregation::take(const Wire::LoadDigestT &digest, SteadyTime now)
-{
-    switch (digest.kind) {
-    case Wire::DigestKind::Direct:
-    case Wire::DigestKind::Crashes:
-    case Wire::DigestKind::UpstreamLimits:
-    case Wire::DigestKind::RolloutReport:
-    case Wire::DigestKind::RolloutSum:
-        break;
-    case Wire::DigestKind::Report:
-        takeReport(digest, now);
-        break;
-    case Wire::DigestKind::Sum:
-        takeSum(digest, now);
-        break;
-    case Wire::DigestKind::Region:
-        takeRegionDigest(digest, now);
-        break;
-    }
-}
-
-void LoadAggregation::takeReport(const Wire::LoadDigestT &digest, SteadyTime now)
-{
-    loads_.applyDigest(digest, now);
-    limits_.takeCounts(digest.daemon, digest.limit_counts, now, digest.limit_urgency_counts);
-    for (const Wire::PlacedPart &part : digest.placed) {
-        addPart(parts_.at(shardOf(part.upstream())), part);
-    }
-    for (const std::unique_ptr<Wire::RegionNewsT> &regionNews : digest.regions) {
-        takeRelayed(*regionNews, now);
-        // A daemon that aggregates nothing does not forward this once more: two that take each other for the aggregator would
-        // send it back and forth.
-        if (regions_.listedRegions().contains(regionNews->region) && regionNews->region != ownRegion_ && isAnyAggregator(now)) {
-            keepForRelay(*regionNews, digest.shard, now);
-        }
-    }
-}
-
-void LoadAggregation::takeSum(const Wire::LoadDigestT &digest, SteadyTime now)
-{
-    aggregators_.noteSumsReceived(digest.daemon, now);
-    regions_.takeMembers(digest.members, now);
-    for (const std::unique_ptr<Wire::RegionNewsT> &regionNews : digest.regions) {
-        takeRelayed(*regionNews, now);
-    }
-    // An aggregator ignores sums of its own shard: if two daemons aggregate one shard, each would include the other's counts.
-    const DaemonRecord *aggregator = digest.shard < aggregationShards ? aggregators_.of(ownRegion_, digest.shard, now) : nullptr;
-    if (aggregator != nullptr && !aggregators_.isSelf(*aggregator)) {
-        loads_.applySums(digest, now);
-        if (aggregator->id == digest.daemon) {
-            limits_.takeGrants(digest.limit_grants, now, digest.limit_urgency_grants);
-        }
-    }
-}
-
-void LoadAggregation::takeRegionDigest(const Wire::LoadDigestT &digest, SteadyTime now)
-{
-    regions_.takeMembers(digest.members, now);
-    if (!regions_.listedRegions().contains(digest.region)) {
-        return;
-    }
-    limits_.takeDemands(digest.region, digest.limit_demands, now, digest.limit_urgency_demands);
-    // The further parts of a digest hold only demands.
-    if (digest.services.empty() && digest.members.empty()) {
-        return;
-    }
-    Wire::RegionNewsT regionNews;
-    regionNews.region = digest.region;
-    regionNews.services = digest.services;
-    regionNews.placed = digest.placed;
-    regionNews.members = digest.members;
-    addSender(digest, regionNews.members);
-    keepForRelay(regionNews, digest.shard, now);
-}
-
-void LoadAggregation::takeRelayed(const Wire::RegionNewsT &regionNews, SteadyTime now)
-{
-    regions_.takeRegion(regionNews.region, regionNews.services, regionNews.placed, now);
-    regions_.takeMembers(regionNews.members, now);
-}
-
-void LoadAggregation::keepForRelay(const Wire::RegionNewsT &regionNews, unsigned shard, SteadyTime now)
-{
-    OtherRegion &region = otherRegions_[regionNews.region];
-    region.services = regionNews.services;
-    for (const Wire::PlacedPart &part : regionNews.placed) {
-        addPart(region.placed, part);
-    }
-    region.members = regionNews.members;
-    region.at = now;
-    region.shard = shard % aggregationShards;
-    region.isUnsent = true;
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/load_aggregation.h
+++ b/src/portpaddle/fleet/load_aggregation.h
@@ -74,6 +74,8 @@
         std::vector<std::string> silent;
     };
 
+    /// Adds @p part to @p parts unless it is known or there are too many.
+    static void addPart(std::vector<Wire::PlacedPart> &parts, const Wire::PlacedPart &part);
     void collectParts();
     /// Adds this daemon's report to @p aggregator. @p shares are this daemon's at the upstreams of @p shard.
     void addReport(const DaemonRecord &aggregator, unsigned shard, const std::vector<Wire::UpstreamShare> &shares,
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -180,7 +180,8 @@
     Error error{ ErrorCode::NoUpstream, fmt::format("no target can take the request: {}", nameOf(reason)), RunState::NotRun, {} };
     if (reason == ExclusionReason::TooLate && placement_.predictedMs > 0) {
         const double delayMs = returnDelayMs(placement_.predictedMs, gateway_.random_.fraction());
-        error.retryAfter = std::max(minRetryAfter, Millis(std::llround(delayMs)));
+        error.retryAfter
+            = Millis(std::llround(std::clamp(delayMs, double(minRetryAfter.count()), double(maxKnownRetryAfter.count()))));
     } else if (reason == ExclusionReason::UpstreamLimit) {
         gateway_.metrics_.count(Counter::HeldBackByLimit);
         error.retryAfter = std::min(retryAfterBackoff(), maxRetryAfter);
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -145,7 +145,7 @@
     }
 };
 
-/// Returns @p msPerToken on the scale of the weights as a factor: they are set for engines with nominalMsPerToken.
+/// Returns the factor from times of upstreams with @p tokensPerMs to the scale of the weights.
 double weightScale(double tokensPerMs)
 {
     return nominalMsPerToken * tokensPerMs;
--- a/src/portpaddle/gateway/policy_settings.cpp
+++ b/src/portpaddle/gateway/policy_settings.cpp
@@ -69,7 +69,7 @@
     SwitchSetting{ "late_last", &PolicySettings::lateLast,
                    "Requests that miss their target anyway are prefilled after those that can meet it." },
     SwitchSetting{ "learned_slowness", &PolicySettings::learnedSlowness,
-                   "The ratio of measured to predicted time to the first token is learned by upstream." },
+                   "The time to the first token and its error are learned for each service, and the slowness of each upstream." },
     SwitchSetting{ "moves", &PolicySettings::moves, "Runs are moved away from upstreams that announce their end." },
     SwitchSetting{ "prompt_homes", &PolicySettings::prefixAffinity,
                    "Shared parts of prompts have a preferred region and preferred upstreams (prefix affinity)." },
--- a/src/portpaddle/gateway/policy_settings.h
+++ b/src/portpaddle/gateway/policy_settings.h
@@ -24,7 +24,7 @@
     bool fetching = true;
     /// Requests that miss their target anyway are prefilled after those that can meet it.
     bool lateLast = true;
-    /// The ratio of measured to predicted time to the first token is learned by upstream.
+    /// The time to the first token and its error are learned for each service, and the slowness of each upstream.
     bool learnedSlowness = true;
     /// Upstreams that failed several times in a row are avoided for a while.
     bool avoidFailing = true;
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -40,6 +40,8 @@
 // A daemon that is no longer listed is forgotten after this time without digests; the counters of organisation limits remember it
 // for 60 s.
 constexpr std::chrono::milliseconds peerRetention{ 120'000 };
+// More services than any configuration has; digests may name any.
+constexpr std::size_t maxServicesOfRegion = 1'024;
 // Ten times the daemons of the largest planned fleet; datagrams under further names are dropped.
 constexpr std::size_t maxPeers = 4'096;
 
@@ -87,6 +89,9 @@
     Region &region = regions_[name];
     region.summaryAt = now;
     for (const Wire::ServiceWait &service : services) {
+        if (region.services.size() >= maxServicesOfRegion && !region.services.contains(service.service())) {
+            continue;
+        }
         const double patientWaitMs = service.patient_wait_ms();
         ServiceState summary;
         summary.waitMs = { double(service.urgent_wait_ms()), double(service.usual_wait_ms()), patientWaitMs, patientWaitMs };
--- a/src/portpaddle/limits/organisation_limits.cpp
+++ b/src/portpaddle/limits/organisation_limits.cpp
@@ -23,8 +23,8 @@
 // Fraction of its equal share that a region without demand keeps for the first requests there.
 constexpr double idleFraction = 0.05;
 // The same for an organisation whose demand is reported by urgency: it lasts until the first urgent requests of a region have
-// moved a share of the limit to it, within about 0.7 s. While demand moves between regions at two to five times the limit, the
-// least fraction of urgent requests that passed in any of 24 simulations was 0.94 with 0.05 and 0.95 with 0.15.
+// moved a share of the limit to it, within about 0.7 s. A region whose first urgent requests are long needs more than one with
+// short ones.
 constexpr double idleUrgentFraction = 0.15;
 // Urgent demand varies by chance between two reports of it; a region gets this multiple of it before less urgent demand.
 constexpr double urgentHeadroom = 1.25;
@@ -63,6 +63,18 @@
     return found == entries.end() ? nullptr : &*found;
 }
 
+bool isFinite(const Wire::LimitGrant &grant)
+{
+    return std::isfinite(grant.fraction()) && std::isfinite(grant.rate_per_asked());
+}
+
+bool isFinite(const Wire::LimitUrgencyGrant &grant)
+{
+    const std::array values{ grant.cheap(),          grant.urgent(),        grant.usual(),           grant.patient(),
+                             grant.lasting_urgent(), grant.lasting_usual(), grant.lasting_patient(), grant.cheap_below() };
+    return std::all_of(values.begin(), values.end(), [](float value) { return std::isfinite(value); });
+}
+
 /// Divides the @p asked units a second of a region by class; no value if the region does not report its demand by class.
 std::optional<ByLimitClass> classesOf(double asked, const Wire::LimitUrgencyDemand *reported)
 {
@@ -359,13 +371,13 @@
 {
     for (const Wire::LimitGrant &grant : grants) {
         State *state = find(grant.organisation());
-        if (state == nullptr) {
+        if (state == nullptr || !isFinite(grant)) {
             continue;
         }
         state->grant = { .fraction = grant.fraction(), .ratePerAsked = grant.rate_per_asked() };
         state->grant.fractions.fill(grant.fraction());
         state->grant.lasting.fill(grant.fraction());
-        if (const auto *classes = entryOf(byUrgency, grant.organisation())) {
+        if (const auto *classes = entryOf(byUrgency, grant.organisation()); classes != nullptr && isFinite(*classes)) {
             state->grant.fractions = { classes->cheap(), classes->urgent(), classes->usual(), classes->patient() };
             state->grant.lasting
                 = { classes->cheap(), classes->lasting_urgent(), classes->lasting_usual(), classes->lasting_patient() };
--- a/src/portpaddle/limits/retry_time.cpp
+++ b/src/portpaddle/limits/retry_time.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 // A request is admitted for its fraction of this period. A tenth of it is 0.4 s, which exceeds the differences of the daemons'
-// clocks and what callers deviate from Retry-After. Of the callers that are told a time while demand moves between regions and
-// urgent requests need 0.72 of the limit, 0.95 are admitted on return with 4 s and 0.93 with 8 s, in which fractions change more.
+// clocks and what callers deviate from Retry-After; over a longer period fractions change too much to keep the time that was
+// told.
 constexpr double periodSeconds = 4;
 // Callers honour a Retry-After of at most this part of their time left.
 constexpr int timeLeftParts = 3;
@@ -46,10 +46,10 @@
 
 } // namespace
 
-double admissionChance(std::uint64_t idHash, std::chrono::milliseconds wall)
+double admissionChance(std::uint64_t requestHash, std::chrono::milliseconds wall)
 {
     constexpr double scale = 1.0 / 9007199254740992.0;
-    const double start = static_cast<double>(mixed(idHash) >> 11) * scale;
+    const double start = static_cast<double>(mixed(requestHash) >> 11) * scale;
     const double position = start + std::fmod(std::chrono::duration<double>(wall).count(), periodSeconds) / periodSeconds;
     return position - std::floor(position);
 }
--- a/src/portpaddle/limits/retry_time.h
+++ b/src/portpaddle/limits/retry_time.h
@@ -14,7 +14,7 @@
 
 /// Returns the number in [0, 1) that decides on a request at a time since the Unix epoch. It increases with time and begins anew
 /// at zero, so that each request is admitted for a part of the time and every daemon can tell when.
-double admissionChance(std::uint64_t idHash, std::chrono::milliseconds wall);
+double admissionChance(std::uint64_t requestHash, std::chrono::milliseconds wall);
 
 /// A request that was refused.
 struct RefusedAsk
--- a/src/portpaddle/limits/urgency_fractions.cpp
+++ b/src/portpaddle/limits/urgency_fractions.cpp
@@ -11,18 +11,16 @@
 namespace {
 
 // A request is cheap below this fraction of the mean cost. All cheap requests together then cost less than this fraction of the
-// demand, however many they are. A hundredth would not cover requests of 200 tokens among others of 2,400, and with a tenth they
-// are cheap in some regions only, depending on the long requests there.
+// demand, however many they are. It has to cover calls without a prompt beside short prompts, in every region.
 constexpr double cheapFraction = 0.15;
 // Less urgent classes leave the bucket this many seconds of the more urgent demand, which covers its random variation while the
-// reports of it are under way (up to 400 ms). At 5 times a limit of 300,000, 0.954 of the urgent requests pass with 0.5 s and
-// half of the burst, and 0.966 with 1 s and 0.75 of it.
+// reports of it are under way (up to 400 ms).
 constexpr double reserveSeconds = 1;
 // Maximum of that reserve as a fraction of the burst, so that a full bucket is never reserved as a whole.
 constexpr double maxReservePart = 0.75;
 // Fraction of a region's share that cheap requests may use before the other classes, also while others pay back what was spent
-// beyond the limit; more of them compete by their urgency. At five times a limit, requests of 200 tokens among others of 2,400
-// need 0.09 of the limit, and 0.25 of the share of a region whose demand is least urgent.
+// beyond the limit; more of them compete by their urgency. The region with the least urgent demand has the smallest share, and
+// its cheap requests need the largest part of it.
 constexpr double maxCheapPart = 0.35;
 
 std::size_t indexOf(LimitClass limitClass)
--- a/src/portpaddle/load_model/first_token_model.cpp
+++ b/src/portpaddle/load_model/first_token_model.cpp
@@ -59,7 +59,23 @@
     fixedMs_ = std::clamp(fixedMs_ * std::exp(serviceLearningRate * fixedPart * error), minFixedMs, maxFixedMs);
     msPerToken_ = std::clamp(msPerToken_ * std::exp(serviceLearningRate * (1 - fixedPart) * error), minMsPerToken, maxMsPerToken);
     const double learned = logFactor + upstreamLearningRate * error;
-    slowness_[sample.upstream] = { std::clamp(learned, minLogSlowness, maxLogSlowness), now };
+    keepSlowness(sample.upstream, std::clamp(learned, minLogSlowness, maxLogSlowness), now);
+}
+
+/// Other daemons name the upstreams of their samples, and those of upstreams that are gone may arrive late.
+void FirstTokenModel::keepSlowness(std::uint32_t upstream, double logFactor, SteadyTime now)
+{
+    if (slowness_.size() >= maxKeptUpstreams && !slowness_.contains(upstream)) {
+        std::erase_if(slowness_, [now](const auto &entry) { return now - entry.second.at > slownessDecayTime; });
+    }
+    if (slowness_.size() < maxKeptUpstreams || slowness_.contains(upstream)) {
+        slowness_[upstream] = { logFactor, now };
+    }
+}
+
+std::size_t FirstTokenModel::keptUpstreams() const
+{
+    return slowness_.size();
 }
 
 /// An upstream that looks slow is avoided and gives no samples. What is known of it fades, so that it is tried again.
--- a/src/portpaddle/load_model/first_token_model.h
+++ b/src/portpaddle/load_model/first_token_model.h
@@ -13,7 +13,7 @@
 
 namespace Portpaddle {
 
-/// One measured time to the first token.
+/// The time to the first token of one request.
 struct FirstTokenSample
 {
     /// Key of the upstream, see upstreamKey().
@@ -30,6 +30,9 @@
 inline constexpr double maxSampleTokens = 4'000'000;
 inline constexpr double maxSampleMs = 60'000;
 
+/// Maximum number of upstreams whose slowness is kept, several times those of the largest planned region.
+inline constexpr std::size_t maxKeptUpstreams = 16'384;
+
 /// The predicted time is fixedMs + tokens x msPerToken, times the slowness of the upstream.
 class FirstTokenModel
 {
@@ -43,6 +46,8 @@
     double msPerToken() const;
     /// Returns the time at @p upstream as a multiple of that at the service's other upstreams.
     double slowness(std::uint32_t upstream, SteadyTime now) const;
+    /// Returns the number of upstreams whose slowness is kept.
+    std::size_t keptUpstreams() const;
     /// Returns the time after the predicted one within which most requests of @p urgency get their first token.
     double marginMs(Urgency urgency) const;
 
@@ -54,6 +59,7 @@
     };
 
     double logSlowness(std::uint32_t upstream, SteadyTime now) const;
+    void keepSlowness(std::uint32_t upstream, double logFactor, SteadyTime now);
 
     // Of current engines: 110 tokens in a millisecond, interrupted by a decode step of 3 ms after each 2,048 tokens.
     double fixedMs_ = 45;
--- a/tests/gateway/load_model_tests.cpp
+++ b/tests/gateway/load_model_tests.cpp
@@ -134,6 +134,18 @@
     CHECK(predictedMs(2'000) > 1.5 * before);
 }
 
+// A peer may name any number of upstreams.
+TEST_CASE_FIXTURE(LearningFixture, "Load model, samples of more upstreams than can exist, keeps a bounded number")
+{
+    for (std::uint32_t upstream = 0; upstream < 2 * maxKeptUpstreams; ++upstream) {
+        model.learn({ upstream, 2'000, 100 }, now);
+    }
+    CHECK(model.keptUpstreams() == maxKeptUpstreams);
+    now += std::chrono::seconds(10);
+    learn({ 2 * maxKeptUpstreams, 2'000, 100 });
+    CHECK(model.keptUpstreams() == 1);
+}
+
 TEST_CASE_FIXTURE(LearningFixture, "Load model, implausible samples, are ignored")
 {
     const double before = predictedMs(2'000);
--- a/tests/gateway/organisation_limits_tests.cpp
+++ b/tests/gateway/organisation_limits_tests.cpp
@@ -185,3 +185,22 @@
     CHECK(limit.costOf(0) == 200);
     CHECK(limit.costOf(1'500) == 1'500);
 }
+
+// A request of an organisation would be refused by a comparison with such a number.
+TEST_CASE("Organisation limits, grant that is not a number, is ignored")
+{
+    OrganisationLimits limits(
+        "a", "north", [](std::uint32_t, SteadyTime) { return false; }, [](const std::string &, SteadyTime) { return false; });
+    Organisation organisation;
+    organisation.name = "shop";
+    organisation.limit.perSecond = 100;
+    organisation.limit.burst = 100;
+    OrganisationTable table;
+    table.add(organisation, {});
+    const SteadyTime now{ std::chrono::hours(1) };
+    limits.setOrganisations(table, now);
+    const std::vector<Wire::LimitGrant> grants{ { organisationKey("shop"), std::nanf(""), 1 } };
+    limits.takeGrants(grants, now);
+    SeededRandom random{ 5 };
+    CHECK_FALSE(limits.admit(organisation, 1, now, random).has_value());
+}
--- a/tests/gateway/region_room_tests.cpp
+++ b/tests/gateway/region_room_tests.cpp
@@ -102,6 +102,17 @@
     CHECK(waitMs() < 30);
 }
 
+// A peer may name any number of services.
+TEST_CASE_FIXTURE(RegionRoomFixture, "Region, more services than can be configured, keeps the known ones")
+{
+    for (std::uint64_t service = 1; service <= 2'000; ++service) {
+        hear("south-0", "south", { Wire::ServiceWait(service, 0, 0, 0, 10, 50, 0, 0) });
+    }
+    forward(12'000);
+    summarise();
+    CHECK(waitMs() > 400);
+}
+
 // What is forwarded all the time shows in the summaries and would otherwise count twice.
 TEST_CASE_FIXTURE(RegionRoomFixture, "Region, requests forwarded at a constant rate, add little to its summaries")
 {
