Test (known red): silent sources delay a configuration by the sum of their timeouts

Six sources that do not answer keep a follower from the store for 10.2 s on the simulated clock; a configuration has 3 s.

--- /dev/null
+++ b/tests/gateway/silent_source_tests.cpp
@@ -0,0 +1,89 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// How soon a daemon learns of a configuration where the daemons that it follows or asks have fallen silent.
+
+#include "portpaddle/fleet/feed_server.h"
+#include "portpaddle/fleet/relayed_store.h"
+#include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/gateway/store_watcher.h"
+#include "support/eventually.h"
+#include "support/scripted_store.h"
+#include "support/suspended_clock.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <list>
+#include <memory>
+
+using namespace Portpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A configuration takes effect within this time after the store has confirmed it.
+constexpr std::chrono::milliseconds configurationBound{ 3'000 };
+
+/// Daemons that do not answer: each request to one of them takes as long as a client waits, on the simulated clock.
+class SilentDaemons
+{
+public:
+    SilentDaemons(std::size_t count, std::chrono::milliseconds patience) : patience_(patience)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            add();
+        }
+    }
+
+    ~SilentDaemons()
+    {
+        for (const auto &server : servers_) {
+            eventually([&server] { return server->is_running(); });
+            server->stop();
+        }
+    }
+
+    std::vector<std::string> addresses() const
+    {
+        return addresses_;
+    }
+
+private:
+    void add()
+    {
+        servers_.push_back(std::make_unique<httplib::Server>());
+        httplib::Server *server = servers_.back().get();
+        server->Get(".*", [this](const httplib::Request &, httplib::Response &response) {
+            const std::lock_guard lock(mutex_);
+            waits_.emplace_back(patience_);
+            response.status = 500;
+        });
+        addresses_.push_back("127.0.0.1:" + std::to_string(server->bind_to_any_port("127.0.0.1")));
+        threads_.emplace_back("silent", [server] { server->listen_after_bind(); });
+    }
+
+    std::chrono::milliseconds patience_;
+    std::mutex mutex_;
+    std::list<Suspension> waits_;
+    std::vector<std::unique_ptr<httplib::Server>> servers_;
+    std::vector<std::string> addresses_;
+    std::list<Thread> threads_;
+};
+
+} // namespace
+
+TEST_CASE("Relayed store, several silent sources at once, does not miss the bound of a configuration that the store has")
+{
+    // A source may hold a request for a second; the client waits for a little longer.
+    SilentDaemons sources(6, maxFeedWait + 700ms);
+    ScriptedStore store;
+    store.set("op/config", "new");
+    const FollowRole role{ false, sources.addresses() };
+    RelayedStore relayed(store, [&role] { return role; });
+    const SteadyTime begin = BootClock::now();
+    const Result<KeyChanges> changes = relayed.follow("", 0, 100ms);
+    REQUIRE(isOk(changes));
+    CHECK(valueOf(changes).changes.size() == 1);
+    CHECK(BootClock::now() - begin < configurationBound);
+}
