A call whose answer was lost is made again before peers are asked

What callers saw: a configuration late in small fleets where a waiting call loses its answer while other daemons are silent. Cause: the interrupted call was taken for an outage of the store, and up to three peers were asked first, 0.8 s each; with the 2.4 s until the loss is noticed that makes 4.8 s of 3 s. The store answers the cheap read that shows the loss, so it is asked at once.

--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -173,6 +173,11 @@
 void StoreWatcher::follow()
 {
     Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
+    const bool interrupted = interrupted_.exchange(false);
+    if (!isOk(reply) && interrupted) {
+        // The store answers other calls, so it is asked again at once.
+        return;
+    }
     if (!isOk(reply)) {
         listed_ = errorOf(reply).code != ErrorCode::HistoryCompacted;
         if (listed_) {
@@ -219,6 +224,7 @@
         }
         // The watch was behind the store at the same revision in two checks in a row, so the answer of the watch call was lost.
         if (behind && behindAt == known) {
+            interrupted_ = true;
             store_.interrupt();
             behindAt = 0;
         } else {
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -86,6 +86,8 @@
     std::atomic<bool> relayed_{ false };
     /// When the last answer about changes came, from the store or a daemon.
     std::atomic<SteadyTime> answeredAt_{ SteadyTime{} };
+    /// The call in progress was interrupted because its answer is lost.
+    std::atomic<bool> interrupted_{ false };
     bool storeUnavailable_ = true;
     unsigned failures_ = 0;
     std::atomic<bool> stopping_{ false };
--- a/tests/gateway/silent_source_tests.cpp
+++ b/tests/gateway/silent_source_tests.cpp
@@ -16,6 +16,7 @@
 
 #include <list>
 #include <memory>
+#include <set>
 
 using namespace Portpaddle;
 using namespace std::chrono_literals;
@@ -44,6 +45,13 @@
         }
     }
 
+    /// Returns the number of requests that the daemons have received.
+    std::size_t asked()
+    {
+        const std::lock_guard lock(mutex_);
+        return waits_.size();
+    }
+
     std::vector<std::string> addresses() const
     {
         return addresses_;
@@ -71,6 +79,50 @@
     std::list<Thread> threads_;
 };
 
+/// Remembers the keys that a watcher reports.
+class RecordedKeys : public WatchListener
+{
+public:
+    void listed(const std::vector<KeyValue> &items) override
+    {
+        receivedFromPeer(items);
+    }
+
+    void changed(const std::vector<KeyChange> &changes) override
+    {
+        const std::lock_guard lock(mutex_);
+        for (const KeyChange &change : changes) {
+            keys_.insert(change.item.key);
+        }
+    }
+
+    void onStoreUnavailable(const Error &) override
+    {
+    }
+
+    void onStoreAvailable() override
+    {
+    }
+
+    void receivedFromPeer(const std::vector<KeyValue> &items) override
+    {
+        const std::lock_guard lock(mutex_);
+        for (const KeyValue &item : items) {
+            keys_.insert(item.key);
+        }
+    }
+
+    bool has(const std::string &key)
+    {
+        const std::lock_guard lock(mutex_);
+        return keys_.contains(key);
+    }
+
+private:
+    std::mutex mutex_;
+    std::set<std::string> keys_;
+};
+
 } // namespace
 
 TEST_CASE("Relayed store, several silent sources at once, does not miss the bound of a configuration that the store has")
@@ -87,3 +139,20 @@
     CHECK(valueOf(changes).changes.size() == 1);
     CHECK(BootClock::now() - begin < configurationBound);
 }
+
+TEST_CASE("Store watcher, lost answer beside silent peers, asks the store again before the peers")
+{
+    // A peer is given this long to connect and to answer.
+    SilentDaemons silent(3, 800ms);
+    const PeerStateClient peers([&silent] { return silent.addresses(); });
+    ScriptedStore store;
+    store.set("op/config", "old");
+    RecordedKeys listener;
+    StoreWatcher watcher("", store, listener, &peers, &store);
+    watcher.start();
+    REQUIRE(eventually([&] { return listener.has("op/config"); }));
+    store.loseNextAnswer();
+    store.set("op/added", "new");
+    CHECK(eventually([&] { return listener.has("op/added"); }));
+    CHECK(silent.asked() == 0);
+}
