--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -285,6 +285,24 @@
     onLoop([](Gateway &) {});
 }
 
+void GatewaySite::addDaemonBeside(const std::string &id, const std::string &address)
+{
+    DaemonRecord record;
+    record.id = id;
+    record.region = "north";
+    record.dataCentre = "north-1";
+    record.linkAddress = address;
+    registry_->changeDaemon(record);
+    onLoop([&id](Gateway &gateway) {
+        Wire::LoadDigestT digest;
+        digest.daemon = id;
+        digest.region = "north";
+        digest.sequence = 1;
+        digest.phase = Wire::DaemonPhase::Serving;
+        gateway.applyDigest(digest);
+    });
+}
+
 void GatewaySite::removeDaemon(const std::string &id)
 {
     registry_->removeDaemon(id, BootClock::now());
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -81,6 +81,8 @@
                          const std::string &headers);
     /// Adds a daemon of the own region.
     void addDaemon(const std::string &id);
+    /// Adds a daemon of the own region that other daemons reach at @p address, and that reports that it takes callers.
+    void addDaemonBeside(const std::string &id, const std::string &address);
     void removeDaemon(const std::string &id);
     /// Announces that the upstream takes no more requests and ends shortly.
     void announceEnd(const std::string &id, const std::string &address);
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -133,6 +133,11 @@
     return connections_;
 }
 
+void ScriptedUpstream::refuseConnections()
+{
+    shutdown(listener_, SHUT_RDWR);
+}
+
 unsigned ScriptedUpstream::closedByPeer() const
 {
     return closedByPeer_;
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -49,6 +49,8 @@
     std::string address() const;
     std::vector<SeenRequest> seen() const;
     unsigned connections() const;
+    /// From now on new connections are refused; open ones go on.
+    void refuseConnections();
     /// Returns the number of connections that the peer closed.
     unsigned closedByPeer() const;
 
