--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -8,6 +8,7 @@
 #include "portpaddle/net/spawn.h"
 #include "portpaddle/routing/rendezvous.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Portpaddle {
@@ -26,6 +27,8 @@
 // changes for half a second before other daemons get them.
 constexpr Millis writeStagger{ 1'500 };
 constexpr std::size_t maxWriters = 6;
+// Upstreams of the same service, and as many of other services, that are asked whether this daemon reaches any.
+constexpr std::size_t maxNeighbours = 2;
 
 } // namespace
 
@@ -61,18 +64,77 @@
     }
 }
 
-Task<void> CrashGuard::probeUpstream(std::string upstream, std::string address)
+Task<NetError> CrashGuard::connectTo(std::string upstream, std::string address)
 {
     UpstreamConnection *opening = nullptr;
     NetError error;
     std::unique_ptr<UpstreamConnection> connection = co_await pool_.connect(upstream, address, connectTimeout, &opening, error);
-    const SteadyTime now = BootClock::now();
     if (connection) {
-        connection->usableUntil = now + defaultKeep;
+        connection->usableUntil = BootClock::now() + defaultKeep;
         pool_.keep(upstream, std::move(connection));
+    }
+    co_return error;
+}
+
+Task<void> CrashGuard::probeUpstream(std::string upstream, std::string address)
+{
+    const NetError error = co_await connectTo(upstream, address);
+    if (!error) {
         watch_.confirmAlive(upstream);
     } else if (error == boost::asio::error::connection_refused) {
-        upstreamEnded(upstream, now);
+        connectionRefused(upstream, BootClock::now());
+    }
+}
+
+void CrashGuard::connectionRefused(const std::string &upstream, SteadyTime now)
+{
+    if (watch_.hasEnded(upstream)) {
+        recordSuspects(upstream, now);
+        return;
+    }
+    const std::vector<std::string> suspected = watch_.unconfirmed();
+    const bool hasBrokenRuns = std::find(suspected.begin(), suspected.end(), upstream) != suspected.end();
+    if (hasBrokenRuns && confirming_.insert(upstream).second) {
+        spawnTask(executor_, "confirm_end", [this, upstream] { return confirmEnd(upstream); });
+    }
+}
+
+std::vector<UpstreamRecord> CrashGuard::neighboursOf(const std::string &upstream) const
+{
+    std::vector<UpstreamRecord> sameService;
+    std::vector<UpstreamRecord> otherServices;
+    const auto asked = view_->upstreams.find(upstream);
+    if (asked == view_->upstreams.end()) {
+        return sameService;
+    }
+    for (const auto &[id, record] : view_->upstreams) {
+        if (id == upstream || record.region != asked->second.region || watch_.hasEnded(id)) {
+            continue;
+        }
+        std::vector<UpstreamRecord> &list = record.service == asked->second.service ? sameService : otherServices;
+        if (list.size() < maxNeighbours) {
+            list.push_back(record);
+        }
+    }
+    sameService.insert(sameService.end(), otherServices.begin(), otherServices.end());
+    return sameService;
+}
+
+// A daemon that is cut off from its upstreams sees what crashes look like: runs break, and new connections are refused.
+Task<void> CrashGuard::confirmEnd(std::string upstream)
+{
+    const std::vector<UpstreamRecord> neighbours = view_ ? neighboursOf(upstream) : std::vector<UpstreamRecord>{};
+    bool reachesOthers = neighbours.empty();
+    for (const UpstreamRecord &neighbour : neighbours) {
+        const NetError error = co_await connectTo(neighbour.id, neighbour.address);
+        reachesOthers = !error;
+        if (reachesOthers) {
+            break;
+        }
+    }
+    confirming_.erase(upstream);
+    if (reachesOthers) {
+        upstreamEnded(upstream, BootClock::now());
     }
 }
 
--- a/src/portpaddle/crashes/crash_guard.h
+++ b/src/portpaddle/crashes/crash_guard.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,8 +39,9 @@
     /// Records that the connection of a run broke before the run had proved that its request can be run.
     void recordBrokenRun(const UpstreamRecord &upstream, const CallerRequest &request, std::string_view caller,
                          const RequestFingerprint &fingerprint, SteadyTime now);
-    /// Records that @p upstream refuses connections or is no longer listed.
-    void upstreamEnded(const std::string &upstream, SteadyTime now);
+    /// Records that @p upstream refused a connection. With broken runs there it counts as ended once another upstream has
+    /// accepted a connection: where none does, the path of this daemon is to blame.
+    void connectionRefused(const std::string &upstream, SteadyTime now);
     /// Returns whether any request is quarantined.
     bool hasQuarantined() const;
     /// Returns whether @p request is quarantined and must not be sent to upstreams.
@@ -55,6 +57,13 @@
 
 private:
     Task<void> probeUpstream(std::string upstream, std::string address);
+    /// Connects to other upstreams and treats @p upstream as ended if one of them accepts, or if there are none.
+    Task<void> confirmEnd(std::string upstream);
+    /// Returns the upstreams that tell whether the paths of this daemon work: of the same service first, then of others.
+    std::vector<UpstreamRecord> neighboursOf(const std::string &upstream) const;
+    /// Connects to @p address, keeps the connection for requests, and returns the error if there is one.
+    Task<NetError> connectTo(std::string upstream, std::string address);
+    void upstreamEnded(const std::string &upstream, SteadyTime now);
     void recordSuspects(const std::string &upstream, SteadyTime now);
     /// Counts a crash of @p upstream under @p request.
     void count(const RequestFingerprint &request, std::uint64_t upstream, SteadyTime now);
@@ -69,6 +78,8 @@
     std::shared_ptr<const FleetView> view_;
     CompletedRequests completedRequests_;
     CrashWatch watch_;
+    /// Upstreams of which it is being found out whether they have ended.
+    std::set<std::string> confirming_;
     CrashLedger ledger_;
     Quarantine quarantine_;
     CrashDigests digests_;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -194,7 +194,7 @@
         }
     }
     if (target.upstream && report.connectionRefused) {
-        gateway_.crashes_.upstreamEnded(target.upstream->id, now);
+        gateway_.crashes_.connectionRefused(target.upstream->id, now);
     }
     if (target.upstream && (report.end == AttemptEnd::Complete || report.bufferedAnswer)) {
         gateway_.crashes_.recordCompleted(request_, callerName(), now);
