A stream that breaks off is no sign of life of its upstream

Callers of a daemon whose connections hang waited for upstreams that it had lost: each stream that broke off counted as bytes from the upstream, so that it looked alive again for 600 ms. Class: an error is taken for news. Only bytes count now. Evidence: the new case of upstream_attempt_tests counts one sign of life for a stream that is reset after its head, none now.

--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -310,7 +310,9 @@
             first = false;
             callbacks.firstEvent();
         }
-        callbacks.bytesReceived();
+        if (!error) {
+            callbacks.bytesReceived();
+        }
         const bool taken = co_await forwardEvents(parser, bytes, callbacks);
         if (!taken) {
             co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -109,7 +109,7 @@
     std::function<void()> firstEvent;
     /// This number of complete events of a stream arrived.
     std::function<void(std::size_t)> eventsReceived;
-    /// Bytes of a stream arrived, or the stream ended.
+    /// Bytes of a stream arrived.
     std::function<void()> bytesReceived;
 };
 
--- a/tests/gateway/upstream_attempt_tests.cpp
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -53,6 +53,7 @@
         const CallerRequest request = decodeRequest(std::move(message), names, BootClock::now());
         AttemptPlan plan;
         plan.peer = "u1";
+        plan.streamed = streamed;
         plan.address = upstream.address();
         plan.expectedUpstream = "u1";
         AttemptCallbacks callbacks;
@@ -61,7 +62,7 @@
         callbacks.headReceived = [this](const AnswerNotice &notice) { notices.push_back(notice); };
         callbacks.firstEvent = [] {};
         callbacks.eventsReceived = [](std::size_t) {};
-        callbacks.bytesReceived = [] {};
+        callbacks.bytesReceived = [this] { ++signsOfLife; };
         UpstreamAttempt attempt(pool, answerMemory, names, request, caller, progress);
         AttemptReport report;
         spawnTask(loop.get_executor(), "attempt", [&]() -> Task<void> { report = co_await attempt.run(plan, callbacks); });
@@ -72,6 +73,8 @@
 
     boost::asio::io_context loop{ 1 };
     ConnectionPool pool{ loop.get_executor() };
+    bool streamed = false;
+    unsigned signsOfLife = 0;
     MemoryBudget answerMemory;
     HeaderNames names;
     AcceptingCaller caller;
@@ -121,3 +124,12 @@
     CHECK(report.turnedAway);
     CHECK_FALSE(report.error.retryAfter.has_value());
 }
+
+TEST_CASE_FIXTURE(AttemptFixture, "Stream, broken off before its first event, is no sign of life of its upstream")
+{
+    streamed = true;
+    const ScriptedUpstream upstream(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)), ScriptedAnswer::Then::Reset }; });
+    CHECK(send(upstream).end == AttemptEnd::Broken);
+    CHECK(signsOfLife == 0);
+}
