Daemons know which services they reach, tell each other, and serve through a daemon beside

Callers of daemons that were cut off from all upstreams were served 106 of 443 first tries, those of the others 334 of 358. What one request found out by dialling was forgotten before the next one; other daemons went on forwarding to those that were cut off, whose digests said that their region had no upstreams; and no request could go to another daemon of the own region. Class: a belief that decides for others is kept per request, and shared by nobody.

What it knows is in every digest, also in the lists of members that aggregators send. A request goes to a daemon beside that reaches the service, once; daemons that are cut off are named to callers only where fewer than a third of the region reaches its upstreams; and a refusal says so, so that the next daemon of that region is asked.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 51> catalogue{ {
+constexpr std::array<LogEventDescription, 52> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -82,6 +82,9 @@
       "An answer carries a notice about its upstream that cannot be parsed; earlier notices stay in force." },
     { LogEvent::UpstreamLoadUnreadable, "upstream_load_unreadable", "warning",
       "An upstream reported a load that cannot be parsed or is out of range; the report is ignored." },
+    { LogEvent::ReachChanged, "reach_changed", "warning",
+      "Whether this daemon reaches the upstreams of a service has changed: by new connections, only by open ones, or not at "
+      "all." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call arrived with a key that is already in use." },
     { LogEvent::RolloutOrdered, "rollout_ordered", "info", "An operator ordered that a service change over to a version." },
     { LogEvent::RolloutStageWritten, "rollout_stage_written", "info",
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -54,6 +54,7 @@
     UpstreamBackoffAsked = 4114,
     UpstreamNoticeUnreadable = 4115,
     UpstreamLoadUnreadable = 4116,
+    ReachChanged = 4117,
     ClaimConflict = 4201,
     RolloutOrdered = 4301,
     RolloutStageWritten = 4302,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -41,6 +41,8 @@
     { "portpaddle_link_received_bytes_total", "Bytes received on links between daemons." },
     { "portpaddle_peers_rejected_total",
       "Datagrams and links rejected because of a wrong authentication code or a protocol violation." },
+    { "portpaddle_sent_beside_total",
+      "Attempts sent to another daemon of the own region, because this one does not reach the upstreams." },
     { "portpaddle_upstreams_ended_total", "Upstreams that this daemon found to have ended." },
     { "portpaddle_requests_quarantined_total",
       "Requests that this daemon quarantined because upstreams ended while they ran them." },
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -35,6 +35,7 @@
     LinkBytesSent,
     LinkBytesReceived,
     PeersRejected,
+    SentBeside,
     UpstreamsEnded,
     RequestsQuarantined,
     QuarantineRefusals,
--- a/src/portpaddle/fleet/digest_attachments.cpp
+++ b/src/portpaddle/fleet/digest_attachments.cpp
@@ -24,6 +24,7 @@
     digest.region = header.region;
     digest.phase = header.phase;
     digest.config_version = header.config_version;
+    digest.unreachable = header.unreachable;
     return digest;
 }
 
--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -50,7 +50,7 @@
     result.reserve(members.size());
     for (const Wire::MemberNews &member : members) {
         const auto age = std::min<std::int64_t>(member.age_ms() + additional, std::numeric_limits<std::uint16_t>::max());
-        result.emplace_back(member.daemon(), static_cast<std::uint16_t>(age), member.phase());
+        result.emplace_back(member.daemon(), static_cast<std::uint16_t>(age), member.phase(), member.unreachable());
     }
     return result;
 }
@@ -183,16 +183,17 @@
     }
 }
 
-std::vector<Wire::MemberNews> LoadAggregation::nextMembers(std::size_t &cursor, std::size_t count, Wire::DaemonPhase ownPhase,
-                                                           SteadyTime now) const
+std::vector<Wire::MemberNews> LoadAggregation::nextMembers(std::size_t &cursor, std::size_t count,
+                                                           const Wire::LoadDigestT &header, SteadyTime now) const
 {
     std::vector<Wire::MemberNews> result;
     for (count = std::min(count, members_.size()); count > 0; --count) {
         const DaemonRecord &member = *members_[cursor++ % members_.size()];
         if (member.id == ownId_) {
-            result.emplace_back(memberKey(member.id), 0, ownPhase);
+            result.emplace_back(memberKey(member.id), 0, header.phase, header.unreachable);
         } else if (const auto heard = regions_.heardDirectly(member.id, now)) {
-            result.emplace_back(memberKey(member.id), ageOf(*heard, now), regions_.phaseOf(member.id));
+            result.emplace_back(memberKey(member.id), ageOf(*heard, now), regions_.phaseOf(member.id),
+                                regions_.unreachableFrom(member.id));
         }
     }
     return result;
@@ -227,7 +228,7 @@
     while (left > 0) {
         const std::size_t count = std::min(left, maxDigestMembers);
         left -= count;
-        digest.members = nextMembers(localMemberCursor_, count, header.phase, now);
+        digest.members = nextMembers(localMemberCursor_, count, header, now);
         out.push_back({ memberLinkAddresses_, digest });
     }
 }
@@ -308,7 +309,7 @@
     addWaits(digest);
     digest.placed = drainParts(partsForRegions_.at(shard));
     digest.placed.resize(std::min(digest.placed.size(), maxDigestParts));
-    digest.members = nextMembers(regionMemberCursor_, maxDigestMembers, digest.phase, now);
+    digest.members = nextMembers(regionMemberCursor_, maxDigestMembers, digest, now);
     // A silent region is not told the demand for limits: it would adapt its share to it, while this region, which cannot know
     // that share, keeps its own, and both together would exceed the limit.
     if (!to.silent.empty()) {
--- a/src/portpaddle/fleet/load_aggregation.h
+++ b/src/portpaddle/fleet/load_aggregation.h
@@ -99,8 +99,9 @@
     void keepForRelay(const Wire::RegionNewsT &regionNews, unsigned shard, SteadyTime now);
     void addRegionDigests(unsigned shard, Wire::LoadDigestT digest, const std::function<void(Wire::LoadDigestT &)> &addWaits,
                           SteadyTime now, std::vector<OutgoingDigest> &out);
-    /// Returns the next @p count members of the own region, this daemon and those that it heard directly; advances @p cursor.
-    std::vector<Wire::MemberNews> nextMembers(std::size_t &cursor, std::size_t count, Wire::DaemonPhase ownPhase,
+    /// Returns the next @p count members of the own region, this daemon, which @p header describes, and those that it
+    /// heard directly; advances @p cursor.
+    std::vector<Wire::MemberNews> nextMembers(std::size_t &cursor, std::size_t count, const Wire::LoadDigestT &header,
                                               SteadyTime now) const;
     /// Adds digests with the next members of the own region.
     void addMembers(const Wire::LoadDigestT &header, SteadyTime now, std::vector<OutgoingDigest> &out);
--- a/src/portpaddle/fleet/load_aggregation_intake.cpp
+++ b/src/portpaddle/fleet/load_aggregation_intake.cpp
@@ -28,7 +28,7 @@
     if (members.size() >= maxDigestMembers) {
         members.pop_back();
     }
-    members.emplace_back(key, 0, digest.phase);
+    members.emplace_back(key, 0, digest.phase, digest.unreachable);
 }
 
 } // namespace
--- a/src/portpaddle/gateway/entry_choice.cpp
+++ b/src/portpaddle/gateway/entry_choice.cpp
@@ -16,6 +16,23 @@
 /// precedes other regions: during a rolling restart of a small region it is the only one left for a moment.
 enum class Tier { DataCentre, Region, StoppingInRegion, Elsewhere, None };
 
+// Where fewer daemons of a region than one in this number reach the upstreams, the callers of all would overrun them.
+constexpr std::size_t minReachingDivisor = 3;
+
+/// Returns whether callers of @p region are to be sent to the daemons that reach the upstreams only.
+bool avoidsCutOff(const FleetView &view, const std::string &region, const Gateway &gateway, SteadyTime now)
+{
+    std::size_t serving = 0;
+    std::size_t reaching = 0;
+    for (const DaemonRecord &daemon : view.daemons) {
+        if (daemon.region == region && gateway.phaseOf(daemon, now) == Wire::DaemonPhase::Serving) {
+            ++serving;
+            reaching += gateway.reachesUpstreams(daemon) ? 1 : 0;
+        }
+    }
+    return reaching > 0 && reaching < serving && reaching * minReachingDivisor >= serving;
+}
+
 Tier tierOf(const DaemonRecord &daemon, Wire::DaemonPhase phase, const CallerPlace &place)
 {
     const bool near = daemon.region == place.region;
@@ -56,9 +73,12 @@
 {
     std::array<std::vector<const DaemonRecord *>, static_cast<std::size_t>(Tier::None)> tiers;
     const std::shared_ptr<const FleetView> view = gateway.view();
+    const bool onlyReaching = avoidsCutOff(*view, place.region, gateway, now);
     for (const DaemonRecord &daemon : view->daemons) {
         const Tier tier = tierOf(daemon, gateway.phaseOf(daemon, now), place);
-        if (tier != Tier::None) {
+        const bool isAvoided = onlyReaching && tier != Tier::StoppingInRegion && daemon.region == place.region
+            && !gateway.reachesUpstreams(daemon);
+        if (tier != Tier::None && !isAvoided) {
             tiers[static_cast<std::size_t>(tier)].push_back(&daemon);
         }
     }
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -317,7 +317,7 @@
     if (progress_.begun || sends_ > 0 || request_.relayed) {
         return false;
     }
-    if (reason == ExclusionReason::TooLate || reason == ExclusionReason::Leaving) {
+    if (reason == ExclusionReason::TooLate || reason == ExclusionReason::Leaving || reason == ExclusionReason::Unreachable) {
         return false;
     }
     if (reason != ExclusionReason::UpstreamLimit && reason != ExclusionReason::BackingOff) {
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -44,10 +44,11 @@
     plan.peer = local ? target.upstream->id : target.daemon->id;
     plan.address = local ? target.upstream->address : target.daemon->linkAddress;
     plan.expectedUpstream = local ? target.upstream->registeredName : std::string();
-    plan.connectTimeout = std::min(local ? localConnectTimeout : remoteConnectTimeout, timeLeft());
+    const bool near = local || target.daemon->region == gateway_.identity_.region;
+    plan.connectTimeout = std::min(near ? localConnectTimeout : remoteConnectTimeout, timeLeft());
     plan.timeLeft = timeLeft();
     if (!local) {
-        plan.age = elapsedSince(request_.arrivedAt) + interRegionLatency;
+        plan.age = elapsedSince(request_.arrivedAt) + (near ? Millis(0) : interRegionLatency);
         plan.earlierSends = sends_;
     }
     if (request_.relayed) {
@@ -78,6 +79,7 @@
         callbacks.headReceived = [](const AnswerNotice &) {};
         return callbacks;
     }
+    callbacks.connected = [this, &target] { gateway_.reach_.connected(*target.upstream); };
     callbacks.maySend = [this, &target, continuesMovedRun] {
         const std::string &upstream = target.upstream->id;
         const SteadyTime now = BootClock::now();
@@ -95,8 +97,10 @@
         rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
-    callbacks.headReceived
-        = [this, &target, &ticket](const AnswerNotice &notice) { gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt); };
+    callbacks.headReceived = [this, &target, &ticket](const AnswerNotice &notice) {
+        gateway_.reach_.heard(*target.upstream, BootClock::now());
+        gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt);
+    };
     callbacks.firstEvent = [this, &target, &ticket] {
         noteFirstEvent();
         const double took = static_cast<double>(elapsedSince(ticket.sentAt).count());
@@ -108,7 +112,11 @@
         noteEvents(count);
         gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, BootClock::now());
     };
-    callbacks.bytesReceived = [this, &target] { gateway_.loads_.heard(target.upstream->id, BootClock::now()); };
+    callbacks.bytesReceived = [this, &target] {
+        const SteadyTime now = BootClock::now();
+        gateway_.loads_.heard(target.upstream->id, now);
+        gateway_.reach_.heard(*target.upstream, now);
+    };
     return callbacks;
 }
 
@@ -149,7 +157,8 @@
 {
     const bool local = target.upstream.has_value();
     const AttemptPlan plan = planFor(target);
-    tried_.push_back(local ? target.upstream->id : target.daemon->region);
+    const bool beside = !local && target.daemon->region == gateway_.identity_.region;
+    tried_.push_back(local ? target.upstream->id : beside ? target.daemon->id : target.daemon->region);
     askedTargets_
         += (askedTargets_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
 
@@ -188,7 +197,7 @@
     const bool interrupted = interruption_ != Interruption::None;
     if (!report.sent && !report.withheld && !interrupted) {
         if (target.upstream) {
-            gateway_.loads_.connectFailed(target.upstream->id, now);
+            gateway_.noteConnectFailed(*target.upstream, now);
         } else {
             gateway_.regions_.markUnreachable(target.daemon->id, now);
         }
@@ -222,6 +231,11 @@
                                            : LoadOutcome::Failed;
         gateway_.loads_.ended(ticket, ended, now);
     }
+    if (target.daemon && report.peerCutOff) {
+        // Another daemon of its region may reach the upstreams.
+        gateway_.regions_.markCutOff(target.daemon->id, bitOf(*gateway_.view_, service_));
+        tried_.back() = target.daemon->id;
+    }
     if (target.daemon && report.sent) {
         // A daemon that failed before it reported its sends is assumed to have sent the request once, as almost all do.
         sends_ += report.relayedSends.value_or(1);
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -77,6 +77,9 @@
     if (request_.relayed) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
     }
+    if (request_.relayed && gateway_.reach_.reach(service_) != Reach::Whole) {
+        answer.fields.set(relayCutOffHeader, "1");
+    }
     setSendsHeader(answer);
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
     co_await writer_.whole(std::move(answer));
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -25,6 +25,7 @@
     , crashes_(executor, pool_, metrics, identity_.id)
     , retryMembers_(identity_.id)
     , retryRounding_(random.fraction())
+    , reach_(executor, pool_, identity_.region)
     , organisationLimits_(
           identity_.id, identity_.region,
           [this](std::uint32_t organisation, SteadyTime now) { return aggregatesLimitOf(organisation, now); },
@@ -180,6 +181,7 @@
         localUpstreamsCurrent_ = false;
     }
     crashes_.setView(view_, now);
+    reach_.setView(view_);
     loadAggregation_.setView(view_);
     if (!view_->daemons.sharesWith(earlier->daemons)) {
         daemonsChanged(now);
@@ -265,6 +267,15 @@
     return nullptr;
 }
 
+/// Where the path of this daemon fails, its upstreams are not to blame.
+void Gateway::noteConnectFailed(const UpstreamRecord &upstream, SteadyTime now)
+{
+    reach_.connectFailed(upstream, now);
+    if (reach_.reach(upstream.service) == Reach::Whole) {
+        loads_.connectFailed(upstream.id, now);
+    }
+}
+
 bool Gateway::aggregatesLimitOf(std::uint32_t organisation, SteadyTime now) const
 {
     return !usesAggregators(*view_) || loadAggregation_.isAggregator(shardOf(organisation), now);
@@ -325,6 +336,7 @@
     pool_.sweep(now);
     moveEndingRuns(now);
     crashes_.tick(now);
+    reach_.tick(now);
     regions_.tick(now);
     updateOwners(now);
     upstreamLimits_.tick(now);
@@ -408,6 +420,11 @@
     return daemon.leaving && reported == Wire::DaemonPhase::Serving ? Wire::DaemonPhase::Stopping : reported;
 }
 
+bool Gateway::reachesUpstreams(const DaemonRecord &daemon) const
+{
+    return (daemon.id == identity_.id ? reach_.unreachable() : regions_.unreachableFrom(daemon.id)) == 0;
+}
+
 bool Gateway::othersServeRegion(SteadyTime now) const
 {
     return std::any_of(view_->daemons.begin(), view_->daemons.end(), [this, now](const DaemonRecord &daemon) {
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "portpaddle/gateway/upstream_selection.h"
 #include "portpaddle/limits/organisation_limits.h"
 #include "portpaddle/load_model/load_models.h"
+#include "portpaddle/reachability/reach_monitor.h"
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
@@ -145,6 +146,8 @@
     unsigned retryDivisor() const;
     /// Returns the phase in which callers should expect @p daemon to be.
     Wire::DaemonPhase phaseOf(const DaemonRecord &daemon, SteadyTime now) const;
+    /// Returns whether @p daemon reaches the upstreams of all services, as far as is known.
+    bool reachesUpstreams(const DaemonRecord &daemon) const;
     /// Describes @p records, as candidates for a request with @p prompt that was sent to @p tried before.
     std::vector<UpstreamCandidate> describe(const std::vector<const UpstreamRecord *> &records, const ServiceSpec &spec,
                                             const PromptFacts &prompt, const std::vector<std::string> &tried, SteadyTime now);
@@ -163,7 +166,7 @@
         const Organisation *organisation;
         Urgency urgency;
         const std::string &service;
-        /// Upstreams and regions to which the request must not be sent again.
+        /// Upstreams, regions and daemons to which the request must not be sent again.
         const std::vector<std::string> &tried;
         /// The answer is useless to the caller after this time.
         SteadyTime deadline;
@@ -190,6 +193,10 @@
     std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
                                                    SteadyTime now);
+    /// Returns a daemon of the own region that reaches the upstreams of the service, for a request for which this daemon does
+    /// not; null if there is none or none is needed. Makes the upstreams that it reaches usable in @p upstreams.
+    const DaemonRecord *relayBeside(const CallerRequest &request, const ChoiceContext &context,
+                                    std::vector<UpstreamCandidate> &upstreams, SteadyTime now);
     /// Raises the cached tokens expected at the upstreams and the region that prefix affinity ranks first for @p prompt.
     void applyPrefixAffinity(const PromptFacts &prompt, const std::string &service, std::vector<UpstreamCandidate> &upstreams,
                              const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
@@ -210,6 +217,8 @@
     void noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head);
     /// Returns the id of the incarnation that answered; null where it is not listed at that address.
     const std::string *answeringIncarnation(const UpstreamRecord &asked, const AnswerNotice &notice) const;
+    /// Records that no connection to @p upstream could be opened.
+    void noteConnectFailed(const UpstreamRecord &upstream, SteadyTime now);
     std::size_t connectionShare(const ServiceSpec &spec) const;
     /// Upstreams of a service in the own region that are not leaving.
     struct ActiveUpstreams
@@ -254,6 +263,7 @@
     /// Random rounding of this daemon's share of extra retries; drawn once for the life of the process. See updateRetryBudget().
     double retryRounding_;
     ColdGate coldGate_;
+    ReachMonitor reach_;
     RegionTable regions_;
     OrganisationLimits organisationLimits_;
     /// The configuration whose limits are in force.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -3,6 +3,7 @@
 
 // Choice of a target: collects the candidate upstreams and regions and chooses between them.
 
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/fetch_offers.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/prefix_affinity.h"
@@ -62,6 +63,9 @@
     if (noticed != ExclusionReason::None) {
         return noticed;
     }
+    if (!reach_.reaches(upstream)) {
+        return ExclusionReason::Unreachable;
+    }
     if (pool_.idle(upstream.id) == 0 && pool_.open(upstream.id) >= connectionShare(spec)) {
         return ExclusionReason::Full;
     }
@@ -142,7 +146,9 @@
         candidate.limited = upstreamLimits_.isLimited(id, now);
         candidate.reported = reportedLoads_.latest(id, now);
         const ExclusionReason exclusionReason = exclusionReasonOf(*record, spec, now);
-        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+        // An upstream to which no connection could be opened was not tried by the daemons that reach it.
+        const bool unreachable = exclusionReason == ExclusionReason::Unreachable;
+        if (!unreachable && std::find(tried.begin(), tried.end(), id) != tried.end()) {
             candidate.exclusionReason = ExclusionReason::AlreadyTried;
         } else if (exclusionReason != ExclusionReason::None) {
             candidate.exclusionReason = exclusionReason;
@@ -176,6 +182,27 @@
     return candidates;
 }
 
+// A request that another daemon forwarded is not forwarded again, so that two daemons never send it back and forth.
+const DaemonRecord *Gateway::relayBeside(const CallerRequest &request, const ChoiceContext &context,
+                                         std::vector<UpstreamCandidate> &upstreams, SteadyTime now)
+{
+    const bool isCutOff = reach_.reach(context.service) != Reach::Whole;
+    if (!isCutOff || request.relayed) {
+        return nullptr;
+    }
+    const DaemonRecord *daemon = regions_.pick(*view_, identity_.region, context.service, context.tried, now, random_);
+    if (daemon == nullptr) {
+        return nullptr;
+    }
+    for (UpstreamCandidate &upstream : upstreams) {
+        if (upstream.exclusionReason == ExclusionReason::Unreachable) {
+            upstream.exclusionReason = ExclusionReason::None;
+            upstream.needsConnection = true;
+        }
+    }
+    return daemon;
+}
+
 void Gateway::applyPrefixAffinity(const PromptFacts &prompt, const std::string &service,
                                   std::vector<UpstreamCandidate> &upstreams, const std::vector<const UpstreamRecord *> &records,
                                   std::vector<RegionCandidate> &regions, const std::vector<std::string> &regionNames)
@@ -225,7 +252,9 @@
     if (target.upstream) {
         upstreamLimits_.take(target.upstream->id, now);
     }
-    if (target.daemon) {
+    if (target.daemon && target.daemon->region == identity_.region) {
+        metrics_.count(Counter::SentBeside);
+    } else if (target.daemon) {
         regions_.recordForwarded(target.daemon->region, context.service, request.prompt, now);
     }
     return target;
@@ -262,6 +291,7 @@
     if (context.allowsRegion(identity_.region)) {
         upstreams = localCandidates(request, context, *spec, records, now);
     }
+    const DaemonRecord *beside = relayBeside(request, context, upstreams, now);
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
     // A request in the trial of a new version stays here: another region draws the version of what is forwarded anew.
@@ -271,7 +301,7 @@
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
             return !context.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
-                || regions_.pick(*view_, region, now, random_) == nullptr;
+                || regions_.pick(*view_, region, context.service, tried, now, random_) == nullptr;
         });
         for (RegionCandidate &candidate : regions) {
             candidate.fixedMs = modelOf(context.service).fixedMs();
@@ -294,14 +324,17 @@
         }
         target.placement = place(facts, upstreams, regions, weights, random_);
     }
-    if (target.placement.verdict == Verdict::Serve) {
+    if (target.placement.verdict == Verdict::Serve && beside != nullptr && !reach_.reaches(*records[target.placement.index])) {
+        target.placement.verdict = Verdict::Forward;
+        target.daemon = *beside;
+    } else if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
         if (target.placement.fetches) {
             target.fetchFrom = sources.at(target.upstream->dataCentre);
         }
     } else if (target.placement.verdict == Verdict::Forward) {
         const std::string &region = regionNames[target.placement.index];
-        const DaemonRecord *daemon = regions_.pick(*view_, region, now, random_);
+        const DaemonRecord *daemon = regions_.pick(*view_, region, context.service, tried, now, random_);
         target.daemon = *daemon;
     }
     return target;
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -141,6 +141,7 @@
     header.region = identity_.region;
     header.phase = ownPhase();
     header.config_version = view_->services ? view_->services->version : 0;
+    header.unreachable = reach_.unreachable();
     return header;
 }
 
@@ -154,6 +155,10 @@
         if (digest.services.size() >= maxDigestServices) {
             break;
         }
+        if (reach_.reach(name) != Reach::Whole) {
+            // Other daemons of the region tell how it does.
+            continue;
+        }
         const UpstreamSelection *local = localUpstreams(name);
         const std::vector<const UpstreamRecord *> records
             = local == nullptr ? std::vector<const UpstreamRecord *>{} : local->sample();
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -74,6 +74,7 @@
     peer.sequenceAt = now;
     peer.phase = digest.phase;
     peer.heard = now;
+    peer.unreachable = digest.unreachable;
     if (digest.region != ownRegion_) {
         takeRegion(digest.region, digest.services, digest.placed, now);
     }
@@ -152,6 +153,7 @@
         peer.region = name->second.region;
         peer.phase = member.phase();
         peer.heard = heard;
+        peer.unreachable = member.unreachable();
     }
 }
 
@@ -247,11 +249,34 @@
     return result;
 }
 
-const DaemonRecord *RegionTable::pick(const FleetView &view, const std::string &region, SteadyTime now,
-                                      RandomSource &random) const
+const DaemonRecord *RegionTable::pick(const FleetView &view, const std::string &region, const std::string &service,
+                                      const std::vector<std::string> &tried, SteadyTime now, RandomSource &random) const
 {
     const std::vector<const DaemonRecord *> &daemons = usableDaemons(view, region, now);
-    return daemons.empty() ? nullptr : daemons[random.below(daemons.size())];
+    if (daemons.empty()) {
+        return nullptr;
+    }
+    const ServiceSet bit = bitOf(view, service);
+    const std::size_t first = random.below(daemons.size());
+    for (std::size_t offset = 0; offset < daemons.size(); ++offset) {
+        const DaemonRecord *daemon = daemons[(first + offset) % daemons.size()];
+        const bool isCutOff = (unreachableFrom(daemon->id) & bit) != 0;
+        if (!isCutOff && std::find(tried.begin(), tried.end(), daemon->id) == tried.end()) {
+            return daemon;
+        }
+    }
+    return nullptr;
+}
+
+void RegionTable::markCutOff(const std::string &daemon, ServiceSet services)
+{
+    peers_[daemon].unreachable |= services;
+}
+
+ServiceSet RegionTable::unreachableFrom(const std::string &daemon) const
+{
+    const auto peer = peers_.find(daemon);
+    return peer == peers_.end() ? ServiceSet{ 0 } : peer->second.unreachable;
 }
 
 const std::vector<const DaemonRecord *> &RegionTable::usableDaemons(const FleetView &view, const std::string &region,
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -8,6 +8,7 @@
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/placement.h"
 #include "portpaddle/gateway/prefix_memory.h"
+#include "portpaddle/reachability/reach_monitor.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <optional>
@@ -64,8 +65,14 @@
     /// Returns the other regions that serve @p service now; the candidates' indexes refer to @p regionNames.
     std::vector<RegionCandidate> candidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                             Urgency urgency, SteadyTime now, std::vector<std::string> &regionNames) const;
-    /// Returns a daemon of @p region to send a request to; null when none is known to be alive.
-    const DaemonRecord *pick(const FleetView &view, const std::string &region, SteadyTime now, RandomSource &random) const;
+    /// Returns a daemon of @p region to send a request of @p service to, except those whose ids are in @p tried; null when none
+    /// is known to be alive and to reach the upstreams.
+    const DaemonRecord *pick(const FleetView &view, const std::string &region, const std::string &service,
+                             const std::vector<std::string> &tried, SteadyTime now, RandomSource &random) const;
+    /// Records that a daemon refused a request because it does not reach the upstreams of @p services.
+    void markCutOff(const std::string &daemon, ServiceSet services);
+    /// Returns the services whose upstreams the daemon does not reach, as it last reported.
+    ServiceSet unreachableFrom(const std::string &daemon) const;
     /// Returns a daemon of the region of @p ending that can continue its streams, a stopping one only as the last resort; null if
     /// there is none.
     const DaemonRecord *pickBeside(const FleetView &view, const DaemonRecord &ending, SteadyTime now, RandomSource &random) const;
@@ -85,6 +92,7 @@
         /// By the daemon's own digests or an aggregator's report.
         SteadyTime heard{};
         SteadyTime avoidedUntil{};
+        ServiceSet unreachable = 0;
     };
 
     struct ListedDaemon
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -97,7 +97,7 @@
     AttemptReport report;
     reportedSends_ = plan.reportedSends;
     remote_ = plan.age.has_value();
-    const bool opened = co_await openConnection(plan, report);
+    const bool opened = co_await openConnection(plan, callbacks, report);
     if (!opened) {
         co_return report;
     }
@@ -120,7 +120,7 @@
     co_return report;
 }
 
-Task<bool> UpstreamAttempt::openConnection(const AttemptPlan &plan, AttemptReport &report)
+Task<bool> UpstreamAttempt::openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report)
 {
     connection_ = pool_.takeIdle(plan.peer, BootClock::now());
     if (connection_) {
@@ -139,6 +139,7 @@
         report.connectionRefused = error == boost::asio::error::connection_refused;
         co_return false;
     }
+    callbacks.connected();
     co_return true;
 }
 
@@ -218,6 +219,7 @@
                                "upstream did not run the request, status " + std::to_string(status));
         const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
         report.relayedSends = relayedSends;
+        report.peerCutOff = remote_ && !fields[relayCutOffHeader].empty();
         report.incarnationEnded
             = status == HttpStatus::misdirected && !incarnation.empty() && incarnation != plan.expectedUpstream;
         report.turnedAway = turnedAway;
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -28,6 +28,8 @@
 /// Between daemons: number of times that the request was sent to an upstream. On a request the sends so far, on an answer the
 /// sends by the answering daemon.
 inline constexpr const char *relaySendsHeader = "X-Portpaddle-Sends";
+/// Between daemons, on a refusal: the answering daemon does not reach the upstreams.
+inline constexpr const char *relayCutOffHeader = "X-Portpaddle-Cut-Off";
 /// Maximum number of sends that is believed of another daemon; routes allow only a few sends of one request.
 inline constexpr unsigned maxReportedSends = 100;
 /// Between daemons, on a request: the organisation whose key the first daemon has checked.
@@ -90,15 +92,19 @@
     bool turnedAway = false;
     /// The connection was open, but the request was not sent because the target no longer accepts requests.
     bool withheld = false;
+    /// The target is a daemon that refused the request because it does not reach the upstreams.
+    bool peerCutOff = false;
     /// Number of times that a daemon of another region says it sent the request to an upstream.
     std::optional<unsigned> relayedSends;
     /// Where the stream can be continued if a daemon of another region stops before its end.
     std::optional<Continuation> continuation;
 };
 
-/// Callbacks for the progress of an attempt; all of them must be set.
+/// Callbacks for the progress of an attempt; all of them must be set, except connected.
 struct AttemptCallbacks
 {
+    /// A new connection was opened.
+    std::function<void()> connected = [] {};
     /// Whether the target still accepts requests; called once the connection is open, as this may have changed meanwhile.
     std::function<bool()> maySend;
     /// The request is about to be sent.
@@ -129,7 +135,7 @@
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-    Task<bool> openConnection(const AttemptPlan &plan, AttemptReport &report);
+    Task<bool> openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report);
     Message composeRequest(const AttemptPlan &plan) const;
     Task<AttemptReport> sendAndReceive(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
     /// Reads heads until one belongs to this request; returns false with @p error set if none does.
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -302,22 +302,20 @@
   uint32_t daemon_;
   uint16_t age_ms_;
   uint8_t phase_;
-  int8_t padding0__;
+  uint8_t unreachable_;
 
  public:
   MemberNews()
       : daemon_(0),
         age_ms_(0),
         phase_(0),
-        padding0__(0) {
-    (void)padding0__;
+        unreachable_(0) {
   }
-  MemberNews(uint32_t _daemon, uint16_t _age_ms, Portpaddle::Wire::DaemonPhase _phase)
+  MemberNews(uint32_t _daemon, uint16_t _age_ms, Portpaddle::Wire::DaemonPhase _phase, uint8_t _unreachable)
       : daemon_(flatbuffers::EndianScalar(_daemon)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
         phase_(flatbuffers::EndianScalar(static_cast<uint8_t>(_phase))),
-        padding0__(0) {
-    (void)padding0__;
+        unreachable_(flatbuffers::EndianScalar(_unreachable)) {
   }
   uint32_t daemon() const {
     return flatbuffers::EndianScalar(daemon_);
@@ -328,6 +326,9 @@
   Portpaddle::Wire::DaemonPhase phase() const {
     return static_cast<Portpaddle::Wire::DaemonPhase>(flatbuffers::EndianScalar(phase_));
   }
+  uint8_t unreachable() const {
+    return flatbuffers::EndianScalar(unreachable_);
+  }
 };
 FLATBUFFERS_STRUCT_END(MemberNews, 8);
 
@@ -931,6 +932,7 @@
   std::vector<Portpaddle::Wire::LimitUrgencyCount> limit_urgency_counts{};
   std::vector<Portpaddle::Wire::LimitUrgencyGrant> limit_urgency_grants{};
   std::vector<Portpaddle::Wire::LimitUrgencyDemand> limit_urgency_demands{};
+  uint8_t unreachable = 0;
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -967,7 +969,8 @@
     VT_FIRST_TOKEN_TIMES = 50,
     VT_LIMIT_URGENCY_COUNTS = 52,
     VT_LIMIT_URGENCY_GRANTS = 54,
-    VT_LIMIT_URGENCY_DEMANDS = 56
+    VT_LIMIT_URGENCY_DEMANDS = 56,
+    VT_UNREACHABLE = 58
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -1050,6 +1053,9 @@
   const flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *> *limit_urgency_demands() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *> *>(VT_LIMIT_URGENCY_DEMANDS);
   }
+  uint8_t unreachable() const {
+    return GetField<uint8_t>(VT_UNREACHABLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -1099,6 +1105,7 @@
            verifier.VerifyVector(limit_urgency_grants()) &&
            VerifyOffset(verifier, VT_LIMIT_URGENCY_DEMANDS) &&
            verifier.VerifyVector(limit_urgency_demands()) &&
+           VerifyField<uint8_t>(verifier, VT_UNREACHABLE, 1) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1191,6 +1198,9 @@
   void add_limit_urgency_demands(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *>> limit_urgency_demands) {
     fbb_.AddOffset(LoadDigest::VT_LIMIT_URGENCY_DEMANDS, limit_urgency_demands);
   }
+  void add_unreachable(uint8_t unreachable) {
+    fbb_.AddElement<uint8_t>(LoadDigest::VT_UNREACHABLE, unreachable, 0);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1230,7 +1240,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::FirstTokenTime *>> first_token_times = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyCount *>> limit_urgency_counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyGrant *>> limit_urgency_grants = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *>> limit_urgency_demands = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *>> limit_urgency_demands = 0,
+    uint8_t unreachable = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
   builder_.add_rollout_order(rollout_order);
@@ -1256,6 +1267,7 @@
   builder_.add_upstreams(upstreams);
   builder_.add_region(region);
   builder_.add_daemon(daemon);
+  builder_.add_unreachable(unreachable);
   builder_.add_shard(shard);
   builder_.add_kind(kind);
   builder_.add_phase(phase);
@@ -1290,7 +1302,8 @@
     const std::vector<Portpaddle::Wire::FirstTokenTime> *first_token_times = nullptr,
     const std::vector<Portpaddle::Wire::LimitUrgencyCount> *limit_urgency_counts = nullptr,
     const std::vector<Portpaddle::Wire::LimitUrgencyGrant> *limit_urgency_grants = nullptr,
-    const std::vector<Portpaddle::Wire::LimitUrgencyDemand> *limit_urgency_demands = nullptr) {
+    const std::vector<Portpaddle::Wire::LimitUrgencyDemand> *limit_urgency_demands = nullptr,
+    uint8_t unreachable = 0) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -1338,7 +1351,8 @@
       first_token_times__,
       limit_urgency_counts__,
       limit_urgency_grants__,
-      limit_urgency_demands__);
+      limit_urgency_demands__,
+      unreachable);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1404,7 +1418,8 @@
         first_token_times(o.first_token_times),
         limit_urgency_counts(o.limit_urgency_counts),
         limit_urgency_grants(o.limit_urgency_grants),
-        limit_urgency_demands(o.limit_urgency_demands) {
+        limit_urgency_demands(o.limit_urgency_demands),
+        unreachable(o.unreachable) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -1437,6 +1452,7 @@
   std::swap(limit_urgency_counts, o.limit_urgency_counts);
   std::swap(limit_urgency_grants, o.limit_urgency_grants);
   std::swap(limit_urgency_demands, o.limit_urgency_demands);
+  std::swap(unreachable, o.unreachable);
   return *this;
 }
 
@@ -1476,6 +1492,7 @@
   { auto _e = limit_urgency_counts(); if (_e) { _o->limit_urgency_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_urgency_counts[_i] = *_e->Get(_i); } } }
   { auto _e = limit_urgency_grants(); if (_e) { _o->limit_urgency_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_urgency_grants[_i] = *_e->Get(_i); } } }
   { auto _e = limit_urgency_demands(); if (_e) { _o->limit_urgency_demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_urgency_demands[_i] = *_e->Get(_i); } } }
+  { auto _e = unreachable(); _o->unreachable = _e; }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1513,6 +1530,7 @@
   auto _limit_urgency_counts = _o->limit_urgency_counts.size() ? _fbb.CreateVectorOfStructs(_o->limit_urgency_counts) : 0;
   auto _limit_urgency_grants = _o->limit_urgency_grants.size() ? _fbb.CreateVectorOfStructs(_o->limit_urgency_grants) : 0;
   auto _limit_urgency_demands = _o->limit_urgency_demands.size() ? _fbb.CreateVectorOfStructs(_o->limit_urgency_demands) : 0;
+  auto _unreachable = _o->unreachable;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1541,7 +1559,8 @@
       _first_token_times,
       _limit_urgency_counts,
       _limit_urgency_grants,
-      _limit_urgency_demands);
+      _limit_urgency_demands,
+      _unreachable);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
