An upstream that sends nothing to anybody teaches nothing about the time of a prefill

Callers were refused as too late by daemons that were sound: requests that hung at upstreams out of reach, and ended unanswered after half a second and more, were samples of the load model, which all daemons of the region share. Class: what one daemon sees of its own paths is taken for a fact about the upstream.

--- a/tests/gateway/upstream_reach_tests.cpp
+++ b/tests/gateway/upstream_reach_tests.cpp
@@ -134,6 +134,30 @@
     CHECK(whole.seen().size() == 8);
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Request, upstream that sends nothing to anybody, teaches nothing about the time of a prefill")
+{
+    routes.services["s"].memoryTokens = 100'000;
+    publishRoutes();
+    ScriptedUpstream silent([](const SeenRequest &) { return ScriptedAnswer{ {}, ScriptedAnswer::Then::Hang }; });
+    addUpstream("u1", silent.address());
+    RawCaller caller(address());
+    caller.send(request("/stream/a", "id1", "X-Token-Counts: 2000,10\r\n", "body"));
+    REQUIRE(eventually([&silent] { return !silent.seen().empty(); }));
+    caller.leave();
+    std::size_t unfinished = 0;
+    REQUIRE(eventually([this, &unfinished] {
+        std::size_t inProgress = 0;
+        onLoop([&](Gateway &gateway) {
+            inProgress = gateway.inProgress();
+            for (const Wire::LoadDigestT &digest : gateway.digests(DigestReach::OwnRegion)) {
+                unfinished += digest.first_token_times.size();
+            }
+        });
+        return inProgress == 0;
+    }));
+    CHECK(unfinished == 0);
+}
+
 TEST_CASE("Service reach, failed connections, tell the path of the daemon from single upstreams")
 {
     const SteadyTime now = BootClock::now();
