Keep the rejections of brittle upstreams within what they bear

Upstreams may say that they fall over when they have to reject more than a number of requests in a second. Nothing read that: 40 requests to one without room were 40 rejections. RejectionBudget gives each daemon half of its even part of that number, and remembers for how many of its own requests an upstream had room: what goes beyond takes credit when it is sent and gets it back when it is admitted.

--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -94,11 +94,13 @@
         ++sends_;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
         gateway_.reportedLoads_.sent(target.upstream->id, BootClock::now());
+        gateway_.rejectionBudget_.sent(target.upstream->id, gateway_.loads_.running(target.upstream->id), BootClock::now());
         rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
     callbacks.headReceived = [this, &target, &ticket](const AnswerNotice &notice) {
         gateway_.reach_.heard(*target.upstream, BootClock::now());
+        gateway_.noteRoom(*target.upstream, notice, BootClock::now());
         gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt);
     };
     callbacks.firstEvent = [this, &target, &ticket] {
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -177,6 +177,7 @@
     if (!view_->upstreams.sharesAllWith(earlier->upstreams)) {
         loads_.follow(*view_, *earlier);
         reportedLoads_.setView(*view_, *earlier);
+        rejectionBudget_.keepOnly(*view_);
         localUpstreams_.clear();
         localUpstreamsCurrent_ = false;
     }
@@ -245,6 +246,14 @@
     reportedLoads_.answered(*upstreamId, notice.load, now);
 }
 
+void Gateway::noteRoom(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime now)
+{
+    const bool fromAsked = notice.incarnation.empty() || notice.incarnation == asked.registeredName;
+    if (fromAsked && (notice.fromUpstream || notice.full)) {
+        rejectionBudget_.answered(asked.id, notice.brittle, notice.full, loads_.running(asked.id), now);
+    }
+}
+
 void Gateway::noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)
 {
     AnswerNotice notice = readNotice(head, names_, std::chrono::system_clock::now());
@@ -340,6 +349,7 @@
     regions_.tick(now);
     updateOwners(now);
     upstreamLimits_.tick(now);
+    rejectionBudget_.setDaemons(sharingDaemonCount());
     reportedLoads_.tick(now);
     updateRetryBudget(now);
     coldGate_.setOptions({ options_.coldOvershoot, options_.coldSlack, sharingDaemonCount(), retryMembers_.ownListedSince() });
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
+#include "portpaddle/upstream_limits/rejection_budget.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
 #include "portpaddle/upstream_reports/reported_loads.h"
@@ -213,7 +214,9 @@
     ExclusionReason exclusionReasonOf(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     /// Records the response header that an upstream at the address of @p asked sent to a request sent at @p sentAt.
     void noteAnswer(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt);
-    /// The same for the response to an order, which says nothing about requests.
+    /// Records what the response says of the room at @p asked; answers of other incarnations there say nothing of it.
+    void noteRoom(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime now);
+    /// As noteAnswer(), for the response to an order, which says nothing about requests.
     void noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head);
     /// Returns the id of the incarnation that answered; null where it is not listed at that address.
     const std::string *answeringIncarnation(const UpstreamRecord &asked, const AnswerNotice &notice) const;
@@ -272,6 +275,7 @@
     /// Decides which upstreams this daemon owns where a bound cannot be divided among all daemons.
     StableOwner owners_;
     UpstreamLimits upstreamLimits_;
+    RejectionBudget rejectionBudget_;
     UpstreamNotices notices_;
     ReportedLoads reportedLoads_;
     /// Number of turns in which all daemons of the own region are sent a digest, in a fleet without aggregators.
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -32,6 +32,8 @@
     std::string notRun = "X-Not-Run";
     /// In answers of an overloaded upstream: requests per second that it accepts from all daemons together.
     std::string upstreamLimit = "X-Upstream-Limit";
+    /// In answers of a brittle upstream: the rejections for want of room that it bears in a second before it falls over.
+    std::string upstreamBrittle = "X-Upstream-Brittle";
     /// "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,PACE" in answers: the load of the upstream, and the time that its work
     /// takes in percent of the usual time.
     std::string upstreamLoad = "X-Upstream-Load";
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/gateway/upstream_loads.cpp
@@ -212,6 +212,12 @@
         && now - state.silentSince > upstreamSilenceBound;
 }
 
+unsigned UpstreamLoads::running(const std::string &upstream) const
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() ? 0 : found->second.running;
+}
+
 bool UpstreamLoads::heardSince(const std::string &upstream, SteadyTime time) const
 {
     const auto found = states_.find(upstream);
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/gateway/upstream_loads.h
@@ -63,6 +63,8 @@
     void streamed(LoadTicket &ticket, std::size_t events, unsigned tokensPerEvent, SteadyTime now);
     /// Records that bytes arrived from the upstream.
     void heard(const std::string &upstream, SteadyTime now);
+    /// Returns the number of this daemon's requests in progress at the upstream.
+    unsigned running(const std::string &upstream) const;
     bool heardSince(const std::string &upstream, SteadyTime time) const;
     void ended(LoadTicket &ticket, LoadOutcome outcome, SteadyTime now);
     void connectFailed(const std::string &upstream, SteadyTime now);
--- a/src/portpaddle/upstream_notices/answer_notice.cpp
+++ b/src/portpaddle/upstream_notices/answer_notice.cpp
@@ -44,6 +44,8 @@
     notice.incarnation = std::string(viewOf(head[names.answeringUpstream]));
     notice.fromUpstream = !provesNotRun(head, names) && isSigned(head, names);
     notice.limit = readLimit(head, names.upstreamLimit);
+    notice.brittle = readLimit(head, names.upstreamBrittle);
+    notice.full = head.result_int() == HttpStatus::unavailable && provesNotRun(head, names);
     notice.leaving = readLeaving(head, names.upstreamLeaving);
     notice.load = readReportedLoad(head, names.upstreamLoad);
     if (head.result_int() == HttpStatus::unavailable) {
--- a/src/portpaddle/upstream_notices/answer_notice.h
+++ b/src/portpaddle/upstream_notices/answer_notice.h
@@ -27,6 +27,10 @@
     /// Whether the head proves that the upstream itself gave the answer after it ran the request.
     bool fromUpstream = false;
     LimitReading limit;
+    /// Rejections per second that the upstream bears.
+    LimitReading brittle;
+    /// Whether the upstream rejected the request for want of room.
+    bool full = false;
     LeavingNotice leaving = LeavingNotice::Absent;
     LoadReading load;
     /// How long the upstream asks this daemon not to send requests.
--- a/src/portpaddle/upstream_notices/upstream_notices.cpp
+++ b/src/portpaddle/upstream_notices/upstream_notices.cpp
@@ -70,6 +70,9 @@
     } else if (notice.leaving == LeavingNotice::Unreadable) {
         noteUnreadable(upstream, "leaving", now);
     }
+    if (notice.brittle.kind == LimitKind::Unreadable) {
+        noteUnreadable(upstream, "brittle", now);
+    }
     if (notice.backoff.kind == RetryAfterKind::Named) {
         noteBackoff(upstream, notice.backoff.time, now);
     } else if (notice.backoff.kind == RetryAfterKind::Unreadable) {
