Keep-alive probes give up after the same time with and without TCP_USER_TIMEOUT

Where TCP_USER_TIMEOUT is set, as on every connection here, it decides when probes give up: after three seconds, not after the four that three probes promised. Two probes say the same. No behaviour changes on Linux.

--- a/src/portpaddle/net/socket_options.cpp
+++ b/src/portpaddle/net/socket_options.cpp
@@ -16,7 +16,8 @@
 constexpr int maxUnacknowledgedMs = 3000;
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbes = 3;
+// Linux ignores the number of probes where maxUnacknowledgedMs is set; with two, other systems give up after the same time.
+constexpr int keepAliveProbes = 2;
 
 void setOption(int descriptor, int level, int name, int value)
 {
