--- a/tests/gateway/upstream_reach_tests.cpp
+++ b/tests/gateway/upstream_reach_tests.cpp
@@ -93,6 +93,18 @@
     CHECK(beside.seen().empty());
 }
 
+TEST_CASE_FIXTURE(CutOffFixture,
+                  "Daemon cut off from all upstreams, daemon beside it dies during a request, serves it through another")
+{
+    ScriptedUpstream dying([](const SeenRequest &) { return ScriptedAnswer{ {}, ScriptedAnswer::Then::Reset }; });
+    addDaemonBeside("dying", dying.address());
+    cutOff();
+    for (int index = 0; index < 8; ++index) {
+        CHECK(ask("/plain/a", "id" + std::to_string(index), {}, "body").status == 200);
+    }
+    CHECK_FALSE(dying.seen().empty());
+}
+
 TEST_CASE_FIXTURE(CutOffFixture, "Daemon cut off from all upstreams, path works again, is used again")
 {
     noticeCut();
