A source that timed out makes a follower call the others and the store over new connections

Callers saw a confirmed configuration late where open connections go silent while new ones work. A follower that left a silent source went on over the connections that it had kept: to the next source, 1.7 s, or to the store, 3 s until that call gives up, so that asking the store first after a silent source could even be slower than going through the sources. Class: what one connection shows is not applied to the others. After a timeout all kept connections are dropped. Evidence: the new case of silent_source_tests failed before.

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -115,6 +115,18 @@
     return now - searchBegin > maxSourceSearch && now >= storeRetryAt_;
 }
 
+/// What silenced one open connection may have silenced all of them: the sources and the store are called over new ones.
+void RelayedStore::dropConnections()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto &[address, source] : sources_) {
+            source.client.reset();
+        }
+    }
+    store_.interrupt();
+}
+
 Result<std::string> RelayedStore::request(const std::string &address, const std::string &target)
 {
     const auto endpoint = parseEndpoint(address);
@@ -135,10 +147,14 @@
         activeClient_ = client;
     }
     std::string body;
+    const Time begin = BootClock::now();
     const httplib::Result result = client->Get(target, [&body](const char *data, std::size_t size) {
         body.append(data, size);
         return body.size() <= largestStateBytes;
     });
+    if (!result && BootClock::now() - begin >= maxFeedWait + readTimeoutMargin) {
+        dropConnections();
+    }
     const std::lock_guard lock(mutex_);
     activeClient_.reset();
     if (!result || result->status != 200) {
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -69,6 +69,8 @@
     std::vector<std::string> usableSources(const FollowRole &role, Time now);
     /// Whether the store is to be asked before further sources, in a search that began at @p searchBegin.
     bool prefersStore(Time searchBegin) const;
+    /// Closes the open connections to all sources and the store.
+    void dropConnections();
     /// Returns the answer of the daemon at @p address to a request for @p target.
     Result<std::string> request(const std::string &address, const std::string &target);
     /// Returns the decoded answer; an error if the store has not confirmed its state recently.
--- a/tests/gateway/silent_source_tests.cpp
+++ b/tests/gateway/silent_source_tests.cpp
@@ -9,6 +9,7 @@
 #include "portpaddle/gateway/store_watcher.h"
 #include "support/eventually.h"
 #include "support/scripted_store.h"
+#include "support/scripted_upstream.h"
 #include "support/suspended_clock.h"
 
 #include <doctest/doctest.h>
@@ -79,6 +80,19 @@
     std::list<Thread> threads_;
 };
 
+/// A store that counts how often its open connection is closed.
+class ReconnectedStore : public ScriptedStore
+{
+public:
+    void interrupt() override
+    {
+        ++interrupts;
+        ScriptedStore::interrupt();
+    }
+
+    unsigned interrupts = 0;
+};
+
 /// Remembers the keys that a watcher reports.
 class RecordedKeys : public WatchListener
 {
@@ -140,6 +154,21 @@
     CHECK(BootClock::now() - begin < configurationBound);
 }
 
+TEST_CASE("Relayed store, open connection to a source gone silent, calls the store over a new connection")
+{
+    std::list<Suspension> waits;
+    ScriptedUpstream source([&waits](const SeenRequest &) {
+        waits.emplace_back(maxFeedWait + 700ms);
+        return ScriptedAnswer{ {}, ScriptedAnswer::Then::Reset };
+    });
+    ReconnectedStore store;
+    store.set("op/config", "new");
+    const FollowRole role{ false, { source.address() } };
+    RelayedStore relayed(store, [&role] { return role; });
+    CHECK(isOk(relayed.follow("", 0, 100ms)));
+    CHECK(store.interrupts == 1);
+}
+
 TEST_CASE("Store watcher, lost answer beside silent peers, asks the store again before the peers")
 {
     // A peer is given this long to connect and to answer.
