--- a/tests/gateway/silent_source_tests.cpp
+++ b/tests/gateway/silent_source_tests.cpp
@@ -6,8 +6,8 @@
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/fleet/relayed_store.h"
 #include "portpaddle/gateway/state_exchange.h"
-#include "portpaddle/gateway/store_watcher.h"
 #include "support/eventually.h"
+#include "support/recording_listener.h"
 #include "support/scripted_store.h"
 #include "support/scripted_upstream.h"
 #include "support/suspended_clock.h"
@@ -17,7 +17,6 @@
 
 #include <list>
 #include <memory>
-#include <set>
 
 using namespace Portpaddle;
 using namespace std::chrono_literals;
@@ -93,50 +92,6 @@
     unsigned interrupts = 0;
 };
 
-/// Remembers the keys that a watcher reports.
-class RecordedKeys : public WatchListener
-{
-public:
-    void listed(const std::vector<KeyValue> &items) override
-    {
-        receivedFromPeer(items);
-    }
-
-    void changed(const std::vector<KeyChange> &changes) override
-    {
-        const std::lock_guard lock(mutex_);
-        for (const KeyChange &change : changes) {
-            keys_.insert(change.item.key);
-        }
-    }
-
-    void onStoreUnavailable(const Error &) override
-    {
-    }
-
-    void onStoreAvailable() override
-    {
-    }
-
-    void receivedFromPeer(const std::vector<KeyValue> &items) override
-    {
-        const std::lock_guard lock(mutex_);
-        for (const KeyValue &item : items) {
-            keys_.insert(item.key);
-        }
-    }
-
-    bool has(const std::string &key)
-    {
-        const std::lock_guard lock(mutex_);
-        return keys_.contains(key);
-    }
-
-private:
-    std::mutex mutex_;
-    std::set<std::string> keys_;
-};
-
 } // namespace
 
 TEST_CASE("Relayed store, several silent sources at once, does not miss the bound of a configuration that the store has")
@@ -176,7 +131,7 @@
     const PeerStateClient peers([&silent] { return silent.addresses(); });
     ScriptedStore store;
     store.set("op/config", "old");
-    RecordedKeys listener;
+    RecordingListener listener;
     StoreWatcher watcher("", store, listener, &peers, &store);
     watcher.start();
     REQUIRE(eventually([&] { return listener.has("op/config"); }));
--- a/tests/gateway/upstream_attempt_tests.cpp
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -128,8 +128,9 @@
 TEST_CASE_FIXTURE(AttemptFixture, "Stream, broken off before its first event, is no sign of life of its upstream")
 {
     streamed = true;
-    const ScriptedUpstream upstream(
-        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)), ScriptedAnswer::Then::Reset }; });
+    const ScriptedUpstream upstream([](const SeenRequest &request) {
+        return ScriptedAnswer{ streamHead(idOf(request)), ScriptedAnswer::Then::Reset };
+    });
     CHECK(send(upstream).end == AttemptEnd::Broken);
     CHECK(signsOfLife == 0);
 }
