--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -87,6 +87,8 @@
     void noteAttemptEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
     /// Interrupts the attempt when its upstream hangs and another attempt is possible.
     void watchSilence(const std::shared_ptr<SilenceWatch> &watch);
+    /// Records that @p daemon, the last target, refused the request because it does not reach the upstreams.
+    void noteCutOffPeer(const DaemonRecord &daemon);
     /// Returns the number of times that this daemon sent the request to an upstream.
     unsigned sendsByThisDaemon() const;
     /// Adds the number of sends by this daemon to an answer that goes to another daemon.
@@ -158,8 +160,10 @@
     bool handedOver_ = false;
     UpstreamAttempt *current_ = nullptr;
     Interruption interruption_ = Interruption::None;
-    /// Ids of the upstreams and names of the regions asked so far.
+    /// Ids of the upstreams, names of the regions and ids of the daemons asked so far.
     std::vector<std::string> tried_;
+    /// Number of daemons that refused the request because they do not reach the upstreams.
+    unsigned cutOffPeers_ = 0;
     /// Targets asked so far, for the log; another region as "REGION/DAEMON".
     std::string askedTargets_;
     /// Number of times that any daemon sent the request to an upstream.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -25,6 +25,8 @@
 // Runs longer than this are not reported as possible causes of a crash: requests that crashed an upstream did so 48 to 82 ms
 // after it began to run them, before their first event.
 constexpr Millis crashSuspicionTime{ 250 };
+// After so many daemons that do not reach the upstreams, the region of the next one is not asked again.
+constexpr unsigned maxCutOffPeers = 2;
 
 } // namespace
 
@@ -236,9 +238,7 @@
         gateway_.loads_.ended(ticket, ended, now);
     }
     if (target.daemon && report.peerCutOff) {
-        // Another daemon of its region may reach the upstreams.
-        gateway_.regions_.markCutOff(target.daemon->id, bitOf(*gateway_.view_, service_));
-        tried_.back() = target.daemon->id;
+        noteCutOffPeer(*target.daemon);
     }
     if (target.daemon && report.sent) {
         // A daemon that failed before it reported its sends is assumed to have sent the request once, as almost all do.
@@ -247,6 +247,15 @@
     mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
 }
 
+/// Another daemon of its region may reach the upstreams; a request asks only a few, since each costs a round trip.
+void Exchange::noteCutOffPeer(const DaemonRecord &daemon)
+{
+    gateway_.regions_.markCutOff(daemon.id, bitOf(*gateway_.view_, service_));
+    if (++cutOffPeers_ <= maxCutOffPeers) {
+        tried_.back() = daemon.id;
+    }
+}
+
 // A new version is not blamed for what happens to any upstream: one that crashes, refuses a request, or is still cold.
 std::optional<AnswerSample> Exchange::sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket,
                                                const AttemptReport &report, SteadyTime now) const
