--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -221,9 +221,9 @@
     if (target.upstream) {
         gateway_.rollouts_.ended(std::exchange(rolloutTicket_, {}), sampleOf(*target.upstream, ticket, report, now));
     }
-    // An upstream that sent nothing to any request may be out of reach, which tells nothing about the time of a prefill.
-    const bool waited = interrupted && !ticket.upstream.empty() && !attemptFirstBytesAt_
-        && gateway_.loads_.heardSince(ticket.upstream, ticket.sentAt);
+    // Where no upstream of the service sent anything, the path may have failed, which tells nothing about the time of a prefill.
+    const bool waited
+        = interrupted && !ticket.upstream.empty() && !attemptFirstBytesAt_ && gateway_.reach_.heardSince(service_, ticket.sentAt);
     if (waited) {
         measureFirstToken(target, static_cast<double>(elapsedSince(ticket.sentAt).count()), true);
     }
--- a/src/portpaddle/reachability/reach_monitor.cpp
+++ b/src/portpaddle/reachability/reach_monitor.cpp
@@ -81,6 +81,12 @@
     return found == services_.end() ? Reach::Whole : found->second.reach.reach();
 }
 
+bool ReachMonitor::heardSince(const std::string &service, SteadyTime time) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.reach.heardSince(time);
+}
+
 bool ReachMonitor::reaches(const UpstreamRecord &upstream) const
 {
     const Reach known = reach(upstream.service);
--- a/src/portpaddle/reachability/reach_monitor.h
+++ b/src/portpaddle/reachability/reach_monitor.h
@@ -36,6 +36,8 @@
     /// Records that no connection to @p upstream could be opened.
     void connectFailed(const UpstreamRecord &upstream, SteadyTime now);
     Reach reach(const std::string &service) const;
+    /// Returns whether bytes came from any upstream of @p service since @p time.
+    bool heardSince(const std::string &service, SteadyTime time) const;
     /// Returns whether a request can be sent to @p upstream, over an open connection or a new one.
     bool reaches(const UpstreamRecord &upstream) const;
     /// Returns the services whose upstreams accept no new connections of this daemon.
--- a/src/portpaddle/reachability/service_reach.cpp
+++ b/src/portpaddle/reachability/service_reach.cpp
@@ -61,6 +61,11 @@
     return reach_;
 }
 
+bool ServiceReach::heardSince(SteadyTime time) const
+{
+    return heardAt_ >= time;
+}
+
 bool ServiceReach::hasFailed(const std::string &upstream) const
 {
     return failed_.contains(upstream);
--- a/src/portpaddle/reachability/service_reach.h
+++ b/src/portpaddle/reachability/service_reach.h
@@ -33,6 +33,8 @@
     /// Records that no connection to @p upstream, one of @p listed upstreams, could be opened.
     void connectFailed(const std::string &upstream, std::size_t listed, SteadyTime now);
     Reach reach() const;
+    /// Whether bytes came from an upstream since @p time.
+    bool heardSince(SteadyTime time) const;
     /// Whether a connection to @p upstream has failed since the last one that was opened.
     bool hasFailed(const std::string &upstream) const;
 
--- a/tests/gateway/upstream_reach_tests.cpp
+++ b/tests/gateway/upstream_reach_tests.cpp
@@ -146,7 +146,7 @@
     CHECK(whole.seen().size() == 8);
 }
 
-TEST_CASE_FIXTURE(GatewaySite, "Request, upstream that sends nothing to anybody, teaches nothing about the time of a prefill")
+TEST_CASE_FIXTURE(GatewaySite, "Request, upstreams of its service that send nothing, teaches nothing about the time of a prefill")
 {
     routes.services["s"].memoryTokens = 100'000;
     publishRoutes();
