--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -18,10 +18,7 @@
 // Upstreams are one network hop away: a running one accepts a connection within milliseconds.
 constexpr Millis connectTimeout{ 400 };
 // A request is quarantined after this many crashes. One upstream may crash under a request by chance, because of another request
-// or its machine, and more may crash before all daemons know of the quarantine. Under a request repeated every 250 ms, threshold
-// 2 cost 2 upstreams and none of some 1,400 harmless requests; threshold 3 cost 3 to 6 upstreams and 7 harmless requests (three
-// daemons, five seeds). Neither threshold quarantined a request by chance when a third of the upstreams crashed five times within
-// 9 s and callers retried at once (123 crashes).
+// or its machine, and more may crash before all daemons know of the quarantine.
 constexpr unsigned crashesBeforeQuarantine = 2;
 // The daemons try to write a quarantine record one after the other, until one of them has written it: the platform collects
 // changes for half a second before other daemons get them.
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -29,7 +29,7 @@
 constexpr Millis readTimeoutMargin{ 700 };
 constexpr std::chrono::milliseconds avoidTime{ 1'000 };
 // Limit for a waiting call to the store after all sources failed, so that recovered sources are tried again soon. A lost answer
-// of the store shows only at this timeout: with 5 s, a daemon missed a configuration for 5.7 s.
+// of the store shows only at this timeout.
 constexpr Millis maxDirectWait{ 1'000 };
 // Once sources that do not answer have taken this long, the store is asked before the remaining ones: their timeouts would add up
 // beyond the time within which a change must take effect.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -24,8 +24,7 @@
 constexpr std::ptrdiff_t minUsableOfSubset = 8;
 
 /// Subtracts the mean failure share from each candidate: requests that fail wherever they run say nothing about the upstream, and
-/// sending them to another region adds a round trip. Without this, a service that answers 6 % of its calls with its own errors
-/// had 70 % of its calls sent to other regions, at 150 ms instead of 20 ms.
+/// sending them to another region adds a round trip.
 void compareFailures(std::vector<UpstreamCandidate> &candidates)
 {
     double sum = 0;
--- a/src/portpaddle/gateway/target.h
+++ b/src/portpaddle/gateway/target.h
@@ -23,7 +23,7 @@
     std::optional<UpstreamRecord> upstream;
     /// Address of the upstream from which cached parts are to be fetched; empty where nothing is fetched.
     std::string fetchFrom;
-    /// Set for a daemon of another region.
+    /// Set for another daemon.
     std::optional<DaemonRecord> daemon;
 };
 
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Sends a request once, to an upstream or to a daemon of another region, and forwards the answer.
+/// Sends a request once, to an upstream or to another daemon, and forwards the answer.
 #pragma once
 
 #include "portpaddle/gateway/caller_request.h"
@@ -55,11 +55,11 @@
     std::chrono::milliseconds timeLeft{ 0 };
     /// The source from which the memory of this run was moved; empty for a run that starts anew.
     std::string memoryFrom;
-    /// The continuation that a daemon of another region is to resume.
+    /// The continuation that another daemon is to resume.
     std::optional<Continuation> continuation;
     /// Address of the engine from which cached parts of the prompt are to be fetched.
     std::string fetchFrom;
-    /// Set for a daemon of another region: the age of the request when it arrives there.
+    /// Set for another daemon: the age of the request when it arrives there.
     std::optional<std::chrono::milliseconds> age;
     /// Number of times that the request was sent to an upstream before.
     unsigned earlierSends = 0;
@@ -94,9 +94,9 @@
     bool withheld = false;
     /// The target is a daemon that refused the request because it does not reach the upstreams.
     bool peerCutOff = false;
-    /// Number of times that a daemon of another region says it sent the request to an upstream.
+    /// Number of times that another daemon says it sent the request to an upstream.
     std::optional<unsigned> relayedSends;
-    /// Where the stream can be continued if a daemon of another region stops before its end.
+    /// Where the stream can be continued if another daemon stops before its end.
     std::optional<Continuation> continuation;
 };
 
@@ -162,7 +162,7 @@
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
     std::optional<unsigned> reportedSends_;
-    /// The peer is a daemon of another region.
+    /// The peer is another daemon.
     bool remote_ = false;
     /// The answer was complete and the connection can serve another request.
     bool reusable_ = false;
