The log tells the versions of the upstreams asked and the stream that a request takes up

Hypotheses about streams of two versions differ in where the version changes: between two tries of a client, within one answer, or with a move. The lines named neither versions nor the stream.

--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -82,6 +82,8 @@
     const auto id = message[names.requestId];
     request.id.assign(id.data(), id.size());
     request.idHash = XXH3_64bits(request.id.data(), request.id.size());
+    const auto resumes = message[names.resumes];
+    request.resumes.assign(resumes.data(), resumes.size());
     const auto host = message[boost::beast::http::field::host];
     request.host.assign(host.data(), host.size());
     const auto timeLeft = message[names.timeLeft];
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -50,6 +50,8 @@
 {
     std::string id;
     std::uint64_t idHash = 0;
+    /// The id of the try that brought the first event of the stream that is taken up; empty for a new stream.
+    std::string resumes;
     std::string host;
     HttpRequest message;
     PromptFacts prompt;
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -166,6 +166,8 @@
     unsigned cutOffPeers_ = 0;
     /// Targets asked so far, for the log; another region as "REGION/DAEMON".
     std::string askedTargets_;
+    /// Versions of the upstreams among them, for the log.
+    std::string askedVersions_;
     /// Number of times that any daemon sent the request to an upstream.
     unsigned sends_ = 0;
     /// Decides which version of a service that is rolled out the first attempt is sent to.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -165,6 +165,9 @@
     tried_.push_back(local ? target.upstream->id : beside ? target.daemon->id : target.daemon->region);
     askedTargets_
         += (askedTargets_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
+    if (local) {
+        askedVersions_ += (askedVersions_.empty() ? "" : " ") + target.upstream->version;
+    }
 
     LoadTicket ticket;
     attemptFirstBytesAt_.reset();
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -116,6 +116,8 @@
                { "settings_version", services_ ? std::to_string(services_->version) : std::string("none") },
                { "store_reachable", gateway_.view()->storeReachable ? "true" : "false" },
                { "asked", askedTargets_ },
+               { "versions", askedVersions_ },
+               { "resumes", request_.resumes },
                { "sends", std::to_string(sends_) },
                { "no_repeat", std::string(nameOf(retryDenial_)) },
                { "paid_by", std::string(nameOf(payment_)) },
--- a/src/portpaddle/gateway/header_names.h
+++ b/src/portpaddle/gateway/header_names.h
@@ -22,6 +22,8 @@
     /// "ID:TOKENS,...": the parts of the prompt in order.
     std::string promptParts = "X-Prompt-Parts";
     std::string lastEventId = "Last-Event-ID";
+    /// On a request that takes a stream up: the id of the caller's try that brought the first event.
+    std::string resumes = "X-Resumes";
     /// An upstream's signature of its answer.
     std::string signature = "X-Signature";
     /// Id of the incarnation of the upstream that is to run the request.
