Red: a stream goes on at an upstream of another version

Both tests of stream_version_tests fail on this code: the answer holds six events of two versions where three of one are asked, and a resumed stream whose version nobody knows is served with 200.

--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -228,9 +228,11 @@
     onLoop([](Gateway &) {});
 }
 
-void GatewaySite::addUpstream(const std::string &id, const std::string &address)
+void GatewaySite::addUpstream(const std::string &id, const std::string &address, const std::string &version)
 {
-    registry_->changeUpstream(makeUpstream(id, address));
+    UpstreamRecord record = makeUpstream(id, address);
+    record.version = version;
+    registry_->changeUpstream(record);
     onLoop([](Gateway &) {});
 }
 
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -72,7 +72,8 @@
     explicit GatewaySite(Routes known = Routes::Published, Registration registration = Registration::Listed);
     ~GatewaySite();
 
-    void addUpstream(const std::string &id, const std::string &address);
+    /// @p version is that of the upstream's software.
+    void addUpstream(const std::string &id, const std::string &address, const std::string &version = {});
     void removeUpstream(const std::string &id);
     /// Adds an upstream that takes only few requests per second for a minute.
     void addColdUpstream(const std::string &id, const std::string &address);
