Engines fetch cached parts only from engines of their own software version

Engines of several versions may serve side by side, and what two versions write doesn't fit together. Parts of a prompt were offered for fetching between any two engines of a data centre. Whether the layout of an engine's memory differs between versions is not told; without a proof that it is the same, nothing is fetched. Failed before: a fetch from a v1 engine was offered to a v2 one (placement_tests).

--- a/src/portpaddle/gateway/fetch_offers.cpp
+++ b/src/portpaddle/gateway/fetch_offers.cpp
@@ -31,6 +31,12 @@
 
 } // namespace
 
+// Links between data centres are slow and expensive, and engines of different versions may lay out their memory differently.
+std::string fetchGroupOf(const UpstreamRecord &upstream)
+{
+    return upstream.version.empty() ? upstream.dataCentre : upstream.dataCentre + '/' + upstream.version;
+}
+
 FetchSources offerFetching(const ServiceSpec &spec, std::vector<UpstreamCandidate> &upstreams,
                            const std::vector<const UpstreamRecord *> &records)
 {
@@ -38,22 +44,21 @@
     if (spec.memoryBytesPerToken <= 0 || spec.memoryLinkMbps <= 0) {
         return sources;
     }
-    // Links between data centres are slow and expensive, so only engines of one data centre fetch from each other.
     std::unordered_map<std::string, const UpstreamCandidate *> bestSources;
     for (const UpstreamCandidate &upstream : upstreams) {
-        const UpstreamCandidate *&best = bestSources[records[upstream.index]->dataCentre];
+        const UpstreamCandidate *&best = bestSources[fetchGroupOf(*records[upstream.index])];
         if (canServeFetches(upstream) && upstream.cachedTokens > (best == nullptr ? 0 : best->cachedTokens)) {
             best = &upstream;
         }
     }
     const double msPerToken = spec.memoryBytesPerToken * bitsPerByte / (spec.memoryLinkMbps * bitsPerMsAtOneMbps);
     for (UpstreamCandidate &upstream : upstreams) {
-        const std::string &dataCentre = records[upstream.index]->dataCentre;
-        const UpstreamCandidate *source = bestSources[dataCentre];
+        const std::string group = fetchGroupOf(*records[upstream.index]);
+        const UpstreamCandidate *source = bestSources[group];
         if (source == nullptr || source == &upstream) {
             continue;
         }
-        sources[dataCentre] = records[source->index]->address;
+        sources[group] = records[source->index]->address;
         upstream.fetchableTokens = source->cachedTokens;
         upstream.fetchMs = setupMs + std::max(0.0, source->cachedTokens - upstream.cachedTokens) * msPerToken;
     }
--- a/src/portpaddle/gateway/fetch_offers.h
+++ b/src/portpaddle/gateway/fetch_offers.h
@@ -13,9 +13,12 @@
 
 namespace Portpaddle {
 
-/// Address of the engine to fetch from, by data centre.
+/// Address of the engine to fetch from, by the group of the fetching engine.
 using FetchSources = std::unordered_map<std::string, std::string>;
 
+/// Returns the group of engines that may fetch from each other: those of one data centre and one software version.
+std::string fetchGroupOf(const UpstreamRecord &upstream);
+
 /// Sets for each of @p upstreams what it can fetch and returns the sources; @p records holds the records of the upstreams by
 /// index. Returns no sources for services whose engines do not fetch.
 FetchSources offerFetching(const ServiceSpec &spec, std::vector<UpstreamCandidate> &upstreams,
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -332,7 +332,7 @@
     } else if (target.placement.verdict == Verdict::Serve) {
         target.upstream = *records[target.placement.index];
         if (target.placement.fetches) {
-            target.fetchFrom = sources.at(target.upstream->dataCentre);
+            target.fetchFrom = sources.at(fetchGroupOf(*target.upstream));
         }
     } else if (target.placement.verdict == Verdict::Forward) {
         const std::string &region = regionNames[target.placement.index];
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -195,6 +195,21 @@
     CHECK(offerFetching(spec, engines, views).empty());
 }
 
+TEST_CASE("Fetching, part cached at an engine of another version, is not offered")
+{
+    ServiceSpec spec;
+    spec.memoryBytesPerToken = 20'000;
+    spec.memoryLinkMbps = 160'000;
+    std::vector<UpstreamRecord> records(2);
+    records[0].version = "v1";
+    records[1].version = "v2";
+    std::vector<UpstreamCandidate> engines(2);
+    engines[1].index = 1;
+    engines[0].cachedTokens = 5'000;
+    CHECK(offerFetching(spec, engines, { &records[0], &records[1] }).empty());
+    CHECK(engines[1].fetchableTokens == 0);
+}
+
 TEST_CASE("Upstream loads, events of a stream, give the time between tokens until they expire")
 {
     UpstreamLoads loads;
