A stream that breaks off within one answer goes on only at the version that began it

Callers saw: answers with events of two software versions. Cause: the next attempt of a stream in progress was chosen like that of a new request, among all versions; in a rollout even by rule at the older one. The version was lost where a request went through another daemon: neither did the version come back with the head nor did the wanted one go along with the resumption. Moves took any target.

Now the progress of a stream holds the version of the upstream that wrote its first event, and every later choice, moves included, is bound to it and to what a rollout admits now. Daemons name it to each other (X-Portpaddle-Stream-Version), on the head and on the request. A stream whose version is not known does not go on. Where no upstream of the version is left, the request is refused at once.

--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -9,6 +9,7 @@
 #include "portpaddle/interfaces/answer_sink.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/stream_versions/stream_key.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -71,6 +72,8 @@
     bool senderCanContinue = false;
     /// Returns a hash that a further try of the caller also has: that of its prompt, or of the id where there is none.
     std::uint64_t contentHash() const;
+    /// The version that began the stream, as the forwarding daemon named it.
+    std::optional<VersionKey> streamVersion;
     /// Where the request resumes a run whose memory was moved; absent for a run that starts anew.
     std::optional<Continuation> continuation;
 };
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/caller_session.h"
 
 #include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/socket_options.h"
 #include "portpaddle/net/spawn.h"
@@ -248,6 +249,7 @@
         request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, maxReportedSends));
         const auto organisation = request.message[relayOrganisationHeader];
         request.organisation.assign(organisation.data(), organisation.size());
+        request.streamVersion = decodeVersionKey(viewOf(request.message[streamVersionHeader]));
         request.senderCanContinue = !request.message[continuesHeader].empty();
         const auto continuation = request.message[continueAtHeader];
         request.continuation = decodeContinuation({ continuation.data(), continuation.size() });
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -46,6 +46,7 @@
     , sends_(request_.earlierSends)
     , versionChance_(gateway.random_.fraction())
 {
+    progress_.version = request_.streamVersion;
 }
 
 void Exchange::callerLeft()
@@ -213,9 +214,9 @@
 {
     // The caller of a continued run already has a part of the answer.
     if (request_.continuation) {
-        return route_->resumable;
+        return route_->resumable && progress_.version;
     }
-    return !progress_.begun || (route_->resumable && !progress_.splitter.lastId().empty());
+    return !progress_.begun || (route_->resumable && progress_.version && !progress_.splitter.lastId().empty());
 }
 
 bool Exchange::canAttemptAgain()
@@ -317,6 +318,10 @@
     if (progress_.begun || sends_ > 0 || request_.relayed) {
         return false;
     }
+    // Only an order of the operator brings a version back.
+    if (reason == ExclusionReason::VersionAbsent && progress_.version) {
+        return false;
+    }
     if (reason == ExclusionReason::TooLate || reason == ExclusionReason::Leaving || reason == ExclusionReason::Unreachable) {
         return false;
     }
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -160,6 +160,7 @@
         eventsSeen_, latestPredictedEnd_
     };
     context.versionRule = gateway_.rollouts_.rule(service_);
+    context.streamVersion = progress_.version;
     // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
     context.arm = drawArm(context.versionRule, askedTargets_.empty() ? versionChance_ : retryVersionChance);
     return context;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -46,6 +46,7 @@
     plan.peer = local ? target.upstream->id : target.daemon->id;
     plan.address = local ? target.upstream->address : target.daemon->linkAddress;
     plan.expectedUpstream = local ? target.upstream->registeredName : std::string();
+    plan.upstreamVersion = local ? std::optional(versionKeyOf(target.upstream->version)) : std::nullopt;
     const bool near = local || target.daemon->region == gateway_.identity_.region;
     plan.connectTimeout = std::min(near ? localConnectTimeout : remoteConnectTimeout, timeLeft());
     plan.timeLeft = timeLeft();
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -90,7 +90,11 @@
     Target target;
     const auto upstream = gateway_.view_->upstreams.find(continuation_->upstream);
     const ServiceSpec *spec = gateway_.view_->services->service(service_);
-    if (upstream != gateway_.view_->upstreams.end() && upstream->second.region == gateway_.identity_.region && spec != nullptr) {
+    if (upstream == gateway_.view_->upstreams.end() || upstream->second.region != gateway_.identity_.region || spec == nullptr) {
+        return target;
+    }
+    const bool sameVersion = !progress_.version || *progress_.version == versionKeyOf(upstream->second.version);
+    if (sameVersion) {
         target.placement.verdict = Verdict::Serve;
         target.upstream = upstream->second;
         gateway_.upstreamLimits_.take(upstream->first, BootClock::now());
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
+#include "portpaddle/stream_versions/stream_key.h"
 #include "portpaddle/upstream_limits/rejection_budget.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
@@ -178,6 +179,8 @@
         std::optional<VersionRule> versionRule{};
         /// The versions of the service to which the request may be sent.
         VersionArm arm = VersionArm::Any;
+        /// The version that began the stream, which goes on at no other.
+        std::optional<VersionKey> streamVersion{};
 
         bool allowsRegion(std::string_view region) const;
     };
@@ -194,6 +197,9 @@
     std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
                                                    SteadyTime now);
+    /// Excludes the upstreams whose version the request may not be sent to.
+    static void excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
+                                const std::vector<const UpstreamRecord *> &records);
     /// Returns a daemon of the own region that reaches the upstreams of the service, for a request for which this daemon does
     /// not; null if there is none or none is needed. Makes the upstreams that it reaches usable in @p upstreams.
     const DaemonRecord *relayBeside(const CallerRequest &request, const ChoiceContext &context,
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -96,6 +96,7 @@
 {
     AttemptReport report;
     reportedSends_ = plan.reportedSends;
+    upstreamVersion_ = plan.upstreamVersion;
     remote_ = plan.age.has_value();
     const bool opened = co_await openConnection(plan, callbacks, report);
     if (!opened) {
@@ -173,6 +174,9 @@
         message.set(relaySendsHeader, std::to_string(plan.earlierSends));
         message.set(continuesHeader, "1");
     }
+    if (plan.age && progress_.version) {
+        message.set(streamVersionHeader, encodeVersionKey(*progress_.version));
+    }
     if (plan.continuation) {
         message.set(continueAtHeader, encodeContinuation(*plan.continuation));
     }
@@ -353,12 +357,7 @@
     }
     const bool due = !whole.empty() || parser.is_done();
     if (due && !progress_.begun) {
-        progress_.begun = true;
-        http::fields fields = forwardableFields(parser.get());
-        if (reportedSends_) {
-            fields.set(relaySendsHeader, std::to_string(*reportedSends_));
-        }
-        const bool begun = co_await writer_.begin(parser.get().result_int(), std::move(fields));
+        const bool begun = co_await beginStream(parser);
         if (!begun) {
             co_return false;
         }
@@ -369,6 +368,22 @@
     co_return co_await writer_.writeChunk(whole);
 }
 
+Task<bool> UpstreamAttempt::beginStream(const Parser &parser)
+{
+    progress_.begun = true;
+    if (!progress_.version) {
+        progress_.version = remote_ ? decodeVersionKey(viewOf(parser.get()[streamVersionHeader])) : upstreamVersion_;
+    }
+    http::fields fields = forwardableFields(parser.get());
+    if (reportedSends_) {
+        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
+    }
+    if (reportedSends_ && progress_.version) {
+        fields.set(streamVersionHeader, encodeVersionKey(*progress_.version));
+    }
+    co_return co_await writer_.begin(parser.get().result_int(), std::move(fields));
+}
+
 /// Records whether the connection can serve another request.
 void UpstreamAttempt::updateReusable(Parser &parser, bool whole)
 {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -41,6 +41,8 @@
     /// The head was sent to the caller.
     bool begun = false;
     EventSplitter splitter;
+    /// The version whose upstream wrote the first event; no value before that event, or where it is not known.
+    std::optional<VersionKey> version;
 };
 
 /// The target of one attempt and the values of the headers that the attempt sets.
@@ -51,6 +53,8 @@
     std::string address;
     /// Set for an upstream: the incarnation that is to run the request.
     std::string expectedUpstream;
+    /// Its version; another daemon names the version in its answer.
+    std::optional<VersionKey> upstreamVersion;
     std::chrono::milliseconds connectTimeout{ 500 };
     std::chrono::milliseconds timeLeft{ 0 };
     /// The source from which the memory of this run was moved; empty for a run that starts anew.
@@ -148,6 +152,8 @@
     std::optional<AttemptReport> rejectionOf(const Parser &parser) const;
     AttemptReport brokenConnection(std::string message) const;
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
+    /// Sends the head to the caller; returns false if the caller is gone.
+    Task<bool> beginStream(const Parser &parser);
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
     void updateReusable(Parser &parser, bool whole);
@@ -162,6 +168,7 @@
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
     std::optional<unsigned> reportedSends_;
+    std::optional<VersionKey> upstreamVersion_;
     /// The peer is another daemon.
     bool remote_ = false;
     /// The answer was complete and the connection can serve another request.
--- a/src/portpaddle/gateway/version_filter.cpp
+++ b/src/portpaddle/gateway/version_filter.cpp
@@ -35,4 +35,15 @@
     }
 }
 
+void keepToVersion(VersionKey version, const std::optional<VersionRule> &rule, std::vector<UpstreamCandidate> &candidates,
+                   const std::vector<const UpstreamRecord *> &records)
+{
+    for (UpstreamCandidate &candidate : candidates) {
+        const UpstreamRecord &record = *records[candidate.index];
+        if (versionKeyOf(record.version) != version || !admitsVersion(rule, record.version)) {
+            candidate.exclusionReason = ExclusionReason::VersionAbsent;
+        }
+    }
+}
+
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/version_filter.h
+++ b/src/portpaddle/gateway/version_filter.h
@@ -1,11 +1,12 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Keeps requests to the versions of a service that a rollout gives them.
+/// Keeps requests to the versions of a service that a rollout gives them, and streams to the version that began them.
 #pragma once
 
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/placement.h"
+#include "portpaddle/stream_versions/stream_key.h"
 
 #include <optional>
 #include <vector>
@@ -16,5 +17,9 @@
 /// refer.
 void excludeOtherVersions(const std::optional<VersionRule> &rule, VersionArm arm, std::vector<UpstreamCandidate> &candidates,
                           const std::vector<const UpstreamRecord *> &records);
+/// Excludes the upstreams at which a stream that began at @p version cannot go on: those of other versions, and all if @p rule
+/// does not admit the version any more.
+void keepToVersion(VersionKey version, const std::optional<VersionRule> &rule, std::vector<UpstreamCandidate> &candidates,
+                   const std::vector<const UpstreamRecord *> &records);
 
 } // namespace Portpaddle
--- a/tests/gateway/stream_version_tests.cpp
+++ b/tests/gateway/stream_version_tests.cpp
@@ -3,6 +3,9 @@
 
 // Streams of a service whose upstreams run several software versions: a stream goes on only at the version that began it.
 
+#include "portpaddle/gateway/version_filter.h"
+#include "portpaddle/stream_versions/stream_key.h"
+
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
@@ -44,6 +47,46 @@
     std::array<std::unique_ptr<ScriptedUpstream>, 2> upstreams;
 };
 
+/// Returns the header by which daemons name the version of a stream.
+std::string versionHeader(const std::string &version)
+{
+    return std::string(streamVersionHeader) + ": " + encodeVersionKey(versionKeyOf(version)) + "\r\n";
+}
+
+/// A daemon of another region breaks off the stream that its upstream of version "v0" began; the own region can go on.
+class BrokenRelayFixture : public GatewaySite
+{
+public:
+    explicit BrokenRelayFixture(const std::string &namedVersion = versionHeader("v0"))
+        : upstream(
+            [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(4, 6) + lastChunk }; })
+        , daemon([namedVersion](const SeenRequest &request) {
+            std::string head = streamHead(idOf(request));
+            head.insert(head.find("\r\n") + 2, namedVersion);
+            return ScriptedAnswer{ head + eventChunk(1, 3), Then::Close };
+        })
+    {
+        addRemoteDaemon("e1", "east", daemon.address(), keptElsewhere);
+    }
+
+    SeenAnswer askBesideVersion(const std::string &version)
+    {
+        addUpstream("u1", upstream.address(), version);
+        return ask("/resume/a", "id1", keptElsewhere);
+    }
+
+    ScriptedUpstream upstream;
+    ScriptedUpstream daemon;
+};
+
+class UnnamedVersionFixture : public BrokenRelayFixture
+{
+public:
+    UnnamedVersionFixture() : BrokenRelayFixture(std::string())
+    {
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(TwoVersionsFixture, "Stream, breaks off beside an upstream of another version only, does not go on there")
@@ -60,3 +103,54 @@
     CHECK(answer.status == 503);
     CHECK(requestsSeen() == 0);
 }
+
+TEST_CASE("Stream, its version ended a rollout without a share, has no upstream to go on at")
+{
+    UpstreamRecord record;
+    record.version = "v1";
+    std::vector<UpstreamCandidate> candidates(1);
+    const VersionRule completed{ "v2", 1, true };
+    keepToVersion(versionKeyOf("v1"), completed, candidates, { &record });
+    CHECK(candidates[0].exclusionReason == ExclusionReason::VersionAbsent);
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Stream, relayed for another daemon, tells that daemon its version")
+{
+    removeUpstream("u1");
+    CHECK(askAsDaemon("/resume/a", "id1").head.find(versionHeader("v0")) != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Stream, taken up for another daemon that names its version, goes on at that version")
+{
+    for (std::size_t version = 0; version < upstreams.size(); ++version) {
+        const std::string headers = "Last-Event-ID: 3\r\n" + versionHeader("v" + std::to_string(version));
+        const SeenAnswer answer = askAsDaemon("/resume/a", "id" + std::to_string(version), headers);
+        CHECK(answer.body == events(4, 6));
+        CHECK(upstreams.at(version)->seen().size() == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Stream, taken up for another daemon, no upstream of its version, is refused as not run")
+{
+    const SeenAnswer answer = askAsDaemon("/resume/a", "id1", "Last-Event-ID: 3\r\n" + versionHeader("v7"));
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("X-Portpaddle-Outcome: not_run") != std::string::npos);
+    CHECK(requestsSeen() == 0);
+}
+
+TEST_CASE_FIXTURE(BrokenRelayFixture, "Stream, relay breaks off, goes on at an upstream of the version that began it")
+{
+    CHECK(askBesideVersion("v0").body == events(1, 6));
+}
+
+TEST_CASE_FIXTURE(BrokenRelayFixture, "Stream, relay breaks off, does not go on at an upstream of another version")
+{
+    CHECK(askBesideVersion("v1").body == events(1, 3));
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(UnnamedVersionFixture, "Stream, relay breaks off that did not name the version, does not go on")
+{
+    CHECK(askBesideVersion("v0").body == events(1, 3));
+    CHECK(upstream.seen().empty());
+}
