--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 52> catalogue{ {
+constexpr std::array<LogEventDescription, 55> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -93,6 +93,12 @@
     { LogEvent::RolloutNotWritten, "rollout_not_written", "warning",
       "A step of a rollout was not written; the step is decided again if it is still due." },
     { LogEvent::RolloutUnreadable, "rollout_unreadable", "warning", "An order or a record of a rollout could not be parsed." },
+    { LogEvent::VersionSetChanged, "version_set_changed", "info",
+      "The versions at which streams of a service may begin in a region have changed; announced ones follow soon." },
+    { LogEvent::VersionSetNotWritten, "version_set_not_written", "warning",
+      "The platform did not accept a changed set of versions; the write is retried." },
+    { LogEvent::VersionSetUnreadable, "version_set_unreadable", "warning",
+      "A stored set of versions cannot be parsed; streams of its service are taken up only where a daemon knows how they began." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
     { LogEvent::OrderWithheld, "order_withheld", "warning", "An order was not sent because the lease could not be confirmed." },
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -72,6 +72,9 @@
     { "portpaddle_limit_refused_urgent_total", "Urgent requests refused by the limit of their organisation." },
     { "portpaddle_limit_refused_usual_total", "Usual requests refused by the limit of their organisation." },
     { "portpaddle_limit_refused_patient_total", "Patient requests refused by the limit of their organisation." },
+    { "portpaddle_streams_taken_up_total", "Streams that callers took up and whose version was known." },
+    { "portpaddle_streams_of_unknown_version_total", "Streams not taken up because no daemon knew the version that began them." },
+    { "portpaddle_streams_announced_total", "Streams of which other daemons were told the version that began them." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -60,6 +60,9 @@
     LimitRefusedUrgent,
     LimitRefusedUsual,
     LimitRefusedPatient,
+    StreamsTakenUp,
+    StreamsOfUnknownVersion,
+    StreamsAnnounced,
     Count,
 };
 
--- a/src/portpaddle/fleet/load_aggregation_intake.cpp
+++ b/src/portpaddle/fleet/load_aggregation_intake.cpp
@@ -51,6 +51,7 @@
     case Wire::DigestKind::UpstreamLimits:
     case Wire::DigestKind::RolloutReport:
     case Wire::DigestKind::RolloutSum:
+    case Wire::DigestKind::StreamVersions:
         break;
     case Wire::DigestKind::Report:
         takeReport(digest, now);
--- a/src/portpaddle/gateway/caller_request.cpp
+++ b/src/portpaddle/gateway/caller_request.cpp
@@ -74,6 +74,11 @@
     return prompt.parts.empty() ? idHash : prompt.parts.back().chainHash;
 }
 
+std::uint64_t CallerRequest::streamHash() const
+{
+    return resumes.empty() ? idHash : XXH3_64bits(resumes.data(), resumes.size());
+}
+
 CallerRequest decodeRequest(HttpRequest message, const HeaderNames &names, SteadyTime arrivedAt)
 {
     CallerRequest request;
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -74,6 +74,8 @@
     std::uint64_t contentHash() const;
     /// The version that began the stream, as the forwarding daemon named it.
     std::optional<VersionKey> streamVersion;
+    /// Returns a hash that all tries of the caller for one stream have: that of the try that began it.
+    std::uint64_t streamHash() const;
     /// Where the request resumes a run whose memory was moved; absent for a run that starts anew.
     std::optional<Continuation> continuation;
 };
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -107,6 +107,11 @@
         co_await refuse(ErrorCode::Stopping, "this daemon stops before the request can complete", suggestedRetryAfter());
         co_return;
     }
+    const bool versionKnown = co_await findStreamVersion();
+    if (!versionKnown) {
+        deadlineTimer_.cancel();
+        co_return;
+    }
     const bool admitted = co_await admitByLimit();
     if (!admitted) {
         deadlineTimer_.cancel();
@@ -161,7 +166,7 @@
         }
         gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
         log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0, report.error.message);
-        const bool found = progress_.begun ? true : co_await findRoute();
+        const bool found = progress_.begun ? true : co_await findRouteAgain();
         if (!found) {
             refundRetry();
             co_return;
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -29,6 +29,8 @@
     void moveAway(const UpstreamRecord &source);
     /// Whether the daemon that forwarded the request can have the stream continued elsewhere.
     bool canHandOver() const;
+    /// Tells other daemons which version began the stream, unless they were told or know it.
+    void announceStream(SteadyTime now);
 
 private:
     /// An upstream cannot answer within less time than this, so no attempt begins.
@@ -42,6 +44,13 @@
     /// Looks up the route and the organisation in the newest configuration. Answers the caller and returns false if the request
     /// may not be served.
     Task<bool> findRoute();
+    /// As findRoute(), for another attempt at a request of which the caller has received nothing.
+    Task<bool> findRouteAgain();
+    /// Whether the caller takes up a stream of which it has a part.
+    bool takesUpStream() const;
+    StreamKey streamKey() const;
+    /// Finds out which version began the stream that is taken up. Answers the caller and returns false if that is not known.
+    Task<bool> findStreamVersion();
     /// Identifies the organisation by the key. Answers the caller and returns false if no organisation has the key.
     Task<bool> findOrganisation();
     /// Counts the request against its organisation's limit. Answers the caller and returns false if the limit is exhausted.
@@ -145,6 +154,10 @@
     /// Units counted against the organisation's limit; zero if the request was not counted.
     double countedUnits_ = 0;
     std::string service_;
+    /// The service at which the version of the stream was looked up.
+    std::string versionService_;
+    /// Other daemons were told which version began the stream.
+    bool isAnnounced_ = false;
     SteadyTime deadline_;
     /// During a stop: targets are chosen only if the request is predicted to end by then.
     SteadyTime latestPredictedEnd_ = SteadyTime::max();
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -70,7 +70,7 @@
     const bool stays = std::any_of(route_->services.begin(), route_->services.end(),
                                    [this](const WeightedService &entry) { return entry.service == service_; });
     if (!stays) {
-        service_ = route_->serviceFor(request_.idHash);
+        service_ = route_->serviceFor(request_.streamHash());
     }
     co_return co_await findOrganisation();
 }
@@ -161,6 +161,7 @@
     };
     context.versionRule = gateway_.rollouts_.rule(service_);
     context.streamVersion = progress_.version;
+    context.beginsStream = route_->kind == RouteKind::Stream && route_->resumable;
     // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
     context.arm = drawArm(context.versionRule, askedTargets_.empty() ? versionChance_ : retryVersionChance);
     return context;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -72,6 +72,7 @@
 AttemptCallbacks Exchange::callbacksFor(const Target &target, LoadTicket &ticket, bool continuesMovedRun)
 {
     AttemptCallbacks callbacks;
+    callbacks.streamBegins = [this] { announceStream(BootClock::now()); };
     if (!target.upstream) {
         callbacks.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
         callbacks.firstEvent = [this] { noteFirstEvent(); };
--- a/src/portpaddle/gateway/fleet_registry.cpp
+++ b/src/portpaddle/gateway/fleet_registry.cpp
@@ -279,6 +279,24 @@
     publish();
 }
 
+void FleetRegistry::listVersionSets(VersionSets sets)
+{
+    const std::lock_guard lock(mutex_);
+    versionSets_ = std::move(sets);
+    publish();
+}
+
+void FleetRegistry::changeVersionSet(const VersionSetPlace &place, const std::optional<VersionSet> &set)
+{
+    const std::lock_guard lock(mutex_);
+    if (set) {
+        versionSets_[place.service][place.region] = *set;
+    } else {
+        versionSets_[place.service].erase(place.region);
+    }
+    publish();
+}
+
 void FleetRegistry::onStoreUnavailable(SteadyTime)
 {
     const std::lock_guard lock(mutex_);
@@ -345,6 +363,7 @@
     view->quarantined = quarantined_;
     view->upstreamLimits = upstreamLimits_;
     view->rollouts = rollouts_;
+    view->versionSets = versionSets_;
     view->storeReachable = storeReachable_;
     cell_.publish(std::move(view));
     published_();
--- a/src/portpaddle/gateway/fleet_registry.h
+++ b/src/portpaddle/gateway/fleet_registry.h
@@ -50,6 +50,9 @@
     void changeRolloutOrder(const std::string &service, std::optional<RolloutOrder> order);
     /// @p record has no value where the record is gone or cannot be read.
     void changeRolloutRecord(const std::string &service, std::optional<RolloutRecord> record);
+    void listVersionSets(VersionSets sets);
+    /// @p set has no value where the record is gone or cannot be read.
+    void changeVersionSet(const VersionSetPlace &place, const std::optional<VersionSet> &set);
     void onStoreUnavailable(SteadyTime now);
     void onStoreAvailable(SteadyTime now);
     /// Removes records that expired and were not registered again; call a few times a second.
@@ -103,6 +106,7 @@
     QuarantinedRequests quarantined_;
     StoredLimits upstreamLimits_;
     Rollouts rollouts_;
+    VersionSets versionSets_;
     bool storeReachable_ = false;
     bool everReachable_ = false;
     bool inBatch_ = false;
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/gateway/fleet_view.h
@@ -11,6 +11,7 @@
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
 #include "portpaddle/rollouts/rollout.h"
+#include "portpaddle/stream_versions/version_sets.h"
 #include "portpaddle/upstream_limits/limit_table.h"
 
 #include <memory>
@@ -74,6 +75,7 @@
     QuarantinedRequests quarantined;
     StoredLimits upstreamLimits;
     Rollouts rollouts;
+    VersionSets versionSets;
     bool storeReachable = false;
 
     /// Returns whether new requests may be sent to @p upstream.
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -39,6 +39,8 @@
     , reportedLoads_(identity_.region, metrics)
     , rollouts_(identity_.id, identity_.region, random.below(std::numeric_limits<std::uint64_t>::max()),
                 [this](const std::string &daemon, SteadyTime now) { return regions_.fellSilent(daemon, now); })
+    , streamVersions_(executor, identity_.id, identity_.region)
+    , versionSets_(identity_.region)
 {
     regions_.setOwnRegion(identity_.region);
 }
@@ -89,6 +91,7 @@
     organisationLimits_.setTolerance(options.limitTolerance);
     retryMembers_.setSettling(options.listSettling);
     rollouts_.setTerms(options.rolloutTerms);
+    versionSets_.setTerms({ options.drainBound, options.isFirstStart });
     updateRetryBudget(BootClock::now());
 }
 
@@ -192,6 +195,7 @@
     upstreamLimits_.setView(view_, now);
     notices_.setView(*view_, now);
     rollouts_.setView(view_);
+    versionSets_.setView(view_, now);
     updateRetryBudget(now);
 }
 
@@ -206,6 +210,7 @@
 void Gateway::daemonsChanged(SteadyTime now)
 {
     regions_.setDaemons(*view_, now);
+    streamVersions_.setDaemons(view_->daemons);
     updateOwners(now);
     std::set<std::string> ownDataCentre;
     for (const DaemonRecord &daemon : view_->daemons) {
@@ -342,12 +347,24 @@
 void Gateway::tick()
 {
     const SteadyTime now = BootClock::now();
+    const bool stalled = hasStalled(now);
+    if (stalled) {
+        stalledUntil_ = now + options_.drainBound;
+    }
+    tickedAt_ = now;
     pool_.sweep(now);
     moveEndingRuns(now);
     crashes_.tick(now);
     reach_.tick(now);
     regions_.tick(now);
     updateOwners(now);
+    versionSets_.tick(
+        stalled,
+        [this](const std::string &service) {
+            return owners_.members() > 0 ? std::optional(owners_.rank(stableHash(service))) : std::nullopt;
+        },
+        now);
+    announceStreams(now);
     upstreamLimits_.tick(now);
     rejectionBudget_.setDaemons(sharingDaemonCount());
     reportedLoads_.tick(now);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -26,7 +26,8 @@
 #include "portpaddle/retries/retry_credit.h"
 #include "portpaddle/retries/retry_members.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
-#include "portpaddle/stream_versions/stream_key.h"
+#include "portpaddle/stream_versions/stream_versions.h"
+#include "portpaddle/stream_versions/version_set_recorder.h"
 #include "portpaddle/upstream_limits/rejection_budget.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
@@ -81,6 +82,12 @@
     /// By how much organisations' limits may be exceeded.
     LimitTolerance limitTolerance;
     RolloutTerms rolloutTerms;
+    /// All regions in which streams may begin.
+    std::set<std::string> regions;
+    /// The whole fleet starts for the first time.
+    bool isFirstStart = false;
+    /// A process that did not run for this long may have missed changes of the store.
+    std::chrono::milliseconds stallBound{ 1'000 };
 };
 
 /// Handles the requests of one event loop and must only be used from it; only the view is written by another thread.
@@ -110,6 +117,10 @@
     void setRolloutWriter(RolloutController::WriteRecord write);
     /// Returns the digests about rollouts; call once in each interval.
     std::vector<OutgoingDigest> dueRolloutDigests();
+    /// Sets the function that writes sets of versions to the platform.
+    void setVersionSetWriter(VersionSetRecorder::WriteRecord write);
+    /// Sets the function that sends a digest at once.
+    void setDigestSender(StreamVersions::Send send);
     /// Returns the digests about limits named by upstreams; call once in each interval.
     std::vector<OutgoingDigest> dueLimitDigests();
     /// Sets the handler for other daemons' requests for the state of the store; it must outlive the gateway.
@@ -181,6 +192,8 @@
         VersionArm arm = VersionArm::Any;
         /// The version that began the stream, which goes on at no other.
         std::optional<VersionKey> streamVersion{};
+        /// A stream that can be taken up begins, which it does only at versions that all daemons know.
+        bool beginsStream = false;
 
         bool allowsRegion(std::string_view region) const;
     };
@@ -198,8 +211,14 @@
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
                                                    SteadyTime now);
     /// Excludes the upstreams whose version the request may not be sent to.
-    static void excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
-                                const std::vector<const UpstreamRecord *> &records);
+    void excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
+                         const std::vector<const UpstreamRecord *> &records, SteadyTime now) const;
+    /// Returns the one version at which all streams of @p route at @p service began; no value if that is not certain.
+    std::optional<VersionKey> soleVersion(const Route &route, const std::string &service, SteadyTime now) const;
+    /// Tells other daemons of streams in progress whose version they cannot know otherwise.
+    void announceStreams(SteadyTime now);
+    /// Returns whether this process did not run for a while, so that what it knows of the store may be old.
+    bool hasStalled(SteadyTime now) const;
     /// Returns a daemon of the own region that reaches the upstreams of the service, for a request for which this daemon does
     /// not; null if there is none or none is needed. Makes the upstreams that it reaches usable in @p upstreams.
     const DaemonRecord *relayBeside(const CallerRequest &request, const ChoiceContext &context,
@@ -287,6 +306,11 @@
     /// Number of turns in which all daemons of the own region are sent a digest, in a fleet without aggregators.
     unsigned localDigestTurns_ = 1;
     RolloutCoordinator rollouts_;
+    StreamVersions streamVersions_;
+    VersionSetRecorder versionSets_;
+    std::optional<SteadyTime> tickedAt_;
+    /// Until then the process may not have caught up with the store after a stall.
+    SteadyTime stalledUntil_{};
     /// Number of requests that wait to be sent to an upstream with a limit, by service.
     std::map<std::string, std::size_t> waitingRequests_;
     /// Daemons of the own region in the view.
@@ -310,7 +334,7 @@
     PeerRequestHandler *peerRequestHandler_ = nullptr;
     MemoryBudget bodyMemory_;
     MemoryBudget answerMemory_;
-    std::set<const Exchange *> inProgress_;
+    std::set<Exchange *> inProgress_;
     std::uint64_t digestSequence_ = 0;
     /// Prompt parts that the digests of this round announce, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> announcedParts_;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -171,7 +171,7 @@
     }
     records = local->considered(request.prompt);
     std::vector<UpstreamCandidate> candidates = describe(records, spec, request.prompt, context.tried, now);
-    excludeVersions(context, candidates, records);
+    excludeVersions(context, candidates, records, now);
     const auto usable = std::count_if(candidates.begin(), candidates.end(), [](const UpstreamCandidate &candidate) {
         return candidate.exclusionReason == ExclusionReason::None;
     });
@@ -179,21 +179,11 @@
     if (!local->isWhole() && usable < minUsableOfSubset) {
         records = local->all();
         candidates = describe(records, spec, request.prompt, context.tried, now);
-        excludeVersions(context, candidates, records);
+        excludeVersions(context, candidates, records, now);
     }
     return candidates;
 }
 
-void Gateway::excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
-                              const std::vector<const UpstreamRecord *> &records)
-{
-    if (context.streamVersion) {
-        keepToVersion(*context.streamVersion, context.versionRule, candidates, records);
-    } else {
-        excludeOtherVersions(context.versionRule, context.arm, candidates, records);
-    }
-}
-
 // A request that another daemon forwarded is not forwarded again, so that two daemons never send it back and forth.
 const DaemonRecord *Gateway::relayBeside(const CallerRequest &request, const ChoiceContext &context,
                                          std::vector<UpstreamCandidate> &upstreams, SteadyTime now)
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -44,6 +44,10 @@
         rollouts_.take(digest, now);
         return;
     }
+    if (digest.kind == Wire::DigestKind::StreamVersions) {
+        streamVersions_.take(digest, now);
+        return;
+    }
     regions_.applyDigest(digest, now);
     reportedLoads_.takeNews(digest, now);
     if (digest.region == identity_.region) {
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -54,6 +54,7 @@
     , ticks_(loop.get_executor())
     , remoteCursor_(stableHash(gateway.identity().id))
 {
+    gateway_.setDigestSender([this](const OutgoingDigest &digest) { send({ digest }); });
 }
 
 Status GatewayServer::start()
--- a/src/portpaddle/gateway/load_digest.h
+++ b/src/portpaddle/gateway/load_digest.h
@@ -27,6 +27,9 @@
 /// Maximum number of reported loads in a digest; a digest with other content may have room for fewer.
 inline constexpr std::size_t maxDigestReports = 48;
 
+/// Maximum number of streams of each kind in a digest.
+inline constexpr std::size_t maxDigestStreams = 16;
+
 /// Splits @p shares and @p parts into as many digests as needed, each to be sent in a datagram of its own. @p header has the
 /// sender, the sequence of the first digest, and the content that only the first one carries.
 std::vector<Wire::LoadDigestT> splitIntoDigests(const Wire::LoadDigestT &header, std::span<const Wire::UpstreamShare> shares,
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -357,7 +357,7 @@
     }
     const bool due = !whole.empty() || parser.is_done();
     if (due && !progress_.begun) {
-        const bool begun = co_await beginStream(parser);
+        const bool begun = co_await beginStream(parser, callbacks);
         if (!begun) {
             co_return false;
         }
@@ -368,12 +368,13 @@
     co_return co_await writer_.writeChunk(whole);
 }
 
-Task<bool> UpstreamAttempt::beginStream(const Parser &parser)
+Task<bool> UpstreamAttempt::beginStream(const Parser &parser, const AttemptCallbacks &callbacks)
 {
     progress_.begun = true;
     if (!progress_.version) {
         progress_.version = remote_ ? decodeVersionKey(viewOf(parser.get()[streamVersionHeader])) : upstreamVersion_;
     }
+    callbacks.streamBegins();
     http::fields fields = forwardableFields(parser.get());
     if (reportedSends_) {
         fields.set(relaySendsHeader, std::to_string(*reportedSends_));
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -104,7 +104,7 @@
     std::optional<Continuation> continuation;
 };
 
-/// Callbacks for the progress of an attempt; all of them must be set, except connected.
+/// Callbacks for the progress of an attempt; all of them must be set, except connected and streamBegins.
 struct AttemptCallbacks
 {
     /// A new connection was opened.
@@ -115,6 +115,8 @@
     std::function<void()> sending;
     /// The head of an answer arrived, possibly of a late answer to an earlier request.
     std::function<void(const AnswerNotice &notice)> headReceived;
+    /// The first event of a stream is about to be passed on, and the version that wrote it is known as far as it can be.
+    std::function<void()> streamBegins = [] {};
     /// The first bytes of a stream arrived.
     std::function<void()> firstEvent;
     /// This number of complete events of a stream arrived.
@@ -153,7 +155,7 @@
     AttemptReport brokenConnection(std::string message) const;
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
     /// Sends the head to the caller; returns false if the caller is gone.
-    Task<bool> beginStream(const Parser &parser);
+    Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
     void updateReusable(Parser &parser, bool whole);
--- /dev/null
+++ b/src/portpaddle/stream_versions/stream_versions.cpp
@@ -0,0 +1,146 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/stream_versions/stream_versions.h"
+
+#include <utility>
+
+namespace Portpaddle {
+
+namespace {
+
+// About four minutes of streams at the rate of one daemon, each held by two daemons of three regions.
+constexpr std::size_t maxStreams = 32'768;
+constexpr std::size_t maxLookups = 2'048;
+// Daemons of one region answer within a few milliseconds unless they have ended.
+constexpr Millis ownRegionWait{ 25 };
+// The round trip to another region, and a busy daemon there.
+constexpr Millis allRegionsWait{ 180 };
+// One datagram in ten may be lost.
+constexpr unsigned allRegionsRounds = 2;
+
+StreamKey keyOf(const Wire::RequestDigest &stream)
+{
+    return { stream.high(), stream.low() };
+}
+
+Wire::RequestDigest toWire(const StreamKey &stream)
+{
+    return { stream.high, stream.low };
+}
+
+} // namespace
+
+StreamVersions::StreamVersions(Executor executor, std::string ownId, std::string ownRegion)
+    : executor_(executor), ownId_(ownId), holders_(std::move(ownId), std::move(ownRegion)), begun_(maxStreams)
+{
+}
+
+void StreamVersions::setSend(Send send)
+{
+    send_ = std::move(send);
+}
+
+void StreamVersions::setDaemons(const SharedList<DaemonRecord> &daemons)
+{
+    holders_.setDaemons(daemons);
+}
+
+std::size_t StreamVersions::size() const
+{
+    return begun_.size();
+}
+
+Wire::LoadDigestT StreamVersions::emptyDigest() const
+{
+    Wire::LoadDigestT digest;
+    digest.daemon = ownId_;
+    digest.kind = Wire::DigestKind::StreamVersions;
+    return digest;
+}
+
+void StreamVersions::announce(const StreamKey &stream, VersionKey version, SteadyTime now)
+{
+    begun_.record(stream, version, now);
+    Wire::LoadDigestT digest = emptyDigest();
+    digest.begun_streams.emplace_back(toWire(stream), version);
+    send_({ holders_.links(stream, StreamHolders::Reach::AllRegions), std::move(digest) });
+}
+
+Task<std::optional<VersionKey>> StreamVersions::find(StreamKey stream, std::optional<VersionKey> sole)
+{
+    if (begun_.contains(stream, BootClock::now())) {
+        co_return begun_.find(stream, BootClock::now());
+    }
+    if (lookups_.size() >= maxLookups) {
+        co_return sole;
+    }
+    const auto lookup = std::make_shared<Lookup>(executor_);
+    const auto listed = lookups_.emplace(stream, lookup);
+    co_await ask(stream, *lookup, StreamHolders::Reach::OwnRegion, ownRegionWait);
+    for (unsigned round = 0; round < allRegionsRounds && !sole && !begun_.contains(stream, BootClock::now()); ++round) {
+        co_await ask(stream, *lookup, StreamHolders::Reach::AllRegions, allRegionsWait);
+    }
+    lookups_.erase(listed);
+    const SteadyTime now = BootClock::now();
+    co_return begun_.contains(stream, now) ? begun_.find(stream, now) : sole;
+}
+
+Task<void> StreamVersions::ask(const StreamKey &stream, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait)
+{
+    std::vector<std::string> links = holders_.links(stream, reach);
+    lookup.awaitedAnswers = links.size();
+    if (links.empty()) {
+        co_return;
+    }
+    lookup.answered.expires_after(maxWait);
+    Wire::LoadDigestT digest = emptyDigest();
+    digest.stream_queries.push_back(toWire(stream));
+    send_({ std::move(links), std::move(digest) });
+    NetError ignored;
+    co_await lookup.answered.async_wait(awaitingInto(ignored));
+}
+
+void StreamVersions::take(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    for (const Wire::BegunStream &begun : digest.begun_streams) {
+        const StreamKey stream = keyOf(begun.stream());
+        begun_.record(stream, begun.version(), now);
+        const auto [first, last] = lookups_.equal_range(stream);
+        for (auto lookup = first; lookup != last; ++lookup) {
+            lookup->second->answered.cancel();
+        }
+    }
+    for (const Wire::RequestDigest &unknown : digest.unknown_streams) {
+        const auto [first, last] = lookups_.equal_range(keyOf(unknown));
+        for (auto lookup = first; lookup != last; ++lookup) {
+            if (lookup->second->awaitedAnswers > 0 && --lookup->second->awaitedAnswers == 0) {
+                lookup->second->answered.cancel();
+            }
+        }
+    }
+    if (!digest.stream_queries.empty()) {
+        answerQueries(digest, now);
+    }
+}
+
+// Only listed daemons are answered, so that a datagram with a forged sender reaches nobody else.
+void StreamVersions::answerQueries(const Wire::LoadDigestT &digest, SteadyTime now)
+{
+    const std::string link = holders_.linkOf(digest.daemon);
+    if (link.empty()) {
+        return;
+    }
+    Wire::LoadDigestT answer = emptyDigest();
+    for (const Wire::RequestDigest &query : digest.stream_queries) {
+        const std::optional<VersionKey> version = begun_.find(keyOf(query), now);
+        if (version) {
+            answer.begun_streams.emplace_back(query, *version);
+        } else {
+            answer.unknown_streams.push_back(query);
+        }
+    }
+    send_({ { link }, std::move(answer) });
+}
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/stream_versions/stream_versions.h
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Tells other daemons which version began a stream, and asks them.
+#pragma once
+
+#include "portpaddle/fleet/load_aggregation.h"
+#include "portpaddle/net/asio.h"
+#include "portpaddle/stream_versions/begun_streams.h"
+#include "portpaddle/stream_versions/stream_holders.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace Portpaddle {
+
+/// Belongs to one event loop. Digests are sent at once, because a stream may be taken up as soon as its caller has its first
+/// event.
+class StreamVersions
+{
+public:
+    using Send = std::function<void(const OutgoingDigest &digest)>;
+
+    StreamVersions(Executor executor, std::string ownId, std::string ownRegion);
+
+    void setSend(Send send);
+    void setDaemons(const SharedList<DaemonRecord> &daemons);
+    /// Records that @p version began @p stream, here and at the daemons that hold the stream.
+    void announce(const StreamKey &stream, VersionKey version, SteadyTime now);
+    /// Returns the version that began @p stream. Asks the daemons of the own region, and those of others unless @p sole is set:
+    /// the version of all streams, unless a daemon knows better. No value if no daemon knows.
+    Task<std::optional<VersionKey>> find(StreamKey stream, std::optional<VersionKey> sole);
+    /// Applies a StreamVersions digest.
+    void take(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// Returns the number of streams of which something is recorded.
+    std::size_t size() const;
+
+private:
+    /// A question to other daemons that is under way.
+    struct Lookup
+    {
+        explicit Lookup(Executor executor) : answered(executor)
+        {
+        }
+
+        SteadyTimer answered;
+        std::size_t awaitedAnswers = 0;
+    };
+
+    /// Asks the daemons that hold @p stream and waits until one knows it, all have answered, or @p maxWait has passed.
+    Task<void> ask(const StreamKey &stream, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait);
+    void answerQueries(const Wire::LoadDigestT &digest, SteadyTime now);
+    Wire::LoadDigestT emptyDigest() const;
+
+    Executor executor_;
+    std::string ownId_;
+    Send send_ = [](const OutgoingDigest &) {};
+    StreamHolders holders_;
+    BegunStreams begun_;
+    std::multimap<StreamKey, std::shared_ptr<Lookup>> lookups_;
+};
+
+} // namespace Portpaddle
--- /dev/null
+++ b/src/portpaddle/stream_versions/version_set_recorder.cpp
@@ -0,0 +1,185 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/stream_versions/version_set_recorder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Portpaddle {
+
+namespace {
+
+// Records that are written this soon after the first start hold all versions: the daemons of a fleet start together.
+constexpr Millis firstRecordTime{ 6'000 };
+// Daemons write one after the other until one of them has written; the changed record comes back within a second.
+constexpr Millis writeStagger{ 1'000 };
+constexpr Millis rewriteInterval{ 2'000 };
+constexpr std::size_t maxWriters = 6;
+
+/// Returns the services whose streams can be taken up.
+std::set<std::string> resumableServices(const ServiceMap &services)
+{
+    std::set<std::string> result;
+    for (const Route &route : services.routes) {
+        if (route.kind != RouteKind::Stream || !route.resumable) {
+            continue;
+        }
+        for (const WeightedService &entry : route.services) {
+            result.insert(entry.service);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+VersionSetRecorder::VersionSetRecorder(std::string ownRegion) : ownRegion_(std::move(ownRegion)), startedAt_(BootClock::now())
+{
+}
+
+void VersionSetRecorder::setTerms(const VersionSetTerms &terms)
+{
+    terms_ = terms;
+}
+
+void VersionSetRecorder::setWriter(WriteRecord write)
+{
+    write_ = std::move(write);
+}
+
+void VersionSetRecorder::setView(std::shared_ptr<const FleetView> view, SteadyTime now)
+{
+    view_ = std::move(view);
+    if (!view_->services) {
+        return;
+    }
+    const std::set<std::string> services = resumableServices(*view_->services);
+    std::erase_if(states_, [&services](const auto &entry) { return !services.contains(entry.first); });
+    for (const std::string &service : services) {
+        states_[service].present.clear();
+    }
+    for (const auto &[id, upstream] : view_->upstreams) {
+        const auto state = states_.find(upstream.service);
+        if (upstream.region == ownRegion_ && state != states_.end()) {
+            state->second.present.insert(upstream.version);
+        }
+    }
+    for (auto &[service, state] : states_) {
+        observeRecord(service, state, now);
+    }
+}
+
+const VersionSet *VersionSetRecorder::stored(const std::string &service) const
+{
+    return view_ ? findVersionSet(view_->versionSets, service, ownRegion_) : nullptr;
+}
+
+void VersionSetRecorder::observeRecord(const std::string &service, State &state, SteadyTime now) const
+{
+    const VersionSet *set = stored(service);
+    std::erase_if(state.announcedSince,
+                  [set](const auto &entry) { return set == nullptr || !set->announced.contains(entry.first); });
+    if (set == nullptr) {
+        return;
+    }
+    for (const std::string &version : set->announced) {
+        state.announcedSince.try_emplace(version, now);
+    }
+    if (set->complete) {
+        state.incompleteSince.reset();
+    } else if (!state.incompleteSince) {
+        state.incompleteSince = now;
+    }
+}
+
+bool VersionSetRecorder::hasWatchedLong(SteadyTime now) const
+{
+    return watchedSince_ && now - *watchedSince_ >= streamRetention;
+}
+
+bool VersionSetRecorder::isAnnouncedLong(const State &state, const std::string &version, SteadyTime now) const
+{
+    const auto since = state.announcedSince.find(version);
+    return since != state.announcedSince.end() && now - since->second >= terms_.settling;
+}
+
+bool VersionSetRecorder::mayBegin(const std::string &service, const std::string &version, SteadyTime now) const
+{
+    const VersionSet *set = stored(service);
+    if (set == nullptr) {
+        // The first records may still be on their way.
+        return !terms_.isFirstStart || now - startedAt_ >= firstRecordTime + terms_.settling;
+    }
+    const auto state = states_.find(service);
+    return mayBeginStream(set, version) || (state != states_.end() && isAnnouncedLong(state->second, version, now));
+}
+
+VersionSet VersionSetRecorder::firstRecord(const State &state, SteadyTime now) const
+{
+    VersionSet set;
+    for (const auto &[version, at] : state.lastSeen) {
+        set.open.insert(version);
+    }
+    set.complete = terms_.isFirstStart && now - startedAt_ < firstRecordTime;
+    return set;
+}
+
+// A new version is announced first: a daemon that does not know it yet still takes the other version for the only one. A version
+// is removed when no stream that it began can be in progress any more.
+std::optional<VersionSet> VersionSetRecorder::wanted(const std::string &service, const State &state, SteadyTime now) const
+{
+    const VersionSet *present = stored(service);
+    if (present == nullptr) {
+        return firstRecord(state, now);
+    }
+    VersionSet set = *present;
+    for (const std::string &version : state.present) {
+        if (!set.open.contains(version) && !set.announced.contains(version)) {
+            (set.complete ? set.announced : set.open).insert(version);
+        }
+    }
+    for (const auto &[version, since] : state.announcedSince) {
+        if (isAnnouncedLong(state, version, now)) {
+            set.announced.erase(version);
+            set.open.insert(version);
+        }
+    }
+    if (hasWatchedLong(now)) {
+        std::erase_if(set.open, [&](const std::string &version) {
+            const auto seen = state.lastSeen.find(version);
+            return seen == state.lastSeen.end() || now - seen->second >= streamRetention;
+        });
+        set.complete = set.complete || (state.incompleteSince && now - *state.incompleteSince >= streamRetention);
+    }
+    const bool isRight = set.open == present->open && set.announced == present->announced && set.complete == present->complete;
+    return isRight ? std::nullopt : std::optional(set);
+}
+
+void VersionSetRecorder::tick(bool stalled, const OwnRank &ownRank, SteadyTime now)
+{
+    if (!view_ || !view_->storeReachable || stalled) {
+        watchedSince_.reset();
+        return;
+    }
+    watchedSince_ = watchedSince_.value_or(now);
+    for (auto &[service, state] : states_) {
+        for (const std::string &version : state.present) {
+            state.lastSeen[version] = now;
+        }
+        const std::optional<VersionSet> set = wanted(service, state, now);
+        if (!set) {
+            state.dueSince.reset();
+            continue;
+        }
+        state.dueSince = state.dueSince.value_or(now);
+        const std::optional<std::size_t> rank = ownRank(service);
+        const bool isTurn = rank && *rank < maxWriters && now - *state.dueSince >= writeStagger * static_cast<int>(*rank);
+        if (isTurn && (!state.writtenAt || now - *state.writtenAt >= rewriteInterval)) {
+            state.writtenAt = now;
+            write_({ service, ownRegion_ }, *set);
+        }
+    }
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -48,6 +48,8 @@
 
 struct FirstTokenTime;
 
+struct BegunStream;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -101,11 +103,12 @@
   UpstreamLimits = 5,
   RolloutReport = 6,
   RolloutSum = 7,
+  StreamVersions = 8,
   MIN = Direct,
-  MAX = RolloutSum
+  MAX = StreamVersions
 };
 
-inline const DigestKind (&EnumValuesDigestKind())[8] {
+inline const DigestKind (&EnumValuesDigestKind())[9] {
   static const DigestKind values[] = {
     DigestKind::Direct,
     DigestKind::Report,
@@ -114,13 +117,14 @@
     DigestKind::Crashes,
     DigestKind::UpstreamLimits,
     DigestKind::RolloutReport,
-    DigestKind::RolloutSum
+    DigestKind::RolloutSum,
+    DigestKind::StreamVersions
   };
   return values;
 }
 
 inline const char * const *EnumNamesDigestKind() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "Direct",
     "Report",
     "Sum",
@@ -129,13 +133,14 @@
     "UpstreamLimits",
     "RolloutReport",
     "RolloutSum",
+    "StreamVersions",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDigestKind(DigestKind e) {
-  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::RolloutSum)) return "";
+  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::StreamVersions)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDigestKind()[index];
 }
@@ -796,6 +801,29 @@
 };
 FLATBUFFERS_STRUCT_END(FirstTokenTime, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) BegunStream FLATBUFFERS_FINAL_CLASS {
+ private:
+  Portpaddle::Wire::RequestDigest stream_;
+  uint64_t version_;
+
+ public:
+  BegunStream()
+      : stream_(),
+        version_(0) {
+  }
+  BegunStream(const Portpaddle::Wire::RequestDigest &_stream, uint64_t _version)
+      : stream_(_stream),
+        version_(flatbuffers::EndianScalar(_version)) {
+  }
+  const Portpaddle::Wire::RequestDigest &stream() const {
+    return stream_;
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+};
+FLATBUFFERS_STRUCT_END(BegunStream, 24);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -933,6 +961,9 @@
   std::vector<Portpaddle::Wire::LimitUrgencyGrant> limit_urgency_grants{};
   std::vector<Portpaddle::Wire::LimitUrgencyDemand> limit_urgency_demands{};
   uint8_t unreachable = 0;
+  std::vector<Portpaddle::Wire::BegunStream> begun_streams{};
+  std::vector<Portpaddle::Wire::RequestDigest> stream_queries{};
+  std::vector<Portpaddle::Wire::RequestDigest> unknown_streams{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -970,7 +1001,10 @@
     VT_LIMIT_URGENCY_COUNTS = 52,
     VT_LIMIT_URGENCY_GRANTS = 54,
     VT_LIMIT_URGENCY_DEMANDS = 56,
-    VT_UNREACHABLE = 58
+    VT_UNREACHABLE = 58,
+    VT_BEGUN_STREAMS = 60,
+    VT_STREAM_QUERIES = 62,
+    VT_UNKNOWN_STREAMS = 64
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -1056,6 +1090,15 @@
   uint8_t unreachable() const {
     return GetField<uint8_t>(VT_UNREACHABLE, 0);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::BegunStream *> *begun_streams() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::BegunStream *> *>(VT_BEGUN_STREAMS);
+  }
+  const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *stream_queries() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_STREAM_QUERIES);
+  }
+  const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *unknown_streams() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_UNKNOWN_STREAMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -1106,6 +1149,12 @@
            VerifyOffset(verifier, VT_LIMIT_URGENCY_DEMANDS) &&
            verifier.VerifyVector(limit_urgency_demands()) &&
            VerifyField<uint8_t>(verifier, VT_UNREACHABLE, 1) &&
+           VerifyOffset(verifier, VT_BEGUN_STREAMS) &&
+           verifier.VerifyVector(begun_streams()) &&
+           VerifyOffset(verifier, VT_STREAM_QUERIES) &&
+           verifier.VerifyVector(stream_queries()) &&
+           VerifyOffset(verifier, VT_UNKNOWN_STREAMS) &&
+           verifier.VerifyVector(unknown_streams()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1201,6 +1250,15 @@
   void add_unreachable(uint8_t unreachable) {
     fbb_.AddElement<uint8_t>(LoadDigest::VT_UNREACHABLE, unreachable, 0);
   }
+  void add_begun_streams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::BegunStream *>> begun_streams) {
+    fbb_.AddOffset(LoadDigest::VT_BEGUN_STREAMS, begun_streams);
+  }
+  void add_stream_queries(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> stream_queries) {
+    fbb_.AddOffset(LoadDigest::VT_STREAM_QUERIES, stream_queries);
+  }
+  void add_unknown_streams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams) {
+    fbb_.AddOffset(LoadDigest::VT_UNKNOWN_STREAMS, unknown_streams);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1241,12 +1299,18 @@
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyCount *>> limit_urgency_counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyGrant *>> limit_urgency_grants = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *>> limit_urgency_demands = 0,
-    uint8_t unreachable = 0) {
+    uint8_t unreachable = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::BegunStream *>> begun_streams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> stream_queries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
   builder_.add_rollout_order(rollout_order);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_unknown_streams(unknown_streams);
+  builder_.add_stream_queries(stream_queries);
+  builder_.add_begun_streams(begun_streams);
   builder_.add_limit_urgency_demands(limit_urgency_demands);
   builder_.add_limit_urgency_grants(limit_urgency_grants);
   builder_.add_limit_urgency_counts(limit_urgency_counts);
@@ -1303,7 +1367,10 @@
     const std::vector<Portpaddle::Wire::LimitUrgencyCount> *limit_urgency_counts = nullptr,
     const std::vector<Portpaddle::Wire::LimitUrgencyGrant> *limit_urgency_grants = nullptr,
     const std::vector<Portpaddle::Wire::LimitUrgencyDemand> *limit_urgency_demands = nullptr,
-    uint8_t unreachable = 0) {
+    uint8_t unreachable = 0,
+    const std::vector<Portpaddle::Wire::BegunStream> *begun_streams = nullptr,
+    const std::vector<Portpaddle::Wire::RequestDigest> *stream_queries = nullptr,
+    const std::vector<Portpaddle::Wire::RequestDigest> *unknown_streams = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -1323,6 +1390,9 @@
   auto limit_urgency_counts__ = limit_urgency_counts ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitUrgencyCount>(*limit_urgency_counts) : 0;
   auto limit_urgency_grants__ = limit_urgency_grants ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitUrgencyGrant>(*limit_urgency_grants) : 0;
   auto limit_urgency_demands__ = limit_urgency_demands ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitUrgencyDemand>(*limit_urgency_demands) : 0;
+  auto begun_streams__ = begun_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::BegunStream>(*begun_streams) : 0;
+  auto stream_queries__ = stream_queries ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*stream_queries) : 0;
+  auto unknown_streams__ = unknown_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*unknown_streams) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -1352,7 +1422,10 @@
       limit_urgency_counts__,
       limit_urgency_grants__,
       limit_urgency_demands__,
-      unreachable);
+      unreachable,
+      begun_streams__,
+      stream_queries__,
+      unknown_streams__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1419,7 +1492,10 @@
         limit_urgency_counts(o.limit_urgency_counts),
         limit_urgency_grants(o.limit_urgency_grants),
         limit_urgency_demands(o.limit_urgency_demands),
-        unreachable(o.unreachable) {
+        unreachable(o.unreachable),
+        begun_streams(o.begun_streams),
+        stream_queries(o.stream_queries),
+        unknown_streams(o.unknown_streams) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -1453,6 +1529,9 @@
   std::swap(limit_urgency_grants, o.limit_urgency_grants);
   std::swap(limit_urgency_demands, o.limit_urgency_demands);
   std::swap(unreachable, o.unreachable);
+  std::swap(begun_streams, o.begun_streams);
+  std::swap(stream_queries, o.stream_queries);
+  std::swap(unknown_streams, o.unknown_streams);
   return *this;
 }
 
@@ -1493,6 +1572,9 @@
   { auto _e = limit_urgency_grants(); if (_e) { _o->limit_urgency_grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_urgency_grants[_i] = *_e->Get(_i); } } }
   { auto _e = limit_urgency_demands(); if (_e) { _o->limit_urgency_demands.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limit_urgency_demands[_i] = *_e->Get(_i); } } }
   { auto _e = unreachable(); _o->unreachable = _e; }
+  { auto _e = begun_streams(); if (_e) { _o->begun_streams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->begun_streams[_i] = *_e->Get(_i); } } }
+  { auto _e = stream_queries(); if (_e) { _o->stream_queries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stream_queries[_i] = *_e->Get(_i); } } }
+  { auto _e = unknown_streams(); if (_e) { _o->unknown_streams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unknown_streams[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1531,6 +1613,9 @@
   auto _limit_urgency_grants = _o->limit_urgency_grants.size() ? _fbb.CreateVectorOfStructs(_o->limit_urgency_grants) : 0;
   auto _limit_urgency_demands = _o->limit_urgency_demands.size() ? _fbb.CreateVectorOfStructs(_o->limit_urgency_demands) : 0;
   auto _unreachable = _o->unreachable;
+  auto _begun_streams = _o->begun_streams.size() ? _fbb.CreateVectorOfStructs(_o->begun_streams) : 0;
+  auto _stream_queries = _o->stream_queries.size() ? _fbb.CreateVectorOfStructs(_o->stream_queries) : 0;
+  auto _unknown_streams = _o->unknown_streams.size() ? _fbb.CreateVectorOfStructs(_o->unknown_streams) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1560,7 +1645,10 @@
       _limit_urgency_counts,
       _limit_urgency_grants,
       _limit_urgency_demands,
-      _unreachable);
+      _unreachable,
+      _begun_streams,
+      _stream_queries,
+      _unknown_streams);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
--- a/tests/gateway/stream_version_tests.cpp
+++ b/tests/gateway/stream_version_tests.cpp
@@ -13,6 +13,8 @@
 
 #include <array>
 #include <memory>
+#include <optional>
+#include <set>
 
 using namespace Portpaddle;
 
@@ -39,6 +41,17 @@
         }
     }
 
+    /// Takes the stream of @p first up as the try @p id; returns the number of the upstream that served it, or no value.
+    std::optional<std::size_t> takeUp(const std::string &first, const std::string &id, const std::string &headers = {})
+    {
+        const std::array<std::size_t, 2> before{ upstreams[0]->seen().size(), upstreams[1]->seen().size() };
+        const SeenAnswer answer = ask("/resume/a", id, "Last-Event-ID: 3\r\nX-Resumes: " + first + "\r\n" + headers);
+        if (answer.status != 200 || answer.body != events(4, 6)) {
+            return std::nullopt;
+        }
+        return upstreams[0]->seen().size() > before[0] ? 0 : 1;
+    }
+
     std::size_t requestsSeen() const
     {
         return upstreams[0]->seen().size() + upstreams[1]->seen().size();
@@ -154,3 +167,83 @@
     CHECK(askBesideVersion("v0").body == events(1, 3));
     CHECK(upstream.seen().empty());
 }
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Taken up stream, begun through this daemon, goes on at the version that began it")
+{
+    std::set<std::size_t> used;
+    for (int stream = 0; stream < 12; ++stream) {
+        const std::string id = "id" + std::to_string(stream);
+        const std::size_t before = upstreams[0]->seen().size();
+        CHECK(ask("/resume/a", id).body == events(1, 3));
+        const std::size_t began = upstreams[0]->seen().size() > before ? 0 : 1;
+        used.insert(began);
+        CHECK(takeUp(id, id + "-second") == began);
+        CHECK(takeUp(id, id + "-third") == began);
+    }
+    CHECK(used.size() == 2);
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Taken up stream, begun by another caller under the same id, is refused")
+{
+    ask("/resume/a", "id1");
+    CHECK_FALSE(takeUp("id1", "id2", "Authorization: Bearer other\r\n"));
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Taken up stream, its id begun at two versions, is refused")
+{
+    for (int use = 0; use < 12; ++use) {
+        ask("/resume/a", "id1");
+    }
+    CHECK_FALSE(upstreams[0]->seen().empty());
+    CHECK_FALSE(upstreams[1]->seen().empty());
+    CHECK_FALSE(takeUp("id1", "id2"));
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Taken up stream, one version ever in use, goes on there")
+{
+    const std::string version = "v1";
+    setVersionSet({ { version }, {}, true, 1 });
+    CHECK(takeUp("unknown", "id2") == 1);
+    CHECK(ask("/resume/a", "id3", "Last-Event-ID: 3\r\n").body == events(4, 6));
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Taken up stream, one version in use but that is not certain, is refused")
+{
+    SUBCASE("another version is announced")
+    {
+        setVersionSet({ { "v1" }, { "v0" }, true, 1 });
+    }
+    SUBCASE("an earlier version may be in use")
+    {
+        setVersionSet({ { "v1" }, {}, false, 1 });
+    }
+    SUBCASE("the store is lost")
+    {
+        setVersionSet({ { "v1" }, {}, true, 1 });
+        loseStore();
+    }
+    SUBCASE("another region has no record")
+    {
+        terms.regions = { "north", "south" };
+        setOptions();
+        setVersionSet({ { "v1" }, {}, true, 1 });
+    }
+    SUBCASE("this process did not run for a while")
+    {
+        setVersionSet({ { "v1" }, {}, true, 1 });
+        terms.stallBound = std::chrono::milliseconds(0);
+        setOptions();
+    }
+    CHECK_FALSE(takeUp("unknown", "id2"));
+    CHECK(requestsSeen() == 0);
+}
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "New stream, a version not yet known to all daemons, does not begin there")
+{
+    setVersionSet({ { "v0" }, { "v1" }, true, 1 });
+    for (int stream = 0; stream < 12; ++stream) {
+        ask("/resume/a", "id" + std::to_string(stream));
+    }
+    CHECK_FALSE(upstreams[0]->seen().empty());
+    CHECK(upstreams[1]->seen().empty());
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -168,6 +168,8 @@
     terms.extraRetriesPerWindow = 100;
     terms.moveLead = std::chrono::hours(1);
     terms.listSettling = std::chrono::milliseconds(0);
+    terms.regions = { "north" };
+    terms.stallBound = std::chrono::hours(1);
     gateway_->setOptions(terms);
     registry_ = std::make_unique<FleetRegistry>(view_, [this] { boost::asio::post(loop_, [this] { gateway_->viewChanged(); }); });
     listener_ = std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, *gateway_, 64);
@@ -236,6 +238,18 @@
     onLoop([](Gateway &) {});
 }
 
+void GatewaySite::setVersionSet(const VersionSet &set)
+{
+    registry_->changeVersionSet({ "s", "north" }, set);
+    onLoop([](Gateway &gateway) { gateway.tick(); });
+}
+
+void GatewaySite::loseStore()
+{
+    registry_->onStoreUnavailable(BootClock::now());
+    onLoop([](Gateway &) {});
+}
+
 void GatewaySite::removeUpstream(const std::string &id)
 {
     registry_->removeUpstream(id, BootClock::now());
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -75,6 +75,9 @@
     /// @p version is that of the upstream's software.
     void addUpstream(const std::string &id, const std::string &address, const std::string &version = {});
     void removeUpstream(const std::string &id);
+    /// Publishes the versions at which streams of the service may begin in the gateway's region, the only one.
+    void setVersionSet(const VersionSet &set);
+    void loseStore();
     /// Adds an upstream that takes only few requests per second for a minute.
     void addColdUpstream(const std::string &id, const std::string &address);
     /// Adds a daemon of another region that reports an idle upstream, which caches the prompt of a request with @p headers.
