--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,7 +5,7 @@
 
 from limits import LimitChecks
 from notices import NoticeChecks
-from upstreams import event, stream_length, whole_body
+from upstreams import VERSIONS, event, stream_length, versions_in, whole_body
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}  # statuses that promise that the attempt has not run and will not run
 FORBIDDEN_HEADERS = ("Portpaddle-Hold", "Portpaddle-Pin-Duration", "Portpaddle-Cache-Backup")  # headers that clients may not set
@@ -23,6 +23,7 @@
     def __init__(self, soak):
         self.soak = soak
         self.sent = {}  # attempt: route
+        self.taken_up = {}  # attempt: (attempt that began the stream, number of the first event that is missing, version)
         self.accepted_by = {}  # attempt: (daemon, when the client sent it)
         self.region_of_run = {}  # attempt: region of the upstream
         self.arrivals = Counter()
@@ -42,8 +43,10 @@
         if len(self.failures) < 20:
             self.failures.append(f"{self.soak.now():.2f} {rule}: {text}")
 
-    def record_sent(self, attempt, route, daemon):
+    def record_sent(self, attempt, route, daemon, taken_up=None):
         self.sent[attempt] = route
+        if taken_up is not None:
+            self.taken_up[attempt] = taken_up
         self.accepted_by[attempt] = (daemon, self.soak.now())
         self.notices.record_sent(attempt, daemon)
         split = route.get("split", [{"service": route["service"], "weight": 1}])
@@ -114,7 +117,8 @@
         if not seal.endswith("." + attempt):
             self.fail("mixed", f"{attempt} was sealed {seal!r}")
         if route["kind"] == "stream":
-            expected = "".join(event(attempt, number) for number in range(1, stream_length(attempt) + 1))
+            text = body.decode(errors="replace")
+            expected = self._rest_of_stream(attempt, self._version_of(attempt, text) or VERSIONS[0])
         else:
             expected = None
         whole = body.decode(errors="replace")
@@ -157,10 +161,25 @@
 
     def check_partial_stream(self, attempt, body):
         """Checks that the part of an aborted stream that arrived is a prefix of the whole stream."""
-        whole = "".join(event(attempt, number) for number in range(1, stream_length(attempt) + 1))
-        if not whole.startswith(body.decode(errors="replace")):
+        text = body.decode(errors="replace")
+        version = self._version_of(attempt, text)
+        possible = [self._rest_of_stream(attempt, one) for one in ([version] if version else VERSIONS)]
+        if not any(whole.startswith(text) for whole in possible):
             self.fail("order", f"{attempt} was aborted after bytes that are not its own: {body[-60:]!r}")
 
+    def _version_of(self, attempt, text):
+        """Returns the one version that wrote the stream of @p attempt so far; None before its first event."""
+        stream, _, version = self.taken_up.get(attempt, (attempt, 1, None))
+        versions = versions_in(text)
+        if len(versions) > 1 or (version and versions - {version}):
+            self.fail("versions", f"{attempt} of stream {stream} holds events of {sorted(versions)}, begun at {version}")
+        return version or min(versions, default=None)
+
+    def _rest_of_stream(self, attempt, version):
+        """Returns all events that @p attempt has to bring if an upstream of @p version writes them."""
+        stream, first, _ = self.taken_up.get(attempt, (attempt, 1, None))
+        return "".join(event(stream, number, version) for number in range(first, stream_length(stream) + 1))
+
     def _check_configuration(self, route, incarnation, newest, status):
         """Each version has its own probe route, so a probe served after that of a newer version shows an older configuration."""
         version = route.get("since")
--- a/tests/soak/checks_tests.py
+++ b/tests/soak/checks_tests.py
@@ -57,6 +57,19 @@
         self.checks.check_partial_stream("a1", self.stream("a1")[:40].encode())
         self.assertEqual(self.rules(), [])
 
+    def test_stream_of_two_versions_fails(self):
+        self.arrive(self.engine, "a", ASK)
+        mixed = event("a", 1, "v1") + event("a", 2, "v1.2")
+        self.checks.check_partial_stream("a", mixed.encode())
+        self.assertEqual(self.rules(), ["versions", "order"])
+
+    def test_taken_up_stream_that_goes_on_at_another_version_fails(self):
+        rest = lambda version: "".join(event("a", number, version) for number in range(3, stream_length("a") + 1))
+        for attempt, version in (("b", "v1.2"), ("c", "v1")):
+            self.checks.record_sent(attempt, ASK, self.entry, ("a", 3, "v1.2"))
+            self.answer(attempt, ASK, body=rest(version))
+        self.assertEqual(self.rules(), ["versions", "mixed"])
+
     def test_second_run_of_a_non_retryable_request_fails(self):
         self.arrive(self.app, "a", PAY)
         self.checks.ran(self.app, "a")
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -3,9 +3,11 @@
 """Upstreams that record the attempts they ran, and inject faults into answers on demand."""
 import asyncio
 import hashlib
+import re
 
 from aiohttp import web
 
+VERSIONS = ("v1", "v1.2")  # software versions that serve side by side
 FULL = 64  # concurrent requests; more are declined without a run
 BACKOFF_SHARE = 0.9  # share of requests that an upstream in backoff refuses
 
@@ -25,8 +27,14 @@
     return 0.4 if slow else 0.02
 
 
-def event(attempt, number):
-    return f"id: {number}\ndata: {attempt}:{number}\n\n"
+def event(stream, number, version="v1"):
+    """Returns an event as an upstream of this software version writes it."""
+    return f"id: {number}\ndata: {stream}:{number}:{version}\n\n"
+
+
+def versions_in(events):
+    """Returns the software versions that wrote the whole ones of these events."""
+    return set(re.findall(r"^data: [^:]*:\d+:(.*)\n\n", events, re.MULTILINE))
 
 
 class Upstream:
@@ -36,6 +44,7 @@
         self.region = region
         self.data_centre = data_centre
         self.incarnation = 0
+        self.version = VERSIONS[0]
         self.name = name
         self.proxy = None
         self.running = 0
@@ -58,6 +67,8 @@
         self.left_since = None
         self.mode = self.backoff = self.limit = None
         self.announces_leaving = False
+        if self.service == "engines":
+            self.version = self.soak.random.choice(VERSIONS)
         if self.runner is None:
             app = web.Application(client_max_size=8 << 20)
             app.router.add_route("*", "/{tail:.*}", self.serve)
@@ -76,7 +87,7 @@
             self.announces_leaving = True
             self.left_since = self.left_since or self.soak.now()
         self.soak.store.write(f"servers/{self.id}", {
-            "service": self.service, "address": f"{self.host}:{self.proxy.port}", "zone": self.data_centre, "version": "v1",
+            "service": self.service, "address": f"{self.host}:{self.proxy.port}", "zone": self.data_centre, "version": self.version,
             "slots": FULL, "state": state, "coldRemainingMs": 0, "sequence": self.incarnation})
 
     def name_limit(self, rate):
@@ -167,7 +178,9 @@
         answer = web.StreamResponse(headers={**head, "Content-Type": "text/event-stream"})
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        last = stream_length(attempt)
+        stream = request.headers.get("Resumes", attempt)
+        version = self.version
+        last = stream_length(stream)
         stop_ordered, stream_stopped = self.stopped[attempt] = (asyncio.Event(), asyncio.Event())
         for number in range(first, last + 1):
             await asyncio.sleep(pace(attempt, request.path))
@@ -175,7 +188,7 @@
                 request.transport.close()
                 stream_stopped.set()
                 return answer
-            text = event(attempt, number)
+            text = event(stream, number, version)
             if self.mode == "torn" and number > last // 2:
                 await answer.write(text[:9].encode())
                 request.transport.abort()
