Version sets: the last version stays, and the only one of other regions opens at once; answers are counted by daemon

A region without upstreams for a minute lost its version and would have announced the same one anew, with four seconds without resumable streams. A late answer to the first question counted as one to the second, so that a look-up could end before all had answered. The upstreams are gone through only when they change. version_set_tests has two new cases for the first part; found by reading.

--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -91,7 +91,7 @@
     organisationLimits_.setTolerance(options.limitTolerance);
     retryMembers_.setSettling(options.listSettling);
     rollouts_.setTerms(options.rolloutTerms);
-    versionSets_.setTerms({ options.drainBound, options.isFirstStart });
+    versionSets_.setTerms({ options.drainBound, options.isFirstStart, options.regions });
     updateRetryBudget(BootClock::now());
 }
 
--- a/src/portpaddle/stream_versions/stream_versions.cpp
+++ b/src/portpaddle/stream_versions/stream_versions.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// About four minutes of streams at the rate of one daemon, each held by two daemons of three regions.
+// Twice the streams that a daemon holds of a minute, at forty streams a second and daemon, each held by six daemons.
 constexpr std::size_t maxStreams = 32'768;
 constexpr std::size_t maxLookups = 2'048;
 // Daemons of one region answer within a few milliseconds unless they have ended.
@@ -88,15 +88,14 @@
 
 Task<void> StreamVersions::ask(const StreamKey &stream, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait)
 {
-    std::vector<std::string> links = holders_.links(stream, reach);
-    lookup.awaitedAnswers = links.size();
-    if (links.empty()) {
+    lookup.awaited = holders_.links(stream, reach);
+    if (lookup.awaited.empty()) {
         co_return;
     }
     lookup.answered.expires_after(maxWait);
     Wire::LoadDigestT digest = emptyDigest();
     digest.stream_queries.push_back(toWire(stream));
-    send_({ std::move(links), std::move(digest) });
+    send_({ lookup.awaited, std::move(digest) });
     NetError ignored;
     co_await lookup.answered.async_wait(awaitingInto(ignored));
 }
@@ -111,10 +110,12 @@
             lookup->second->answered.cancel();
         }
     }
+    const std::string sender = holders_.linkOf(digest.daemon);
     for (const Wire::RequestDigest &unknown : digest.unknown_streams) {
         const auto [first, last] = lookups_.equal_range(keyOf(unknown));
         for (auto lookup = first; lookup != last; ++lookup) {
-            if (lookup->second->awaitedAnswers > 0 && --lookup->second->awaitedAnswers == 0) {
+            std::vector<std::string> &awaited = lookup->second->awaited;
+            if (std::erase(awaited, sender) > 0 && awaited.empty()) {
                 lookup->second->answered.cancel();
             }
         }
--- a/src/portpaddle/stream_versions/stream_versions.h
+++ b/src/portpaddle/stream_versions/stream_versions.h
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace Portpaddle {
 
@@ -46,7 +48,8 @@
         }
 
         SteadyTimer answered;
-        std::size_t awaitedAnswers = 0;
+        /// Link addresses of the daemons that have not answered yet.
+        std::vector<std::string> awaited;
     };
 
     /// Asks the daemons that hold @p stream and waits until one knows it, all have answered, or @p maxWait has passed.
--- a/src/portpaddle/stream_versions/version_set_recorder.cpp
+++ b/src/portpaddle/stream_versions/version_set_recorder.cpp
@@ -50,10 +50,22 @@
 
 void VersionSetRecorder::setView(std::shared_ptr<const FleetView> view, SteadyTime now)
 {
-    view_ = std::move(view);
+    const std::shared_ptr<const FleetView> earlier = std::exchange(view_, std::move(view));
     if (!view_->services) {
         return;
     }
+    const bool isChanged
+        = !earlier || earlier->services != view_->services || !view_->upstreams.sharesAllWith(earlier->upstreams);
+    if (isChanged) {
+        collectPresent();
+    }
+    for (auto &[service, state] : states_) {
+        observeRecord(service, state, now);
+    }
+}
+
+void VersionSetRecorder::collectPresent()
+{
     const std::set<std::string> services = resumableServices(*view_->services);
     std::erase_if(states_, [&services](const auto &entry) { return !services.contains(entry.first); });
     for (const std::string &service : services) {
@@ -65,9 +77,6 @@
             state->second.present.insert(upstream.version);
         }
     }
-    for (auto &[service, state] : states_) {
-        observeRecord(service, state, now);
-    }
 }
 
 const VersionSet *VersionSetRecorder::stored(const std::string &service) const
@@ -75,6 +84,11 @@
     return view_ ? findVersionSet(view_->versionSets, service, ownRegion_) : nullptr;
 }
 
+bool VersionSetRecorder::isSole(const std::string &service, const std::string &version) const
+{
+    return view_ && soleVersion(view_->versionSets, service, terms_.regions) == versionKeyOf(version);
+}
+
 void VersionSetRecorder::observeRecord(const std::string &service, State &state, SteadyTime now) const
 {
     const VersionSet *set = stored(service);
@@ -112,7 +126,8 @@
         return !terms_.isFirstStart || now - startedAt_ >= firstRecordTime + terms_.settling;
     }
     const auto state = states_.find(service);
-    return mayBeginStream(set, version) || (state != states_.end() && isAnnouncedLong(state->second, version, now));
+    return mayBeginStream(set, version) || isSole(service, version)
+        || (state != states_.end() && isAnnouncedLong(state->second, version, now));
 }
 
 VersionSet VersionSetRecorder::firstRecord(const State &state, SteadyTime now) const
@@ -126,7 +141,7 @@
 }
 
 // A new version is announced first: a daemon that does not know it yet still takes the other version for the only one. A version
-// is removed when no stream that it began can be in progress any more.
+// is removed when no stream that it began can be in progress any more; the last one stays, since its upstreams may come back.
 std::optional<VersionSet> VersionSetRecorder::wanted(const std::string &service, const State &state, SteadyTime now) const
 {
     const VersionSet *present = stored(service);
@@ -136,7 +151,8 @@
     VersionSet set = *present;
     for (const std::string &version : state.present) {
         if (!set.open.contains(version) && !set.announced.contains(version)) {
-            (set.complete ? set.announced : set.open).insert(version);
+            const bool isExpected = !set.complete || isSole(service, version);
+            (isExpected ? set.open : set.announced).insert(version);
         }
     }
     for (const auto &[version, since] : state.announcedSince) {
@@ -146,9 +162,9 @@
         }
     }
     if (hasWatchedLong(now)) {
-        std::erase_if(set.open, [&](const std::string &version) {
+        std::erase_if(set.open, [&, hasOthers = !state.present.empty()](const std::string &version) {
             const auto seen = state.lastSeen.find(version);
-            return seen == state.lastSeen.end() || now - seen->second >= streamRetention;
+            return hasOthers && (seen == state.lastSeen.end() || now - seen->second >= streamRetention);
         });
         set.complete = set.complete || (state.incompleteSince && now - *state.incompleteSince >= streamRetention);
     }
@@ -167,6 +183,7 @@
         for (const std::string &version : state.present) {
             state.lastSeen[version] = now;
         }
+        std::erase_if(state.lastSeen, [now](const auto &entry) { return now - entry.second >= streamRetention; });
         const std::optional<VersionSet> set = wanted(service, state, now);
         if (!set) {
             state.dueSince.reset();
--- a/src/portpaddle/stream_versions/version_set_recorder.h
+++ b/src/portpaddle/stream_versions/version_set_recorder.h
@@ -23,6 +23,8 @@
     Millis settling{ 3'000 };
     /// The whole fleet starts for the first time, so that no stream began before.
     bool isFirstStart = false;
+    /// All regions in which streams may begin.
+    std::set<std::string> regions;
 };
 
 /// Writes are conditional on the record that they replace. Belongs to one event loop.
@@ -60,6 +62,9 @@
     };
 
     const VersionSet *stored(const std::string &service) const;
+    /// Whether streams of @p service begin at @p version only, wherever they begin.
+    bool isSole(const std::string &service, const std::string &version) const;
+    void collectPresent();
     void observeRecord(const std::string &service, State &state, SteadyTime now) const;
     /// Returns the record as it should be; no value if the stored one is right.
     std::optional<VersionSet> wanted(const std::string &service, const State &state, SteadyTime now) const;
--- a/tests/gateway/version_set_tests.cpp
+++ b/tests/gateway/version_set_tests.cpp
@@ -32,7 +32,7 @@
     void restart(bool isFirstStart)
     {
         recorder = std::make_unique<VersionSetRecorder>("north");
-        recorder->setTerms({ Millis(3'000), isFirstStart });
+        recorder->setTerms({ Millis(3'000), isFirstStart, { "north" } });
         recorder->setWriter([this](const VersionSetPlace &place, const VersionSet &set) {
             CHECK(set.revision == (record() == nullptr ? 0 : record()->revision));
             VersionSet stored = set;
@@ -162,6 +162,30 @@
     CHECK(sole() == versionKeyOf("v1"));
 }
 
+TEST_CASE_FIXTURE(RecorderFixture, "Version set, all upstreams gone for long, still has their version when they come back")
+{
+    setVersions({ "v1" });
+    pass(std::chrono::seconds(1));
+    setVersions({});
+    pass(std::chrono::seconds(100));
+    setVersions({ "v1" });
+    CHECK(mayBegin("v1"));
+    CHECK(sole() == versionKeyOf("v1"));
+}
+
+TEST_CASE_FIXTURE(RecorderFixture, "Version set, the only version of another region comes here, is opened at once")
+{
+    view.versionSets["s"]["south"] = { { "v1" }, {}, true, 1 };
+    recorder->setTerms({ Millis(3'000), true, { "north", "south" } });
+    setVersions({});
+    pass(std::chrono::seconds(1));
+    setVersions({ "v1" });
+    CHECK(mayBegin("v1"));
+    pass(std::chrono::seconds(3));
+    CHECK(record()->open == std::set<std::string>{ "v1" });
+    CHECK(soleVersion(view.versionSets, "s", { "north", "south" }) == versionKeyOf("v1"));
+}
+
 TEST_CASE_FIXTURE(RecorderFixture, "Version set, encoded and decoded, is the same; malformed text is not read")
 {
     const VersionSet set{ { "v1", "v2" }, { "v3" }, true, 4 };
