The older path resumes a stream only at the version of its service that began it

The version now stands in the facts of the request from the first bytes on, goes along with a forwarded call, and comes back with its answer; a stream whose version was not named is not resumed.

The scripted peer of one existing case now names the version, as daemons do; its checks are the same.

--- a/src/portpaddle/dispatch/dispatcher.cpp
+++ b/src/portpaddle/dispatch/dispatcher.cpp
@@ -31,7 +31,9 @@
         , streamed_(call.streamed)
         , clock_(clock)
         , deadline_(call.facts.deadline)
+        , isForwarded_(!call.facts.visited.empty())
         , onFirstByte_(std::move(onFirstByte))
+        , streamVersion_(call.facts.streamVersion)
     {
     }
 
@@ -39,13 +41,18 @@
     {
         passThrough_ = passThrough_ || !streamed_ || head.status != okStatus;
         started_ = true;
-        return streamed_ ? stream_.head(head) : receiver_.head(head);
+        if (!streamed_) {
+            return receiver_.head(head);
+        }
+        attemptVersion_ = upstreamVersion_ ? upstreamVersion_ : versionIn(head);
+        return stream_.head(headForReceiver(head));
     }
 
     bool data(std::string_view bytes) override
     {
         if (!receivedData_) {
             receivedData_ = true;
+            streamVersion_ = streamVersion_ ? streamVersion_ : attemptVersion_;
             onFirstByte_();
         }
         pastDeadline_ = clock_.monotonic() >= deadline_;
@@ -65,11 +72,25 @@
         receiver_.onReceiverGone(std::move(hook));
     }
 
-    void restart()
+    /// Begins an attempt at an upstream of @p upstreamVersion; no value if another daemon names the version in its answer.
+    void restart(std::optional<std::string> upstreamVersion)
     {
+        upstreamVersion_ = std::move(upstreamVersion);
         stream_.restart();
     }
 
+    /// Returns the version that began the stream; no value before its first bytes, or if it is not known.
+    const std::optional<std::string> &streamVersion() const
+    {
+        return streamVersion_;
+    }
+
+    /// Whether the receiver has bytes of a stream.
+    bool hasBegunStream() const
+    {
+        return streamed_ && receivedData_;
+    }
+
     bool started() const
     {
         return started_;
@@ -95,12 +116,36 @@
 private:
     static constexpr int okStatus = 200;
 
+    static std::optional<std::string> versionIn(const AnswerHead &head)
+    {
+        const auto field = std::find_if(head.headers.begin(), head.headers.end(),
+                                        [](const HeaderField &one) { return one.name == streamVersionField; });
+        return field == head.headers.end() ? std::nullopt : std::optional(field->value);
+    }
+
+    /// Names the version to another daemon, and not to a caller.
+    AnswerHead headForReceiver(const AnswerHead &head) const
+    {
+        AnswerHead result = head;
+        std::erase_if(result.headers, [](const HeaderField &field) { return field.name == streamVersionField; });
+        if (isForwarded_ && attemptVersion_) {
+            result.headers.push_back({ streamVersionField, *attemptVersion_ });
+        }
+        return result;
+    }
+
     AnswerSink &receiver_;
     TokenStream stream_;
     const bool streamed_;
     const Clock &clock_;
     const Millis deadline_;
+    /// The receiver is another daemon.
+    const bool isForwarded_;
     std::function<void()> onFirstByte_;
+    /// The versions of the attempt's upstream, of the attempt in progress, and of the stream.
+    std::optional<std::string> upstreamVersion_;
+    std::optional<std::string> attemptVersion_;
+    std::optional<std::string> streamVersion_;
     bool pastDeadline_ = false;
     bool passThrough_ = false;
     bool started_ = false;
@@ -255,7 +300,7 @@
                      { { "request", call_.facts.requestId }, { "attempt", std::to_string(attempts_ + 1) } });
         }
         ++attempts_;
-        sink_.restart();
+        sink_.restart(versionOfTarget(decision));
         call_.resumeFrom = sink_.tokens();
         AttemptResult result = decision.verdict == Verdict::Serve ? serve(decision) : forward(decision);
         if (result.end == AttemptEnd::Complete && !sink_.isComplete()) {
@@ -263,10 +308,23 @@
                                     Error{ ErrorCode::UpstreamFailed, "the stream ended before its closing event",
                                            RunState::MayHaveRun, std::nullopt } };
         }
+        if (sink_.hasBegunStream()) {
+            call_.facts.streamVersion = sink_.streamVersion();
+        }
         addTraceStep(std::move(decision), outcomeText(result));
         return afterAttempt(result);
     }
 
+    /// Returns the version of the upstream that is to serve the call; no value if another daemon is.
+    std::optional<std::string> versionOfTarget(const Decision &decision) const
+    {
+        const ServiceRoutes &routes = decision.snapshot->routesOf(call_.facts.service);
+        const auto candidate = std::find_if(routes.local.begin(), routes.local.end(),
+                                            [&decision](const ServiceCandidate &one) { return one.upstream == decision.target; });
+        const bool isLocal = decision.verdict == Verdict::Serve && candidate != routes.local.end();
+        return isLocal ? std::optional(candidate->version) : std::nullopt;
+    }
+
     AttemptResult serve(const Decision &decision)
     {
         const UpstreamView &view = decision.snapshot->upstreams[decision.target];
@@ -335,7 +393,8 @@
         if (call_.atMostOnce) {
             return false;
         }
-        return call_.streamed ? call_.retryable : call_.retryable && !sink_.started();
+        const bool isVersionUnknown = sink_.hasBegunStream() && !sink_.streamVersion();
+        return call_.retryable && (call_.streamed ? !isVersionUnknown : !sink_.started());
     }
 
     bool isResuming() const
--- a/src/portpaddle/interfaces/attempt_target.h
+++ b/src/portpaddle/interfaces/attempt_target.h
@@ -34,6 +34,9 @@
     unsigned resumeFrom = 0;
 };
 
+/// Between daemons: the version of the service that began a stream. On an answer, and on a call that continues the stream.
+inline constexpr const char *streamVersionField = "x-portpaddle-service-version";
+
 /// How an attempt ended.
 enum class AttemptEnd {
     /// The complete answer reached the sink.
--- a/src/portpaddle/link/call_frame.cpp
+++ b/src/portpaddle/link/call_frame.cpp
@@ -49,6 +49,12 @@
         header->value = call.idempotencyKey;
         frame.headers.push_back(std::move(header));
     }
+    if (call.facts.streamVersion) {
+        auto header = std::make_unique<Wire::HeaderT>();
+        header->name = streamVersionField;
+        header->value = *call.facts.streamVersion;
+        frame.headers.push_back(std::move(header));
+    }
     frame.body.assign(call.body.begin(), call.body.end());
     frame.visited = call.facts.visited;
     frame.residency = policy.residency;
@@ -74,9 +80,12 @@
     for (const HeaderField &field : call.headers) {
         if (field.name == idempotencyHeader) {
             call.idempotencyKey = field.value;
+        } else if (field.name == streamVersionField) {
+            call.facts.streamVersion = field.value;
         }
     }
-    std::erase_if(call.headers, [](const HeaderField &field) { return field.name == idempotencyHeader; });
+    std::erase_if(call.headers,
+                  [](const HeaderField &field) { return field.name == idempotencyHeader || field.name == streamVersionField; });
     call.body.assign(frame.body.begin(), frame.body.end());
     call.streamed = frame.streamed;
     call.atMostOnce = frame.at_most_once;
--- a/src/portpaddle/routing/decision.cpp
+++ b/src/portpaddle/routing/decision.cpp
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Whether the settings allow @p version, and a stream in progress may go on there.
+    bool admitsVersion(const std::string &version) const
+    {
+        return (policy_.version.empty() || version == policy_.version)
+            && (!facts_.streamVersion || version == *facts_.streamVersion);
+    }
+
     ExclusionReason exclusionOf(const ServiceCandidate &candidate, const UpstreamView &view) const
     {
         if (view.leaving != LeavingSignal::None) {
@@ -121,7 +128,7 @@
         if (!view.healthy) {
             return ExclusionReason::Unhealthy;
         }
-        if (!policy_.version.empty() && candidate.version != policy_.version) {
+        if (!admitsVersion(candidate.version)) {
             return ExclusionReason::VersionAbsent;
         }
         const bool tried = std::find(facts_.tried.begin(), facts_.tried.end(), view.id) != facts_.tried.end();
@@ -181,9 +188,10 @@
         if (now_ - view.observedAt > maxSummaryAge) {
             return ExclusionReason::Stale;
         }
-        const bool hasVersion = policy_.version.empty()
-            || std::find(view.versions.begin(), view.versions.end(), policy_.version) != view.versions.end();
-        if (!hasVersion) {
+        const bool isBound = !policy_.version.empty() || facts_.streamVersion;
+        const bool hasVersion = std::any_of(view.versions.begin(), view.versions.end(),
+                                            [this](const std::string &version) { return admitsVersion(version); });
+        if (isBound && !hasVersion) {
             return ExclusionReason::VersionAbsent;
         }
         return view.capacity == 0 ? ExclusionReason::NoCapacity : ExclusionReason::None;
--- a/src/portpaddle/routing/decision.h
+++ b/src/portpaddle/routing/decision.h
@@ -36,6 +36,8 @@
     std::vector<std::string> visited;
     /// Upstreams of this data centre that were already tried.
     std::vector<std::string> tried;
+    /// The version of the service that began the stream, which goes on at no other; no value before the first event.
+    std::optional<std::string> streamVersion;
 };
 
 /// The number of requests that this daemon sent to each target since the target's last report, by position in the snapshot.
--- a/tests/introspective/dispatch_tests.cpp
+++ b/tests/introspective/dispatch_tests.cpp
@@ -86,9 +86,10 @@
     }
 
     /// Sends the tokens from the requested one up to @p end, then the closing event if @p whole, else half an event.
-    static AttemptResult sendTokens(const Call &call, AnswerSink &sink, unsigned end, bool whole)
+    static AttemptResult sendTokens(const Call &call, AnswerSink &sink, unsigned end, bool whole,
+                                    std::vector<HeaderField> headers = {})
     {
-        sink.head(AnswerHead{ 200, {} });
+        sink.head(AnswerHead{ 200, std::move(headers) });
         for (unsigned token = call.resumeFrom; token < end; ++token) {
             sink.data(tokenEvent("t" + std::to_string(token)));
         }
@@ -143,6 +144,25 @@
     CHECK(metrics.value(Counter::Resumes) == 2);
 }
 
+TEST_CASE_FIXTURE(DispatchFixture, "Dispatch, stream breaks beside engines of another version, goes on only at its own version")
+{
+    std::string mixed = settingsText;
+    for (const char *port : { "127.0.0.1:2", "127.0.0.1:3" }) {
+        mixed.replace(mixed.find("\"m\"", mixed.find(port)), 3, "\"m@2\"");
+    }
+    board.settings.publish(compiledFrom(mixed));
+    snapshots.rebuild();
+    std::vector<std::string> asked;
+    upstreams.script = [&](const std::string &address, const Call &call, AnswerSink &into) {
+        asked.push_back(address);
+        return sendTokens(call, into, 3 * static_cast<unsigned>(asked.size()), false);
+    };
+    CHECK_FALSE(isOk(dispatcher.run(chatCall(), sink)));
+    const bool beganAtOldest = asked.front() == "127.0.0.1:1";
+    CHECK(asked.size() == (beganAtOldest ? 1 : 2));
+    CHECK(std::count(asked.begin(), asked.end(), "127.0.0.1:1") == (beganAtOldest ? 1 : 0));
+}
+
 TEST_CASE_FIXTURE(DispatchFixture, "Dispatch, stream without closing event, is not treated as complete")
 {
     upstreams.script = [&](const std::string &, const Call &call, AnswerSink &into) {
@@ -308,7 +328,7 @@
             board.upstreams.takeReport(free);
         }
         snapshots.rebuild();
-        return sendTokens(call, into, 4, false);
+        return sendTokens(call, into, 4, false, { { streamVersionField, "" } });
     };
     upstreams.script = [&](const std::string &, const Call &call, AnswerSink &into) {
         CHECK(call.resumeFrom == 4);
