--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -98,7 +98,7 @@
     { LogEvent::VersionSetNotWritten, "version_set_not_written", "warning",
       "The platform did not accept a changed set of versions; the write is retried." },
     { LogEvent::VersionSetUnreadable, "version_set_unreadable", "warning",
-      "A stored set of versions cannot be parsed; streams of its service are taken up only where a daemon knows how they began." },
+      "A stored set of versions cannot be parsed; streams of its service are taken up only where a daemon knows them." },
     { LogEvent::DrainOrdered, "drain_ordered", "info", "An operator ordered this daemon to drain." },
     { LogEvent::OrderSent, "order_sent", "info", "A fenced order was sent to an engine." },
     { LogEvent::OrderWithheld, "order_withheld", "warning", "An order was not sent because the lease could not be confirmed." },
