Daemons vouch for the only version; a relay that does not name the version of a stream is not believed

A daemon that stalled or lost the store by itself could prove nothing of streams that began through others while only one version was in use, because nothing is told then. It asks the holders, which now answer with the one version where it is certain to them (stream_holder_tests). A daemon that knows nothing of the header, as one of an older release, may continue a stream anywhere: its answer is not passed on (stream_version_tests).

--- a/src/portpaddle/gateway/exchange_streams.cpp
+++ b/src/portpaddle/gateway/exchange_streams.cpp
@@ -30,7 +30,8 @@
     }
     versionService_ = service_;
     const std::optional<VersionKey> sole = gateway_.soleVersion(*route_, service_, BootClock::now());
-    progress_.version = request_.resumes.empty() ? sole : co_await gateway_.streamVersions_.find(streamKey(), sole);
+    progress_.version
+        = request_.resumes.empty() ? sole : co_await gateway_.streamVersions_.find(streamKey(), serviceKey(service_), sole);
     if (progress_.version) {
         gateway_.metrics_.count(Counter::StreamsTakenUp);
         co_return true;
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -43,6 +43,7 @@
     , versionSets_(identity_.region)
 {
     regions_.setOwnRegion(identity_.region);
+    streamVersions_.setSoleVersion([this](std::uint64_t service) { return soleVersionOf(service, BootClock::now()); });
 }
 
 Task<void> Gateway::serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned)
@@ -304,21 +305,6 @@
     }
 }
 
-void Gateway::setQuarantineWriter(CrashGuard::WriteRecord write)
-{
-    crashes_.setWriteRecord(std::move(write));
-}
-
-void Gateway::setRolloutWriter(RolloutController::WriteRecord write)
-{
-    rollouts_.setWriter(std::move(write));
-}
-
-void Gateway::setLimitWriter(UpstreamLimits::WriteRecord write)
-{
-    upstreamLimits_.setWriteRecord(std::move(write));
-}
-
 unsigned Gateway::sharingDaemonCount() const
 {
     // A daemon that has just started has heard no other daemon yet; one that is cut off from the store may hear more than are
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -215,6 +215,8 @@
                          const std::vector<const UpstreamRecord *> &records, SteadyTime now) const;
     /// Returns the one version at which all streams of @p route at @p service began; no value if that is not certain.
     std::optional<VersionKey> soleVersion(const Route &route, const std::string &service, SteadyTime now) const;
+    /// As above for all routes of the service with this hash, as other daemons ask for it.
+    std::optional<VersionKey> soleVersionOf(std::uint64_t service, SteadyTime now) const;
     /// Tells other daemons of streams in progress whose version they cannot know otherwise.
     void announceStreams(SteadyTime now);
     /// Returns whether this process did not run for a while, so that what it knows of the store may be old.
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -1,7 +1,8 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// Collects the digests that a gateway sends to other daemons, and applies those that it receives.
+// Collects the digests that a gateway sends to other daemons, and applies those that it receives; sets who writes what daemons
+// decide together.
 
 #include "portpaddle/fleet/digest_attachments.h"
 #include "portpaddle/gateway/gateway.h"
@@ -20,6 +21,21 @@
 
 } // namespace
 
+void Gateway::setQuarantineWriter(CrashGuard::WriteRecord write)
+{
+    crashes_.setWriteRecord(std::move(write));
+}
+
+void Gateway::setRolloutWriter(RolloutController::WriteRecord write)
+{
+    rollouts_.setWriter(std::move(write));
+}
+
+void Gateway::setLimitWriter(UpstreamLimits::WriteRecord write)
+{
+    upstreamLimits_.setWriteRecord(std::move(write));
+}
+
 void Gateway::setDigestInterval(std::chrono::milliseconds interval)
 {
     regions_.setDigestInterval(interval);
--- a/src/portpaddle/gateway/gateway_streams.cpp
+++ b/src/portpaddle/gateway/gateway_streams.cpp
@@ -50,6 +50,26 @@
     return isCurrent && isRemembered ? Portpaddle::soleVersion(view_->versionSets, service, options_.regions) : std::nullopt;
 }
 
+std::optional<VersionKey> Gateway::soleVersionOf(std::uint64_t service, SteadyTime now) const
+{
+    std::optional<VersionKey> sole;
+    if (!view_->services) {
+        return sole;
+    }
+    for (const Route &route : view_->services->routes) {
+        for (const WeightedService &entry : route.services) {
+            if (route.kind != RouteKind::Stream || !route.resumable || serviceKey(entry.service) != service) {
+                continue;
+            }
+            sole = soleVersion(route, entry.service, now);
+            if (!sole) {
+                return sole;
+            }
+        }
+    }
+    return sole;
+}
+
 void Gateway::announceStreams(SteadyTime now)
 {
     for (Exchange *exchange : inProgress_) {
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -300,12 +300,22 @@
     return report;
 }
 
+// A daemon that does not know the header may have continued the stream anywhere.
+bool UpstreamAttempt::namesVersion(const boost::beast::http::fields &fields) const
+{
+    return !remote_ || !progress_.version || decodeVersionKey(viewOf(fields[streamVersionHeader])) == progress_.version;
+}
+
 Task<AttemptReport> UpstreamAttempt::forwardStream(Parser &parser, const AttemptCallbacks &callbacks)
 {
     const http::fields &fields = parser.get();
     if (!isSigned(fields, names_) || !fields[http::field::content_encoding].empty()) {
         co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no valid signature or is encoded");
     }
+    if (!namesVersion(fields)) {
+        co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
+                                "the other daemon does not name the stream's version");
+    }
     NetError error;
     bool first = true;
     while (!parser.is_done()) {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -154,6 +154,8 @@
     std::optional<AttemptReport> rejectionOf(const Parser &parser) const;
     AttemptReport brokenConnection(std::string message) const;
     Task<bool> readRest(Parser &parser, std::string &body, NetError &error);
+    /// Whether the head of a stream in progress names its version, where another daemon continues it.
+    bool namesVersion(const boost::beast::http::fields &fields) const;
     /// Sends the head to the caller; returns false if the caller is gone.
     Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
--- a/src/portpaddle/stream_versions/stream_versions.cpp
+++ b/src/portpaddle/stream_versions/stream_versions.cpp
@@ -41,6 +41,11 @@
     send_ = std::move(send);
 }
 
+void StreamVersions::setSoleVersion(SoleVersion soleVersion)
+{
+    soleVersion_ = std::move(soleVersion);
+}
+
 void StreamVersions::setDaemons(const SharedList<DaemonRecord> &daemons)
 {
     holders_.setDaemons(daemons);
@@ -67,7 +72,7 @@
     send_({ holders_.links(stream, StreamHolders::Reach::AllRegions), std::move(digest) });
 }
 
-Task<std::optional<VersionKey>> StreamVersions::find(StreamKey stream, std::optional<VersionKey> sole)
+Task<std::optional<VersionKey>> StreamVersions::find(StreamKey stream, std::uint64_t service, std::optional<VersionKey> sole)
 {
     if (begun_.contains(stream, BootClock::now())) {
         co_return begun_.find(stream, BootClock::now());
@@ -77,24 +82,25 @@
     }
     const auto lookup = std::make_shared<Lookup>(executor_);
     const auto listed = lookups_.emplace(stream, lookup);
-    co_await ask(stream, *lookup, StreamHolders::Reach::OwnRegion, ownRegionWait);
+    const Wire::StreamQuery query(toWire(stream), service);
+    co_await ask(query, *lookup, StreamHolders::Reach::OwnRegion, ownRegionWait);
     for (unsigned round = 0; round < allRegionsRounds && !sole && !begun_.contains(stream, BootClock::now()); ++round) {
-        co_await ask(stream, *lookup, StreamHolders::Reach::AllRegions, allRegionsWait);
+        co_await ask(query, *lookup, StreamHolders::Reach::AllRegions, allRegionsWait);
     }
     lookups_.erase(listed);
     const SteadyTime now = BootClock::now();
     co_return begun_.contains(stream, now) ? begun_.find(stream, now) : sole;
 }
 
-Task<void> StreamVersions::ask(const StreamKey &stream, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait)
+Task<void> StreamVersions::ask(const Wire::StreamQuery &query, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait)
 {
-    lookup.awaited = holders_.links(stream, reach);
+    lookup.awaited = holders_.links(keyOf(query.stream()), reach);
     if (lookup.awaited.empty()) {
         co_return;
     }
     lookup.answered.expires_after(maxWait);
     Wire::LoadDigestT digest = emptyDigest();
-    digest.stream_queries.push_back(toWire(stream));
+    digest.stream_queries.push_back(query);
     send_({ lookup.awaited, std::move(digest) });
     NetError ignored;
     co_await lookup.answered.async_wait(awaitingInto(ignored));
@@ -133,12 +139,14 @@
         return;
     }
     Wire::LoadDigestT answer = emptyDigest();
-    for (const Wire::RequestDigest &query : digest.stream_queries) {
-        const std::optional<VersionKey> version = begun_.find(keyOf(query), now);
+    for (const Wire::StreamQuery &query : digest.stream_queries) {
+        const StreamKey stream = keyOf(query.stream());
+        const std::optional<VersionKey> version
+            = begun_.contains(stream, now) ? begun_.find(stream, now) : soleVersion_(query.service());
         if (version) {
-            answer.begun_streams.emplace_back(query, *version);
+            answer.begun_streams.emplace_back(query.stream(), *version);
         } else {
-            answer.unknown_streams.push_back(query);
+            answer.unknown_streams.push_back(query.stream());
         }
     }
     send_({ { link }, std::move(answer) });
--- a/src/portpaddle/stream_versions/stream_versions.h
+++ b/src/portpaddle/stream_versions/stream_versions.h
@@ -24,16 +24,21 @@
 {
 public:
     using Send = std::function<void(const OutgoingDigest &digest)>;
+    /// Returns the one version at which all streams of a service began; no value if that is not certain.
+    using SoleVersion = std::function<std::optional<VersionKey>(std::uint64_t service)>;
 
     StreamVersions(Executor executor, std::string ownId, std::string ownRegion);
 
     void setSend(Send send);
+    /// Sets the proof by which streams are known of which nothing was told.
+    void setSoleVersion(SoleVersion soleVersion);
     void setDaemons(const SharedList<DaemonRecord> &daemons);
     /// Records that @p version began @p stream, here and at the daemons that hold the stream.
     void announce(const StreamKey &stream, VersionKey version, SteadyTime now);
-    /// Returns the version that began @p stream. Asks the daemons of the own region, and those of others unless @p sole is set:
-    /// the version of all streams, unless a daemon knows better. No value if no daemon knows.
-    Task<std::optional<VersionKey>> find(StreamKey stream, std::optional<VersionKey> sole);
+    /// Returns the version that began @p stream of @p service, given by the hash of its name. Asks the daemons of the own region,
+    /// and those of others unless @p sole is set: the version of all streams, unless a daemon knows better. No value if no daemon
+    /// knows.
+    Task<std::optional<VersionKey>> find(StreamKey stream, std::uint64_t service, std::optional<VersionKey> sole);
     /// Applies a StreamVersions digest.
     void take(const Wire::LoadDigestT &digest, SteadyTime now);
     /// Returns the number of streams of which something is recorded.
@@ -52,14 +57,16 @@
         std::vector<std::string> awaited;
     };
 
-    /// Asks the daemons that hold @p stream and waits until one knows it, all have answered, or @p maxWait has passed.
-    Task<void> ask(const StreamKey &stream, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait);
+    /// Asks the daemons that hold the stream of @p query and waits until one knows it, all have answered, or @p maxWait has
+    /// passed.
+    Task<void> ask(const Wire::StreamQuery &query, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait);
     void answerQueries(const Wire::LoadDigestT &digest, SteadyTime now);
     Wire::LoadDigestT emptyDigest() const;
 
     Executor executor_;
     std::string ownId_;
     Send send_ = [](const OutgoingDigest &) {};
+    SoleVersion soleVersion_ = [](std::uint64_t) { return std::optional<VersionKey>(); };
     StreamHolders holders_;
     BegunStreams begun_;
     std::multimap<StreamKey, std::shared_ptr<Lookup>> lookups_;
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -50,6 +50,8 @@
 
 struct BegunStream;
 
+struct StreamQuery;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -824,6 +826,29 @@
 };
 FLATBUFFERS_STRUCT_END(BegunStream, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamQuery FLATBUFFERS_FINAL_CLASS {
+ private:
+  Portpaddle::Wire::RequestDigest stream_;
+  uint64_t service_;
+
+ public:
+  StreamQuery()
+      : stream_(),
+        service_(0) {
+  }
+  StreamQuery(const Portpaddle::Wire::RequestDigest &_stream, uint64_t _service)
+      : stream_(_stream),
+        service_(flatbuffers::EndianScalar(_service)) {
+  }
+  const Portpaddle::Wire::RequestDigest &stream() const {
+    return stream_;
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamQuery, 24);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -962,7 +987,7 @@
   std::vector<Portpaddle::Wire::LimitUrgencyDemand> limit_urgency_demands{};
   uint8_t unreachable = 0;
   std::vector<Portpaddle::Wire::BegunStream> begun_streams{};
-  std::vector<Portpaddle::Wire::RequestDigest> stream_queries{};
+  std::vector<Portpaddle::Wire::StreamQuery> stream_queries{};
   std::vector<Portpaddle::Wire::RequestDigest> unknown_streams{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
@@ -1093,8 +1118,8 @@
   const flatbuffers::Vector<const Portpaddle::Wire::BegunStream *> *begun_streams() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::BegunStream *> *>(VT_BEGUN_STREAMS);
   }
-  const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *stream_queries() const {
-    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_STREAM_QUERIES);
+  const flatbuffers::Vector<const Portpaddle::Wire::StreamQuery *> *stream_queries() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::StreamQuery *> *>(VT_STREAM_QUERIES);
   }
   const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *unknown_streams() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_UNKNOWN_STREAMS);
@@ -1253,7 +1278,7 @@
   void add_begun_streams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::BegunStream *>> begun_streams) {
     fbb_.AddOffset(LoadDigest::VT_BEGUN_STREAMS, begun_streams);
   }
-  void add_stream_queries(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> stream_queries) {
+  void add_stream_queries(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::StreamQuery *>> stream_queries) {
     fbb_.AddOffset(LoadDigest::VT_STREAM_QUERIES, stream_queries);
   }
   void add_unknown_streams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams) {
@@ -1301,7 +1326,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::LimitUrgencyDemand *>> limit_urgency_demands = 0,
     uint8_t unreachable = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::BegunStream *>> begun_streams = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> stream_queries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::StreamQuery *>> stream_queries = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
@@ -1369,7 +1394,7 @@
     const std::vector<Portpaddle::Wire::LimitUrgencyDemand> *limit_urgency_demands = nullptr,
     uint8_t unreachable = 0,
     const std::vector<Portpaddle::Wire::BegunStream> *begun_streams = nullptr,
-    const std::vector<Portpaddle::Wire::RequestDigest> *stream_queries = nullptr,
+    const std::vector<Portpaddle::Wire::StreamQuery> *stream_queries = nullptr,
     const std::vector<Portpaddle::Wire::RequestDigest> *unknown_streams = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1391,7 +1416,7 @@
   auto limit_urgency_grants__ = limit_urgency_grants ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitUrgencyGrant>(*limit_urgency_grants) : 0;
   auto limit_urgency_demands__ = limit_urgency_demands ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::LimitUrgencyDemand>(*limit_urgency_demands) : 0;
   auto begun_streams__ = begun_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::BegunStream>(*begun_streams) : 0;
-  auto stream_queries__ = stream_queries ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*stream_queries) : 0;
+  auto stream_queries__ = stream_queries ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::StreamQuery>(*stream_queries) : 0;
   auto unknown_streams__ = unknown_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*unknown_streams) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
--- a/tests/gateway/stream_holder_tests.cpp
+++ b/tests/gateway/stream_holder_tests.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::size_t regionCount = 3;
+constexpr std::uint64_t service = 5;
 
 /// Daemons in three regions on one event loop; digests arrive at once, unless they are lost.
 class HolderFleet
@@ -68,7 +69,7 @@
     {
         std::optional<VersionKey> result;
         spawnTask(loop.get_executor(), "find",
-                  [&]() -> Task<void> { result = co_await daemons.at(fmt::format("d{}", daemon))->find(stream, sole); });
+                  [&]() -> Task<void> { result = co_await daemons.at(fmt::format("d{}", daemon))->find(stream, service, sole); });
         run();
         return result;
     }
@@ -185,3 +186,12 @@
     CHECK(streams.contains(streamOf(1), now));
     CHECK_FALSE(streams.find(streamOf(1), now));
 }
+
+TEST_CASE("Stream holders, one is certain that all streams began at one version, vouch for it")
+{
+    HolderFleet fleet(8);
+    for (auto &[id, daemon] : fleet.daemons) {
+        daemon->setSoleVersion([](std::uint64_t asked) { return asked == service ? std::optional(began) : std::nullopt; });
+    }
+    CHECK(fleet.find(0, streamOf(1)) == began);
+}
--- a/tests/gateway/stream_version_tests.cpp
+++ b/tests/gateway/stream_version_tests.cpp
@@ -247,3 +247,14 @@
     CHECK_FALSE(upstreams[0]->seen().empty());
     CHECK(upstreams[1]->seen().empty());
 }
+
+TEST_CASE_FIXTURE(BrokenRelayFixture, "Stream, taken up through a daemon that does not name its version, does not go on there")
+{
+    setVersionSet({ { "v0" }, {}, true, 1 });
+    ScriptedUpstream silent(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(4, 6) + lastChunk }; });
+    removeDaemon("e1");
+    addRemoteDaemon("e2", "east", silent.address(), keptElsewhere);
+    CHECK(ask("/resume/a", "id2", std::string("Last-Event-ID: 3\r\n") + keptElsewhere).body.find("id: 4") == std::string::npos);
+    CHECK(silent.seen().size() == 1);
+}
