--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 55> catalogue{ {
+constexpr std::array<LogEventDescription, 56> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -85,6 +85,9 @@
     { LogEvent::ReachChanged, "reach_changed", "warning",
       "Whether this daemon reaches the upstreams of a service has changed: by new connections, only by open ones, or not at "
       "all." },
+    { LogEvent::UpstreamRejected, "upstream_rejected", "info",
+      "A brittle upstream rejected a request for want of room; the line gives how many rejections it bears in a second and how "
+      "many requests this daemon had there." },
     { LogEvent::ClaimConflict, "claim_conflict", "info", "A non-repeatable call arrived with a key that is already in use." },
     { LogEvent::RolloutOrdered, "rollout_ordered", "info", "An operator ordered that a service change over to a version." },
     { LogEvent::RolloutStageWritten, "rollout_stage_written", "info",
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -55,6 +55,7 @@
     UpstreamNoticeUnreadable = 4115,
     UpstreamLoadUnreadable = 4116,
     ReachChanged = 4117,
+    UpstreamRejected = 4120,
     ClaimConflict = 4201,
     RolloutOrdered = 4301,
     RolloutStageWritten = 4302,
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -63,6 +63,7 @@
     StreamsTakenUp,
     StreamsOfUnknownVersion,
     StreamsAnnounced,
+    BrittleRejections,
     Count,
 };
 
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -3,10 +3,14 @@
 
 #include "portpaddle/gateway/gateway.h"
 
+#include "portpaddle/base/log.h"
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -254,6 +258,13 @@
 
 void Gateway::noteRoom(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime now)
 {
+    if (notice.full && notice.brittle.kind == LimitKind::Named) {
+        metrics_.count(Counter::BrittleRejections);
+        logEvent(LogEvent::UpstreamRejected,
+                 { { "upstream", asked.id },
+                   { "rejections_borne", fmt::format("{:.3f}", notice.brittle.perSecond) },
+                   { "own_running", std::to_string(loads_.running(asked.id)) } });
+    }
     const bool fromAsked = notice.incarnation.empty() || notice.incarnation == asked.registeredName;
     if (fromAsked && (notice.fromUpstream || notice.full)) {
         rejectionBudget_.answered(asked.id, notice.brittle, notice.full, loads_.running(asked.id), now);
