--- a/tests/soak/small_fleet.py
+++ b/tests/soak/small_fleet.py
@@ -41,7 +41,9 @@
         await self.runner.setup()
         site = web.TCPSite(self.runner, self.fleet.host, 0, backlog=1024)  # backlog for all daemons connecting at once
         await site.start()
-        port = site._server.sockets[0].getsockname()[1]
+        self.register(site._server.sockets[0].getsockname()[1])
+
+    def register(self, port):
         self.fleet.store.write(f"servers/{self.name}", {
             "service": "app", "address": f"{self.fleet.host}:{port}", "zone": self.region + "-1", "version": "v1", "slots": 500,
             "state": "ready", "coldRemainingMs": 0, "sequence": 1})
