Places at brittle upstreams are handed out by one daemon of the region, so that none rejects more than it bears

Cause: each daemon had at least one whole rejection at once, however many daemons there are; the credit was asked at the choice and taken when the connection was open; each daemon found out by rejections of its own that there is less room; state went with the incarnation, so that a fallen upstream came back unknown; one answer without the number, also an old one, ended the state.

Change: a service is brittle, not a life of an upstream; the region is told at once, and a record is kept on the platform. A request needs a place, asked for by datagram from the first daemon by rendezvous hashing. It is granted only while the requests that may still be rejected, with the rejections of the last second, stay within the number; so the bound holds whatever the room does. RejectionBudget is gone.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 56> catalogue{ {
+constexpr std::array<LogEventDescription, 58> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -85,6 +85,11 @@
     { LogEvent::ReachChanged, "reach_changed", "warning",
       "Whether this daemon reaches the upstreams of a service has changed: by new connections, only by open ones, or not at "
       "all." },
+    { LogEvent::ServiceBrittle, "service_brittle", "warning",
+      "The upstreams of a service fall over when they reject more requests in a second than the line gives; from now on each "
+      "request needs a place at its upstream." },
+    { LogEvent::ServiceBrittleEnded, "service_brittle_ended", "info",
+      "The upstreams of a service no longer say that they are brittle." },
     { LogEvent::UpstreamRejected, "upstream_rejected", "info",
       "A brittle upstream rejected a request for want of room; the line gives how many rejections it bears in a second and how "
       "many requests this daemon had there." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -55,6 +55,8 @@
     UpstreamNoticeUnreadable = 4115,
     UpstreamLoadUnreadable = 4116,
     ReachChanged = 4117,
+    ServiceBrittle = 4118,
+    ServiceBrittleEnded = 4119,
     UpstreamRejected = 4120,
     ClaimConflict = 4201,
     RolloutOrdered = 4301,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -76,6 +76,7 @@
     { "portpaddle_streams_of_unknown_version_total", "Streams not taken up because no daemon knew the version that began them." },
     { "portpaddle_streams_announced_total", "Streams of which other daemons were told the version that began them." },
     { "portpaddle_brittle_rejections_total", "Requests that brittle upstreams rejected for want of room." },
+    { "portpaddle_places_denied_total", "Places at brittle upstreams that were asked for and not granted." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -64,6 +64,7 @@
     StreamsOfUnknownVersion,
     StreamsAnnounced,
     BrittleRejections,
+    PlacesDenied,
     Count,
 };
 
--- a/src/portpaddle/fleet/load_aggregation_intake.cpp
+++ b/src/portpaddle/fleet/load_aggregation_intake.cpp
@@ -52,6 +52,7 @@
     case Wire::DigestKind::RolloutReport:
     case Wire::DigestKind::RolloutSum:
     case Wire::DigestKind::StreamVersions:
+    case Wire::DigestKind::UpstreamPlaces:
         break;
     case Wire::DigestKind::Report:
         takeReport(digest, now);
--- a/src/portpaddle/fleet/stable_owner.cpp
+++ b/src/portpaddle/fleet/stable_owner.cpp
@@ -44,6 +44,7 @@
     }
     memberships_.push_back({ std::move(members), SteadyTime::max() });
     cache_.clear();
+    firsts_.clear();
 }
 
 std::optional<std::size_t> StableOwner::rankIn(const Membership &membership, std::uint64_t key) const
@@ -87,6 +88,21 @@
     return memberships_.empty() ? 0 : rankIn(memberships_.back(), key).value_or(memberships_.back().members.size());
 }
 
+std::optional<std::uint64_t> StableOwner::first(std::uint64_t key) const
+{
+    if (members() == 0) {
+        return std::nullopt;
+    }
+    const auto [entry, added] = firsts_.try_emplace(key);
+    if (added) {
+        const std::vector<std::uint64_t> &listed = memberships_.back().members;
+        entry->second = *std::max_element(listed.begin(), listed.end(), [key](std::uint64_t one, std::uint64_t other) {
+            return rendezvousScore(key, one, 1) < rendezvousScore(key, other, 1);
+        });
+    }
+    return entry->second;
+}
+
 std::size_t StableOwner::members() const
 {
     return memberships_.empty() ? 0 : memberships_.back().members.size();
--- a/src/portpaddle/fleet/stable_owner.h
+++ b/src/portpaddle/fleet/stable_owner.h
@@ -29,6 +29,8 @@
     bool isAmong(std::uint64_t key, unsigned count, SteadyTime now);
     /// Returns how many daemons rank before this one in the newest list; the size of the list if this one is not in it.
     std::size_t rank(std::uint64_t key) const;
+    /// Returns the hash of the daemon that ranks first for @p key in the newest list; no value if the list is empty.
+    std::optional<std::uint64_t> first(std::uint64_t key) const;
     /// Returns the number of daemons in the newest list.
     std::size_t members() const;
 
@@ -56,6 +58,8 @@
     /// The lists that may still be in use, newest last.
     std::deque<Membership> memberships_;
     std::unordered_map<std::uint64_t, CachedResult> cache_;
+    /// Results of first() for the newest list.
+    mutable std::unordered_map<std::uint64_t, std::uint64_t> firsts_;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -26,6 +26,8 @@
 // Callers honour a Retry-After of at most a third of their time. After a shorter wait than the minimum nothing has changed.
 constexpr Millis minRetryAfter{ 100 };
 constexpr Millis maxRetryAfter{ 2'000 };
+// Asking for a place takes a round trip within the region. After so many that were denied the upstreams are taken to be full.
+constexpr unsigned maxDeniedPlaces = 4;
 // Maximum where the time at which an upstream accepts requests again is known.
 constexpr Millis maxKnownRetryAfter{ 60'000 };
 
@@ -143,13 +145,20 @@
     }
     AttemptReport report;
     bool attempted = false;
+    unsigned denials = 0;
     while (interruption_ == Interruption::None && timeLeft() > minAttemptTime) {
         const Target target = chooseTarget();
-        if (target.placement.verdict != Verdict::Serve && target.placement.verdict != Verdict::Forward) {
-            const ExclusionReason reason = target.placement.reason;
+        const bool found = target.placement.verdict == Verdict::Serve || target.placement.verdict == Verdict::Forward;
+        const bool placed = found ? co_await takePlace(target) : false;
+        if (found && !placed && ++denials < maxDeniedPlaces) {
+            continue;
+        }
+        if (!placed) {
+            const ExclusionReason reason = found ? ExclusionReason::Full : target.placement.reason;
             const bool mayWait = mayWaitForCapacity(reason);
             const bool again = mayWait ? co_await waitForCapacity() : false;
             if (again) {
+                denials = 0;
                 continue;
             }
             if (!attempted) {
@@ -166,8 +175,8 @@
         }
         gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
         log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0, report.error.message);
-        const bool found = progress_.begun ? true : co_await findRouteAgain();
-        if (!found) {
+        const bool routed = progress_.begun ? true : co_await findRouteAgain();
+        if (!routed) {
             refundRetry();
             co_return;
         }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -67,6 +67,11 @@
     void startDeadline();
     /// Whether the request may be accepted during a stop; sets latestPredictedEnd_ if this depends on the prediction.
     bool fitsStopDeadline();
+    /// Takes a place at the upstream of @p target if its service is brittle; returns false if there is none.
+    Task<bool> takePlace(const Target &target);
+    void givePlaceBack(PlaceEnd end);
+    /// Records that a brittle upstream rejected the request that was sent at @p sentAt, if @p notice says so.
+    void noteRejection(const UpstreamRecord &upstream, const AnswerNotice &notice, SteadyTime sentAt);
     /// Returns the error for a request that has no possible target for @p reason.
     Error noTargetError(ExclusionReason reason);
     /// Returns the Retry-After for a request of a service whose upstreams all ask for time or are at their limits.
@@ -167,6 +172,8 @@
     RunMove move_;
     /// The source of the moved memory from which the next attempt continues; empty if it starts anew.
     std::string memoryFrom_;
+    /// The place of the request at a brittle upstream.
+    std::optional<HeldPlace> place_;
     /// The continuation that a daemon of another region resumes, or that this daemon was asked to resume.
     std::optional<Continuation> continuation_;
     /// Whether the stream was handed over to the forwarding daemon, which lets it continue elsewhere.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -90,6 +90,9 @@
         if (!admitsVersion(gateway_.rollouts_.rule(service_), target.upstream->version)) {
             return false;
         }
+        if (!place_ && !continuesMovedRun && gateway_.brittleServices_.borne(service_, now)) {
+            return false;
+        }
         const ExclusionReason exclusionReason = continuesMovedRun ? gateway_.notices_.exclusionForMovedRun(upstream, now)
                                                                   : gateway_.notices_.exclusionReason(upstream, now);
         return exclusionReason == ExclusionReason::None;
@@ -98,13 +101,13 @@
         ++sends_;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
         gateway_.reportedLoads_.sent(target.upstream->id, BootClock::now());
-        gateway_.rejectionBudget_.sent(target.upstream->id, gateway_.loads_.running(target.upstream->id), BootClock::now());
         rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
         ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
     };
     callbacks.headReceived = [this, &target, &ticket](const AnswerNotice &notice) {
         gateway_.reach_.heard(*target.upstream, BootClock::now());
-        gateway_.noteRoom(*target.upstream, notice, BootClock::now());
+        gateway_.noteBrittle(*target.upstream, notice, ticket.sentAt, BootClock::now());
+        noteRejection(*target.upstream, notice, ticket.sentAt);
         gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt);
     };
     callbacks.firstEvent = [this, &target, &ticket] {
@@ -204,6 +207,7 @@
     }
     const SteadyTime now = BootClock::now();
     const bool interrupted = interruption_ != Interruption::None;
+    givePlaceBack(report.end == AttemptEnd::Complete || report.bufferedAnswer ? PlaceEnd::Answered : PlaceEnd::Unknown);
     if (!report.sent && !report.withheld && !interrupted) {
         if (target.upstream) {
             gateway_.noteConnectFailed(*target.upstream, now);
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -3,14 +3,10 @@
 
 #include "portpaddle/gateway/gateway.h"
 
-#include "portpaddle/base/log.h"
-#include "portpaddle/base/metrics.h"
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <limits>
 
@@ -39,6 +35,9 @@
     , loadAggregation_(identity_.id, identity_.region, loads_, regions_, organisationLimits_)
     , owners_(identity_.id)
     , upstreamLimits_({ identity_.id, identity_.region }, owners_, metrics)
+    , brittleServices_(identity_.region, owners_)
+    , places_(executor, identity_.id, identity_.region, owners_,
+              static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count()))
     , notices_(metrics)
     , reportedLoads_(identity_.region, metrics)
     , rollouts_(identity_.id, identity_.region, random.below(std::numeric_limits<std::uint64_t>::max()),
@@ -185,7 +184,6 @@
     if (!view_->upstreams.sharesAllWith(earlier->upstreams)) {
         loads_.follow(*view_, *earlier);
         reportedLoads_.setView(*view_, *earlier);
-        rejectionBudget_.keepOnly(*view_);
         localUpstreams_.clear();
         localUpstreamsCurrent_ = false;
     }
@@ -198,6 +196,8 @@
     setLimits(now);
     setModels(*earlier);
     upstreamLimits_.setView(view_, now);
+    brittleServices_.setView(view_, now);
+    places_.setView(view_);
     notices_.setView(*view_, now);
     rollouts_.setView(view_);
     versionSets_.setView(view_, now);
@@ -256,21 +256,6 @@
     reportedLoads_.answered(*upstreamId, notice.load, now);
 }
 
-void Gateway::noteRoom(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime now)
-{
-    if (notice.full && notice.brittle.kind == LimitKind::Named) {
-        metrics_.count(Counter::BrittleRejections);
-        logEvent(LogEvent::UpstreamRejected,
-                 { { "upstream", asked.id },
-                   { "rejections_borne", fmt::format("{:.3f}", notice.brittle.perSecond) },
-                   { "own_running", std::to_string(loads_.running(asked.id)) } });
-    }
-    const bool fromAsked = notice.incarnation.empty() || notice.incarnation == asked.registeredName;
-    if (fromAsked && (notice.fromUpstream || notice.full)) {
-        rejectionBudget_.answered(asked.id, notice.brittle, notice.full, loads_.running(asked.id), now);
-    }
-}
-
 void Gateway::noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)
 {
     AnswerNotice notice = readNotice(head, names_, std::chrono::system_clock::now());
@@ -363,7 +348,9 @@
         now);
     announceStreams(now);
     upstreamLimits_.tick(now);
-    rejectionBudget_.setDaemons(sharingDaemonCount());
+    brittleServices_.tick(now);
+    places_.tick(now);
+    confirmPlaces(now);
     reportedLoads_.tick(now);
     updateRetryBudget(now);
     coldGate_.setOptions({ options_.coldOvershoot, options_.coldSlack, sharingDaemonCount(), retryMembers_.ownListedSince() });
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -28,9 +28,10 @@
 #include "portpaddle/rollouts/rollout_coordinator.h"
 #include "portpaddle/stream_versions/stream_versions.h"
 #include "portpaddle/stream_versions/version_set_recorder.h"
-#include "portpaddle/upstream_limits/rejection_budget.h"
 #include "portpaddle/upstream_limits/upstream_limits.h"
 #include "portpaddle/upstream_notices/upstream_notices.h"
+#include "portpaddle/upstream_places/brittle_services.h"
+#include "portpaddle/upstream_places/upstream_places.h"
 #include "portpaddle/upstream_reports/reported_loads.h"
 
 #include <map>
@@ -120,8 +121,8 @@
     /// Sets the function that writes sets of versions to the platform.
     void setVersionSetWriter(VersionSetRecorder::WriteRecord write);
     /// Sets the function that sends a digest at once.
-    void setDigestSender(StreamVersions::Send send);
-    /// Returns the digests about limits named by upstreams; call once in each interval.
+    void setDigestSender(const std::function<void(const OutgoingDigest &digest)> &send);
+    /// Returns the digests about limits named by upstreams and about brittle services; call once in each interval.
     std::vector<OutgoingDigest> dueLimitDigests();
     /// Sets the handler for other daemons' requests for the state of the store; it must outlive the gateway.
     void setPeerRequestHandler(PeerRequestHandler *handler);
@@ -241,8 +242,12 @@
     ExclusionReason exclusionReasonOf(const UpstreamRecord &upstream, const ServiceSpec &spec, SteadyTime now);
     /// Records the response header that an upstream at the address of @p asked sent to a request sent at @p sentAt.
     void noteAnswer(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt);
-    /// Records what the response says of the room at @p asked; answers of other incarnations there say nothing of it.
-    void noteRoom(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime now);
+    /// Records whether the service of @p asked is brittle. Answers of other incarnations there say nothing of it.
+    void noteBrittle(const UpstreamRecord &asked, const AnswerNotice &notice, SteadyTime sentAt, SteadyTime now);
+    /// Tells the daemons of the own region at once which services are brittle.
+    void announceBrittleServices(SteadyTime now);
+    /// Keeps the places that requests of this daemon have at brittle upstreams.
+    void confirmPlaces(SteadyTime now);
     /// As noteAnswer(), for the response to an order, which says nothing about requests.
     void noteOrderAnswer(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head);
     /// Returns the id of the incarnation that answered; null where it is not listed at that address.
@@ -302,13 +307,15 @@
     /// Decides which upstreams this daemon owns where a bound cannot be divided among all daemons.
     StableOwner owners_;
     UpstreamLimits upstreamLimits_;
-    RejectionBudget rejectionBudget_;
+    BrittleServices brittleServices_;
+    UpstreamPlaces places_;
     UpstreamNotices notices_;
     ReportedLoads reportedLoads_;
     /// Number of turns in which all daemons of the own region are sent a digest, in a fleet without aggregators.
     unsigned localDigestTurns_ = 1;
     RolloutCoordinator rollouts_;
     StreamVersions streamVersions_;
+    std::function<void(const OutgoingDigest &digest)> sendDigest_ = [](const OutgoingDigest &) {};
     VersionSetRecorder versionSets_;
     std::optional<SteadyTime> tickedAt_;
     /// Until then the process may not have caught up with the store after a stall.
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -65,7 +65,7 @@
     if (!reach_.reaches(upstream)) {
         return ExclusionReason::Unreachable;
     }
-    if (rejectionBudget_.size() > 0 && !rejectionBudget_.allows(upstream.id, loads_.running(upstream.id), now)) {
+    if (places_.seemsFull(upstream.id, now)) {
         return ExclusionReason::Full;
     }
     if (pool_.idle(upstream.id) == 0 && pool_.open(upstream.id) >= connectionShare(spec)) {
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -33,7 +33,15 @@
 
 void Gateway::setLimitWriter(UpstreamLimits::WriteRecord write)
 {
-    upstreamLimits_.setWriteRecord(std::move(write));
+    upstreamLimits_.setWriteRecord(write);
+    brittleServices_.setWriteRecord(std::move(write));
+}
+
+void Gateway::setDigestSender(const std::function<void(const OutgoingDigest &digest)> &send)
+{
+    streamVersions_.setSend(send);
+    places_.setSend(send);
+    sendDigest_ = send;
 }
 
 void Gateway::setDigestInterval(std::chrono::milliseconds interval)
@@ -56,6 +64,11 @@
         upstreamLimits_.takeNews(digest, now);
         return;
     }
+    if (digest.kind == Wire::DigestKind::UpstreamPlaces) {
+        brittleServices_.takeNews(digest, now);
+        places_.apply(digest, now);
+        return;
+    }
     if (digest.kind == Wire::DigestKind::RolloutReport || digest.kind == Wire::DigestKind::RolloutSum) {
         rollouts_.take(digest, now);
         return;
@@ -151,6 +164,7 @@
 
 std::vector<OutgoingDigest> Gateway::dueLimitDigests()
 {
+    announceBrittleServices(BootClock::now());
     return upstreamLimits_.dueDigests(digestHeader(), BootClock::now());
 }
 
--- a/src/portpaddle/gateway/gateway_streams.cpp
+++ b/src/portpaddle/gateway/gateway_streams.cpp
@@ -14,11 +14,6 @@
     versionSets_.setWriter(std::move(write));
 }
 
-void Gateway::setDigestSender(StreamVersions::Send send)
-{
-    streamVersions_.setSend(std::move(send));
-}
-
 void Gateway::excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
                               const std::vector<const UpstreamRecord *> &records, SteadyTime now) const
 {
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/gateway/load_digest.cpp
@@ -67,7 +67,8 @@
         && digest.quarantined.size() <= maxDigestCrashes && digest.first_token_times.size() <= maxDigestSamples
         && digest.upstream_limits.size() <= maxDigestUpstreamLimits && digest.rollout_counts.size() <= maxDigestRolloutCounts
         && digest.upstream_reports.size() <= maxDigestReports && digest.begun_streams.size() <= maxDigestStreams
-        && digest.stream_queries.size() <= maxDigestStreams && digest.unknown_streams.size() <= maxDigestStreams;
+        && digest.stream_queries.size() <= maxDigestStreams && digest.unknown_streams.size() <= maxDigestStreams
+        && digest.places.size() <= maxDigestPlaces && digest.brittle_services.size() <= maxDigestUpstreamLimits;
     if (!bounded) {
         return Error{ ErrorCode::BadRequest, "load digest has too many entries", RunState::NotRun, {} };
     }
--- a/src/portpaddle/gateway/load_digest.h
+++ b/src/portpaddle/gateway/load_digest.h
@@ -29,6 +29,7 @@
 
 /// Maximum number of streams of each kind in a digest.
 inline constexpr std::size_t maxDigestStreams = 16;
+inline constexpr std::size_t maxDigestPlaces = 36;
 
 /// Splits @p shares and @p parts into as many digests as needed, each to be sent in a datagram of its own. @p header has the
 /// sender, the sequence of the first digest, and the content that only the first one carries.
--- a/src/portpaddle/wire/load_generated.h
+++ b/src/portpaddle/wire/load_generated.h
@@ -52,6 +52,8 @@
 
 struct StreamQuery;
 
+struct PlaceNote;
+
 struct RegionNews;
 struct RegionNewsBuilder;
 struct RegionNewsT;
@@ -106,11 +108,12 @@
   RolloutReport = 6,
   RolloutSum = 7,
   StreamVersions = 8,
+  UpstreamPlaces = 9,
   MIN = Direct,
-  MAX = StreamVersions
+  MAX = UpstreamPlaces
 };
 
-inline const DigestKind (&EnumValuesDigestKind())[9] {
+inline const DigestKind (&EnumValuesDigestKind())[10] {
   static const DigestKind values[] = {
     DigestKind::Direct,
     DigestKind::Report,
@@ -120,13 +123,14 @@
     DigestKind::UpstreamLimits,
     DigestKind::RolloutReport,
     DigestKind::RolloutSum,
-    DigestKind::StreamVersions
+    DigestKind::StreamVersions,
+    DigestKind::UpstreamPlaces
   };
   return values;
 }
 
 inline const char * const *EnumNamesDigestKind() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "Direct",
     "Report",
     "Sum",
@@ -136,17 +140,63 @@
     "RolloutReport",
     "RolloutSum",
     "StreamVersions",
+    "UpstreamPlaces",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameDigestKind(DigestKind e) {
-  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::StreamVersions)) return "";
+  if (flatbuffers::IsOutRange(e, DigestKind::Direct, DigestKind::UpstreamPlaces)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesDigestKind()[index];
 }
 
+enum class PlaceStep : uint8_t {
+  Asked = 0,
+  Granted = 1,
+  Denied = 2,
+  Held = 3,
+  Answered = 4,
+  Ended = 5,
+  Rejected = 6,
+  MIN = Asked,
+  MAX = Rejected
+};
+
+inline const PlaceStep (&EnumValuesPlaceStep())[7] {
+  static const PlaceStep values[] = {
+    PlaceStep::Asked,
+    PlaceStep::Granted,
+    PlaceStep::Denied,
+    PlaceStep::Held,
+    PlaceStep::Answered,
+    PlaceStep::Ended,
+    PlaceStep::Rejected
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesPlaceStep() {
+  static const char * const names[8] = {
+    "Asked",
+    "Granted",
+    "Denied",
+    "Held",
+    "Answered",
+    "Ended",
+    "Rejected",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamePlaceStep(PlaceStep e) {
+  if (flatbuffers::IsOutRange(e, PlaceStep::Asked, PlaceStep::Rejected)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesPlaceStep()[index];
+}
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) UpstreamShare FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t key_;
@@ -849,6 +899,66 @@
 };
 FLATBUFFERS_STRUCT_END(StreamQuery, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlaceNote FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint64_t token_;
+  float borne_;
+  uint16_t room_;
+  uint16_t delay_ms_;
+  uint8_t step_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  PlaceNote()
+      : upstream_(0),
+        token_(0),
+        borne_(0),
+        room_(0),
+        delay_ms_(0),
+        step_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  PlaceNote(uint64_t _upstream, uint64_t _token, float _borne, uint16_t _room, uint16_t _delay_ms, Portpaddle::Wire::PlaceStep _step)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        token_(flatbuffers::EndianScalar(_token)),
+        borne_(flatbuffers::EndianScalar(_borne)),
+        room_(flatbuffers::EndianScalar(_room)),
+        delay_ms_(flatbuffers::EndianScalar(_delay_ms)),
+        step_(flatbuffers::EndianScalar(static_cast<uint8_t>(_step))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint64_t token() const {
+    return flatbuffers::EndianScalar(token_);
+  }
+  float borne() const {
+    return flatbuffers::EndianScalar(borne_);
+  }
+  uint16_t room() const {
+    return flatbuffers::EndianScalar(room_);
+  }
+  uint16_t delay_ms() const {
+    return flatbuffers::EndianScalar(delay_ms_);
+  }
+  Portpaddle::Wire::PlaceStep step() const {
+    return static_cast<Portpaddle::Wire::PlaceStep>(flatbuffers::EndianScalar(step_));
+  }
+};
+FLATBUFFERS_STRUCT_END(PlaceNote, 32);
+
 struct RegionNewsT : public flatbuffers::NativeTable {
   typedef RegionNews TableType;
   std::string region{};
@@ -989,6 +1099,8 @@
   std::vector<Portpaddle::Wire::BegunStream> begun_streams{};
   std::vector<Portpaddle::Wire::StreamQuery> stream_queries{};
   std::vector<Portpaddle::Wire::RequestDigest> unknown_streams{};
+  std::vector<Portpaddle::Wire::PlaceNote> places{};
+  std::vector<Portpaddle::Wire::UpstreamLimit> brittle_services{};
   LoadDigestT() = default;
   LoadDigestT(const LoadDigestT &o);
   LoadDigestT(LoadDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1029,7 +1141,9 @@
     VT_UNREACHABLE = 58,
     VT_BEGUN_STREAMS = 60,
     VT_STREAM_QUERIES = 62,
-    VT_UNKNOWN_STREAMS = 64
+    VT_UNKNOWN_STREAMS = 64,
+    VT_PLACES = 66,
+    VT_BRITTLE_SERVICES = 68
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -1124,6 +1238,12 @@
   const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *unknown_streams() const {
     return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *> *>(VT_UNKNOWN_STREAMS);
   }
+  const flatbuffers::Vector<const Portpaddle::Wire::PlaceNote *> *places() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::PlaceNote *> *>(VT_PLACES);
+  }
+  const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *brittle_services() const {
+    return GetPointer<const flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *> *>(VT_BRITTLE_SERVICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -1180,6 +1300,10 @@
            verifier.VerifyVector(stream_queries()) &&
            VerifyOffset(verifier, VT_UNKNOWN_STREAMS) &&
            verifier.VerifyVector(unknown_streams()) &&
+           VerifyOffset(verifier, VT_PLACES) &&
+           verifier.VerifyVector(places()) &&
+           VerifyOffset(verifier, VT_BRITTLE_SERVICES) &&
+           verifier.VerifyVector(brittle_services()) &&
            verifier.EndTable();
   }
   LoadDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1284,6 +1408,12 @@
   void add_unknown_streams(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams) {
     fbb_.AddOffset(LoadDigest::VT_UNKNOWN_STREAMS, unknown_streams);
   }
+  void add_places(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::PlaceNote *>> places) {
+    fbb_.AddOffset(LoadDigest::VT_PLACES, places);
+  }
+  void add_brittle_services(flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> brittle_services) {
+    fbb_.AddOffset(LoadDigest::VT_BRITTLE_SERVICES, brittle_services);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1327,12 +1457,16 @@
     uint8_t unreachable = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::BegunStream *>> begun_streams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::StreamQuery *>> stream_queries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::RequestDigest *>> unknown_streams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::PlaceNote *>> places = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const Portpaddle::Wire::UpstreamLimit *>> brittle_services = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_rollout_life(rollout_life);
   builder_.add_rollout_order(rollout_order);
   builder_.add_config_version(config_version);
   builder_.add_sequence(sequence);
+  builder_.add_brittle_services(brittle_services);
+  builder_.add_places(places);
   builder_.add_unknown_streams(unknown_streams);
   builder_.add_stream_queries(stream_queries);
   builder_.add_begun_streams(begun_streams);
@@ -1395,7 +1529,9 @@
     uint8_t unreachable = 0,
     const std::vector<Portpaddle::Wire::BegunStream> *begun_streams = nullptr,
     const std::vector<Portpaddle::Wire::StreamQuery> *stream_queries = nullptr,
-    const std::vector<Portpaddle::Wire::RequestDigest> *unknown_streams = nullptr) {
+    const std::vector<Portpaddle::Wire::RequestDigest> *unknown_streams = nullptr,
+    const std::vector<Portpaddle::Wire::PlaceNote> *places = nullptr,
+    const std::vector<Portpaddle::Wire::UpstreamLimit> *brittle_services = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamShare>(*upstreams) : 0;
@@ -1418,6 +1554,8 @@
   auto begun_streams__ = begun_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::BegunStream>(*begun_streams) : 0;
   auto stream_queries__ = stream_queries ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::StreamQuery>(*stream_queries) : 0;
   auto unknown_streams__ = unknown_streams ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::RequestDigest>(*unknown_streams) : 0;
+  auto places__ = places ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::PlaceNote>(*places) : 0;
+  auto brittle_services__ = brittle_services ? _fbb.CreateVectorOfStructs<Portpaddle::Wire::UpstreamLimit>(*brittle_services) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       daemon__,
@@ -1450,7 +1588,9 @@
       unreachable,
       begun_streams__,
       stream_queries__,
-      unknown_streams__);
+      unknown_streams__,
+      places__,
+      brittle_services__);
 }
 
 flatbuffers::Offset<LoadDigest> CreateLoadDigest(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1520,7 +1660,9 @@
         unreachable(o.unreachable),
         begun_streams(o.begun_streams),
         stream_queries(o.stream_queries),
-        unknown_streams(o.unknown_streams) {
+        unknown_streams(o.unknown_streams),
+        places(o.places),
+        brittle_services(o.brittle_services) {
   regions.reserve(o.regions.size());
   for (const auto &regions_ : o.regions) { regions.emplace_back((regions_) ? new Portpaddle::Wire::RegionNewsT(*regions_) : nullptr); }
 }
@@ -1557,6 +1699,8 @@
   std::swap(begun_streams, o.begun_streams);
   std::swap(stream_queries, o.stream_queries);
   std::swap(unknown_streams, o.unknown_streams);
+  std::swap(places, o.places);
+  std::swap(brittle_services, o.brittle_services);
   return *this;
 }
 
@@ -1600,6 +1744,8 @@
   { auto _e = begun_streams(); if (_e) { _o->begun_streams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->begun_streams[_i] = *_e->Get(_i); } } }
   { auto _e = stream_queries(); if (_e) { _o->stream_queries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stream_queries[_i] = *_e->Get(_i); } } }
   { auto _e = unknown_streams(); if (_e) { _o->unknown_streams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unknown_streams[_i] = *_e->Get(_i); } } }
+  { auto _e = places(); if (_e) { _o->places.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->places[_i] = *_e->Get(_i); } } }
+  { auto _e = brittle_services(); if (_e) { _o->brittle_services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->brittle_services[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<LoadDigest> LoadDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1641,6 +1787,8 @@
   auto _begun_streams = _o->begun_streams.size() ? _fbb.CreateVectorOfStructs(_o->begun_streams) : 0;
   auto _stream_queries = _o->stream_queries.size() ? _fbb.CreateVectorOfStructs(_o->stream_queries) : 0;
   auto _unknown_streams = _o->unknown_streams.size() ? _fbb.CreateVectorOfStructs(_o->unknown_streams) : 0;
+  auto _places = _o->places.size() ? _fbb.CreateVectorOfStructs(_o->places) : 0;
+  auto _brittle_services = _o->brittle_services.size() ? _fbb.CreateVectorOfStructs(_o->brittle_services) : 0;
   return Portpaddle::Wire::CreateLoadDigest(
       _fbb,
       _daemon,
@@ -1673,7 +1821,9 @@
       _unreachable,
       _begun_streams,
       _stream_queries,
-      _unknown_streams);
+      _unknown_streams,
+      _places,
+      _brittle_services);
 }
 
 inline const Portpaddle::Wire::LoadDigest *GetLoadDigest(const void *buf) {
