--- a/tests/soak/crashing_requests_tests.py
+++ b/tests/soak/crashing_requests_tests.py
@@ -74,11 +74,14 @@
         await asyncio.sleep(BACK_AFTER - RECORD_REMAINS)
         await self.begin()
 
+    def is_deadly(self, request, body):
+        return body == BAD
+
     async def serve(self, request):
         self.transports.add(request.transport)
         attempt = request.headers.get("Portpaddle-Attempt-Id", "")
         body = await request.read()
-        if body == BAD:
+        if self.is_deadly(request, body):
             self.fleet.crashes.append((time.monotonic(), attempt, self.id()))
             self.fleet.tasks.append(asyncio.create_task(self.end()))
             await asyncio.sleep(HANG_BOUND)
