--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -73,6 +73,7 @@
     def __init__(self, case, name, region, host):
         self.case, self.name, self.region, self.zone, self.host = case, name, region, region + "-1", host
         self.process = None
+        self.store_address = None  # where this machine reaches the store, if not at the address that all share
 
     def write_settings(self):
         ports = self.case.ports
@@ -88,7 +89,7 @@
                                 "control": f"{self.host}:{ports['control']}", "directory": f"{self.host}:{ports['directory']}"},
             "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "fileDescriptors": 4100, "linkMbps": 1000.0, "diskMb": 0},
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 1}, "bounds": BOUNDS,
-            "platform": {"address": f"{self.case.store.host}:{self.case.store.port}", "form": "kv", "writesPerS": 400,
+            "platform": {"address": self.store_address or f"{self.case.store.host}:{self.case.store.port}", "form": "kv", "writesPerS": 400,
                          "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000}}
         path = os.path.join(self.case.directory, self.name + ".settings")
         with open(path, "w") as file:
@@ -149,6 +150,9 @@
                 raise CannotRun(what)
             await asyncio.sleep(0.05)
 
+    async def before_start(self):
+        """Called when the machines are known and none is started."""
+
     async def begin_machines(self):
         hosts = [machine_host(number) for number in range(len(self.regions))]
         names = ("frontend", "readiness", "control", "directory", "link")
@@ -158,6 +162,7 @@
         self.ports = dict(zip(names, ports))
         for number, region in enumerate(self.regions):
             self.machines.append(Machine(self, f"front-{region}-{number}", region, hosts[number]))
+        await self.before_start()
         await asyncio.gather(*(machine.begin() for machine in self.machines))
         for machine in self.machines:
             await self.eventually(lambda: self.readiness(machine), 15, f"{machine.name} does not become ready")
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -13,6 +13,7 @@
         self.runs = []  # ids of the requests that it ran
         self.sequence = 0
         self.registered = False
+        self.work = 0.01  # seconds for a request
 
     async def begin(self, host):
         await self.start(host)
@@ -54,7 +55,7 @@
         attempt = head["Portpaddle-Attempt-Id"]
         self.runs.append(attempt)
         self.record(f"engine {self.name} runs {attempt}: {message.method} {message.target}, body of {len(message.body)} bytes")
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.work)
         body = f"{self.service}:{attempt}".encode()
         writer.write(encode_answer(200, {**head, "Portpaddle-Server-Seal": self.seal(attempt)}, body))
         return True
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -15,13 +15,17 @@
 class Store(Server):
     def __init__(self):
         super().__init__()
+        self.more = []
         self.items = {}  # key: (value, revision, lease)
         self.history = []  # (revision, key, value or None)
         self.revision = 1
         self.leases = {}  # id: [time to live in seconds, end]
         self.next_lease = 1000
         self.changed = asyncio.Event()
-        self.silent_to = set()  # addresses of machines to which the store says nothing
+        self.refused = set()  # local addresses, one for each machine, at which the store turns callers away with 503
+        self.cut = set()  # local addresses whose machine is partitioned from the store: nothing gets through either way
+        self.told = {}  # by local address: the newest revision after which its machine has asked for changes
+        self.turned_away = asyncio.Event()
 
     def write(self, key, value, lease=0):
         self.revision += 1
@@ -55,14 +59,52 @@
         value = base64.b64encode(text.encode()).decode()
         return {"privateKey": key, "value": value, "revision": revision, "created": revision, "lease": lease}
 
+    async def listen(self, host):
+        """Listens at one more address, of one machine; returns HOST:PORT."""
+        server = await asyncio.start_server(self._serve, host, 0, limit=1 << 20, backlog=256)
+        self.more.append(server)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
+
+    def turn_away(self, host):
+        """From now on callers at this address get 503; their waiting watches are cut."""
+        self.refused.add(host)
+        self.turned_away.set()
+        self.turned_away = asyncio.Event()
+
+    def serve_again(self, host):
+        self.refused.discard(host)
+
     async def handle(self, message, writer):
-        peer = writer.get_extra_info("peername")[0]
-        if peer in self.silent_to:
-            await asyncio.sleep(3600)
-        status, answer = await self._answer(message)
-        if peer in self.silent_to:
-            await asyncio.sleep(3600)
+        host = writer.get_extra_info("sockname")[0]
+        while host in self.cut:
+            await asyncio.sleep(0.05)
+        if host in self.refused:
+            writer.write(encode_answer(503, {}, b""))
+            return True
+        url = urlsplit(message.target)
+        if url.path == "/v1/kv-watch":
+            self.told[host] = max(self.told.get(host, 0), int(parse_qs(url.query)["after"][0]))
+        answering = asyncio.ensure_future(self._answer(message))
+        turned_away = asyncio.ensure_future(self.turned_away.wait())
+        while True:
+            await asyncio.wait({answering, turned_away}, return_when=asyncio.FIRST_COMPLETED)
+            if answering.done() or host in self.refused:
+                break
+            turned_away = asyncio.ensure_future(self.turned_away.wait())
+        turned_away.cancel()
+        if not answering.done():
+            answering.cancel()
+            return False
+        while host in self.cut:
+            await asyncio.sleep(0.05)
+        status, answer = answering.result()
         writer.write(encode_answer(status, {"Content-Type": "application/json"}, json.dumps(answer).encode()))
+        return True
+
+    async def stop(self):
+        for server in self.more:
+            server.close()
+        await super().stop()
 
     async def _answer(self, message):
         self._expire()
