--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 RUN = ["target/src/portpaddled", "--platform"]  # as in deploy/system.toml
@@ -196,6 +197,10 @@
         print("the daemon is not built")
         sys.exit(NOT_RUN)
     loop = asyncio.new_event_loop()
-    result = loop.run_until_complete(case_type(sys.argv[1]).run())
+    try:
+        result = loop.run_until_complete(case_type(sys.argv[1]).run())
+    except Exception:  # a fault of the script itself says nothing about the rule
+        traceback.print_exc()
+        result = NOT_RUN
     sys.stdout.flush()
     os._exit(result)
