--- a/review/2/case_drain.py
+++ b/review/2/case_drain.py
@@ -1,6 +1,10 @@
 # SPDX-FileCopyrightText: 2026 portpaddle contributors
 # SPDX-License-Identifier: Apache-2.0
-"""An engine leaves while one machine is partitioned from the store; then the store turns the other machine of the region away."""
+"""An engine leaves while one machine is partitioned from the store; then the store turns the other machine of the region away.
+
+With NOTICE=1 the leaving engine also says in its answers that it leaves, and the clients rest until all is calm again: a variant for
+the deployments whose engines do so.
+"""
 import asyncio
 import os
 import sys
@@ -19,6 +23,7 @@
 SERVES_ON = DRAIN + 12.0  # seconds for which the leaving engine serves after its entry went
 WORK = 0.15  # seconds that an engine takes for a request
 INTERVAL = 0.02
+NOTICE = os.environ.get("NOTICE") == "1"
 DEADLINE_MS = 2_000
 
 
@@ -53,6 +58,7 @@
         """Sends requests to one machine until cancelled."""
         connection = None
         while True:
+            await self.may_send.wait()
             attempt = self.next_attempt()
             headers = {"Host": "a.example", "Portpaddle-Attempt-Id": attempt, "Portpaddle-Deadline-Remaining": str(DEADLINE_MS)}
             try:
@@ -70,6 +76,8 @@
         await self.begin_machines()
         await asyncio.sleep(CONTACT + 1)  # the machines are in touch
         self.tally = {}
+        self.may_send = asyncio.Event()
+        self.may_send.set()
         first, second = self.machines[0], self.machines[1]
         kinds = [("GET", "/look/"), ("POST", "/pay/")] * 5
         senders = [asyncio.create_task(self.send(first, *kind)) for kind in kinds]
@@ -77,6 +85,10 @@
         leaving = max(self.engines[:2], key=lambda engine: len(engine.runs))
         if not leaving.runs:
             raise CannotRun("the engines of the machine's region get no requests")
+        if NOTICE:
+            self.record("the clients rest")
+            self.may_send.clear()
+            leaving.notice = {"Server-Leaving": "1"}
         if disturbed():
             self.record(f"{second.name} is partitioned from the store")
             self.store.cut.add(second.host)
@@ -107,6 +119,7 @@
         await asyncio.sleep(max(0.0, in_touch + DRAIN + 0.5 - time.monotonic()))
         at_last = len(leaving.runs)
         self.record(f"another {DRAIN + 0.5:.1f} s have passed")
+        self.may_send.set()
         await asyncio.sleep(max(0.0, began + SERVES_ON - time.monotonic()))
         late, late_in_touch, latest = (len(leaving.runs) - before for before in (at_drain, at_touch, at_last))
         self.record(f"{leaving.name} ends")
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -14,6 +14,7 @@
         self.sequence = 0
         self.registered = False
         self.work = 0.01  # seconds for a request
+        self.notice = {}  # headers by which its answers say that it leaves
 
     async def begin(self, host):
         await self.start(host)
@@ -36,7 +37,7 @@
 
     def head(self, message):
         attempt = message.headers.get("portpaddle-attempt-id", "")
-        return {"Portpaddle-Attempt-Id": attempt, "Portpaddle-Instance-Id": self.name}
+        return {"Portpaddle-Attempt-Id": attempt, "Portpaddle-Instance-Id": self.name, **self.notice}
 
     def seal(self, attempt):
         return f"{self.name}.{attempt}"
