--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -122,8 +122,8 @@
 
     regions = ()  # the region of each machine
 
-    def __init__(self, folder):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record):
+        self.record = record
         self.temporary = tempfile.TemporaryDirectory(prefix="portpaddle-review-")
         self.directory = self.temporary.name
         self.attempts = 0
@@ -192,13 +192,15 @@
 
 
 def main(case_type):
-    """Runs the case of the folder in the first argument and exits with its result."""
+    """Runs the case, with its record in the file that the first argument names, and exits with its result."""
+    record = Record(sys.argv[1])
     if not os.path.exists(os.path.join(ROOT, RUN[0])):
+        record("the case could not run: the daemon is not built")
         print("the daemon is not built")
         sys.exit(NOT_RUN)
     loop = asyncio.new_event_loop()
     try:
-        result = loop.run_until_complete(case_type(sys.argv[1]).run())
+        result = loop.run_until_complete(case_type(record).run())
     except Exception:  # a fault of the script itself says nothing about the rule
         traceback.print_exc()
         result = NOT_RUN
