Stand-in of the store: a removal is reported with its own revision

The stand-in read the counter before it raised it, so a removal had the revision of the change before.

--- a/tests/support/scripted_store.h
+++ b/tests/support/scripted_store.h
@@ -213,7 +213,8 @@
     void erase(const std::string &key)
     {
         entries_.erase(key);
-        history_[++revision_] = { { key, {}, revision_ }, true };
+        ++revision_;
+        history_[revision_] = { { key, {}, revision_ }, true };
         changed_.notify_all();
     }
 
