A state of a neighbour is merged by its revision: what was seen removed does not come back

Cause: while the store turned the machine away, it merged the state of a neighbour without looking at that state's revision. What it had seen removed left no trace, so every item of an older state looked new, and the removal lay before the revision from which it followed the store, so nothing took the item away again. The mirror of it: a newer state could add but never remove, and older changes of the store were applied over a neighbour's newer items.

Change: StoreReplica keeps the items and the revision up to which it contains every change. Listings, changes, relayed listings and states of neighbours all go through it; what is not after that revision, or not after the item's, is known already. An unknown key without a later change was removed, so no tombstones are needed. States travel with the revision of the replica that made them and with the scope (region) of their items; a newer state of the same scope removes too, upstreams only after the grace for lost leases. peer_state_taken tells in the log where a change came from.

--- a/benchmarks/fleet_growth.cpp
+++ b/benchmarks/fleet_growth.cpp
@@ -195,6 +195,7 @@
     };
     bool published = false;
     FleetRegistry registry{ view, [this] { published = true; } };
+    StoreReplica replica;
     FleetListener listener{ registry, regionOfDataCentre() };
 };
 
@@ -293,7 +294,8 @@
     DaemonUnderTest daemon;
     daemon.registry.onStoreAvailable(BootClock::now());
     double begin = cpuMs();
-    daemon.listener.listed(items);
+    daemon.replica.replace(items, 1);
+    daemon.listener.listed(daemon.replica.items());
     daemon.registry.takeConfiguration(configuration());
     daemon.catchUp();
     const double listingMs = cpuMs() - begin;
@@ -302,7 +304,9 @@
     constexpr unsigned changes = 50;
     begin = cpuMs();
     for (unsigned index = 0; index < changes; ++index) {
-        daemon.listener.changed({ { upstreamItem(index * regionNames.size(), index + 2), false } });
+        const std::uint64_t revision = index + 2;
+        daemon.listener.changed(
+            daemon.replica.apply({ { upstreamItem(index * regionNames.size(), revision), false } }, revision));
         daemon.catchUp();
     }
     const double changeMs = (cpuMs() - begin) / changes;
@@ -316,7 +320,7 @@
     const double tickMs = (cpuMs() - begin) / ticks;
 
     FeedUpdate update;
-    const std::string state = encodeState(ownDaemon, daemon.listener.known(), update);
+    const std::string state = encodeState(ownDaemon, daemon.replica.items(), update);
     // Before the digests of a whole region, whose freed memory would be tidied up within the time of the choice.
     const double choiceMs = daemon.choiceMs();
     const DigestTraffic traffic = measureDigests(daemon.gateway.view());
--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 58> catalogue{ {
+constexpr std::array<LogEventDescription, 59> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -35,6 +35,8 @@
       "A daemon that relayed the platform's changes is not used as a source for a while; the reason field says why." },
     { LogEvent::FollowRoleChanged, "follow_role_changed", "info",
       "This daemon now follows the platform directly, or through other daemons." },
+    { LogEvent::PeerStateTaken, "peer_state_taken", "info",
+      "Without contact with the platform, the daemon took newer changes from the state of another daemon." },
     { LogEvent::MemberJoined, "member_joined", "info", "Another daemon was discovered or returned." },
     { LogEvent::MemberSuspected, "member_suspected", "warning", "Another daemon does not answer probes." },
     { LogEvent::MemberDied, "member_died", "warning",
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -25,6 +25,7 @@
     PlatformReachable = 2102,
     FollowSourceLeft = 2103,
     FollowRoleChanged = 2104,
+    PeerStateTaken = 2105,
     MemberJoined = 3001,
     MemberSuspected = 3002,
     MemberDied = 3003,
--- a/src/portpaddle/fleet/change_feed.h
+++ b/src/portpaddle/fleet/change_feed.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace Portpaddle {
@@ -25,6 +26,8 @@
     /// Whether some changes since the requested revision are no longer kept. The update then holds no changes.
     bool incomplete = false;
     std::vector<KeyChange> changes;
+    /// In whole states, the scope of the items.
+    std::string scope{};
 };
 
 /// Keeps a bounded list of changes. Thread-safe.
--- a/src/portpaddle/fleet/change_filter.h
+++ b/src/portpaddle/fleet/change_filter.h
@@ -15,6 +15,8 @@
     virtual ~ChangeFilter() = default;
     /// Whether the daemons of this region need @p item.
     virtual bool keeps(const KeyValue &item) const = 0;
+    /// Names the selection: filters with the same scope keep the same items.
+    virtual const std::string &scope() const = 0;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/fleet/feed_server.cpp
+++ b/src/portpaddle/fleet/feed_server.cpp
@@ -39,9 +39,8 @@
 
 } // namespace
 
-FeedServer::FeedServer(Executor executor, std::string daemon, const ChangeFeed &feed,
-                       std::function<std::vector<KeyValue>()> listItems)
-    : executor_(executor), daemon_(std::move(daemon)), feed_(feed), listItems_(std::move(listItems))
+FeedServer::FeedServer(Executor executor, std::string daemon, const ChangeFeed &feed, std::function<StoreState()> readState)
+    : executor_(executor), daemon_(std::move(daemon)), feed_(feed), readState_(std::move(readState))
 {
 }
 
@@ -91,10 +90,18 @@
 
 WholeAnswer FeedServer::answerState()
 {
-    // The feed is read first, so that the items may be newer than the stated revision but never older.
     FeedUpdate update = feed_.since(0);
     update.changes.clear();
-    return sharedAnswer(wholeState, update, [this, &update] { return encodeState(daemon_, listItems_(), update); });
+    return sharedAnswer(wholeState, update, [this, &update] { return encodeKnownState(update); });
+}
+
+/// The state may be newer than the feed: it also contains what other daemons reported during an outage of the store.
+std::string FeedServer::encodeKnownState(FeedUpdate update) const
+{
+    const StoreState state = readState_();
+    update.revision = state.revision;
+    update.scope = state.scope;
+    return encodeState(daemon_, state.items, update);
 }
 
 // After a loss of many daemons a hundred others ask for the same megabytes at once.
--- a/src/portpaddle/fleet/feed_server.h
+++ b/src/portpaddle/fleet/feed_server.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/fleet/change_feed.h"
+#include "portpaddle/fleet/store_replica.h"
 #include "portpaddle/gateway/caller_writer.h"
 
 #include <deque>
@@ -39,8 +40,8 @@
 class FeedServer : public PeerRequestHandler
 {
 public:
-    /// @p listItems returns all items of the store that this daemon knows; it is safe to call from any thread.
-    FeedServer(Executor executor, std::string daemon, const ChangeFeed &feed, std::function<std::vector<KeyValue>()> listItems);
+    /// @p readState returns all that this daemon knows of the store; it is safe to call from any thread.
+    FeedServer(Executor executor, std::string daemon, const ChangeFeed &feed, std::function<StoreState()> readState);
 
     bool handles(const std::string &target) const override;
     Task<WholeAnswer> answer(std::string target) override;
@@ -50,13 +51,14 @@
 private:
     Task<WholeAnswer> answerChanges(std::uint64_t revision);
     WholeAnswer answerState();
+    std::string encodeKnownState(FeedUpdate update) const;
     /// Returns an answer with the encoding of @p update that @p encode makes. Requests for the same bytes share them.
     WholeAnswer sharedAnswer(std::uint64_t after, const FeedUpdate &update, const std::function<std::string()> &encode);
 
     Executor executor_;
     std::string daemon_;
     const ChangeFeed &feed_;
-    std::function<std::vector<KeyValue>()> listItems_;
+    std::function<StoreState()> readState_;
     std::set<SteadyTimer *> waitingTimers_;
     /// An encoded answer, for as long as it can be used for other requests.
     struct Encoded
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -42,12 +42,6 @@
     return Error{ ErrorCode::PlatformUnavailable, std::move(message), RunState::NotRun, {} };
 }
 
-/// Whether the state that a source sent was confirmed by the store recently.
-bool isConfirmed(const FeedUpdate &update, SteadyTime now)
-{
-    return update.reachable && update.revision > 0 && now - update.confirmedAt < maxConfirmationAge;
-}
-
 } // namespace
 
 FollowRole followRole(const FleetView &view, const std::string &id, const std::string &region)
--- a/src/portpaddle/gateway/fleet_registry.cpp
+++ b/src/portpaddle/gateway/fleet_registry.cpp
@@ -46,7 +46,7 @@
 
 std::optional<SteadyTime> FleetRegistry::graceFor(SteadyTime now) const
 {
-    if (!storeReachable_ && everReachable_) {
+    if (!storeReachable_) {
         return now + expiryGrace;
     }
     return now < graceUntil_ ? std::optional(graceUntil_) : std::nullopt;
@@ -332,6 +332,14 @@
     }
 }
 
+void FleetRegistry::dropExpiredUpstreams(SteadyTime now)
+{
+    const std::lock_guard lock(mutex_);
+    if (dropExpired(upstreamEntries_, now)) {
+        publish();
+    }
+}
+
 bool FleetRegistry::knowsDaemon(const std::string &id) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/portpaddle/gateway/fleet_registry.h
+++ b/src/portpaddle/gateway/fleet_registry.h
@@ -57,6 +57,9 @@
     void onStoreAvailable(SteadyTime now);
     /// Removes records that expired and were not registered again; call a few times a second.
     void tick(SteadyTime now);
+    /// Removes upstreams that expired during an outage of the store. Call it when another daemon that has contact with the store
+    /// does not know them either.
+    void dropExpiredUpstreams(SteadyTime now);
     /// Returns whether the store lists the daemon @p id.
     bool knowsDaemon(const std::string &id) const;
 
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -26,7 +26,7 @@
     return Error{ ErrorCode::BadRequest, std::string("peer state: ") + why, RunState::NotRun, {} };
 }
 
-Result<std::vector<KeyValue>> askPeer(const std::string &address)
+Result<PeerState> askPeer(const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
@@ -43,15 +43,20 @@
     if (!result || result->status != 200) {
         return peerStateError("request failed");
     }
-    Result<FeedUpdate> update = decodeChanges(body, BootClock::now());
+    const SteadyTime now = BootClock::now();
+    Result<FeedUpdate> update = decodeChanges(body, now);
     if (!isOk(update)) {
         return errorOf(update);
     }
-    std::vector<KeyValue> items;
+    PeerState peer;
+    peer.address = address;
+    peer.confirmed = isConfirmed(valueOf(update), now);
+    peer.state.revision = valueOf(update).revision;
+    peer.state.scope = std::move(valueOf(update).scope);
     for (KeyChange &change : valueOf(update).changes) {
-        items.push_back(std::move(change.item));
+        peer.state.items.push_back(std::move(change.item));
     }
-    return items;
+    return peer;
 }
 
 } // namespace
@@ -74,6 +79,7 @@
     state.revision = update.revision;
     state.reachable = update.reachable;
     state.incomplete = update.incomplete;
+    state.scope = update.scope;
     const auto age = std::chrono::duration_cast<Millis>(BootClock::now() - update.confirmedAt).count();
     state.confirmed_age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, maxAgeMs));
     for (const KeyChange &change : update.changes) {
@@ -103,6 +109,7 @@
     update.confirmedAt = now - Millis(std::min<std::int64_t>(state.confirmed_age_ms, maxAgeMs));
     update.reachable = state.reachable;
     update.incomplete = state.incomplete;
+    update.scope = std::move(state.scope);
     for (const std::unique_ptr<Wire::StateItemT> &item : state.items) {
         if (item) {
             update.changes.push_back({ { item->key, item->value, item->revision }, item->removed });
@@ -111,20 +118,25 @@
     return update;
 }
 
+bool isConfirmed(const FeedUpdate &update, SteadyTime now)
+{
+    return update.reachable && update.revision > 0 && now - update.confirmedAt < maxConfirmationAge;
+}
+
 PeerStateClient::PeerStateClient(std::function<std::vector<std::string>()> peers) : peers_(std::move(peers))
 {
 }
 
-Result<std::vector<KeyValue>> PeerStateClient::fetch() const
+Result<PeerState> PeerStateClient::fetch() const
 {
     std::size_t asked = 0;
     for (const std::string &address : peers_()) {
         if (asked++ == maxPeersAsked) {
             break;
         }
-        Result<std::vector<KeyValue>> items = askPeer(address);
-        if (isOk(items) && !valueOf(items).empty()) {
-            return items;
+        Result<PeerState> peer = askPeer(address);
+        if (isOk(peer) && !valueOf(peer).state.items.empty()) {
+            return peer;
         }
     }
     return Error{ ErrorCode::PeerUnreachable, "no other daemon returned its state", RunState::NotRun, {} };
--- a/src/portpaddle/gateway/state_exchange.h
+++ b/src/portpaddle/gateway/state_exchange.h
@@ -7,6 +7,7 @@
 
 #include "portpaddle/base/error.h"
 #include "portpaddle/fleet/change_feed.h"
+#include "portpaddle/fleet/store_replica.h"
 #include "portpaddle/interfaces/platform.h"
 
 #include <functional>
@@ -25,6 +26,19 @@
 /// Decodes the result of either function; BadRequest if @p bytes is malformed. Ages count back from @p now.
 Result<FeedUpdate> decodeChanges(const std::string &bytes, SteadyTime now);
 
+/// What another daemon knows of the store.
+struct PeerState
+{
+    /// Link address of that daemon.
+    std::string address;
+    StoreState state;
+    /// Whether the store confirmed this state to that daemon recently.
+    bool confirmed = false;
+};
+
+/// Whether the store confirmed @p update recently.
+bool isConfirmed(const FeedUpdate &update, SteadyTime now);
+
 /// Fetches the state of the store from other daemons. Calls block.
 class PeerStateClient
 {
@@ -32,8 +46,8 @@
     /// @p peers returns the link addresses to ask, the most promising first.
     explicit PeerStateClient(std::function<std::vector<std::string>()> peers);
 
-    /// Returns the items of the first peer that has any; PeerUnreachable when there is none.
-    Result<std::vector<KeyValue>> fetch() const;
+    /// Returns the state of the first peer that has any items; PeerUnreachable when there is none.
+    Result<PeerState> fetch() const;
 
 private:
     std::function<std::vector<std::string>()> peers_;
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/gateway/store_watcher.h"
 
+#include "portpaddle/base/log.h"
+
 #include <algorithm>
 #include <iterator>
 #include <thread>
@@ -61,11 +63,6 @@
     coalescingDelay_ = delay;
 }
 
-bool WatchListener::knows(const std::string &) const
-{
-    return false;
-}
-
 void StoreWatcher::setFilter(const ChangeFilter *filter)
 {
     filter_ = filter;
@@ -79,7 +76,8 @@
     return items;
 }
 
-/// A known item that is to be kept no longer is reported as removed.
+/// A known item that is to be kept no longer becomes a removal. So does one that the replica may have dropped already because of
+/// a later state: daemons that follow this one may still have it.
 std::vector<KeyChange> StoreWatcher::filtered(std::vector<KeyChange> changes) const
 {
     if (filter_ == nullptr) {
@@ -90,7 +88,7 @@
         const bool kept = !change.removed && filter_->keeps(change.item);
         if (kept) {
             result.push_back(std::move(change));
-        } else if (listener_.knows(change.item.key)) {
+        } else if (replica_.contains(change.item.key) || change.item.revision <= replica_.revision()) {
             result.push_back({ { change.item.key, {}, change.item.revision }, true });
         }
     }
@@ -150,7 +148,7 @@
 {
     // The state that this daemon knows already must not go backwards; a daemon without any state catches up with the first
     // changes.
-    const ReadFreshness freshness = revision_ == 0 ? ReadFreshness::MayBeStale : ReadFreshness::Newest;
+    const ReadFreshness freshness = replica_.isEmpty() ? ReadFreshness::MayBeStale : ReadFreshness::Newest;
     const SteadyTime begin = BootClock::now();
     Result<KeyListing> listing = store_.listAll(prefix_, freshness);
     if (!isOk(listing)) {
@@ -161,7 +159,8 @@
     if (BootClock::now() - begin > maxListingTime && !valueOf(listing).relayed) {
         renewUrgent(valueOf(listing));
     }
-    listener_.listed(filtered(std::move(valueOf(listing).items)));
+    takeListing(valueOf(listing));
+    listener_.listed(replica_.items());
     revision_ = valueOf(listing).revision;
     listed_ = true;
     if (feed_ != nullptr) {
@@ -170,6 +169,16 @@
     return true;
 }
 
+void StoreWatcher::takeListing(KeyListing &listing)
+{
+    std::vector<KeyValue> items = filtered(std::move(listing.items));
+    if (listing.relayed) {
+        replica_.merge({ std::move(items), listing.revision, scope() }, StateCoverage::AllKeys);
+    } else {
+        replica_.replace(std::move(items), listing.revision);
+    }
+}
+
 void StoreWatcher::follow()
 {
     Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
@@ -191,8 +200,9 @@
     const std::vector<KeyChange> changes = filtered(std::move(update.changes));
     relayed_ = update.relayed;
     answeredAt_ = BootClock::now();
-    if (!changes.empty()) {
-        listener_.changed(changes);
+    const std::vector<KeyChange> fresh = replica_.apply(changes, update.revision);
+    if (!fresh.empty()) {
+        listener_.changed(fresh);
     }
     revision_ = std::max(revision_.load(), update.revision);
     if (feed_ != nullptr) {
@@ -254,10 +264,35 @@
         return;
     }
     fetchedFromPeersAt_ = now;
-    Result<std::vector<KeyValue>> items = peers_->fetch();
-    if (isOk(items)) {
-        listener_.receivedFromPeer(filtered(std::move(valueOf(items))));
+    Result<PeerState> fetched = peers_->fetch();
+    if (!isOk(fetched)) {
+        return;
+    }
+    PeerState &peer = valueOf(fetched);
+    peer.state.items = filtered(std::move(peer.state.items));
+    const StateCoverage coverage = peer.state.scope == scope() ? StateCoverage::AllKeys : StateCoverage::SomeKeys;
+    const std::vector<KeyChange> changes = replica_.merge(peer.state, coverage);
+    if (!changes.empty()) {
+        logEvent(LogEvent::PeerStateTaken,
+                 { { "source", peer.address },
+                   { "revision", std::to_string(peer.state.revision) },
+                   { "followed_revision", std::to_string(revision_) },
+                   { "changes", std::to_string(changes.size()) },
+                   { "confirmed", peer.confirmed ? "true" : "false" } });
     }
+    listener_.receivedFromPeer(changes, peer.confirmed);
+}
+
+std::string StoreWatcher::scope() const
+{
+    return filter_ == nullptr ? std::string() : filter_->scope();
+}
+
+StoreState StoreWatcher::state() const
+{
+    StoreState state = replica_.state();
+    state.scope = scope();
+    return state;
 }
 
 void StoreWatcher::recordSuccess()
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -7,6 +7,7 @@
 #include "portpaddle/base/thread.h"
 #include "portpaddle/fleet/change_feed.h"
 #include "portpaddle/fleet/change_filter.h"
+#include "portpaddle/fleet/store_replica.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/interfaces/watched_store.h"
 
@@ -22,14 +23,13 @@
     virtual ~WatchListener() = default;
     /// Reports all keys; a key that was reported before and is missing here was removed.
     virtual void listed(const std::vector<KeyValue> &items) = 0;
-    /// Reports changes in the order in which they happened.
+    /// Reports changes in the order in which they happened, none older than what was reported before.
     virtual void changed(const std::vector<KeyChange> &changes) = 0;
     virtual void onStoreUnavailable(const Error &error) = 0;
     virtual void onStoreAvailable() = 0;
-    /// Reports what another daemon last knew of the store; it may add keys but does not imply removals.
-    virtual void receivedFromPeer(const std::vector<KeyValue> &items) = 0;
-    /// Whether @p key was reported and not removed since; false if the listener does not remember keys.
-    virtual bool knows(const std::string &key) const;
+    /// Reports changes that another daemon knew of during an outage of the store, none older than what was reported before.
+    /// @p confirmed tells whether the store confirmed that daemon's state recently.
+    virtual void receivedFromPeer(const std::vector<KeyChange> &changes, bool confirmed) = 0;
 };
 
 /// Watches the store on its own thread until the process ends or stop() is called.
@@ -55,10 +55,13 @@
     void start();
     /// Returns when the call in progress, if any, has ended.
     void stop();
+    /// Returns all that was reported, for other daemons. Thread-safe.
+    StoreState state() const;
 
 private:
     void run();
     bool list();
+    void takeListing(KeyListing &listing);
     void follow();
     void recordFailure(const Error &error);
     void fetchFromPeers();
@@ -68,6 +71,8 @@
     void renewUrgent(KeyListing &listing);
     std::vector<KeyValue> filtered(std::vector<KeyValue> items) const;
     std::vector<KeyChange> filtered(std::vector<KeyChange> changes) const;
+    /// Names the selection that the filter makes.
+    std::string scope() const;
     void updateFeedReachability(bool reachable);
 
     std::string prefix_;
@@ -80,6 +85,8 @@
     std::string urgentPrefix_;
     ChangeFeed *feed_ = nullptr;
     Millis coalescingDelay_;
+    StoreReplica replica_;
+    /// The revision after which changes are requested; the replica may contain later ones.
     std::atomic<std::uint64_t> revision_{ 0 };
     std::atomic<bool> listed_{ false };
     /// Whether changes come by way of another daemon.
--- a/src/portpaddle/wire/state_generated.h
+++ b/src/portpaddle/wire/state_generated.h
@@ -135,6 +135,7 @@
   uint32_t confirmed_age_ms = 0;
   bool reachable = false;
   bool incomplete = false;
+  std::string scope{};
   FleetStateT() = default;
   FleetStateT(const FleetStateT &o);
   FleetStateT(FleetStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -150,7 +151,8 @@
     VT_REVISION = 8,
     VT_CONFIRMED_AGE_MS = 10,
     VT_REACHABLE = 12,
-    VT_INCOMPLETE = 14
+    VT_INCOMPLETE = 14,
+    VT_SCOPE = 16
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -170,6 +172,9 @@
   bool incomplete() const {
     return GetField<uint8_t>(VT_INCOMPLETE, 0) != 0;
   }
+  const flatbuffers::String *scope() const {
+    return GetPointer<const flatbuffers::String *>(VT_SCOPE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DAEMON) &&
@@ -181,6 +186,8 @@
            VerifyField<uint32_t>(verifier, VT_CONFIRMED_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REACHABLE, 1) &&
            VerifyField<uint8_t>(verifier, VT_INCOMPLETE, 1) &&
+           VerifyOffset(verifier, VT_SCOPE) &&
+           verifier.VerifyString(scope()) &&
            verifier.EndTable();
   }
   FleetStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -210,6 +217,9 @@
   void add_incomplete(bool incomplete) {
     fbb_.AddElement<uint8_t>(FleetState::VT_INCOMPLETE, static_cast<uint8_t>(incomplete), 0);
   }
+  void add_scope(flatbuffers::Offset<flatbuffers::String> scope) {
+    fbb_.AddOffset(FleetState::VT_SCOPE, scope);
+  }
   explicit FleetStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -228,9 +238,11 @@
     uint64_t revision = 0,
     uint32_t confirmed_age_ms = 0,
     bool reachable = false,
-    bool incomplete = false) {
+    bool incomplete = false,
+    flatbuffers::Offset<flatbuffers::String> scope = 0) {
   FleetStateBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_scope(scope);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_items(items);
   builder_.add_daemon(daemon);
@@ -246,9 +258,11 @@
     uint64_t revision = 0,
     uint32_t confirmed_age_ms = 0,
     bool reachable = false,
-    bool incomplete = false) {
+    bool incomplete = false,
+    const char *scope = nullptr) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<Portpaddle::Wire::StateItem>>(*items) : 0;
+  auto scope__ = scope ? _fbb.CreateString(scope) : 0;
   return Portpaddle::Wire::CreateFleetState(
       _fbb,
       daemon__,
@@ -256,7 +270,8 @@
       revision,
       confirmed_age_ms,
       reachable,
-      incomplete);
+      incomplete,
+      scope__);
 }
 
 flatbuffers::Offset<FleetState> CreateFleetState(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -301,7 +316,8 @@
         revision(o.revision),
         confirmed_age_ms(o.confirmed_age_ms),
         reachable(o.reachable),
-        incomplete(o.incomplete) {
+        incomplete(o.incomplete),
+        scope(o.scope) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new Portpaddle::Wire::StateItemT(*items_) : nullptr); }
 }
@@ -313,6 +329,7 @@
   std::swap(confirmed_age_ms, o.confirmed_age_ms);
   std::swap(reachable, o.reachable);
   std::swap(incomplete, o.incomplete);
+  std::swap(scope, o.scope);
   return *this;
 }
 
@@ -331,6 +348,7 @@
   { auto _e = confirmed_age_ms(); _o->confirmed_age_ms = _e; }
   { auto _e = reachable(); _o->reachable = _e; }
   { auto _e = incomplete(); _o->incomplete = _e; }
+  { auto _e = scope(); if (_e) _o->scope = _e->str(); }
 }
 
 inline flatbuffers::Offset<FleetState> FleetState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -347,6 +365,7 @@
   auto _confirmed_age_ms = _o->confirmed_age_ms;
   auto _reachable = _o->reachable;
   auto _incomplete = _o->incomplete;
+  auto _scope = _o->scope.empty() ? 0 : _fbb.CreateString(_o->scope);
   return Portpaddle::Wire::CreateFleetState(
       _fbb,
       _daemon,
@@ -354,7 +373,8 @@
       _revision,
       _confirmed_age_ms,
       _reachable,
-      _incomplete);
+      _incomplete,
+      _scope);
 }
 
 inline const Portpaddle::Wire::FleetState *GetFleetState(const void *buf) {
--- a/tests/gateway/feed_server_tests.cpp
+++ b/tests/gateway/feed_server_tests.cpp
@@ -42,7 +42,7 @@
 
     boost::asio::io_context loop{ 1 };
     ChangeFeed feed{ [] {} };
-    FeedServer server{ loop.get_executor(), "d", feed, [] { return std::vector<KeyValue>{}; } };
+    FeedServer server{ loop.get_executor(), "d", feed, [] { return StoreState{}; } };
     bool answered = false;
 };
 
--- a/tests/gateway/fleet_size_tests.cpp
+++ b/tests/gateway/fleet_size_tests.cpp
@@ -106,10 +106,10 @@
     void onStoreAvailable() override
     {
     }
-    void receivedFromPeer(const std::vector<KeyValue> &) override
+    void receivedFromPeer(const std::vector<KeyChange> &, bool) override
     {
     }
-    bool knows(const std::string &key) const override
+    bool knows(const std::string &key) const
     {
         const std::lock_guard lock(mutex_);
         return keys_.contains(key);
@@ -294,7 +294,7 @@
     unsigned listings = 0;
     FeedServer server(loop.get_executor(), "d", feed, [&] {
         ++listings;
-        return items;
+        return StoreState{ items, 5, {} };
     });
     const WholeAnswer first = ask(loop, server, statePath);
     const WholeAnswer second = ask(loop, server, statePath);
--- a/tests/support/recording_listener.h
+++ b/tests/support/recording_listener.h
@@ -49,12 +49,9 @@
         ++availableCount;
     }
 
-    void receivedFromPeer(const std::vector<KeyValue> &items) override
+    void receivedFromPeer(const std::vector<KeyChange> &changes, bool) override
     {
-        const std::lock_guard lock(mutex);
-        for (const KeyValue &item : items) {
-            keys.insert(item.key);
-        }
+        RecordingListener::changed(changes);
     }
 
     bool has(const std::string &key)
