Answers to HEAD end with their head, whoever makes them

Cause: whole() left out the length for HEAD and had the body written all the same; begin(), writeChunk() and end() did not look at the method at all, and answers to requests that break a bound went by the request before on the connection.

Change: one module, answer_framing, knows which answers have a body by method and status (RFC 9112). A session takes the request line as soon as it is read, or from the unread bytes when a bound is broken, decides the framing with the head of the answer, and all that is written afterwards goes by it. An answer to HEAD names the length that its body would have; 204 names none.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -10,12 +10,7 @@
 #include "portpaddle/net/spawn.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -170,6 +165,7 @@
     requestStarted_ = BootClock::now();
     armTimer(limits.headerTimeout, &CallerSession::close);
     co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
+    noteRequestLine(parser);
     if (error) {
         co_await reject(error);
         co_return false;
@@ -185,6 +181,17 @@
     co_return true;
 }
 
+void CallerSession::noteRequestLine(const Parser &parser)
+{
+    constexpr std::string_view headStart = "HEAD ";
+    const std::string_view unparsed(static_cast<const char *>(buffer_.data().data()), buffer_.size());
+    const bool isParsed = !parser.get().method_string().empty();
+    requestLine_ = { parser.get().method(), parser.get().version() };
+    if (!isParsed && unparsed.starts_with(headStart)) {
+        requestLine_.method = http::verb::head;
+    }
+}
+
 Task<bool> CallerSession::readBody(Parser &parser)
 {
     NetError error;
@@ -240,7 +247,6 @@
 Task<void> CallerSession::serve(HttpRequest message)
 {
     keepOpen_ = message.keep_alive();
-    headOnly_ = message.method() == http::verb::head;
     serving_ = true;
     CallerRequest request = decodeRequest(std::move(message), handler_.names(), requestStarted_);
     request.relayed = peer_ == SessionPeer::Daemon;
@@ -305,80 +311,4 @@
     }
 }
 
-Task<bool> CallerSession::whole(WholeAnswer answer)
-{
-    const std::string &body = answer.sharedBody ? *answer.sharedBody : answer.body;
-    http::response<http::span_body<const char>> message(http::int_to_status(answer.status), 11);
-    message.result(answer.status);
-    static_cast<http::fields &>(message) = std::move(answer.fields);
-    message.body() = boost::beast::span<const char>(body.data(), body.size());
-    keepOpen_ = keepOpen_ && !handler_.closing();
-    message.keep_alive(keepOpen_);
-    if (!headOnly_) {
-        message.prepare_payload();
-    }
-    NetError error;
-    http::response_serializer<http::span_body<const char>> serializer(message);
-    while (!error && !serializer.is_done()) {
-        armWriteTimer();
-        co_await http::async_write_some(socket_, serializer, awaitingInto(error));
-    }
-    disarmTimer();
-    co_return !error;
-}
-
-Task<bool> CallerSession::begin(unsigned status, http::fields fields)
-{
-    http::response<http::empty_body> message(http::int_to_status(status), 11);
-    message.result(status);
-    static_cast<http::fields &>(message) = std::move(fields);
-    keepOpen_ = keepOpen_ && !handler_.closing();
-    message.keep_alive(keepOpen_);
-    message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    NetError error;
-    armWriteTimer();
-    co_await http::async_write_header(socket_, serializer, awaitingInto(error));
-    disarmTimer();
-    co_return !error;
-}
-
-Task<bool> CallerSession::writeChunk(std::string_view bytes)
-{
-    if (bytes.empty()) {
-        co_return true;
-    }
-    NetError error;
-    armWriteTimer();
-    co_await boost::asio::async_write(socket_, http::make_chunk(boost::asio::buffer(bytes)), awaitingInto(error));
-    disarmTimer();
-    co_return !error;
-}
-
-Task<bool> CallerSession::end()
-{
-    NetError error;
-    armWriteTimer();
-    co_await boost::asio::async_write(socket_, http::make_chunk_last(), awaitingInto(error));
-    disarmTimer();
-    co_return !error;
-}
-
-Task<bool> CallerSession::endWithTrailer(const char *name, const std::string &value)
-{
-    http::fields trailer;
-    trailer.set(name, value);
-    NetError error;
-    armWriteTimer();
-    co_await boost::asio::async_write(socket_, http::make_chunk_last(trailer), awaitingInto(error));
-    disarmTimer();
-    co_return !error;
-}
-
-void CallerSession::abort()
-{
-    keepOpen_ = false;
-    close();
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -7,6 +7,7 @@
 #include "portpaddle/gateway/caller_request.h"
 #include "portpaddle/gateway/caller_writer.h"
 #include "portpaddle/gateway/service_map.h"
+#include "portpaddle/net/answer_framing.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -60,12 +61,17 @@
     Task<bool> readRequest(Parser &parser);
     Task<bool> readBody(Parser &parser);
     Task<void> serve(HttpRequest message);
+    /// Takes the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
+    void noteRequestLine(const Parser &parser);
     Task<void> reject(NetError error);
     /// Answers a request for whose body there is no memory; the request has not run.
     Task<void> refuseForMemory();
     void watchCaller();
     Task<void> stopWatching();
     void callerLeft();
+    /// Writes @p buffers completely; returns false if the peer is gone.
+    template<typename Buffers>
+    Task<bool> write(const Buffers &buffers);
     /// Calls @p action after @p time; replaces an action that is still due.
     void armTimer(std::chrono::milliseconds time, void (CallerSession::*action)());
     void disarmTimer();
@@ -87,7 +93,10 @@
     bool awaitingRequest_ = false;
     bool watching_ = false;
     bool keepOpen_ = true;
-    bool headOnly_ = false;
+    /// The request that is read or served.
+    RequestLine requestLine_;
+    /// The framing of the answer in progress.
+    BodyFraming framing_ = BodyFraming::None;
     /// Identifies the latest action of the timer; earlier actions that fire late do nothing.
     unsigned timerGeneration_ = 0;
 };
--- /dev/null
+++ b/src/portpaddle/net/answer_framing.cpp
@@ -0,0 +1,30 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "portpaddle/net/answer_framing.h"
+
+#include "portpaddle/net/http_status.h"
+
+namespace Portpaddle {
+
+bool hasBody(boost::beast::http::verb method, unsigned status)
+{
+    return method != boost::beast::http::verb::head && status != HttpStatus::notModified && mayHaveLength(status);
+}
+
+bool mayHaveLength(unsigned status)
+{
+    return !HttpStatus::isInformational(status) && status != HttpStatus::noContent;
+}
+
+BodyFraming framingOfWhole(const RequestLine &request, unsigned status)
+{
+    return hasBody(request.method, status) ? BodyFraming::Length : BodyFraming::None;
+}
+
+BodyFraming framingOfStream(const RequestLine &request, unsigned status)
+{
+    return hasBody(request.method, status) ? BodyFraming::Chunks : BodyFraming::None;
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -7,6 +7,8 @@
 namespace Portpaddle::HttpStatus {
 
 inline constexpr unsigned ok = 200;
+inline constexpr unsigned noContent = 204;
+inline constexpr unsigned notModified = 304;
 inline constexpr unsigned badRequest = 400;
 inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned notFound = 404;
@@ -20,6 +22,11 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gatewayTimeout = 504;
 
+constexpr bool isInformational(unsigned status)
+{
+    return status < 200;
+}
+
 constexpr bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -103,6 +103,7 @@
 {
     char bytes[4096];
     const ssize_t got = recv(socket_, bytes, sizeof bytes, 0);
+    wasReset_ = got < 0;
     if (got <= 0) {
         return false;
     }
@@ -110,13 +111,19 @@
     return true;
 }
 
+std::string RawCaller::rest()
+{
+    while (readMore()) { }
+    return buffer_;
+}
+
 bool RawCaller::closedByPeer()
 {
     while (readMore()) { }
     return true;
 }
 
-SeenAnswer RawCaller::receive()
+SeenAnswer RawCaller::receive(const std::string &method)
 {
     SeenAnswer answer;
     std::size_t end = std::string::npos;
@@ -129,17 +136,39 @@
     answer.head = buffer_.substr(0, end + 2);
     buffer_.erase(0, end + 4);
     answer.status = std::stoi(answer.head.substr(9, 3));
-    if (headerOf(answer.head, "Transfer-Encoding") != "chunked") {
-        const std::string length = headerOf(answer.head, "Content-Length");
-        const std::size_t wanted = length.empty() ? 0 : std::stoul(length);
-        while (buffer_.size() < wanted && !answer.closed) {
-            answer.closed = !readMore();
-        }
-        answer.whole = buffer_.size() >= wanted;
-        answer.body = buffer_.substr(0, wanted);
-        buffer_.erase(0, wanted);
-        return answer;
+    const std::string length = headerOf(answer.head, "Content-Length");
+    if (method == "HEAD" || answer.status < 200 || answer.status == 204 || answer.status == 304) {
+        answer.whole = true;
+    } else if (headerOf(answer.head, "Transfer-Encoding") == "chunked") {
+        receiveChunks(answer);
+    } else if (!length.empty()) {
+        receiveBytes(answer, std::stoul(length));
+    } else {
+        receiveUntilClose(answer);
+    }
+    return answer;
+}
+
+void RawCaller::receiveBytes(SeenAnswer &answer, std::size_t length)
+{
+    while (buffer_.size() < length && !answer.closed) {
+        answer.closed = !readMore();
     }
+    answer.whole = buffer_.size() >= length;
+    answer.body = buffer_.substr(0, length);
+    buffer_.erase(0, length);
+}
+
+void RawCaller::receiveUntilClose(SeenAnswer &answer)
+{
+    answer.body = rest();
+    buffer_.clear();
+    answer.closed = true;
+    answer.whole = !wasReset_;
+}
+
+void RawCaller::receiveChunks(SeenAnswer &answer)
+{
     while (true) {
         const std::size_t line = buffer_.find("\r\n");
         const std::size_t size = line == std::string::npos ? 0 : std::stoul(buffer_.substr(0, line), nullptr, 16);
@@ -148,14 +177,14 @@
             answer.trailer = buffer_.substr(line + 2, last - line);
             buffer_.erase(0, last + 4);
             answer.whole = true;
-            return answer;
+            return;
         }
         if (size > 0 && line != std::string::npos && buffer_.size() >= line + 2 + size + 2) {
             answer.body += buffer_.substr(line + 2, size);
             buffer_.erase(0, line + 2 + size + 2);
         } else if (!readMore()) {
             answer.closed = true;
-            return answer;
+            return;
         }
     }
 }
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -43,16 +43,24 @@
     ~RawCaller();
 
     void send(const std::string &bytes);
-    /// Reads one answer; a hang becomes a failure after 20 s.
-    SeenAnswer receive();
+    /// Reads one answer to a request with @p method, by the rules of HTTP; a hang becomes a failure after 20 s.
+    SeenAnswer receive(const std::string &method = "POST");
+    /// Returns all that comes until the peer closes the connection.
+    std::string rest();
     /// Returns whether the peer closes the connection.
     bool closedByPeer();
     void leave();
 
 private:
     bool readMore();
+    void receiveChunks(SeenAnswer &answer);
+    /// Reads a body of @p length bytes.
+    void receiveBytes(SeenAnswer &answer, std::size_t length);
+    /// Reads a body that ends with the connection; one that is reset is not whole.
+    void receiveUntilClose(SeenAnswer &answer);
 
     int socket_ = -1;
+    bool wasReset_ = false;
     std::string buffer_;
 };
 
