The answer to HEAD names the length that the upstream named

Callers that asked with HEAD how long an answer is were not told: an upstream's Content-Length: 1234 was dropped, and so was that of a 304.

Cause: Content-Length counted as hop by hop. That is right for a body that is framed anew and wrong where no body is sent: there the length is a fact about the resource.

Change: fieldsForCaller() keeps the length of an answer that has no body, as the parser read it, so that a malformed or double one is not passed on.

--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -385,7 +385,7 @@
         progress_.version = remote_ ? decodeVersionKey(viewOf(parser.get()[streamVersionHeader])) : upstreamVersion_;
     }
     callbacks.streamBegins();
-    http::fields fields = forwardableFields(parser.get());
+    http::fields fields = fieldsForCaller(parser);
     if (reportedSends_) {
         fields.set(relaySendsHeader, std::to_string(*reportedSends_));
     }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -160,6 +160,8 @@
     Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
+    /// Returns the fields of the answer that the caller receives.
+    boost::beast::http::fields fieldsForCaller(const Parser &parser) const;
     void updateReusable(Parser &parser, bool whole);
 
     ConnectionPool &pool_;
--- a/src/portpaddle/gateway/upstream_attempt_answers.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_answers.cpp
@@ -4,6 +4,7 @@
 // Answers that are not streams: held until they are complete, or passed on as they arrive where there is no memory to hold them.
 
 #include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/http_status.h"
 
 #include <boost/beast/http/read.hpp>
@@ -53,7 +54,7 @@
         co_return std::move(*rejection);
     }
     progress_.begun = true;
-    http::fields fields = forwardableFields(parser.get());
+    http::fields fields = fieldsForCaller(parser);
     if (reportedSends_) {
         fields.set(relaySendsHeader, std::to_string(*reportedSends_));
     }
@@ -78,6 +79,18 @@
     co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
 }
 
+// The length of a body that is framed anew belongs to one connection. That of a body that is not sent, as in the answer to HEAD,
+// is a fact about the resource.
+http::fields UpstreamAttempt::fieldsForCaller(const Parser &parser) const
+{
+    http::fields fields = forwardableFields(parser.get());
+    const boost::optional<std::uint64_t> length = parser.content_length();
+    if (length && !hasBody(request_.message.method(), parser.get().result_int())) {
+        fields.set(http::field::content_length, std::to_string(*length));
+    }
+    return fields;
+}
+
 std::optional<AttemptReport> UpstreamAttempt::rejectionOf(const Parser &parser) const
 {
     const http::fields &fields = parser.get();
@@ -103,7 +116,7 @@
     report.sent = true;
     WholeAnswer answer;
     answer.status = status;
-    answer.fields = forwardableFields(parser.get());
+    answer.fields = fieldsForCaller(parser);
     answer.body = std::move(parser.get().body());
     answer.memory = std::move(memory);
     report.bufferedAnswer = std::move(answer);
--- a/tests/gateway/answer_framing_tests.cpp
+++ b/tests/gateway/answer_framing_tests.cpp
@@ -167,6 +167,16 @@
     checkEachMethod(linkAddress(), "/single/404/", 404);
 }
 
+TEST_CASE_FIXTURE(FramingFixture, "Answer to HEAD, upstream that names a length, names it to the caller")
+{
+    useUpstream();
+    RawCaller caller(address());
+    const SeenAnswer answer = exchange(caller, "HEAD", "/plain/large");
+    CHECK(answer.status == 200);
+    CHECK(answer.head.find("Content-Length: 1234\r\n") != std::string::npos);
+    CHECK(nextIsAnswered(caller));
+}
+
 TEST_CASE_FIXTURE(FramingFixture, "Answer without a body, status 204, names no length")
 {
     useUpstream();
