An answer that ends with its head is an answer on a route of streams too

Callers of a streamed route got 502 to HEAD, and to a request whose answer has no event, although the upstream had answered with 200.

Cause: forwardStream() sends the head with the first bytes that it reads. An answer that is complete with its head brings none, so nothing began, and the exchange ended as one without an answer.

Change: such an answer is taken as a whole one.

--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -234,7 +234,8 @@
         }
         co_return report;
     }
-    if (plan.streamed && HttpStatus::isSuccess(status)) {
+    // An answer that ends with its head has no events.
+    if (plan.streamed && HttpStatus::isSuccess(status) && !parser->is_done()) {
         report = co_await forwardStream(*parser, callbacks);
     } else {
         report = co_await readWholeAnswer(*parser);
--- a/tests/gateway/answer_framing_tests.cpp
+++ b/tests/gateway/answer_framing_tests.cpp
@@ -187,6 +187,28 @@
     CHECK(answer.head.find("Transfer-Encoding") == std::string::npos);
 }
 
+TEST_CASE_FIXTURE(FramingFixture, "Answer to HEAD, route of streams, is the head of the upstream's answer")
+{
+    useUpstream();
+    for (const char *path : { "/stream/stream", "/resume/stream", "/stream/200/", "/stream/empty" }) {
+        RawCaller caller(address());
+        CAPTURE(path);
+        const SeenAnswer answer = exchange(caller, "HEAD", path);
+        CHECK(answer.status == 200);
+        CHECK(nextIsAnswered(caller));
+    }
+}
+
+TEST_CASE_FIXTURE(FramingFixture, "Answer of a stream, no events, is whole")
+{
+    useUpstream();
+    RawCaller caller(address());
+    const SeenAnswer answer = exchange(caller, "GET", "/stream/empty");
+    CHECK(answer.status == 200);
+    CHECK(answer.whole);
+    CHECK(nextIsAnswered(caller));
+}
+
 TEST_CASE_FIXTURE(FramingFixture, "Answer to HEAD, request that breaks a bound, ends with its head")
 {
     useUpstream();
