Callers that speak HTTP/1.0 get streams without chunks

A caller that speaks HTTP/1.0 got the sizes of chunks among the events: its protocol has no chunked coding.

Change: a body without a length ends with the connection for such a caller. Until it is complete, closing the connection resets it, also when the process ends, so that a cut stream does not look complete.

--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -72,6 +72,8 @@
     /// Writes @p buffers completely; returns false if the peer is gone.
     template<typename Buffers>
     Task<bool> write(const Buffers &buffers);
+    /// Sets whether closing the connection resets it, so that a body that ends with the connection cannot look complete.
+    void setResetOnClose(bool on);
     /// Calls @p action after @p time; replaces an action that is still due.
     void armTimer(std::chrono::milliseconds time, void (CallerSession::*action)());
     void disarmTimer();
--- a/src/portpaddle/gateway/caller_session_answers.cpp
+++ b/src/portpaddle/gateway/caller_session_answers.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
@@ -43,6 +45,12 @@
     co_return !error;
 }
 
+void CallerSession::setResetOnClose(bool on)
+{
+    const linger option{ on ? 1 : 0, 0 };
+    (void)setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 Task<bool> CallerSession::whole(WholeAnswer answer)
 {
     const std::string &body = answer.sharedBody ? *answer.sharedBody : answer.body;
@@ -70,10 +78,12 @@
     http::response<http::empty_body> message(http::int_to_status(status), 11);
     message.result(status);
     static_cast<http::fields &>(message) = std::move(fields);
-    keepOpen_ = keepOpen_ && !handler_.closing();
+    keepOpen_ = keepOpen_ && !handler_.closing() && framing_ != BodyFraming::UntilClose;
     message.keep_alive(keepOpen_);
     if (framing_ == BodyFraming::Chunks) {
         message.chunked(true);
+    } else if (framing_ == BodyFraming::UntilClose) {
+        setResetOnClose(true);
     }
     http::response_serializer<http::empty_body> serializer(message);
     NetError error;
@@ -85,18 +95,28 @@
 
 Task<bool> CallerSession::writeChunk(std::string_view bytes)
 {
-    if (bytes.empty() || framing_ != BodyFraming::Chunks) {
+    if (bytes.empty()) {
+        co_return true;
+    }
+    switch (framing_) {
+    case BodyFraming::Chunks:
+        co_return co_await write(http::make_chunk(boost::asio::buffer(bytes)));
+    case BodyFraming::UntilClose:
+        co_return co_await write(boost::asio::buffer(bytes));
+    default:
         co_return true;
     }
-    co_return co_await write(http::make_chunk(boost::asio::buffer(bytes)));
 }
 
 Task<bool> CallerSession::end()
 {
-    if (framing_ != BodyFraming::Chunks) {
-        co_return true;
+    if (framing_ == BodyFraming::Chunks) {
+        co_return co_await write(http::make_chunk_last());
+    }
+    if (framing_ == BodyFraming::UntilClose) {
+        setResetOnClose(false);
     }
-    co_return co_await write(http::make_chunk_last());
+    co_return true;
 }
 
 // Without chunks there is no place for a trailer, and the answer must not look complete without it.
--- a/src/portpaddle/net/answer_framing.cpp
+++ b/src/portpaddle/net/answer_framing.cpp
@@ -7,6 +7,13 @@
 
 namespace Portpaddle {
 
+namespace {
+
+// The first version with the chunked coding.
+constexpr unsigned http11 = 11;
+
+} // namespace
+
 bool hasBody(boost::beast::http::verb method, unsigned status)
 {
     return method != boost::beast::http::verb::head && status != HttpStatus::notModified && mayHaveLength(status);
@@ -24,7 +31,10 @@
 
 BodyFraming framingOfStream(const RequestLine &request, unsigned status)
 {
-    return hasBody(request.method, status) ? BodyFraming::Chunks : BodyFraming::None;
+    if (!hasBody(request.method, status)) {
+        return BodyFraming::None;
+    }
+    return request.version < http11 ? BodyFraming::UntilClose : BodyFraming::Chunks;
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/net/answer_framing.h
+++ b/src/portpaddle/net/answer_framing.h
@@ -27,6 +27,8 @@
     Length,
     /// The body is sent in chunks.
     Chunks,
+    /// The body ends with the connection.
+    UntilClose,
 };
 
 /// Whether an answer with @p status to a request with @p method has a body.
--- a/tests/gateway/answer_framing_tests.cpp
+++ b/tests/gateway/answer_framing_tests.cpp
@@ -66,6 +66,9 @@
     if (action == "empty") {
         return { wholeAnswer(idOf(request), "") };
     }
+    if (action == "torn/") {
+        return { streamHead(idOf(request)) + eventChunk(1, 2), Then::Close };
+    }
     return action == "echo/" ? echo(request) : answerWith(request, static_cast<unsigned>(std::stoul(action)));
 }
 
@@ -235,6 +238,37 @@
     CHECK_FALSE(answer.body.empty());
 }
 
+namespace {
+
+/// Returns a request of a caller that speaks HTTP/1.0.
+std::string oldRequest(const std::string &path)
+{
+    return "GET " + path + " HTTP/1.0\r\nHost: h\r\nX-Request-Id: old\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(FramingFixture, "Answer to HTTP/1.0, stream, has no chunks and ends with the connection")
+{
+    useUpstream();
+    RawCaller caller(address());
+    caller.send(oldRequest("/stream/stream"));
+    const SeenAnswer answer = caller.receive("GET");
+    CHECK(answer.status == 200);
+    CHECK(answer.head.find("Transfer-Encoding") == std::string::npos);
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 2));
+}
+
+TEST_CASE_FIXTURE(FramingFixture, "Answer to HTTP/1.0, stream that is cut, does not look complete")
+{
+    useUpstream();
+    RawCaller caller(address());
+    caller.send(oldRequest("/stream/torn/"));
+    const SeenAnswer answer = caller.receive("GET");
+    CHECK_FALSE(answer.whole);
+}
+
 TEST_CASE("Framing of answers, methods and statuses, follows RFC 9112")
 {
     CHECK_FALSE(hasBody(http::verb::head, 200));
@@ -247,5 +281,6 @@
     CHECK_FALSE(mayHaveLength(204));
     CHECK(framingOfWhole({ http::verb::get, 10 }, 200) == BodyFraming::Length);
     CHECK(framingOfStream({ http::verb::get, 11 }, 200) == BodyFraming::Chunks);
+    CHECK(framingOfStream({ http::verb::get, 10 }, 200) == BodyFraming::UntilClose);
     CHECK(framingOfStream({ http::verb::head, 10 }, 200) == BodyFraming::None);
 }
