A listing counts once the changes up to its newest page are in

A daemon that listed the store while it changed believed again, for a moment, what a later page had shown as removed: an engine that it had acknowledged as gone, say. And daemons that follow it never heard of that removal, since it leaves out removals of keys that it does not know.

Cause: pages see different revisions, and the changes are followed from the lowest. The key is missing, so its older change looks new, and its removal like one of a key of another region.

Change: KeyListing names the newest revision of its reads, and the watcher takes the changes up to it before it reports the listing or offers it to other daemons.

--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t minChangesWhenBehind = 64;
 // Delay for changes relayed by another daemon, which has already coalesced them.
 constexpr Millis relayedCoalescingDelay{ 100 };
+// The changes that a listing missed exist already, so the store has no reason to wait.
+constexpr Millis maxCatchUpWait{ 500 };
 // Two rounds of the check detect a lost answer well within the few seconds in which a configuration must take effect. Each round
 // costs a tenth of a watch call.
 constexpr Millis verifyInterval{ 1'200 };
@@ -111,6 +113,7 @@
     if (!isOk(urgent) || valueOf(urgent).relayed) {
         return;
     }
+    listing.newestRevision = std::max(listing.newestRevision, valueOf(urgent).revision);
     std::erase_if(listing.items, [this](const KeyValue &item) { return item.key.starts_with(urgentPrefix_); });
     std::move(valueOf(urgent).items.begin(), valueOf(urgent).items.end(), std::back_inserter(listing.items));
 }
@@ -160,8 +163,9 @@
         renewUrgent(valueOf(listing));
     }
     takeListing(valueOf(listing));
-    listener_.listed(replica_.items());
     revision_ = valueOf(listing).revision;
+    catchUp(valueOf(listing).newestRevision);
+    listener_.listed(replica_.items());
     listed_ = true;
     if (feed_ != nullptr) {
         feed_->restart(revision_, valueOf(listing).confirmedAt);
@@ -179,6 +183,20 @@
     }
 }
 
+// A key may be missing on a later page of a listing although the changes after the first page still report it, first as present
+// and then as removed. Until those changes are in, the listing is not one state.
+void StoreWatcher::catchUp(std::uint64_t revision)
+{
+    while (revision_ < revision && !stopping_) {
+        Result<KeyChanges> reply = store_.follow(prefix_, revision_, maxCatchUpWait);
+        if (!isOk(reply) || valueOf(reply).revision <= revision_) {
+            return;
+        }
+        replica_.apply(filtered(std::move(valueOf(reply).changes)), valueOf(reply).revision);
+        revision_ = valueOf(reply).revision;
+    }
+}
+
 void StoreWatcher::follow()
 {
     Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -62,6 +62,8 @@
     void run();
     bool list();
     void takeListing(KeyListing &listing);
+    /// Takes the changes up to @p revision without reporting them one by one; stops where the store does not answer.
+    void catchUp(std::uint64_t revision);
     void follow();
     void recordFailure(const Error &error);
     void fetchFromPeers();
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -19,6 +19,8 @@
     std::vector<KeyValue> items;
     /// The revision after which changes must be followed.
     std::uint64_t revision = 0;
+    /// The newest revision of the reads; zero if there was only one. Keys may be missing that were removed up to it.
+    std::uint64_t newestRevision = 0;
     /// The time at which the store confirmed this state.
     SteadyTime confirmedAt{};
     /// Whether another daemon relayed the listing.
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -138,6 +138,74 @@
 
 } // namespace
 
+namespace {
+
+/// A store whose keys change between the pages of a listing, and that answers a watch call with one change.
+class StoreInPages : public ScriptedStore
+{
+public:
+    Result<KeyListing> listAll(const std::string &prefix, ReadFreshness freshness) override
+    {
+        const Result<KeyListing> firstPage = ScriptedStore::listAll(prefix, freshness);
+        set("p/passing", "1");
+        remove("p/passing");
+        Result<KeyListing> lastPage = ScriptedStore::listAll(prefix, freshness);
+        valueOf(lastPage).newestRevision = valueOf(lastPage).revision;
+        valueOf(lastPage).revision = valueOf(firstPage).revision;
+        return lastPage;
+    }
+
+    Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) override
+    {
+        Result<KeyChanges> reply = ScriptedStore::follow(prefix, revision, timeout);
+        if (isOk(reply) && valueOf(reply).changes.size() > 1) {
+            valueOf(reply).changes.resize(1);
+            valueOf(reply).revision = valueOf(reply).changes.back().item.revision;
+        }
+        return reply;
+    }
+};
+
+/// Remembers every key that was ever reported as present.
+class EveryKey : public RecordingListener
+{
+public:
+    void changed(const std::vector<KeyChange> &changes) override
+    {
+        for (const KeyChange &change : changes) {
+            const std::lock_guard lock(mutex);
+            if (!change.removed) {
+                reported.insert(change.item.key);
+            }
+        }
+        RecordingListener::changed(changes);
+    }
+
+    std::set<std::string> reported;
+};
+
+} // namespace
+
+TEST_CASE("Store watcher, key that was removed between the pages of a listing, is not reported and not left to followers")
+{
+    StoreInPages store;
+    store.set("p/stays", "1");
+    EveryKey listener;
+    ChangeFeed feed([] {});
+    StoreWatcher watcher("p/", store, listener);
+    watcher.setFeed(&feed);
+    watcher.setCoalescingDelay(Millis(0));
+    watcher.start();
+    REQUIRE(eventually([&] { return listener.has("p/stays"); }));
+    store.set("p/after", "1");
+    REQUIRE(eventually([&] { return listener.has("p/after"); }));
+    watcher.stop();
+    const std::lock_guard lock(listener.mutex);
+    CHECK_FALSE(listener.reported.contains("p/passing"));
+    // A daemon with the first page's revision may know the key, and the feed does not contain its removal.
+    CHECK(feed.since(1).incomplete);
+}
+
 TEST_CASE("Store watcher, store with many answers' worth of changes, is followed without a pause between them")
 {
     StoreInParts store;
