Log: every end of a request or of its connection names the request

request_failed names the request that an exception ended; session_timed_out is new and names the request of a connection that a timer closed; an answer that was not taken is request_abandoned; each line of a request says whether its stream had begun and how much time was left.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 59> catalogue{ {
+constexpr std::array<LogEventDescription, 60> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -54,6 +54,8 @@
     { LogEvent::RequestAbandoned, "request_abandoned", "info", "The caller disconnected before its answer was complete." },
     { LogEvent::RunMoveEnded, "run_move_ended", "info",
       "An engine was ordered to stop a run and to move its memory; the message gives the outcome." },
+    { LogEvent::SessionTimedOut, "session_timed_out", "warning",
+      "A connection with a request on it was closed because its peer did not send, or did not read, for too long." },
     { LogEvent::UpstreamEjected, "upstream_ejected", "warning",
       "An upstream failed repeatedly and receives no requests for a while." },
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream receives requests again, few at first." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -39,6 +39,7 @@
     RequestServed = 4005,
     RequestAbandoned = 4006,
     RunMoveEnded = 4007,
+    SessionTimedOut = 4008,
     UpstreamEjected = 4101,
     UpstreamReadmitted = 4102,
     UpstreamChanged = 4103,
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/gateway/caller_session.h"
 
+#include "portpaddle/base/log.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
@@ -125,7 +126,16 @@
 // A peer that stops reading would otherwise hold its answer, its request and a connection to an upstream for ever.
 void CallerSession::armWriteTimer()
 {
-    armTimer(handler_.limits().idleTimeout, &CallerSession::close);
+    armTimer(handler_.limits().idleTimeout, &CallerSession::closeTimedOut);
+}
+
+void CallerSession::closeTimedOut()
+{
+    logEvent(LogEvent::SessionTimedOut,
+             { { "request", requestId_ },
+               { "peer", peer_ == SessionPeer::Daemon ? "daemon" : "caller" },
+               { "message", serving_ ? "the peer does not read the answer" : "the request does not arrive" } });
+    close();
 }
 
 Task<void> CallerSession::run()
@@ -163,7 +173,8 @@
         buffer_.commit(got);
     }
     requestStarted_ = BootClock::now();
-    armTimer(limits.headerTimeout, &CallerSession::close);
+    requestId_.clear();
+    armTimer(limits.headerTimeout, &CallerSession::closeTimedOut);
     co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
     noteRequestLine(parser);
     if (error) {
@@ -171,7 +182,7 @@
         co_return false;
     }
     if (!parser.is_done()) {
-        armTimer(limits.idleTimeout, &CallerSession::close);
+        armTimer(limits.idleTimeout, &CallerSession::closeTimedOut);
         const bool whole = co_await readBody(parser);
         if (!whole) {
             co_return false;
@@ -187,6 +198,7 @@
     const std::string_view unparsed(static_cast<const char *>(buffer_.data().data()), buffer_.size());
     const bool isParsed = !parser.get().method_string().empty();
     requestLine_ = { parser.get().method(), parser.get().version() };
+    requestId_ = viewOf(parser.get()[handler_.names().requestId]);
     if (!isParsed && unparsed.starts_with(headStart)) {
         requestLine_.method = http::verb::head;
     }
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -61,7 +61,7 @@
     Task<bool> readRequest(Parser &parser);
     Task<bool> readBody(Parser &parser);
     Task<void> serve(HttpRequest message);
-    /// Takes the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
+    /// Takes the id and the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
     void noteRequestLine(const Parser &parser);
     Task<void> reject(NetError error);
     /// Answers a request for whose body there is no memory; the request has not run.
@@ -74,6 +74,8 @@
     Task<bool> write(const Buffers &buffers);
     /// Sets whether closing the connection resets it, so that a body that ends with the connection cannot look complete.
     void setResetOnClose(bool on);
+    /// Closes the connection of a peer that was too slow, and logs the request that this ends.
+    void closeTimedOut();
     /// Calls @p action after @p time; replaces an action that is still due.
     void armTimer(std::chrono::milliseconds time, void (CallerSession::*action)());
     void disarmTimer();
@@ -97,6 +99,8 @@
     bool keepOpen_ = true;
     /// The request that is read or served.
     RequestLine requestLine_;
+    /// Its id; empty before its head is read.
+    std::string requestId_;
     /// The framing of the answer in progress.
     BodyFraming framing_ = BodyFraming::None;
     /// Identifies the latest action of the timer; earlier actions that fire late do nothing.
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -25,6 +25,8 @@
     void callerLeft();
     /// Logs that this daemon stops before the answer is complete.
     void logUnfinished() const;
+    /// Logs that an exception ended the request.
+    void logException(const std::string &message) const;
     /// Moves a stream in progress away from @p source, because either that engine or this daemon is about to stop.
     void moveAway(const UpstreamRecord &source);
     /// Whether the daemon that forwarded the request can have the stream continued elsewhere.
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -30,19 +30,21 @@
     if (progress_.begun) {
         const bool whole = report.end == AttemptEnd::Complete && interruption_ == Interruption::None;
         if (whole) {
-            co_await writer_.end();
+            const bool taken = co_await writer_.end();
+            log(taken ? LogEvent::RequestServed : LogEvent::RequestAbandoned, 200, report.error.message);
         } else {
             writer_.abort();
+            log(LogEvent::RequestFailed, 200, report.error.message);
         }
-        log(whole ? LogEvent::RequestServed : LogEvent::RequestFailed, 200, report.error.message);
         co_return;
     }
     if (report.bufferedAnswer) {
         const unsigned status = report.bufferedAnswer->status;
         WholeAnswer answer = std::move(*report.bufferedAnswer);
         setSendsHeader(answer);
-        co_await writer_.whole(std::move(answer));
-        log(status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed, status, report.error.message);
+        const bool taken = co_await writer_.whole(std::move(answer));
+        const LogEvent end = status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed;
+        log(taken ? end : LogEvent::RequestAbandoned, status, report.error.message);
         co_return;
     }
     if (!mayHaveRun_) {
@@ -137,6 +139,8 @@
                { "first_event_ms", fmt::format("{:.0f}", firstEventMs_) },
                { "events", std::to_string(eventsSeen_) },
                { "longest_pause_ms", std::to_string(std::chrono::duration_cast<Millis>(longestPause_).count()) },
+               { "begun", progress_.begun ? "true" : "false" },
+               { "time_left_ms", std::to_string(timeLeft().count()) },
                { "took_ms", std::to_string(elapsedSince(request_.arrivedAt).count()) },
                { "relayed", request_.relayed ? "true" : "false" },
                { "status", std::to_string(status) },
@@ -151,6 +155,11 @@
 
 void Exchange::setSendsHeader(WholeAnswer &answer) const
 {
+void Exchange::logException(const std::string &message) const
+{
+    log(LogEvent::RequestFailed, 0, "an exception ended the request: " + message);
+}
+
     if (request_.relayed) {
         answer.fields.set(relaySendsHeader, std::to_string(sendsByThisDaemon()));
     }
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
+#include <exception>
 #include <limits>
 
 namespace Portpaddle {
@@ -62,9 +63,18 @@
     const auto exchange = std::make_shared<Exchange>(*this, std::move(request), writer);
     inProgress_.insert(exchange.get());
     abandoned = [exchange] { exchange->callerLeft(); };
-    co_await exchange->run();
+    std::exception_ptr failure;
+    try {
+        co_await exchange->run();
+    } catch (const std::exception &exception) {
+        exchange->logException(exception.what());
+        failure = std::current_exception();
+    }
     abandoned = nullptr;
     inProgress_.erase(exchange.get());
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
 }
 
 CallerLimits Gateway::limits() const
