The rest of a stream is not refused in another region as a request that came too late

Cause: a request that is sent on carries its age, and nothing says that its caller holds a part of the answer. The other daemon judged it as a new request that waits for its first token since its arrival; beyond four times its target, or the time that callers wait for a first event, every upstream was too late for it. The entry daemon itself spares such streams (answerStarted).

The number of events that the caller has received now travels with the request (X-Portpaddle-Events), so that both daemons judge by the same facts; a daemon that does not know the field ignores it.

--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -69,6 +69,8 @@
     std::string organisation;
     /// Number of times that other daemons sent the request to an upstream.
     unsigned earlierSends = 0;
+    /// Number of events of the stream that the caller has received through the forwarding daemon.
+    std::size_t eventsSeen = 0;
     /// The forwarding daemon can have the stream continued elsewhere.
     bool senderCanContinue = false;
     /// Returns a hash that a further try of the caller also has: that of its prompt, or of the id where there is none.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -47,6 +47,7 @@
     , continuation_(request_.continuation)
     , sends_(request_.earlierSends)
     , versionChance_(gateway.random_.fraction())
+    , eventsSeen_(request_.eventsSeen)
 {
     progress_.version = request_.streamVersion;
 }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -215,7 +215,7 @@
     std::optional<SteadyTime> attemptFirstBytesAt_;
     /// Milliseconds from the request's arrival to the first event; zero before it.
     double firstEventMs_ = 0;
-    /// Number of complete events of the answer so far.
+    /// Number of complete events of the answer so far, including those that the caller received before the request came here.
     std::size_t eventsSeen_ = 0;
     /// When the last of them arrived, and the longest time between two of them.
     std::optional<SteadyTime> lastEventAt_;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -54,6 +54,7 @@
     if (!local) {
         plan.age = elapsedSince(request_.arrivedAt) + (near ? Millis(0) : interRegionLatency);
         plan.earlierSends = sends_;
+        plan.eventsSeen = progress_.begun ? eventsSeen_ : 0;
     }
     if (request_.relayed) {
         plan.reportedSends = sendsByThisDaemon() + 1;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -172,6 +172,7 @@
     }
     if (plan.age) {
         message.set(relayAgeHeader, std::to_string(plan.age->count()));
+        message.set(relayEventsHeader, std::to_string(plan.eventsSeen));
         message.set(relaySendsHeader, std::to_string(plan.earlierSends));
         message.set(continuesHeader, "1");
     }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -30,6 +30,10 @@
 inline constexpr const char *relaySendsHeader = "X-Portpaddle-Sends";
 /// Between daemons, on a refusal: the answering daemon does not reach the upstreams.
 inline constexpr const char *relayCutOffHeader = "X-Portpaddle-Cut-Off";
+/// Between daemons, on a request: number of events of the stream that the caller has received.
+inline constexpr const char *relayEventsHeader = "X-Portpaddle-Events";
+/// Maximum number of events that is believed of another daemon.
+inline constexpr unsigned maxReportedEvents = 1'000'000;
 /// Maximum number of sends that is believed of another daemon; routes allow only a few sends of one request.
 inline constexpr unsigned maxReportedSends = 100;
 /// Between daemons, on a request: the organisation whose key the first daemon has checked.
@@ -67,6 +71,8 @@
     std::optional<std::chrono::milliseconds> age;
     /// Number of times that the request was sent to an upstream before.
     unsigned earlierSends = 0;
+    /// Set for another daemon: number of events of the stream that the caller has received.
+    std::size_t eventsSeen = 0;
     /// Set if the answer goes to another daemon: the number of sends by this daemon, as the answer reports it.
     std::optional<unsigned> reportedSends;
     unsigned priority = 5;
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -3,6 +3,7 @@
 
 // Requests relayed between regions: which daemon may retry them, and the number of sends that both report.
 
+#include "portpaddle/stream_versions/stream_key.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
@@ -109,6 +110,19 @@
     CHECK(upstream.seen().size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Relayed rest of a stream, older than new requests may wait, is not refused as too late")
+{
+    ScriptedUpstream upstream(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk }; });
+    addUpstream("u1", upstream.address());
+    const std::string old = "X-Portpaddle-Age-Ms: 4500\r\n";
+    const std::string version = std::string(streamVersionHeader) + ": " + encodeVersionKey(versionKeyOf("")) + "\r\n";
+    CHECK(askAsDaemon("/resume/a", "id1", old).status == 503);
+    const SeenAnswer rest = askAsDaemon("/resume/a", "id2", old + version + "Last-Event-ID: 2\r\nX-Portpaddle-Events: 2\r\n");
+    CHECK(rest.whole);
+    CHECK(rest.body == events(3, 4));
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Stream, broken when new requests would be too late, continues at another upstream")
 {
     std::atomic<unsigned> asked{ 0 };
