A stream that has begun is ended by its time, not by the first refusal of its rest

Those end a request early because its caller can come back at once; the caller of a begun stream cannot, it has lost the stream.

The daemon that the caller is connected to now asks again each 50 ms while there is time: regions and upstreams that refused are forgotten, the budget and the end of an upstream are waited for. What cannot come back ends the stream at once as before: an upstream that broke it off and lives, a version that is absent, upstreams that leave. Among reasons for having no target, one that may pass now goes before "already tried" and "version absent".

--- a/src/portpaddle/crashes/crash_guard.cpp
+++ b/src/portpaddle/crashes/crash_guard.cpp
@@ -186,6 +186,16 @@
     digests_.recordQuarantined(fingerprint);
 }
 
+bool CrashGuard::hasEnded(const std::string &upstream) const
+{
+    return watch_.hasEnded(upstream);
+}
+
+bool CrashGuard::isInDoubt(const std::string &upstream) const
+{
+    return watch_.isInDoubt(upstream);
+}
+
 bool CrashGuard::hasQuarantined() const
 {
     return !quarantine_.empty();
--- a/src/portpaddle/crashes/crash_guard.h
+++ b/src/portpaddle/crashes/crash_guard.h
@@ -52,6 +52,10 @@
     /// Records that @p upstream refused a connection. With broken runs there it counts as ended once another upstream has
     /// accepted a connection: where none does, the path of this daemon is to blame.
     void connectionRefused(const std::string &upstream, SteadyTime now);
+    /// Returns whether @p upstream is known to have ended.
+    bool hasEnded(const std::string &upstream) const;
+    /// Returns whether runs broke at @p upstream and it is not known yet whether it has ended.
+    bool isInDoubt(const std::string &upstream) const;
     /// Returns whether any request is quarantined.
     bool hasQuarantined() const;
     /// Returns whether @p request, or a part of prompts, is quarantined and must not be sent to upstreams.
--- a/src/portpaddle/crashes/crash_watch.cpp
+++ b/src/portpaddle/crashes/crash_watch.cpp
@@ -74,6 +74,12 @@
     return known != incarnations_.end() && known->second.endConfirmed;
 }
 
+bool CrashWatch::isInDoubt(const std::string &upstream) const
+{
+    const auto known = incarnations_.find(upstream);
+    return known != incarnations_.end() && !known->second.endConfirmed;
+}
+
 std::vector<std::string> CrashWatch::unconfirmed() const
 {
     std::vector<std::string> result;
--- a/src/portpaddle/crashes/crash_watch.h
+++ b/src/portpaddle/crashes/crash_watch.h
@@ -29,6 +29,8 @@
     void confirmEnded(const std::string &upstream, SteadyTime now);
     /// Returns whether @p upstream is known to have ended.
     bool hasEnded(const std::string &upstream) const;
+    /// Returns whether it is not known yet whether @p upstream, with broken runs, has ended.
+    bool isInDoubt(const std::string &upstream) const;
     /// Returns the upstreams with broken runs of which it is not known yet whether they have ended.
     std::vector<std::string> unconfirmed() const;
     /// Returns the requests with broken runs at @p upstream that were not taken yet, and removes them.
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -156,8 +156,7 @@
         }
         if (!placed) {
             const ExclusionReason reason = found ? ExclusionReason::Full : target.placement.reason;
-            const bool mayWait = mayWaitForCapacity(reason);
-            const bool again = mayWait ? co_await waitForCapacity() : false;
+            const bool again = co_await waitForTarget(reason);
             const bool passes = again ? co_await passesQuarantine() : true;
             if (!passes) {
                 co_return;
@@ -175,7 +174,8 @@
         report = co_await attempt(target);
         attempted = true;
         report = co_await continueMovedRun(std::move(report), target);
-        if (handedOver_ || !mayRetry(report)) {
+        const bool retries = handedOver_ ? false : co_await awaitRetry(report);
+        if (!retries) {
             break;
         }
         gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
@@ -229,105 +229,21 @@
     return target;
 }
 
-bool Exchange::canContinue() const
-{
-    // The caller of a continued run already has a part of the answer.
-    if (request_.continuation) {
-        return route_->resumable && progress_.version;
-    }
-    return !progress_.begun || (route_->resumable && progress_.version && !progress_.splitter.lastId().empty());
-}
-
-bool Exchange::canAttemptAgain()
-{
-    if (!canContinue() || sends_ >= route_->attempts) {
-        return false;
-    }
-    const SteadyTime now = BootClock::now();
-    const Target next = gateway_.propose(request_, choiceContext(), now);
-    return (next.upstream || next.daemon) && gateway_.retries_.allowsRetry(service_, now);
-}
-
-bool Exchange::mayRetry(const AttemptReport &report)
-{
-    RetryFacts facts;
-    facts.ended
-        = report.end == AttemptEnd::Complete || report.end == AttemptEnd::ReceiverGone || interruption_ != Interruption::None;
-    facts.sent = report.sent;
-    facts.mayHaveRun = mayHaveRun_;
-    facts.mayRunTwice = route_->mayRunTwice();
-    facts.relayed = request_.relayed;
-    facts.reachedNoUpstream = report.relayedSends == 0U;
-    facts.cannotContinue = !canContinue();
-    facts.quarantined = isRequestQuarantined();
-    facts.sends = sends_;
-    facts.attempts = route_->attempts;
-    const RetryDecision decision = decideRetry(facts);
-    retryDenial_ = decision.denial;
-    payment_ = RetryPayment::Nobody;
-    if (retryDenial_ != RetryDenial::None) {
-        return false;
-    }
-    if (!decision.needsBudget) {
-        gateway_.metrics_.count(Counter::RepeatsUnseen);
-        return true;
-    }
-    if (!payForRetry()) {
-        retryDenial_ = RetryDenial::BudgetSpent;
-        gateway_.metrics_.count(Counter::RepeatsDenied);
-    }
-    return retryDenial_ == RetryDenial::None;
-}
-
-bool Exchange::payForRetry()
-{
-    payment_ = gateway_.retries_.takeRetry(service_, BootClock::now());
-    if (payment_ == RetryPayment::Nobody) {
-        return false;
-    }
-    gateway_.metrics_.count(Counter::RepeatsPaid);
-    beginRetry();
-    return true;
-}
-
-// The upstream receives one more request. Without this attempt the caller's stream would end here, so the attempt is made even
-// if no budget is left, which leaves less for other retries.
-void Exchange::payForMovedRun()
-{
-    gateway_.retries_.forceRetry(service_, BootClock::now());
-    gateway_.metrics_.count(Counter::RepeatsMoved);
-    payment_ = RetryPayment::Debt;
-    beginRetry();
-}
-
-void Exchange::beginRetry()
+Millis Exchange::capacityWaitLeft() const
 {
-    retryUnderWay_ = service_;
-    retryTakenAt_ = BootClock::now();
+    const Millis bound = std::min(maxCapacityWait, std::chrono::duration_cast<Millis>(route_->targetLatency * capacityWaitShare));
+    return bound - elapsedSince(request_.arrivedAt);
 }
 
-void Exchange::noteRetryArrived()
+Task<bool> Exchange::waitForTarget(ExclusionReason reason)
 {
-    if (retryUnderWay_) {
-        const SteadyTime now = BootClock::now();
-        gateway_.retries_.recordRetryArrival(*retryUnderWay_, now);
-        gateway_.metrics_.observe(Timer::RepeatArrival, std::chrono::duration<double, std::milli>(now - retryTakenAt_).count());
-        retryUnderWay_.reset();
+    if (holdsBegunStream()) {
+        co_return co_await waitForRest(reason);
     }
-}
-
-void Exchange::refundRetry()
-{
-    if (retryUnderWay_) {
-        gateway_.retries_.refundRetry(*retryUnderWay_, BootClock::now());
-        retryUnderWay_.reset();
+    if (!mayWaitForCapacity(reason)) {
+        co_return false;
     }
-}
-
-Millis Exchange::capacityWaitLeft() const
-{
-    const Millis bound = std::min(maxCapacityWait, std::chrono::duration_cast<Millis>(route_->targetLatency * capacityWaitShare));
-    return bound - elapsedSince(request_.arrivedAt);
+    co_return co_await waitForCapacity();
 }
 
 // Upstreams that name limits or ask for time also say when they have capacity again, and upstreams that are leaving will have
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 
 #include <memory>
+#include <set>
 
 namespace Portpaddle {
 
@@ -118,10 +119,22 @@
     /// Takes the budget for the next attempt; returns false if none is left.
     bool payForRetry();
     /// Takes budget for an attempt that continues a moved run, even if none is left.
+    /// Whether the caller has a part of a stream that this daemon can have continued: nothing but its time ends such a stream.
+    bool holdsBegunStream() const;
+    /// Returns the number of upstreams that count as attempts.
+    unsigned attemptsUsed() const;
+    /// Whether an upstream that was asked has ended, or it is being found out whether it has.
+    bool mayHaveEnded() const;
     void payForMovedRun();
     /// Records that a paid retry is in progress.
     void beginRetry();
     /// Records that the paid retry in progress, if any, has reached its upstream.
+    /// As mayRetry(); a stream that has begun waits for what is missing.
+    Task<bool> awaitRetry(const AttemptReport &report);
+    /// Waits for an upstream that goes on with a stream that has begun; returns false if there will be none.
+    Task<bool> waitForRest(ExclusionReason reason);
+    /// Waits for @p time, or less if the exchange is interrupted.
+    Task<void> pause(Millis time);
     void noteRetryArrived();
     /// Refunds the budget of a retry that reached no upstream.
     void refundRetry();
@@ -132,6 +145,8 @@
     /// Waits one polling interval for capacity; returns false when the request has waited for its maximum.
     Task<bool> waitForCapacity();
     Task<void> finish(AttemptReport report);
+    /// Waits until a target may be found, where there is none now for @p reason; returns false if none will be in time.
+    Task<bool> waitForTarget(ExclusionReason reason);
     Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
     Task<void> fail(unsigned status, std::string message);
     void log(LogEvent event, unsigned status, const std::string &message) const;
@@ -193,6 +208,8 @@
     /// Versions of the upstreams among them, for the log.
     std::string askedVersions_;
     /// Number of times that any daemon sent the request to an upstream.
+    /// Those among them that refused the request.
+    std::set<std::string> refusedBy_;
     unsigned sends_ = 0;
     /// Decides which version of a service that is rolled out the first attempt is sent to.
     double versionChance_;
@@ -201,6 +218,11 @@
     /// The service of a paid retry that has not reached its upstream; the payment covers attempts until one does.
     std::optional<std::string> retryUnderWay_;
     /// When that retry was paid for.
+    /// The upstreams to which this daemon sent the request, and how many of these sends went to one of them again.
+    std::set<std::string> askedUpstreams_;
+    unsigned repeatedSends_ = 0;
+    /// The run was stopped by an order of this daemon, which therefore owes the caller its continuation.
+    bool isOwnStop_ = false;
     SteadyTime retryTakenAt_;
     /// The source of the budget for the last attempt.
     RetryPayment payment_ = RetryPayment::Nobody;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -101,6 +101,7 @@
     };
     callbacks.sending = [this, &target, &ticket] {
         ++sends_;
+        repeatedSends_ += askedUpstreams_.insert(target.upstream->id).second ? 0 : 1;
         gateway_.notices_.sent(target.upstream->id, BootClock::now());
         gateway_.reportedLoads_.sent(target.upstream->id, BootClock::now());
         rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
@@ -197,6 +198,9 @@
     watch->sending = nullptr;
     silenceTimer_.cancel();
     noteAttemptEnd(target, ticket, report);
+    if (report.end == AttemptEnd::NotRun) {
+        refusedBy_.insert(tried_.back());
+    }
     co_return report;
 }
 
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -182,6 +182,11 @@
     }
 }
 
+bool Gateway::hasEnded(const std::string &upstream) const
+{
+    return !view_->upstreams.contains(upstream) || crashes_.hasEnded(upstream);
+}
+
 void Gateway::setPeerRequestHandler(PeerRequestHandler *handler)
 {
     peerRequestHandler_ = handler;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -347,6 +347,8 @@
     std::uint64_t digestSequence_ = 0;
     /// Prompt parts that the digests of this round announce, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> announcedParts_;
+    /// Returns whether @p upstream is known to have ended.
+    bool hasEnded(const std::string &upstream) const;
     std::optional<StopDeadlines> stop_;
     bool closed_ = false;
 };
--- a/src/portpaddle/gateway/placement.cpp
+++ b/src/portpaddle/gateway/placement.cpp
@@ -70,8 +70,10 @@
 {
     switch (reason) {
     case ExclusionReason::NoCapacity:
+    case ExclusionReason::AlreadyTried:
         return 0;
     case ExclusionReason::Leaving:
+    case ExclusionReason::VersionAbsent:
         return 1;
     case ExclusionReason::BackingOff:
         return 2;
--- a/tests/gateway/resumed_stream_tests.cpp
+++ b/tests/gateway/resumed_stream_tests.cpp
@@ -3,13 +3,17 @@
 
 // How a stream ends that has begun and goes on at another upstream: whole only by the rest of the stream.
 
+#include "portpaddle/stream_versions/stream_key.h"
+#include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <atomic>
+#include <memory>
 #include <string>
 
 using namespace Portpaddle;
@@ -112,3 +116,127 @@
     CHECK(answer.whole);
     CHECK(answer.body == events(1, 2));
 }
+
+namespace {
+
+/// The upstream "u1" begins a stream and ends after its second event. What the other region's daemon answers to the rest is up to
+/// the test.
+class BrokenStreamFixture : public GatewaySite
+{
+public:
+    BrokenStreamFixture()
+    {
+        for (Route &route : routes.routes) {
+            route.timeout = std::chrono::seconds(15);
+        }
+        publishRoutes();
+        addUpstream("u1", first.address());
+    }
+
+    static std::string rest(const SeenRequest &request)
+    {
+        return streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk;
+    }
+
+    std::atomic<bool> begun{ false };
+    ScriptedUpstream first{ [this](const SeenRequest &request) {
+        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 2), Then::Close, [this] {
+                                  first.refuseConnections();
+                                  begun = true;
+                              } };
+    } };
+};
+
+/// The other region refuses the rest a few times before it goes on.
+class RefusingRegionFixture : public BrokenStreamFixture
+{
+public:
+    RefusingRegionFixture()
+    {
+        addRemoteDaemon("e1", "east", daemon.address(), {});
+    }
+
+    ScriptedAnswer answer(const SeenRequest &request)
+    {
+        if (refusals > 0) {
+            --refusals;
+            return { refusal };
+        }
+        std::string bytes = rest(request);
+        bytes.insert(bytes.find("\r\n") + 2,
+                     std::string(streamVersionHeader) + ": " + encodeVersionKey(versionKeyOf("")) + "\r\n");
+        return { bytes };
+    }
+
+    const std::string refusal
+        = "HTTP/1.1 503 Busy\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: 0\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<unsigned> refusals{ 0 };
+    ScriptedUpstream daemon{ [this](const SeenRequest &request) { return answer(request); } };
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RefusingRegionFixture, "Begun stream, refused by the other region for a while, goes on there")
+{
+    refusals = 3;
+    const SeenAnswer answer = ask("/resume/a", "id1");
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4));
+    CHECK(refusals == 0);
+}
+
+TEST_CASE_FIXTURE(BrokenStreamFixture, "Begun stream, no upstream left, goes on at one that is listed later")
+{
+    ScriptedUpstream late([](const SeenRequest &request) { return ScriptedAnswer{ rest(request) }; });
+    RawCaller caller(address());
+    caller.send(request("/resume/a", "id1"));
+    CHECK(eventually([this] { return begun.load(); }));
+    removeUpstream("u1");
+    addUpstream("u2", late.address());
+    const SeenAnswer answer = caller.receive();
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4));
+}
+
+TEST_CASE_FIXTURE(BrokenStreamFixture, "Begun stream, retry budget spent, goes on once there is budget again")
+{
+    ScriptedUpstream second([](const SeenRequest &request) { return ScriptedAnswer{ rest(request) }; });
+    terms.retryRatio = 0;
+    terms.extraRetriesPerWindow = 0;
+    setOptions();
+    RawCaller caller(address());
+    caller.send(request("/resume/a", "id1"));
+    CHECK(eventually([this] { return begun.load(); }));
+    addUpstream("u2", second.address());
+    CHECK(second.seen().empty());
+    terms.extraRetriesPerWindow = 100;
+    setOptions();
+    const SeenAnswer answer = caller.receive();
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4));
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Begun stream, refused by one upstream and begun by one that ended, has an attempt left")
+{
+    std::atomic<unsigned> asked{ 0 };
+    std::array<std::unique_ptr<ScriptedUpstream>, 3> upstreams;
+    const auto script = [&asked, &upstreams](const SeenRequest &request) {
+        switch (asked++) {
+        case 0:
+            return ScriptedAnswer{ notRunAnswer };
+        case 1:
+            return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 2), Then::Close, [&upstreams, request] {
+                                      upstreams.at(std::stoul(request.headers.at("x-expected-upstream")))->refuseConnections();
+                                  } };
+        default:
+            return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk };
+        }
+    };
+    for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        upstreams.at(index) = std::make_unique<ScriptedUpstream>(script);
+        addUpstream(std::to_string(index), upstreams.at(index)->address());
+    }
+    const SeenAnswer answer = ask("/resume/a", "id1");
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4));
+}
