A run that we stopped goes on: copied before it stops, and never given up while its memory is somewhere

Cause: all runs of the ending engine were ordered to stop within one tick. Their copies queue on one link; the daemon gave an order up after 1.5 s counted from the order, did not repeat one whose answer was lost, and dropped the run if its new engine refused it, though its memory was still at the source. Engines that had refused the request at its beginning were left out of the choice, and one without a target was never tried again. A resumable run then fell to the retry budget, for an attempt that our order caused.

Where there is no copy the run is not stopped. An order without an answer, or one that finds another call in progress, is repeated; a lost answer costs nothing, as the copy's name is known. A run that was refused is tried at the copy and at the source in turn, up to four times; then a resumable one is resumed, paid for whatever the budget. Moves begin earlier by the time that the copies of all runs of the engine take; an answer to an order has a bound on its length; a copy that is not needed is freed. A run that a stopping daemon handed over is tried again as well. A break by our own order no longer makes a request a suspect of crashes.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -63,6 +63,7 @@
         interruption_ = reason;
     }
     pollTimer_.cancel();
+    move_.cancelWait();
     if (current_ != nullptr) {
         current_->interrupt();
     }
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -28,8 +28,9 @@
     void logUnfinished() const;
     /// Logs that an exception ended the request.
     void logException(const std::string &message) const;
-    /// Moves a stream in progress away from @p source, because either that engine or this daemon is about to stop.
-    void moveAway(const UpstreamRecord &source);
+    /// Begins to move a stream in progress away from @p source, because either that engine or this daemon is about to stop.
+    /// Returns false if no move began. Orders are repeated until @p until.
+    bool moveAway(const UpstreamRecord &source, MoveWay way, SteadyTime until);
     /// Whether the daemon that forwarded the request can have the stream continued elsewhere.
     bool canHandOver() const;
     /// Tells other daemons which version began the stream, unless they were told or know it.
@@ -83,8 +84,14 @@
     Millis retryAfterFor(const AttemptReport &report);
     void interrupt(Interruption reason);
     Task<void> runAttempts();
-    /// Continues a broken run at the engine to which its memory was moved, and again after each further move.
+    /// Continues a broken run whose memory was moved, by this daemon or by the one that @p target names.
     Task<AttemptReport> continueMovedRun(AttemptReport report, const Target &target);
+    /// Continues a run that this daemon moved, at the engine that has the copy or at its first engine.
+    Task<AttemptReport> continueOwnMove(AttemptReport report);
+    /// Continues a run that the daemon of @p last handed over; sets @p last to the daemon asked.
+    Task<AttemptReport> continueThroughOther(AttemptReport report, std::optional<Target> &last);
+    /// Pays for an attempt that continues a moved run from @p memorySource, and logs it.
+    void payForContinuation(const std::string &memorySource);
     /// Waits for another daemon in the region of @p ending; returns no value if none is known in time.
     Task<std::optional<Target>> awaitOtherDaemon(const DaemonRecord &ending);
     /// Returns the engine at which the request's continuation resumes; not servable if this region does not know the engine.
@@ -112,32 +119,34 @@
     void setSendsHeader(WholeAnswer &answer) const;
     /// Whether nothing has reached the caller yet, or the rest of the stream may come from another upstream.
     bool canContinue() const;
-    /// Whether another attempt would be allowed, has budget and has a target; otherwise an interruption would lose the answer.
-    bool canAttemptAgain();
-    /// Whether another attempt may follow @p report.
-    bool mayRetry(const AttemptReport &report);
-    /// Takes the budget for the next attempt; returns false if none is left.
-    bool payForRetry();
-    /// Takes budget for an attempt that continues a moved run, even if none is left.
     /// Whether the caller has a part of a stream that this daemon can have continued: nothing but its time ends such a stream.
     bool holdsBegunStream() const;
     /// Returns the number of upstreams that count as attempts.
     unsigned attemptsUsed() const;
     /// Whether an upstream that was asked has ended, or it is being found out whether it has.
     bool mayHaveEnded() const;
-    void payForMovedRun();
-    /// Records that a paid retry is in progress.
-    void beginRetry();
-    /// Records that the paid retry in progress, if any, has reached its upstream.
+    /// Whether another attempt would be allowed, has budget and has a target; otherwise an interruption would lose the answer.
+    bool canAttemptAgain();
+    /// Whether another attempt may follow @p report.
+    bool mayRetry(const AttemptReport &report);
     /// As mayRetry(); a stream that has begun waits for what is missing.
     Task<bool> awaitRetry(const AttemptReport &report);
     /// Waits for an upstream that goes on with a stream that has begun; returns false if there will be none.
     Task<bool> waitForRest(ExclusionReason reason);
     /// Waits for @p time, or less if the exchange is interrupted.
     Task<void> pause(Millis time);
+    /// Takes the budget for the next attempt; returns false if none is left.
+    bool payForRetry();
+    /// Takes budget for an attempt at a run that this daemon stopped, even if none is left.
+    void payForMovedRun();
+    /// Records that a paid retry is in progress.
+    void beginRetry();
+    /// Records that the paid retry in progress, if any, has reached its upstream.
     void noteRetryArrived();
     /// Refunds the budget of a retry that reached no upstream.
     void refundRetry();
+    /// Waits until a target may be found, where there is none now for @p reason; returns false if none will be in time.
+    Task<bool> waitForTarget(ExclusionReason reason);
     /// Whether capacity may become free in time if there is none now for @p reason.
     bool mayWaitForCapacity(ExclusionReason reason) const;
     /// Returns how long the request may still wait for capacity; zero or less if no longer.
@@ -145,8 +154,6 @@
     /// Waits one polling interval for capacity; returns false when the request has waited for its maximum.
     Task<bool> waitForCapacity();
     Task<void> finish(AttemptReport report);
-    /// Waits until a target may be found, where there is none now for @p reason; returns false if none will be in time.
-    Task<bool> waitForTarget(ExclusionReason reason);
     Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
     Task<void> fail(unsigned status, std::string message);
     void log(LogEvent event, unsigned status, const std::string &message) const;
@@ -201,6 +208,8 @@
     Interruption interruption_ = Interruption::None;
     /// Ids of the upstreams, names of the regions and ids of the daemons asked so far.
     std::vector<std::string> tried_;
+    /// Those among them that refused the request.
+    std::set<std::string> refusedBy_;
     /// Number of daemons that refused the request because they do not reach the upstreams.
     unsigned cutOffPeers_ = 0;
     /// Targets asked so far, for the log; another region as "REGION/DAEMON".
@@ -208,9 +217,12 @@
     /// Versions of the upstreams among them, for the log.
     std::string askedVersions_;
     /// Number of times that any daemon sent the request to an upstream.
-    /// Those among them that refused the request.
-    std::set<std::string> refusedBy_;
     unsigned sends_ = 0;
+    /// The upstreams to which this daemon sent the request, and how many of these sends went to one of them again.
+    std::set<std::string> askedUpstreams_;
+    unsigned repeatedSends_ = 0;
+    /// The run was stopped by an order of this daemon, which therefore owes the caller its continuation.
+    bool isOwnStop_ = false;
     /// Decides which version of a service that is rolled out the first attempt is sent to.
     double versionChance_;
     /// The attempt in progress, as it counts for a rollout of the service.
@@ -218,11 +230,6 @@
     /// The service of a paid retry that has not reached its upstream; the payment covers attempts until one does.
     std::optional<std::string> retryUnderWay_;
     /// When that retry was paid for.
-    /// The upstreams to which this daemon sent the request, and how many of these sends went to one of them again.
-    std::set<std::string> askedUpstreams_;
-    unsigned repeatedSends_ = 0;
-    /// The run was stopped by an order of this daemon, which therefore owes the caller its continuation.
-    bool isOwnStop_ = false;
     SteadyTime retryTakenAt_;
     /// The source of the budget for the last attempt.
     RetryPayment payment_ = RetryPayment::Nobody;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -227,7 +227,7 @@
     if (target.upstream && (report.end == AttemptEnd::Complete || report.bufferedAnswer)) {
         gateway_.crashes_.recordCompleted(request_, callerName(), sharedParts(), now);
     }
-    if (target.upstream && report.connectionBroke) {
+    if (target.upstream && report.connectionBroke && !move_.stopOrdered()) {
         noteBrokenRun(*target.upstream, now);
     }
     if (target.upstream && report.incarnationEnded) {
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -7,12 +7,17 @@
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/net/spawn.h"
 
+#include <algorithm>
+
 namespace Portpaddle {
 
 namespace {
 
 // Interval at which the list of daemons is checked for another one.
 constexpr Millis daemonPollInterval{ 20 };
+// Attempts to continue a run that was stopped, as long as each of them is refused.
+constexpr unsigned maxContinuations = 4;
+constexpr Millis continuationPause{ 30 };
 
 } // namespace
 
@@ -21,52 +26,106 @@
     return request_.relayed && request_.senderCanContinue;
 }
 
-void Exchange::moveAway(const UpstreamRecord &source)
+bool Exchange::moveAway(const UpstreamRecord &source, MoveWay way, SteadyTime until)
 {
     if (move_.begun() || progress_.splitter.lastId().empty() || interruption_ != Interruption::None) {
-        return;
+        return false;
+    }
+    // Engines that refused the request at its beginning may have room by now.
+    tried_ = { source.id };
+    Gateway::ChoiceContext context = choiceContext();
+    context.ownRegionOnly = true;
+    Target target = gateway_.choose(request_, context, BootClock::now());
+    if (!target.upstream) {
+        move_.noteNoTarget(request_.id, source, target.placement.reason);
+        return false;
     }
-    move_.begin(request_.id, source, chooseTarget());
-    spawnTask(gateway_.executor_, "run_move", [self = shared_from_this()]() -> Task<void> {
-        co_await self->move_.run(*self->gateway_.orders_, self->timeLeft());
-    });
+    move_.begin(request_.id, source, std::move(target));
+    spawnTask(gateway_.executor_, "run_move",
+              [self = shared_from_this(), way, until = std::min(until, deadline_)]() -> Task<void> {
+                  const SteadyTime started = BootClock::now();
+                  const std::string from = self->move_.source().id;
+                  co_await self->move_.run(*self->gateway_.orders_, way, until);
+                  self->gateway_.runMoveEnded(from, way, BootClock::now() - started);
+              });
+    return true;
 }
 
 Task<AttemptReport> Exchange::continueMovedRun(AttemptReport report, const Target &target)
 {
+    if (report.end == AttemptEnd::Complete && move_.begun()) {
+        spawnTask(gateway_.executor_, "free_copy",
+                  [self = shared_from_this()]() -> Task<void> { co_await self->move_.freeCopy(*self->gateway_.orders_); });
+    }
+    const bool broken = report.end == AttemptEnd::Broken && interruption_ == Interruption::None;
+    if (broken && !report.continuation && move_.begun()) {
+        co_return co_await continueOwnMove(std::move(report));
+    }
     std::optional<Target> last = target;
-    bool movedHere = false;
-    while (report.end == AttemptEnd::Broken && interruption_ == Interruption::None) {
-        std::optional<Target> next;
-        std::string memorySource;
-        if (report.continuation && last->daemon) {
-            next = co_await awaitOtherDaemon(*last->daemon);
-            memorySource = report.continuation->memoryFrom;
-            continuation_ = report.continuation;
-        } else if (move_.begun() && !movedHere) {
-            movedHere = true;
-            const std::optional<MovedRun> moved = co_await move_.awaitEnd();
-            if (moved && gateway_.stop() && canHandOver()) {
-                co_await handOver(*moved);
-                break;
-            }
-            if (moved) {
-                next = moved->target;
-                memorySource = memoryFrom_ = moved->memoryFrom;
-            }
+    while (report.end == AttemptEnd::Broken && report.continuation && last->daemon && interruption_ == Interruption::None) {
+        report = co_await continueThroughOther(std::move(report), last);
+    }
+    co_return report;
+}
+
+// The copy is asked first, then the source, which keeps the memory of the run that it stopped.
+Task<AttemptReport> Exchange::continueOwnMove(AttemptReport report)
+{
+    const std::optional<MovedRun> moved = co_await move_.awaitEnd();
+    isOwnStop_ = move_.stopOrdered();
+    if (!moved || interruption_ != Interruption::None) {
+        co_return report;
+    }
+    if (gateway_.stop() && canHandOver()) {
+        co_await handOver(*moved);
+        co_return report;
+    }
+    Target atSource = moved->target;
+    atSource.upstream = moved->source;
+    for (unsigned tries = 0; tries < maxContinuations && interruption_ == Interruption::None; ++tries) {
+        const bool returns = tries % 2 == 1 && gateway_.mayReturnTo(moved->source, BootClock::now());
+        payForContinuation(moved->memoryFrom);
+        memoryFrom_ = moved->memoryFrom;
+        report = co_await attempt(returns ? atSource : moved->target);
+        if (report.end != AttemptEnd::NotRun) {
+            co_return report;
         }
+        co_await pause(continuationPause);
+    }
+    co_return report;
+}
+
+Task<AttemptReport> Exchange::continueThroughOther(AttemptReport report, std::optional<Target> &last)
+{
+    const Continuation continuation = *report.continuation;
+    const DaemonRecord ending = *last->daemon;
+    for (unsigned tries = 0; tries < maxContinuations && interruption_ == Interruption::None; ++tries) {
+        std::optional<Target> next = co_await awaitOtherDaemon(ending);
         if (!next || interruption_ != Interruption::None) {
-            break;
+            report.continuation.reset();
+            co_return report;
         }
-        gateway_.metrics_.count(Counter::Resumes);
-        log(LogEvent::RequestResumed, 0, "memory moved from " + memorySource);
-        payForMovedRun();
-        report = co_await attempt(*next);
-        last = next;
+        last = std::move(next);
+        payForContinuation(continuation.memoryFrom);
+        continuation_ = continuation;
+        report = co_await attempt(*last);
+        if (report.end != AttemptEnd::NotRun) {
+            co_return report;
+        }
+        co_await pause(continuationPause);
     }
     co_return report;
 }
 
+void Exchange::payForContinuation(const std::string &memorySource)
+{
+    gateway_.metrics_.count(Counter::Resumes);
+    log(LogEvent::RequestResumed, 0, "memory moved from " + memorySource);
+    if (!retryUnderWay_) {
+        payForMovedRun();
+    }
+}
+
 Task<std::optional<Target>> Exchange::awaitOtherDaemon(const DaemonRecord &ending)
 {
     const SteadyTime until = BootClock::now() + route_->firstEventTimeout() / 2;
@@ -78,9 +137,7 @@
             target.daemon = *daemon;
             co_return target;
         }
-        NetError ignored;
-        pollTimer_.expires_after(daemonPollInterval);
-        co_await pollTimer_.async_wait(awaitingInto(ignored));
+        co_await pause(daemonPollInterval);
     }
     co_return std::nullopt;
 }
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -141,47 +141,6 @@
     orders_ = orders;
 }
 
-void Gateway::moveEndingRuns(SteadyTime now)
-{
-    if (orders_ == nullptr || !policy_.moves) {
-        return;
-    }
-    const bool ending = stop_ && now + options_.handOverLead >= stop_->end;
-    for (const auto &[id, exchanges] : streams_) {
-        const auto upstream = view_->upstreams.find(id);
-        if (upstream == view_->upstreams.end()) {
-            continue;
-        }
-        const bool all = isEnding(upstream->second, now);
-        for (Exchange *exchange : exchanges) {
-            if (all || (ending && exchange->canHandOver())) {
-                exchange->moveAway(upstream->second);
-            }
-        }
-    }
-}
-
-bool Gateway::isEnding(const UpstreamRecord &upstream, SteadyTime now) const
-{
-    if (!upstream.leavingSince) {
-        return false;
-    }
-    const SteadyTime end = upstream.goneAt.value_or(*upstream.leavingSince + options_.drainBound);
-    return now + options_.moveLead >= end && now <= end + options_.moveLead;
-}
-
-void Gateway::forgetStream(const std::string &upstream, Exchange *exchange)
-{
-    const auto streams = streams_.find(upstream);
-    if (streams == streams_.end()) {
-        return;
-    }
-    streams->second.erase(exchange);
-    if (streams->second.empty()) {
-        streams_.erase(streams);
-    }
-}
-
 bool Gateway::hasEnded(const std::string &upstream) const
 {
     return !view_->upstreams.contains(upstream) || crashes_.hasEnded(upstream);
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/gateway/policy_settings.h"
 #include "portpaddle/gateway/region_table.h"
+#include "portpaddle/gateway/run_move.h"
 #include "portpaddle/gateway/stop_rules.h"
 #include "portpaddle/gateway/target.h"
 #include "portpaddle/gateway/upstream_connection.h"
@@ -69,8 +70,8 @@
     std::chrono::milliseconds listSettling{ 3'000 };
     /// How long a request waits for the first configuration after a start. A healthy store answers in milliseconds.
     std::chrono::milliseconds configurationWait{ 300 };
-    /// Runs are moved this long before their upstream ends: a copy takes about ten milliseconds, several copies run one after
-    /// the other, and the check runs every 100 ms.
+    /// Runs are moved this long before their upstream ends, and earlier by the time that their copies take one after the other;
+    /// the check runs every 100 ms.
     std::chrono::milliseconds moveLead{ 500 };
     /// Streams of other daemons are handed over this long before this daemon ends: longer than moveLead, because the
     /// link adds one more one-way latency.
@@ -195,6 +196,8 @@
         std::optional<VersionKey> streamVersion{};
         /// A stream that can be taken up begins, which it does only at versions that all daemons know.
         bool beginsStream = false;
+        /// No other region is considered.
+        bool ownRegionOnly = false;
 
         bool allowsRegion(std::string_view region) const;
     };
@@ -333,13 +336,27 @@
     void daemonsChanged(SteadyTime now);
     /// Moves runs away from upstreams that end soon, and hands over those of other daemons when this daemon does.
     void moveEndingRuns(SteadyTime now);
-    /// Returns whether @p upstream ends within the lead time of a move.
-    bool isEnding(const UpstreamRecord &upstream, SteadyTime now) const;
+    /// Begins to move some of the runs of @p upstream, of which only few are copied at once.
+    void moveRunsOf(const UpstreamRecord &upstream, const std::set<Exchange *> &exchanges, SteadyTime now);
+    /// Records that the move of a run from @p source ended, and begins others.
+    void runMoveEnded(const std::string &source, MoveWay way, SteadyTime::duration took);
+    /// Returns the time at which an upstream that is leaving may end.
+    SteadyTime endOf(const UpstreamRecord &upstream) const;
+    /// Returns whether the move of @p runs from @p upstream has to begin.
+    bool isEnding(const UpstreamRecord &upstream, std::size_t runs, SteadyTime now) const;
+    /// Returns whether a run that @p upstream stopped may go on there.
+    bool mayReturnTo(const UpstreamRecord &upstream, SteadyTime now) const;
     void forgetStream(const std::string &upstream, Exchange *exchange);
+    /// Returns whether @p upstream is known to have ended.
+    bool hasEnded(const std::string &upstream) const;
 
     const UpstreamOrders *orders_ = nullptr;
     /// Streams in progress by upstream of the own region.
     std::unordered_map<std::string, std::set<Exchange *>> streams_;
+    /// Number of runs that are copied from an upstream.
+    std::unordered_map<std::string, std::size_t> copiesUnderWay_;
+    /// Recent time that the move of one run took.
+    SteadyTime::duration moveTime_ = std::chrono::milliseconds(20);
     PeerRequestHandler *peerRequestHandler_ = nullptr;
     MemoryBudget bodyMemory_;
     MemoryBudget answerMemory_;
@@ -347,8 +364,6 @@
     std::uint64_t digestSequence_ = 0;
     /// Prompt parts that the digests of this round announce, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> announcedParts_;
-    /// Returns whether @p upstream is known to have ended.
-    bool hasEnded(const std::string &upstream) const;
     std::optional<StopDeadlines> stop_;
     bool closed_ = false;
 };
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -293,12 +293,12 @@
     if (context.allowsRegion(identity_.region)) {
         upstreams = localCandidates(request, context, *spec, records, now);
     }
-    const DaemonRecord *beside = relayBeside(request, context, upstreams, now);
+    const DaemonRecord *beside = context.ownRegionOnly ? nullptr : relayBeside(request, context, upstreams, now);
     std::vector<std::string> regionNames;
     std::vector<RegionCandidate> regions;
     // A request in the trial of a new version stays here: another region draws the version of what is forwarded anew.
     const bool inTrial = context.arm == VersionArm::Newer && context.versionRule && context.versionRule->share < 1;
-    if (!request.relayed && !inTrial) {
+    if (!request.relayed && !inTrial && !context.ownRegionOnly) {
         regions = regions_.candidates(context.service, *spec, request.prompt, facts.urgency, now, regionNames);
         std::erase_if(regions, [&](const RegionCandidate &candidate) {
             const std::string &region = regionNames[candidate.index];
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -13,41 +13,14 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTimeout{ 300 };
-
-/// Closes a connection after a time, unless this object is destroyed before.
-class ConnectionTimeout
-{
-public:
-    ConnectionTimeout(Executor executor, UpstreamConnection &connection, std::chrono::milliseconds time)
-        : timer_(executor), connection_(std::make_shared<UpstreamConnection *>(&connection))
-    {
-        timer_.expires_after(time);
-        timer_.async_wait([connection = connection_](NetError error) {
-            if (!error && *connection != nullptr) {
-                (*connection)->interrupt();
-            }
-        });
-    }
-
-    ~ConnectionTimeout()
-    {
-        *connection_ = nullptr;
-        timer_.cancel();
-    }
-
-    ConnectionTimeout(const ConnectionTimeout &) = delete;
-    ConnectionTimeout &operator=(const ConnectionTimeout &) = delete;
-
-private:
-    SteadyTimer timer_;
-    std::shared_ptr<UpstreamConnection *> connection_;
-};
+// Answers to orders name one handle.
+constexpr std::uint32_t maxAnswerBytes = 16 * 1024;
 
 } // namespace
 
-Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds maxTime,
-                            const OrderAnswerHandler &onAnswer)
+Task<MemoryMove> sendMoveOrder(ConnectionPool &pool, const UpstreamOrders &orders, HttpRequest order,
+                               const UpstreamRecord &source, std::chrono::milliseconds maxTime,
+                               const OrderAnswerHandler &onAnswer)
 {
     NetError error;
     UpstreamConnection *opening = nullptr;
@@ -62,20 +35,24 @@
     }
     MemoryMove moved;
     {
-        const ConnectionTimeout timeout(connection->socket.get_executor(), *connection, maxTime);
-        HttpRequest message = orders.stopAndMove(requestId, target.address);
-        message.prepare_payload();
-        co_await http::async_write(connection->socket, message, awaitingInto(error));
-        http::response<http::string_body> answer;
-        if (!error) {
-            co_await http::async_read(connection->socket, connection->buffer, answer, awaitingInto(error));
+        const ConnectionTimeout timeout(*connection, maxTime);
+        order.prepare_payload();
+        co_await http::async_write(connection->socket, order, awaitingInto(error));
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(maxAnswerBytes);
+        while (!error && !parser.is_done()) {
+            co_await http::async_read_some(connection->socket, connection->buffer, parser, awaitingInto(error));
+            const bool isTooLong = parser.get().body().size() > maxAnswerBytes;
+            error = !error && isTooLong ? NetError(boost::asio::error::message_size) : error;
         }
+        const http::response<http::string_body> &answer = parser.get();
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
             onAnswer(source, answer);
-            const std::optional<StoppedRun> stopped = orders.stoppedRun(answer.result_int(), answer.body());
-            moved.memorySource = stopped ? std::optional(source.address + "/" + stopped->handle) : std::nullopt;
-            moved.atSource = stopped && stopped->atSource;
+            moved.status = answer.result_int();
+            const std::optional<RunMemory> memory = orders.memoryIn(answer.result_int(), answer.body());
+            moved.memorySource = memory ? std::optional(source.address + "/" + memory->handle) : std::nullopt;
+            moved.atSource = memory && memory->atSource;
         }
     }
     // The engine stops soon, so its connections are not kept.
--- a/src/portpaddle/gateway/memory_move.h
+++ b/src/portpaddle/gateway/memory_move.h
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Moves the memory of a run from an engine that is about to stop to another engine.
+/// Orders an engine that is about to stop to copy the memory of a run to another engine.
 #pragma once
 
 #include "portpaddle/gateway/fleet_view.h"
@@ -16,13 +16,15 @@
 
 namespace Portpaddle {
 
-/// The outcome of a move.
+/// The outcome of one order.
 struct MemoryMove
 {
-    /// The source from which the run can continue, as "ADDRESS/HANDLE"; no value if the run cannot continue.
+    /// The source from which the run can continue, as "ADDRESS/HANDLE"; no value if the answer names none.
     std::optional<std::string> memorySource;
     /// No copy was made: only the source engine can continue the run.
     bool atSource = false;
+    /// Status of the answer; zero if none came, so that the order may have been carried out.
+    unsigned status = 0;
     /// A text for the log.
     std::string outcome;
 };
@@ -30,9 +32,9 @@
 /// Called with the head of each answer to an order.
 using OrderAnswerHandler = std::function<void(const UpstreamRecord &asked, const boost::beast::http::response_header<> &head)>;
 
-/// Orders the move and waits at most @p maxTime for its end.
-Task<MemoryMove> moveMemory(ConnectionPool &pool, const UpstreamOrders &orders, const std::string &requestId,
-                            const UpstreamRecord &source, const UpstreamRecord &target, std::chrono::milliseconds maxTime,
-                            const OrderAnswerHandler &onAnswer);
+/// Sends @p order, which concerns a run of @p source, and waits at most @p maxTime for its end.
+Task<MemoryMove> sendMoveOrder(ConnectionPool &pool, const UpstreamOrders &orders, HttpRequest order,
+                               const UpstreamRecord &source, std::chrono::milliseconds maxTime,
+                               const OrderAnswerHandler &onAnswer);
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/gateway/run_move.cpp
@@ -4,20 +4,28 @@
 #include "portpaddle/gateway/run_move.h"
 
 #include "portpaddle/base/log.h"
+#include "portpaddle/net/http_status.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace Portpaddle {
 
 namespace {
 
-// A move is given up after this time: it then waits behind other moves, or its engine is gone.
-constexpr std::chrono::milliseconds maxMoveTime{ 1'500 };
+using std::chrono::milliseconds;
+
+// An order that is not answered within this time is sent again.
+constexpr milliseconds maxOrderTime{ 1'500 };
+constexpr milliseconds repeatDelay{ 20 };
+// Orders to stop one run, counting only those that were not answered.
+constexpr unsigned maxUnansweredOrders = 4;
 
 } // namespace
 
 RunMove::RunMove(Executor executor, ConnectionPool &pool, OrderAnswerHandler onAnswer)
-    : pool_(pool), onAnswer_(std::move(onAnswer)), endTimer_(executor)
+    : pool_(pool), onAnswer_(std::move(onAnswer)), endTimer_(executor), repeatTimer_(executor)
 {
 }
 
@@ -26,36 +34,104 @@
     return state_ != State::None;
 }
 
+const UpstreamRecord &RunMove::source() const
+{
+    return moved_.source;
+}
+
+bool RunMove::stopOrdered() const
+{
+    return stopOrdered_;
+}
+
 void RunMove::begin(std::string requestId, UpstreamRecord source, Target target)
 {
     state_ = State::Moving;
     requestId_ = std::move(requestId);
-    source_ = std::move(source);
+    moved_.source = std::move(source);
     moved_.target = std::move(target);
 }
 
-Task<void> RunMove::run(const UpstreamOrders &orders, std::chrono::milliseconds maxTime)
+void RunMove::noteNoTarget(const std::string &requestId, const UpstreamRecord &source, ExclusionReason reason)
+{
+    if (std::exchange(noTargetLogged_, true)) {
+        return;
+    }
+    logEvent(LogEvent::RunMoveEnded,
+             { { "request", requestId },
+               { "source", source.id },
+               { "target", std::string() },
+               { "moved", "false" },
+               { "message", fmt::format("no engine can take the run: {}", nameOf(reason)) } });
+}
+
+Task<void> RunMove::run(const UpstreamOrders &orders, MoveWay way, SteadyTime until)
+{
+    if (way == MoveWay::CopyFirst) {
+        const bool copied = co_await copyMemory(orders, until);
+        if (!copied) {
+            co_return;
+        }
+    }
+    MemoryMove move = co_await stopRun(orders, until);
+    // The engine has the copy's name, whether or not it could answer.
+    if (!move.memorySource && !copy_.empty()) {
+        move.memorySource = moved_.source.address + "/" + copy_;
+    }
+    if (move.atSource) {
+        moved_.target.upstream = moved_.source;
+    }
+    end(move.memorySource ? State::Moved : State::Failed, move);
+}
+
+Task<bool> RunMove::copyMemory(const UpstreamOrders &orders, SteadyTime until)
+{
+    const MemoryMove copied = co_await send(orders, orders.copy(requestId_, moved_.target.upstream->address), until);
+    if (!copied.memorySource || copied.atSource) {
+        end(State::None, copied);
+        co_return false;
+    }
+    copy_ = copied.memorySource->substr(moved_.source.address.size() + 1);
+    co_return true;
+}
+
+Task<MemoryMove> RunMove::stopRun(const UpstreamOrders &orders, SteadyTime until)
 {
-    const Target &target = moved_.target;
-    const bool placed = target.placement.verdict == Verdict::Serve;
     MemoryMove move;
-    if (placed) {
-        const auto bound = std::min(maxMoveTime, maxTime);
-        move = co_await moveMemory(pool_, orders, requestId_, source_, *target.upstream, bound, onAnswer_);
-    } else {
-        move.outcome = fmt::format("no engine can take the run: {}", nameOf(target.placement.reason));
+    unsigned unanswered = 0;
+    stopOrdered_ = true;
+    while (BootClock::now() < until && unanswered < maxUnansweredOrders) {
+        move = co_await send(orders, orders.stopAndMove(requestId_, moved_.target.upstream->address), until);
+        const bool underWay = move.status == HttpStatus::conflict;
+        if (move.status != 0 && !underWay) {
+            break;
+        }
+        unanswered += underWay ? 0 : 1;
+        NetError ignored;
+        repeatTimer_.expires_after(repeatDelay);
+        co_await repeatTimer_.async_wait(awaitingInto(ignored));
     }
+    co_return move;
+}
+
+Task<MemoryMove> RunMove::send(const UpstreamOrders &orders, HttpRequest order, SteadyTime until)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(until - BootClock::now());
+    const auto maxTime = std::clamp(left, milliseconds(1), maxOrderTime);
+    co_return co_await sendMoveOrder(pool_, orders, std::move(order), moved_.source, maxTime, onAnswer_);
+}
+
+void RunMove::end(State state, const MemoryMove &move)
+{
     logEvent(LogEvent::RunMoveEnded,
              { { "request", requestId_ },
-               { "source", source_.id },
-               { "target", placed ? target.upstream->id : std::string() },
+               { "source", moved_.source.id },
+               { "target", moved_.target.upstream->id },
                { "moved", move.memorySource ? "true" : "false" },
+               { "stop_ordered", stopOrdered_ ? "true" : "false" },
                { "message", move.outcome } });
-    if (move.atSource) {
-        moved_.target.upstream = source_;
-    }
-    state_ = move.memorySource ? State::Moved : State::Failed;
     moved_.memoryFrom = move.memorySource.value_or(std::string());
+    state_ = state;
     endTimer_.cancel();
 }
 
@@ -63,7 +139,7 @@
 {
     if (state_ == State::Moving) {
         NetError ignored;
-        endTimer_.expires_after(maxMoveTime);
+        endTimer_.expires_at(SteadyTime::max());
         co_await endTimer_.async_wait(awaitingInto(ignored));
     }
     if (state_ != State::Moved) {
@@ -72,4 +148,18 @@
     co_return moved_;
 }
 
+void RunMove::cancelWait()
+{
+    endTimer_.cancel();
+}
+
+Task<void> RunMove::freeCopy(const UpstreamOrders &orders)
+{
+    co_await awaitEnd();
+    if (copy_.empty()) {
+        co_return;
+    }
+    co_await send(orders, orders.freeCopy(copy_), BootClock::now() + maxOrderTime);
+}
+
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/upstream_connection.cpp
+++ b/src/portpaddle/gateway/upstream_connection.cpp
@@ -31,6 +31,23 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+ConnectionTimeout::ConnectionTimeout(UpstreamConnection &connection, std::chrono::milliseconds time)
+    : timer_(connection.socket.get_executor()), connection_(std::make_shared<UpstreamConnection *>(&connection))
+{
+    timer_.expires_after(time);
+    timer_.async_wait([connection = connection_](NetError error) {
+        if (!error && *connection != nullptr) {
+            (*connection)->interrupt();
+        }
+    });
+}
+
+ConnectionTimeout::~ConnectionTimeout()
+{
+    *connection_ = nullptr;
+    timer_.cancel();
+}
+
 ConnectionPool::ConnectionPool(Executor executor) : executor_(executor)
 {
 }
--- a/src/portpaddle/gateway/upstream_connection.h
+++ b/src/portpaddle/gateway/upstream_connection.h
@@ -38,6 +38,20 @@
     bool reused = false;
 };
 
+/// Closes a connection after a time, unless this object is destroyed before.
+class ConnectionTimeout
+{
+public:
+    ConnectionTimeout(UpstreamConnection &connection, std::chrono::milliseconds time);
+    ~ConnectionTimeout();
+    ConnectionTimeout(const ConnectionTimeout &) = delete;
+    ConnectionTimeout &operator=(const ConnectionTimeout &) = delete;
+
+private:
+    SteadyTimer timer_;
+    std::shared_ptr<UpstreamConnection *> connection_;
+};
+
 /// Keeps connections by peer; the most recently used one is reused first. Belongs to one event loop.
 class ConnectionPool
 {
--- a/src/portpaddle/gateway/upstream_orders.h
+++ b/src/portpaddle/gateway/upstream_orders.h
@@ -11,10 +11,10 @@
 
 namespace Portpaddle {
 
-/// A run that an engine stopped, with the memory from which the run can continue.
-struct StoppedRun
+/// The memory from which a run can continue.
+struct RunMemory
 {
-    /// Handle of the memory at the engine.
+    /// Handle of the memory at the engine that had the run.
     std::string handle;
     /// The memory was not copied: only the engine that stopped the run can continue it.
     bool atSource = false;
@@ -25,10 +25,15 @@
 {
 public:
     virtual ~UpstreamOrders() = default;
+    /// Returns the order to copy the memory of the run of @p requestId to the engine at @p targetAddress while the run goes on.
+    virtual HttpRequest copy(const std::string &requestId, const std::string &targetAddress) const = 0;
+    /// Returns the order to free a copy that is not needed.
+    virtual HttpRequest freeCopy(const std::string &handle) const = 0;
     /// Returns the order to stop the run of @p requestId and to copy its memory to the engine at @p targetAddress.
+    /// What an earlier copy() to the same engine copied is not copied again.
     virtual HttpRequest stopAndMove(const std::string &requestId, const std::string &targetAddress) const = 0;
-    /// Parses the answer to stopAndMove(); returns no value if the run cannot continue.
-    virtual std::optional<StoppedRun> stoppedRun(unsigned status, const std::string &body) const = 0;
+    /// Parses the answer to copy() or stopAndMove(); returns no value if it names no memory.
+    virtual std::optional<RunMemory> memoryIn(unsigned status, const std::string &body) const = 0;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -13,6 +13,7 @@
 inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned notFound = 404;
 inline constexpr unsigned requestTimeout = 408;
+inline constexpr unsigned conflict = 409;
 inline constexpr unsigned tooLarge = 413;
 inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned tooMany = 429;
--- a/tests/support/moving_engines.h
+++ b/tests/support/moving_engines.h
@@ -32,25 +32,44 @@
     }
 
     /// Requests a stream through @p caller and returns the index of the engine that runs it.
-    std::size_t beginStream(RawCaller &caller, const std::string &headers = {})
+    std::size_t beginStream(RawCaller &caller, const std::string &headers = {}, const std::string &path = "/stream/a")
     {
-        caller.send(request("/stream/a", "id1", headers));
-        eventually([this] { return engines[0]->seen().size() + engines[1]->seen().size() == 1; });
-        return engines[0]->seen().empty() ? 1 : 0;
+        caller.send(request(path, "id1", headers));
+        eventually([this] { return running >= 0; });
+        return static_cast<std::size_t>(running);
     }
 
     /// Ticks the gateway until a move is ordered: the first events arrive only some time after the engine received the request.
     bool tickUntilOrdered()
     {
-        return eventually([this] {
+        return tickUntil([this] { return ordered || released; });
+    }
+
+    bool tickUntil(const std::function<bool()> &condition)
+    {
+        return eventually([this, &condition] {
             onLoop([](Gateway &gateway) { gateway.tick(); });
-            return ordered || released;
+            return condition();
         });
     }
 
     PlainOrders orders;
     std::array<std::unique_ptr<ScriptedUpstream>, 2> engines;
+    std::string copyAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
+    /// Number of orders to copy a run that goes on.
+    std::atomic<unsigned> copies{ 0 };
+    /// Number of orders to free a copy.
+    std::atomic<unsigned> freed{ 0 };
     std::string moveAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7";
+    /// Follows that answer until the order's connection is closed.
+    std::string endlessMoveAnswer;
+    /// Number of next orders to stop a run that are carried out and not answered.
+    unsigned lostMoveAnswers = 0;
+    /// Number of next continuations, and of next new requests, that are refused.
+    unsigned refusals = 0;
+    unsigned refuseStarts = 0;
+    /// The engine that runs the stream; negative before that.
+    std::atomic<int> running{ -1 };
     std::string continuedFrom;
     std::string continuedAt;
     /// Whether the engine that holds the copy refuses to resume the run.
@@ -66,10 +85,22 @@
 private:
     ScriptedAnswer answer(const SeenRequest &request)
     {
+        if (request.requestLine.starts_with("POST /copy")) {
+            ++copies;
+            return { copyAnswer };
+        }
+        if (request.requestLine.starts_with("POST /free")) {
+            ++freed;
+            return { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" };
+        }
         if (request.requestLine.starts_with("POST /move")) {
             atOrder();
             ordered = true;
-            return { moveAnswer };
+            if (lostMoveAnswers > 0) {
+                --lostMoveAnswers;
+                return { {}, ScriptedAnswer::Then::Close };
+            }
+            return { moveAnswer, ScriptedAnswer::Then::KeepOpen, [] {}, endlessMoveAnswer };
         }
         if (!answerNext.empty()) {
             return { answerNext };
@@ -77,12 +108,21 @@
         if (request.headers.contains("x-memory-from")) {
             continuedFrom = request.headers.at("x-memory-from");
             continuedAt = engines[request.headers.at("x-expected-upstream") == "u0" ? 0 : 1]->address();
-            if (refusing) {
+            if (refusing || refusals > 0) {
+                refusals -= refusals > 0 ? 1 : 0;
                 return { notRunAnswer };
             }
             const unsigned last = static_cast<unsigned>(std::stoi(request.headers.at("last-event-id")));
             return { streamHead(idOf(request)) + eventChunk(last + 1, 6) + lastChunk };
         }
+        if (refuseStarts > 0) {
+            --refuseStarts;
+            return { notRunAnswer };
+        }
+        if (request.headers.contains("last-event-id")) {
+            return { streamHead(idOf(request)) + eventChunk(4, 6) + lastChunk };
+        }
+        running = request.headers.at("x-expected-upstream") == "u0" ? 0 : 1;
         return { streamHead(idOf(request)) + eventChunk(1, 3), ScriptedAnswer::Then::Close,
                  [this] { eventually([this] { return ordered || released; }); } };
     }
--- a/tests/support/plain_orders.h
+++ b/tests/support/plain_orders.h
@@ -12,18 +12,34 @@
 class PlainOrders : public UpstreamOrders
 {
 public:
+    HttpRequest copy(const std::string &requestId, const std::string &targetAddress) const override
+    {
+        return order("/copy", requestId, targetAddress);
+    }
+
+    HttpRequest freeCopy(const std::string &handle) const override
+    {
+        return order("/free", {}, handle);
+    }
+
     HttpRequest stopAndMove(const std::string &requestId, const std::string &targetAddress) const override
     {
-        HttpRequest message(boost::beast::http::verb::post, "/move", 11);
-        message.set(boost::beast::http::field::host, "engine");
-        message.set("X-Request-Id", requestId);
-        message.body() = targetAddress;
-        return message;
+        return order("/move", requestId, targetAddress);
+    }
+
+    std::optional<RunMemory> memoryIn(unsigned status, const std::string &body) const override
+    {
+        return body.empty() ? std::nullopt : std::optional(RunMemory{ body, status != 200 });
     }
 
-    std::optional<StoppedRun> stoppedRun(unsigned status, const std::string &body) const override
+private:
+    static HttpRequest order(const char *path, const std::string &requestId, const std::string &body)
     {
-        return body.empty() ? std::nullopt : std::optional(StoppedRun{ body, status != 200 });
+        HttpRequest message(boost::beast::http::verb::post, path, 11);
+        message.set(boost::beast::http::field::host, "engine");
+        message.set("X-Request-Id", requestId);
+        message.body() = body;
+        return message;
     }
 };
 
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -174,6 +174,11 @@
         const ScriptedAnswer answer = script_(*request);
         (void)send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
         answer.afterWriting();
+        if (!answer.endless.empty()) {
+            while (send(socket, answer.endless.data(), answer.endless.size(), MSG_NOSIGNAL) > 0) { }
+            ++closedByPeer_;
+            return;
+        }
         if (answer.then == ScriptedAnswer::Then::Hang) {
             while (readMore(socket, buffer)) { }
             ++closedByPeer_;
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -34,6 +34,8 @@
     enum class Then { KeepOpen, Close, Reset, Hang } then = Then::KeepOpen;
     /// Called after the bytes are written and before @ref then takes effect; may block.
     std::function<void()> afterWriting = [] {};
+    /// Sent again and again until the peer closes the connection; empty for nothing.
+    std::string endless = {};
 };
 
 /// Serves each connection on its own thread.
