A request that is sent on has the time that its first daemon gave it, whatever the other one's configuration says

Cause: the other daemon bounded the request by the age that came with it and the time-out of its own configuration, although the first daemon sends the time that is left by the version with which it read the request.

The time that is named is taken over from another daemon, up to ten minutes. The new test ("Relayed rest of a stream, older than the time-out of this daemon's configuration, has the sender's time") is written after the change; its request had no time left at all by the rule before.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -28,6 +28,8 @@
 constexpr Millis maxRetryAfter{ 2'000 };
 // Asking for a place takes a round trip within the region. After so many that were denied the upstreams are taken to be full.
 constexpr unsigned maxDeniedPlaces = 4;
+// Maximum time that is believed of another daemon.
+constexpr Millis maxRelayedTime{ 600'000 };
 // Maximum where the time at which an upstream accepts requests again is known.
 constexpr Millis maxKnownRetryAfter{ 60'000 };
 
@@ -82,7 +84,10 @@
 void Exchange::startDeadline()
 {
     deadline_ = request_.arrivedAt + route_->timeout;
-    if (request_.timeLeft) {
+    // The daemon that the caller is connected to has bounded the time by its own configuration, which may be another version.
+    if (request_.timeLeft && request_.relayed) {
+        deadline_ = request_.receivedAt + std::min(*request_.timeLeft, maxRelayedTime);
+    } else if (request_.timeLeft) {
         deadline_ = std::min(deadline_, request_.receivedAt + *request_.timeLeft);
     }
     deadlineTimer_.expires_at(deadline_ + deadlineGrace);
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -123,6 +123,23 @@
     CHECK(rest.body == events(3, 4));
 }
 
+TEST_CASE_FIXTURE(GatewaySite,
+                  "Relayed rest of a stream, older than the time-out of this daemon's configuration, has the sender's time")
+{
+    ScriptedUpstream upstream(
+        [](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(3, 4) + lastChunk }; });
+    addUpstream("u1", upstream.address());
+    const std::string version = std::string(streamVersionHeader) + ": " + encodeVersionKey(versionKeyOf("")) + "\r\n";
+    const SeenAnswer rest = askAsDaemon("/resume/a", "id1",
+                                        version
+                                            + "X-Portpaddle-Age-Ms: 6000\r\nX-Request-Timeout-Ms: 20000\r\n"
+                                              "Last-Event-ID: 2\r\nX-Portpaddle-Events: 2\r\n");
+    CHECK(rest.whole);
+    CHECK(rest.body == events(3, 4));
+    REQUIRE(upstream.seen().size() == 1);
+    CHECK(std::stoi(upstream.seen().front().headers.at("x-request-timeout-ms")) > 5'000);
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Stream, broken when new requests would be too late, continues at another upstream")
 {
     std::atomic<unsigned> asked{ 0 };
