Answers of the store and of neighbours have a bound on their bytes and on their time

Neighbours' states had a bound on bytes alone.

Test: "Store client, answer without end, is given up".

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -8,6 +8,7 @@
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/daemon_registration.h"
 #include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/net/bounded_body.h"
 #include "portpaddle/net/endpoint.h"
 
 #include <fmt/format.h>
@@ -27,6 +28,8 @@
 constexpr Millis connectTimeout{ 400 };
 // Added to the time for which an answer may wait: a small VM may stall for some hundred milliseconds.
 constexpr Millis readTimeoutMargin{ 700 };
+// A whole state may come over a slow link, in this time after the wait.
+constexpr Millis maxFeedTime{ 5'000 };
 constexpr std::chrono::milliseconds avoidTime{ 1'000 };
 // Limit for a waiting call to the store after all sources failed, so that recovered sources are tried again soon. A lost answer
 // of the store shows only at this timeout.
@@ -140,12 +143,10 @@
         client = source.client;
         activeClient_ = client;
     }
-    std::string body;
     const Time begin = BootClock::now();
-    const httplib::Result result = client->Get(target, [&body](const char *data, std::size_t size) {
-        body.append(data, size);
-        return body.size() <= largestStateBytes;
-    });
+    BoundedBody body(largestStateBytes, begin + maxFeedWait + maxFeedTime);
+    const httplib::Result result
+        = client->Get(target, [&body](const char *data, std::size_t size) { return body.append(data, size); });
     if (!result && BootClock::now() - begin >= maxFeedWait + readTimeoutMargin) {
         dropConnections();
     }
@@ -155,7 +156,7 @@
         sources_[address].client.reset();
         return unavailable("the daemon at " + address + " does not relay the store's contents");
     }
-    return body;
+    return body.bytes();
 }
 
 FollowRole RelayedStore::currentRole()
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/state_exchange.h"
 
 #include "portpaddle/fleet/feed_server.h"
+#include "portpaddle/net/bounded_body.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/wire/state_generated.h"
 
@@ -18,6 +19,8 @@
 // Peers are one or two hops away; one that takes longer hangs or is cut off.
 constexpr Millis peerTimeout{ 400 };
 constexpr std::size_t maxPeersAsked = 3;
+// A whole state may come over a slow link.
+constexpr Millis maxStateTime{ 5'000 };
 // Upper bound of a reported age; a greater age means that the state was never confirmed.
 constexpr std::int64_t maxAgeMs = 3'600'000;
 
@@ -35,16 +38,14 @@
     httplib::Client client(endpoint->address().to_string(), endpoint->port());
     client.set_connection_timeout(peerTimeout);
     client.set_read_timeout(peerTimeout);
-    std::string body;
-    const httplib::Result result = client.Get(statePath, [&body](const char *data, std::size_t size) {
-        body.append(data, size);
-        return body.size() <= largestStateBytes;
-    });
+    BoundedBody body(largestStateBytes, BootClock::now() + maxStateTime);
+    const httplib::Result result
+        = client.Get(statePath, [&body](const char *data, std::size_t size) { return body.append(data, size); });
     if (!result || result->status != 200) {
         return peerStateError("request failed");
     }
     const SteadyTime now = BootClock::now();
-    Result<FeedUpdate> update = decodeChanges(body, now);
+    Result<FeedUpdate> update = decodeChanges(body.bytes(), now);
     if (!isOk(update)) {
         return errorOf(update);
     }
--- a/tests/gateway/store_client_tests.cpp
+++ b/tests/gateway/store_client_tests.cpp
@@ -7,6 +7,7 @@
 #include "platform/store_client.h"
 #include "portpaddle/base/thread.h"
 #include "support/eventually.h"
+#include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -153,3 +154,16 @@
     CHECK(eventually([&] { return failed.load(); }));
     release = true;
 }
+
+TEST_CASE("Store client, answer without end, is given up")
+{
+    const ScriptedUpstream endless([](const SeenRequest &) {
+        return ScriptedAnswer{ "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", ScriptedAnswer::Then::KeepOpen, [] {},
+                               std::string(64 * 1024, ' ') };
+    });
+    const std::string address = endless.address();
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    StoreClient client(SocketAddress{ "127.0.0.1", port });
+    CHECK_FALSE(isOk(client.newestRevision()));
+    CHECK(eventually([&endless] { return endless.closedByPeer() == 1; }));
+}
