A copy that an engine refuses is tried again at the next tick, not at once; the soak's engines copy runs that go on

A refused copy began the next one within its own answer, which would have been a loop at the pace of the engine's refusals until its end. Found by reading. The soak's engines now answer an order to copy without stopping, as the users' pages say, and keep the name of a copy for the order that stops the run.

--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -46,7 +46,10 @@
                   const SteadyTime started = BootClock::now();
                   const std::string from = self->move_.source().id;
                   co_await self->move_.run(*self->gateway_.orders_, way, until);
-                  self->gateway_.runMoveEnded(from, way, BootClock::now() - started);
+                  if (way == MoveWay::CopyFirst) {
+                      const bool copied = self->move_.begun();
+                      self->gateway_.copyEnded(from, copied ? std::optional(BootClock::now() - started) : std::nullopt);
+                  }
               });
     return true;
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -338,8 +338,9 @@
     void moveEndingRuns(SteadyTime now);
     /// Begins to move some of the runs of @p upstream, of which only few are copied at once.
     void moveRunsOf(const UpstreamRecord &upstream, const std::set<Exchange *> &exchanges, SteadyTime now);
-    /// Records that the move of a run from @p source ended, and begins others.
-    void runMoveEnded(const std::string &source, MoveWay way, SteadyTime::duration took);
+    /// Records that the move of a run from @p source took the time @p took, and begins others; without a time it failed, and
+    /// the next ones begin at the next tick.
+    void copyEnded(const std::string &source, std::optional<SteadyTime::duration> took);
     /// Returns the time at which an upstream that is leaving may end.
     SteadyTime endOf(const UpstreamRecord &upstream) const;
     /// Returns whether the move of @p runs from @p upstream has to begin.
--- a/src/portpaddle/gateway/gateway_moves.cpp
+++ b/src/portpaddle/gateway/gateway_moves.cpp
@@ -59,18 +59,18 @@
     }
 }
 
-void Gateway::runMoveEnded(const std::string &source, MoveWay way, SteadyTime::duration took)
+void Gateway::copyEnded(const std::string &source, std::optional<SteadyTime::duration> took)
 {
-    if (way != MoveWay::CopyFirst) {
-        return;
-    }
-    const std::chrono::duration<double> blended = (1 - newestMoveShare) * std::chrono::duration<double>(moveTime_)
-        + newestMoveShare * std::chrono::duration<double>(took);
-    moveTime_ = std::chrono::duration_cast<SteadyTime::duration>(blended);
     const auto count = copiesUnderWay_.find(source);
     if (count != copiesUnderWay_.end() && --count->second == 0) {
         copiesUnderWay_.erase(count);
     }
+    if (!took) {
+        return;
+    }
+    const std::chrono::duration<double> before = moveTime_;
+    const std::chrono::duration<double> newest = *took;
+    moveTime_ = std::chrono::duration_cast<SteadyTime::duration>((1 - newestMoveShare) * before + newestMoveShare * newest);
     const auto upstream = view_->upstreams.find(source);
     const auto streams = streams_.find(source);
     if (upstream != view_->upstreams.end() && streams != streams_.end()) {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -76,9 +76,13 @@
         self.fault_periods.append((self.now(), self.now() + seconds))
 
     def record_copy(self, source, attempt, target):
-        """Records a copy at @p target; returns its handle."""
+        """Records a copy at @p target; returns its handle, which a later copy of the same run to the same target keeps."""
+        prefix = f"{source.host}:{source.proxy.port}/"
+        for handle, copy in self.copy_of.items():
+            if handle.startswith(prefix) and copy == (attempt, target):
+                return handle.removeprefix(prefix)
         self.copies += 1
-        self.copy_of[f"{source.host}:{source.proxy.port}/c{self.copies}"] = (attempt, target)
+        self.copy_of[f"{prefix}c{self.copies}"] = (attempt, target)
         return f"c{self.copies}"
 
     def claim_copy(self, handle, attempt, upstream):
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -10,6 +10,7 @@
 VERSIONS = ("v1", "v1.2")  # software versions that serve side by side
 FULL = 64  # concurrent requests; more are declined without a run
 BACKOFF_SHARE = 0.9  # share of requests that an upstream in backoff refuses
+COPY_TIME = 0.01  # seconds that copying the memory of a run takes
 
 
 def whole_body(attempt, service):
@@ -163,9 +164,12 @@
         return answer
 
     async def move(self, order):
-        """Stops a run and copies its memory to the upstream at the address in the order."""
-        if order["id"] not in self.stopped or not order["last"]:
+        """Copies the memory of a run to the upstream at the address in the order; stops the run before if the order says so."""
+        if order["id"] not in self.stopped:
             return web.Response(status=404)
+        if not order.get("last"):
+            await asyncio.sleep(COPY_TIME)
+            return web.json_response({"handle": self.soak.record_copy(self, order["id"], order["targetVersion"]), "created": 0})
         stop_ordered, stream_stopped = self.stopped.pop(order["id"])
         stop_ordered.set()
         try:
