A begun stream whose attempts are used up by upstreams that live ends at once

It waited for its time if any upstream that it had asked had ended, although nothing could come of it: that upstream no longer counted as an attempt. Found by reading; the new test was not run on the code before. It now waits only while it is being found out whether an upstream has ended.

--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -123,8 +123,10 @@
     bool holdsBegunStream() const;
     /// Returns the number of upstreams that count as attempts.
     unsigned attemptsUsed() const;
-    /// Whether an upstream that was asked has ended, or it is being found out whether it has.
-    bool mayHaveEnded() const;
+    /// Whether it is being found out whether an upstream that was asked has ended.
+    bool awaitsNewsOfUpstream() const;
+    /// Whether an upstream that was asked has ended or may have, so that another one may take its place.
+    bool mayBeReplaced() const;
     /// Whether another attempt would be allowed, has budget and has a target; otherwise an interruption would lose the answer.
     bool canAttemptAgain();
     /// Whether another attempt may follow @p report.
--- a/src/portpaddle/gateway/exchange_retries.cpp
+++ b/src/portpaddle/gateway/exchange_retries.cpp
@@ -56,12 +56,18 @@
     return sends_ - repeatedSends_ - static_cast<unsigned>(ended);
 }
 
+bool Exchange::awaitsNewsOfUpstream() const
+{
+    return std::any_of(askedUpstreams_.begin(), askedUpstreams_.end(),
+                       [this](const std::string &upstream) { return gateway_.crashes_.isInDoubt(upstream); });
+}
+
 // An upstream that ended is replaced by another one.
-bool Exchange::mayHaveEnded() const
+bool Exchange::mayBeReplaced() const
 {
-    return std::any_of(askedUpstreams_.begin(), askedUpstreams_.end(), [this](const std::string &upstream) {
-        return gateway_.hasEnded(upstream) || gateway_.crashes_.isInDoubt(upstream);
-    });
+    return awaitsNewsOfUpstream()
+        || std::any_of(askedUpstreams_.begin(), askedUpstreams_.end(),
+                       [this](const std::string &upstream) { return gateway_.hasEnded(upstream); });
 }
 
 bool Exchange::canAttemptAgain()
@@ -112,7 +118,7 @@
         gateway_.metrics_.count(Counter::RepeatsDenied);
     }
     while (!retries && holdsBegunStream() && timeLeft() > minAttemptTime) {
-        const bool awaitsEnd = retryDenial_ == RetryDenial::AttemptsUsed && mayHaveEnded();
+        const bool awaitsEnd = retryDenial_ == RetryDenial::AttemptsUsed && awaitsNewsOfUpstream();
         if (retryDenial_ != RetryDenial::BudgetSpent && !awaitsEnd) {
             break;
         }
@@ -126,7 +132,7 @@
 Task<bool> Exchange::waitForRest(ExclusionReason reason)
 {
     const std::size_t refused = std::erase_if(tried_, [this](const std::string &id) { return refusedBy_.contains(id); });
-    const bool returns = reason == ExclusionReason::AlreadyTried ? mayHaveEnded() : mayReturn(reason);
+    const bool returns = reason == ExclusionReason::AlreadyTried ? mayBeReplaced() : mayReturn(reason);
     if (refused == 0 && !returns) {
         co_return false;
     }
--- a/tests/gateway/resumed_stream_tests.cpp
+++ b/tests/gateway/resumed_stream_tests.cpp
@@ -240,3 +240,32 @@
     CHECK(answer.whole);
     CHECK(answer.body == events(1, 4));
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Begun stream, attempts used up by upstreams that live, ends long before its time")
+{
+    for (Route &route : routes.routes) {
+        route.timeout = std::chrono::hours(1);
+    }
+    publishRoutes();
+    std::atomic<unsigned> asked{ 0 };
+    std::array<std::unique_ptr<ScriptedUpstream>, 4> upstreams;
+    const auto script = [&asked, &upstreams](const SeenRequest &request) {
+        if (asked++ > 0) {
+            return ScriptedAnswer{ answerWith(404, "no") };
+        }
+        return ScriptedAnswer{ streamHead(idOf(request)) + eventChunk(1, 2), Then::Close, [&upstreams, request] {
+                                  upstreams.at(std::stoul(request.headers.at("x-expected-upstream")))->refuseConnections();
+                              } };
+    };
+    for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        upstreams.at(index) = std::make_unique<ScriptedUpstream>(script);
+        addUpstream(std::to_string(index), upstreams.at(index)->address());
+    }
+    const SeenAnswer answer = ask("/resume/a", "id1");
+    CHECK_FALSE(answer.whole);
+    CHECK(answer.body == events(1, 2));
+    CHECK(asked == 3);
+    std::size_t inProgress = 1;
+    onLoop([&inProgress](Gateway &gateway) { inProgress = gateway.inProgress(); });
+    CHECK(inProgress == 0);
+}
