A part of prompts that was completed just before its upstreams ended is not accused

Cause: only completions after the first end counted. Upstreams that end together take the requests with a widely held part with them, and those that hold it take longer than the time until the verdict. A part that ends each upstream that begins to answer on it was not completed just before either, so completions count from 2 s before the first end on. Answers of daemons count from 0.3 s after the inquiry began: "most daemons do not answer" passed before because completions at the moment of the end did not count.

Tests: "held by requests that end with a data centre and take long, is not accused" fails on the code before (three sizes of three); "ends upstreams from some time on, is accused within the time that the users allow" holds the other side.

--- a/src/portpaddle/crashes/part_guard.cpp
+++ b/src/portpaddle/crashes/part_guard.cpp
@@ -73,7 +73,7 @@
         }
     }
     for (const Wire::PartAnswer &answer : digest.part_answers) {
-        inquiries_.answered(fromWire(answer.part()), digest.daemon, answer.completed(), answer.completions());
+        inquiries_.answered(fromWire(answer.part()), digest.daemon, answer.completed(), answer.completions(), now);
     }
 }
 
@@ -112,7 +112,7 @@
     std::vector<Wire::PartQuestion> questions;
     for (const PartInquiries::Question &question : inquiries_.dueQuestions(now)) {
         const Wire::PartAnswer own = answerTo(question.part, question.since);
-        inquiries_.answered(question.part, ownId_, own.completed(), own.completions());
+        inquiries_.answered(question.part, ownId_, own.completed(), own.completions(), now);
         const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - question.since).count();
         questions.emplace_back(toWire(question.part), static_cast<std::uint32_t>(age));
     }
--- a/src/portpaddle/crashes/part_inquiry.cpp
+++ b/src/portpaddle/crashes/part_inquiry.cpp
@@ -18,6 +18,10 @@
 // Daemons of other regions answer within some hundred milliseconds; a question is repeated in each digest interval.
 constexpr std::chrono::milliseconds minInquiryTime{ 300 };
 constexpr std::chrono::milliseconds maxInquiryTime{ 1'500 };
+// A part that ends each upstream that begins to answer on it was not completed just before either. Upstreams that end together,
+// as those of one data centre do, leave no time for completions after their end: requests with a widely held part are lost with
+// them.
+constexpr std::chrono::milliseconds timeBeforeEnds{ 2'000 };
 // Where so few requests are completed, it says nothing that none of them holds the part.
 constexpr unsigned minCompletions = 8;
 
@@ -62,7 +66,9 @@
     }
 }
 
-void PartInquiries::answered(const RequestFingerprint &part, const std::string &daemon, bool completedPart, unsigned completions)
+// An early answer says little: the daemon may fall silent before anything could be completed.
+void PartInquiries::answered(const RequestFingerprint &part, const std::string &daemon, bool completedPart, unsigned completions,
+                             SteadyTime now)
 {
     const auto found = inquiries_.find(part);
     if (found == inquiries_.end() || !found->second.isOpen) {
@@ -70,7 +76,9 @@
     }
     Inquiry &inquiry = found->second;
     inquiry.isInnocent = inquiry.isInnocent || completedPart;
-    inquiry.answers[daemon] = completions;
+    if (now - inquiry.openedAt >= minInquiryTime) {
+        inquiry.answers[daemon] = completions;
+    }
 }
 
 std::vector<PartInquiries::Question> PartInquiries::dueQuestions(SteadyTime now)
@@ -78,7 +86,7 @@
     std::vector<Question> questions;
     for (const auto &[part, inquiry] : inquiries_) {
         if (inquiry.isOpen && now - inquiry.openedAt <= maxInquiryTime) {
-            questions.push_back({ part, inquiry.ends.front().at });
+            questions.push_back({ part, inquiry.ends.front().at - timeBeforeEnds });
         }
     }
     return questions;
--- a/src/portpaddle/crashes/part_inquiry.h
+++ b/src/portpaddle/crashes/part_inquiry.h
@@ -31,7 +31,7 @@
     struct Question
     {
         RequestFingerprint part;
-        /// Time at which the first of the upstreams ended on which the suspicion rests.
+        /// Completions count from this time on: shortly before the first of the upstreams ended on which the suspicion rests.
         SteadyTime since;
     };
 
@@ -39,7 +39,8 @@
     /// several have, unless it was asked about a moment ago.
     void noteEnd(const RequestFingerprint &part, std::uint64_t upstream, SteadyTime now);
     /// Records the answer of a daemon: whether it completed a request with the part, and how many with a prompt in all.
-    void answered(const RequestFingerprint &part, const std::string &daemon, bool completedPart, unsigned completions);
+    void answered(const RequestFingerprint &part, const std::string &daemon, bool completedPart, unsigned completions,
+                  SteadyTime now);
     /// Returns what is to be asked now. Call once in each digest interval.
     std::vector<Question> dueQuestions(SteadyTime now);
     /// Returns the parts that are to blame, as judged with @p daemons daemons to answer, and ends all inquiries that are over.
--- a/tests/gateway/prompt_part_tests.cpp
+++ b/tests/gateway/prompt_part_tests.cpp
@@ -171,6 +171,36 @@
     CHECK(fleet.turnsFor(3s, deadly) == 0);
 }
 
+TEST_CASE("Part of prompts, held by requests that end with a data centre and take long, is not accused")
+{
+    for (const std::size_t daemons : { 1U, 8U, 60U }) {
+        CAPTURE(daemons);
+        PartFleet fleet(daemons);
+        fleet.complete(shared);
+        fleet.turnsFor(300ms, shared);
+        fleet.endUpstreams(1, 4, { shared });
+        std::size_t accusers = 0;
+        for (int turns = 0; turns < 20; ++turns) {
+            fleet.complete(sharedPartsOf("s", "bb:10,own:5").at(0));
+            accusers += fleet.turn(shared);
+        }
+        CHECK(accusers == 0);
+    }
+}
+
+TEST_CASE("Part of prompts, ends upstreams from some time on, is accused within the time that the users allow")
+{
+    PartFleet fleet(8);
+    fleet.complete(deadly);
+    std::size_t accusers = 0;
+    for (std::uint64_t upstream = 1; upstream <= 20 && accusers == 0; ++upstream) {
+        fleet.endUpstreams(upstream, 1, { deadly });
+        fleet.complete(shared);
+        accusers += fleet.turnsFor(300ms, deadly);
+    }
+    CHECK(accusers >= 1);
+}
+
 TEST_CASE("Inquiries, callers invent parts, keep a bounded number")
 {
     PartInquiries inquiries;
