Test of a moved run whose new engine asked for time: the run goes on at its source

The test said that nothing is sent to the new engine, and took for granted that the stream then ends. Since it goes on at the engine that stopped it and keeps its memory, within the time in which that one takes requests: callers have the whole stream. The check that nothing is sent to the new engine stands; in place of "not whole" the test asks for the whole stream, each event once, and from where and at which engine it goes on.

--- a/tests/gateway/upstream_notice_tests.cpp
+++ b/tests/gateway/upstream_notice_tests.cpp
@@ -481,7 +481,8 @@
     CHECK(engines[first]->seen().size() == before);
 }
 
-TEST_CASE_FIXTURE(MovingEngines, "Moved run, new engine that sent Retry-After meanwhile, is not sent there")
+TEST_CASE_FIXTURE(MovingEngines,
+                  "Moved run, new engine that sent Retry-After meanwhile, is not sent there and goes on at the source")
 {
     std::size_t first = 0;
     RawCaller caller(address());
@@ -494,6 +495,10 @@
         answerNext.clear();
     };
     tickUntilOrdered();
-    CHECK_FALSE(caller.receive().whole);
+    const SeenAnswer answer = caller.receive();
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 6));
+    CHECK(continuedAt == engines[first]->address());
+    CHECK(continuedFrom == engines[first]->address() + "/h7");
     CHECK(engines[second]->seen().size() == 1);
 }
