--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,6 +7,8 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0: the same without the disruption
+RECORD = os.path.join(FOLDER, "record.txt")  # what was sent, answered and run
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 from fleet import Case, Engine, KeptConnection, configuration, plain_route, plain_service  # noqa: E402
 
@@ -76,4 +78,4 @@
         return len(lost) > MAX_LOST
 
 
-DamagedLength(FOLDER).main()
+DamagedLength(TROUBLE, RECORD).main()
