A silent upstream is left only once another one has the request

What callers saw: a stream that had begun ended without its rest (LOST), or a request was answered 502, although its upstream was sound and only silent for about a second.

Cause: after 0.6 s of silence the run was ended because another target was proposed. Whether that one can be reached, takes the request and answers was found out afterwards; where it refused, could not be reached or ended, the sound run was gone.

Change: the next attempt is prepared beside the silent one (Standby). Its place, payment, connection, request and the head of its answer come first. It takes over with that head, or 300 ms after its request was written without a refusal, since two upstreams must not work on one stream for longer. If the silent upstream is heard before, the prepared attempt is dropped and the run goes on. What belongs to one attempt (ticket, place, rollout, first bytes) stands in one struct now, and an attempt has two steps, up to the head and from there.

Evidence: silent_upstream_tests on the code before: 5 of 7 cases fail (next upstream refuses, ends without an answer, cannot be reached, hangs while the silent one goes on: the stream ends after its second event; without an answer yet: 502 in place of 200). With the change 7 of 7 pass, and request_path, resumed_stream, run_move, hand_over, relay, bounds, brittle_upstream, upstream_attempt, stop and answer_framing tests as before.

--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include "portpaddle/gateway/exchange.h"
+#include "portpaddle/gateway/exchange_attempt.h"
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/net/elapsed.h"
@@ -66,8 +67,9 @@
     }
     pollTimer_.cancel();
     move_.cancelWait();
-    if (current_ != nullptr) {
-        current_->interrupt();
+    dropStandby();
+    if (current_) {
+        current_->sending.interrupt();
     }
 }
 
@@ -156,7 +158,7 @@
     while (interruption_ == Interruption::None && timeLeft() > minAttemptTime) {
         const Target target = chooseTarget();
         const bool found = target.placement.verdict == Verdict::Serve || target.placement.verdict == Verdict::Forward;
-        const bool placed = found ? co_await takePlace(target) : false;
+        const bool placed = found ? co_await takePlace(target, place_) : false;
         if (found && !placed && ++denials < maxDeniedPlaces) {
             continue;
         }
@@ -179,7 +181,7 @@
         }
         report = co_await attempt(target);
         attempted = true;
-        report = co_await continueMovedRun(std::move(report), target);
+        report = co_await continueMovedRun(std::move(report), lastTarget_);
         const bool retries = handedOver_ ? false : co_await awaitRetry(report);
         if (!retries) {
             break;
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -40,8 +40,12 @@
     /// An upstream cannot answer within less time than this, so no attempt begins.
     static constexpr Millis minAttemptTime{ 5 };
     enum class Interruption { None, CallerLeft, Deadline };
+    /// One attempt: its target, what is counted for it, and its connection.
+    struct Attempt;
     /// State of the check whether the upstream of the attempt in progress hangs.
     struct SilenceWatch;
+    /// An attempt that is prepared while the upstream of the one in progress is silent.
+    struct Standby;
 
     /// Waits for the first configuration after a start; returns false if none arrives in time.
     Task<bool> awaitConfiguration();
@@ -66,16 +70,15 @@
     RequestPriority priority() const;
     Gateway::ChoiceContext choiceContext() const;
     /// Returns what the answer to an attempt tells about the version of its upstream; no value if nothing.
-    std::optional<AnswerSample> sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket, const AttemptReport &report,
-                                         SteadyTime now) const;
+    std::optional<AnswerSample> sampleOf(const Attempt &attempt, const AttemptReport &report, SteadyTime now) const;
     void startDeadline();
     /// Whether the request may be accepted during a stop; sets latestPredictedEnd_ if this depends on the prediction.
     bool fitsStopDeadline();
     /// Takes a place at the upstream of @p target if its service is brittle; returns false if there is none.
-    Task<bool> takePlace(const Target &target);
-    void givePlaceBack(PlaceEnd end);
-    /// Records that a brittle upstream rejected the request that was sent at @p sentAt, if @p notice says so.
-    void noteRejection(const UpstreamRecord &upstream, const AnswerNotice &notice, SteadyTime sentAt);
+    Task<bool> takePlace(const Target &target, std::optional<HeldPlace> &place);
+    void givePlaceBack(std::optional<HeldPlace> &place, PlaceEnd end);
+    /// Records that a brittle upstream rejected the request of @p attempt, if @p notice says so.
+    void noteRejection(Attempt &attempt, const AnswerNotice &notice);
     /// Returns the error for a request that has no possible target for @p reason.
     Error noTargetError(ExclusionReason reason);
     /// Returns the Retry-After for a request of a service whose upstreams all ask for time or are at their limits.
@@ -98,19 +101,43 @@
     Target continuationTarget();
     /// Ends the answer with a trailer that names where the forwarding daemon can resume the stream.
     Task<void> handOver(const MovedRun &moved);
-    Task<AttemptReport> attempt(const Target &target);
+    /// Makes an attempt at @p target, and goes on with the one that replaces it if its upstream falls silent.
+    Task<AttemptReport> attempt(Target target);
+    /// Prepares an attempt at @p target, which holds @p place.
+    std::shared_ptr<Attempt> makeAttempt(Target target, std::optional<HeldPlace> place);
+    /// Performs @p attempt as the one in progress; @p standby is set if that has begun to start it.
+    Task<AttemptReport> perform(std::shared_ptr<Attempt> attempt, std::shared_ptr<Standby> standby);
+    /// Whether the standby takes the place of the attempt that ended with @p report.
+    bool needsStandby(const AttemptReport &report);
     Target chooseTarget();
     AttemptPlan planFor(const Target &target);
-    /// Returns the callbacks of one attempt. @p continuesMovedRun is true if the attempt continues a run from moved memory.
-    AttemptCallbacks callbacksFor(const Target &target, LoadTicket &ticket, bool continuesMovedRun);
-    void noteFirstEvent();
-    /// Records that the first token of the attempt in progress took @p ms, or would have taken longer if @p unfinished.
+    /// Returns the callbacks of @p attempt, which must outlive them.
+    AttemptCallbacks callbacksFor(Attempt &attempt);
+    AttemptCallbacks remoteCallbacksFor(Attempt &attempt);
+    bool maySend(const Attempt &attempt);
+    void noteSending(Attempt &attempt);
+    void noteHead(Attempt &attempt, const AnswerNotice &notice);
+    void noteFirstEvent(Attempt &attempt);
+    /// Records that the first token of an attempt took @p ms, or would have taken longer if @p unfinished.
     void measureFirstToken(const Target &target, double ms, bool unfinished);
     /// Records that @p count whole events of the answer arrived.
     void noteEvents(std::size_t count);
-    void noteAttemptEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report);
-    /// Interrupts the attempt when its upstream hangs and another attempt is possible.
+    void noteAttemptEnd(Attempt &attempt, const AttemptReport &report);
+    /// Prepares another attempt when the upstream of the one in progress hangs.
     void watchSilence(const std::shared_ptr<SilenceWatch> &watch);
+    /// Begins to prepare an attempt beside the one in progress, if one is possible.
+    void beginStandby();
+    Task<void> startStandby(std::shared_ptr<Standby> standby, Target target);
+    /// Ends the start of @p standby: it takes over, or another one is prepared.
+    void noteStandbyStarted(const std::shared_ptr<Standby> &standby);
+    /// Lets @p standby take over after a short time, whether or not its answer has begun by then.
+    void limitStandbyTime(const std::shared_ptr<Standby> &standby);
+    /// Ends the attempt in progress, so that the standby takes its place.
+    void replaceCurrent();
+    /// Gives the prepared attempt up, because the one in progress goes on or the request has ended.
+    void dropStandby();
+    /// Ends a standby that was given up and is no longer being started.
+    void endDropped(Attempt &attempt, std::optional<AttemptReport> failure);
     /// Records that @p daemon, the last target, refused the request because it does not reach the upstreams.
     void noteCutOffPeer(const DaemonRecord &daemon);
     /// Returns the number of times that this daemon sent the request to an upstream.
@@ -172,7 +199,7 @@
     /// Whether the request is quarantined because upstreams crashed while running it.
     bool isRequestQuarantined();
     /// Reports a run whose connection broke, unless it ran for so long that it cannot be the cause of a crash.
-    void noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now);
+    void noteBrokenRun(const Attempt &attempt, SteadyTime now);
 
     Gateway &gateway_;
     CallerRequest request_;
@@ -200,13 +227,16 @@
     RunMove move_;
     /// The source of the moved memory from which the next attempt continues; empty if it starts anew.
     std::string memoryFrom_;
-    /// The place of the request at a brittle upstream.
+    /// The place at a brittle upstream for the attempt that follows.
     std::optional<HeldPlace> place_;
     /// The continuation that a daemon of another region resumes, or that this daemon was asked to resume.
     std::optional<Continuation> continuation_;
     /// Whether the stream was handed over to the forwarding daemon, which lets it continue elsewhere.
     bool handedOver_ = false;
-    UpstreamAttempt *current_ = nullptr;
+    std::shared_ptr<Attempt> current_;
+    std::shared_ptr<Standby> standby_;
+    /// The target of the attempt that ended last.
+    Target lastTarget_;
     Interruption interruption_ = Interruption::None;
     /// Ids of the upstreams, names of the regions and ids of the daemons asked so far.
     std::vector<std::string> tried_;
@@ -227,8 +257,6 @@
     bool isOwnStop_ = false;
     /// Decides which version of a service that is rolled out the first attempt is sent to.
     double versionChance_;
-    /// The attempt in progress, as it counts for a rollout of the service.
-    RolloutTicket rolloutTicket_;
     /// The service of a paid retry that has not reached its upstream; the payment covers attempts until one does.
     std::optional<std::string> retryUnderWay_;
     /// When that retry was paid for.
@@ -242,8 +270,6 @@
     /// Computed when it is first needed.
     std::optional<RequestFingerprint> fingerprint_;
     std::optional<std::vector<RequestFingerprint>> sharedParts_;
-    /// When the first bytes of the answer to the attempt in progress arrived.
-    std::optional<SteadyTime> attemptFirstBytesAt_;
     /// Milliseconds from the request's arrival to the first event; zero before it.
     double firstEventMs_ = 0;
     /// Number of complete events of the answer so far, including those that the caller received before the request came here.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -3,6 +3,7 @@
 
 // One attempt of an exchange: its request, its callbacks, and what its outcome tells about the target.
 
+#include "portpaddle/gateway/exchange_attempt.h"
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/crashes/prompt_part_fingerprint.h"
 #include "portpaddle/gateway/exchange.h"
@@ -31,15 +32,6 @@
 
 } // namespace
 
-struct Exchange::SilenceWatch
-{
-    std::string upstream;
-    /// The check looks for signs of life of the upstream after this time.
-    SteadyTime since;
-    /// The attempt in progress; null once it has ended.
-    UpstreamAttempt *sending = nullptr;
-};
-
 AttemptPlan Exchange::planFor(const Target &target)
 {
     const bool local = target.upstream.has_value();
@@ -70,72 +62,96 @@
     return plan;
 }
 
-// The ticket is filled when the request is sent to an upstream of this region; it must outlive the callbacks.
-AttemptCallbacks Exchange::callbacksFor(const Target &target, LoadTicket &ticket, bool continuesMovedRun)
+AttemptCallbacks Exchange::remoteCallbacksFor(Attempt &attempt)
 {
     AttemptCallbacks callbacks;
     callbacks.streamBegins = [this] { announceStream(BootClock::now()); };
-    if (!target.upstream) {
-        callbacks.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
-        callbacks.firstEvent = [this] { noteFirstEvent(); };
-        callbacks.eventsReceived = [this](std::size_t count) { noteEvents(count); };
-        callbacks.bytesReceived = [] {};
-        callbacks.maySend = [] { return true; };
-        // The answer of another daemon concerns upstreams to which this daemon sends nothing.
-        callbacks.headReceived = [](const AnswerNotice &) {};
-        return callbacks;
-    }
-    callbacks.connected = [this, &target] { gateway_.reach_.connected(*target.upstream); };
-    callbacks.maySend = [this, &target, continuesMovedRun] {
-        const std::string &upstream = target.upstream->id;
-        const SteadyTime now = BootClock::now();
-        if (!admitsVersion(gateway_.rollouts_.rule(service_), target.upstream->version)) {
-            return false;
-        }
-        if (!place_ && !continuesMovedRun && gateway_.brittleServices_.borne(service_, now)) {
-            return false;
-        }
-        const ExclusionReason exclusionReason = continuesMovedRun ? gateway_.notices_.exclusionForMovedRun(upstream, now)
-                                                                  : gateway_.notices_.exclusionReason(upstream, now);
-        return exclusionReason == ExclusionReason::None;
-    };
-    callbacks.sending = [this, &target, &ticket] {
-        ++sends_;
-        repeatedSends_ += askedUpstreams_.insert(target.upstream->id).second ? 0 : 1;
-        gateway_.notices_.sent(target.upstream->id, BootClock::now());
-        gateway_.reportedLoads_.sent(target.upstream->id, BootClock::now());
-        rolloutTicket_ = gateway_.rollouts_.sent(service_, route_->name, target.upstream->version);
-        ticket = gateway_.loads_.sent(*target.upstream, *target.spec, request_.prompt, target.placement, BootClock::now());
-    };
-    callbacks.headReceived = [this, &target, &ticket](const AnswerNotice &notice) {
-        gateway_.reach_.heard(*target.upstream, BootClock::now());
-        gateway_.noteBrittle(*target.upstream, notice, ticket.sentAt, BootClock::now());
-        noteRejection(*target.upstream, notice, ticket.sentAt);
-        gateway_.noteAnswer(*target.upstream, notice, ticket.sentAt);
-    };
-    callbacks.firstEvent = [this, &target, &ticket] {
-        noteFirstEvent();
-        const double took = static_cast<double>(elapsedSince(ticket.sentAt).count());
-        gateway_.metrics_.observe(Timer::PredictionError, std::abs(took - ticket.predictedMs));
-        gateway_.loads_.firstToken(ticket, BootClock::now());
-        measureFirstToken(target, took, false);
+    callbacks.sending = [this] { gateway_.metrics_.count(Counter::SentAway); };
+    callbacks.firstEvent = [this, &attempt] { noteFirstEvent(attempt); };
+    callbacks.eventsReceived = [this](std::size_t count) { noteEvents(count); };
+    callbacks.bytesReceived = [] {};
+    callbacks.maySend = [&attempt] { return !attempt.isDropped; };
+    // The answer of another daemon concerns upstreams to which this daemon sends nothing.
+    callbacks.headReceived = [](const AnswerNotice &) {};
+    return callbacks;
+}
+
+AttemptCallbacks Exchange::callbacksFor(Attempt &attempt)
+{
+    if (!attempt.target.upstream) {
+        return remoteCallbacksFor(attempt);
+    }
+    AttemptCallbacks callbacks;
+    callbacks.streamBegins = [this] { announceStream(BootClock::now()); };
+    callbacks.connected = [this, &attempt] { gateway_.reach_.connected(*attempt.target.upstream); };
+    callbacks.maySend = [this, &attempt] { return maySend(attempt); };
+    callbacks.sending = [this, &attempt] { noteSending(attempt); };
+    callbacks.headReceived = [this, &attempt](const AnswerNotice &notice) { noteHead(attempt, notice); };
+    callbacks.firstEvent = [this, &attempt] {
+        noteFirstEvent(attempt);
+        const double took = static_cast<double>(elapsedSince(attempt.ticket.sentAt).count());
+        gateway_.metrics_.observe(Timer::PredictionError, std::abs(took - attempt.ticket.predictedMs));
+        gateway_.loads_.firstToken(attempt.ticket, BootClock::now());
+        measureFirstToken(attempt.target, took, false);
     };
-    callbacks.eventsReceived = [this, &target, &ticket](std::size_t count) {
+    callbacks.eventsReceived = [this, &attempt](std::size_t count) {
         noteEvents(count);
-        gateway_.loads_.streamed(ticket, count, target.spec->tokensPerEvent, BootClock::now());
+        gateway_.loads_.streamed(attempt.ticket, count, attempt.target.spec->tokensPerEvent, BootClock::now());
     };
-    callbacks.bytesReceived = [this, &target] {
+    callbacks.bytesReceived = [this, &attempt] {
         const SteadyTime now = BootClock::now();
-        gateway_.loads_.heard(target.upstream->id, now);
-        gateway_.reach_.heard(*target.upstream, now);
+        dropStandby();
+        gateway_.loads_.heard(attempt.target.upstream->id, now);
+        gateway_.reach_.heard(*attempt.target.upstream, now);
     };
     return callbacks;
 }
 
-void Exchange::noteFirstEvent()
+bool Exchange::maySend(const Attempt &attempt)
+{
+    const UpstreamRecord &upstream = *attempt.target.upstream;
+    const SteadyTime now = BootClock::now();
+    const bool continuesMovedRun = !attempt.plan.memoryFrom.empty();
+    if (attempt.isDropped || !admitsVersion(gateway_.rollouts_.rule(service_), upstream.version)) {
+        return false;
+    }
+    if (!attempt.place && !continuesMovedRun && gateway_.brittleServices_.borne(service_, now)) {
+        return false;
+    }
+    const ExclusionReason exclusionReason = continuesMovedRun ? gateway_.notices_.exclusionForMovedRun(upstream.id, now)
+                                                              : gateway_.notices_.exclusionReason(upstream.id, now);
+    return exclusionReason == ExclusionReason::None;
+}
+
+void Exchange::noteSending(Attempt &attempt)
+{
+    const UpstreamRecord &upstream = *attempt.target.upstream;
+    const SteadyTime now = BootClock::now();
+    ++sends_;
+    repeatedSends_ += askedUpstreams_.insert(upstream.id).second ? 0 : 1;
+    gateway_.notices_.sent(upstream.id, now);
+    gateway_.reportedLoads_.sent(upstream.id, now);
+    attempt.rollout = gateway_.rollouts_.sent(service_, route_->name, upstream.version);
+    attempt.ticket = gateway_.loads_.sent(upstream, *attempt.target.spec, request_.prompt, attempt.target.placement, now);
+}
+
+void Exchange::noteHead(Attempt &attempt, const AnswerNotice &notice)
+{
+    const UpstreamRecord &upstream = *attempt.target.upstream;
+    const SteadyTime now = BootClock::now();
+    if (current_.get() == &attempt) {
+        dropStandby();
+    }
+    gateway_.reach_.heard(upstream, now);
+    gateway_.noteBrittle(upstream, notice, attempt.ticket.sentAt, now);
+    noteRejection(attempt, notice);
+    gateway_.noteAnswer(upstream, notice, attempt.ticket.sentAt);
+}
+
+void Exchange::noteFirstEvent(Attempt &attempt)
 {
     noteRetryArrived();
-    attemptFirstBytesAt_ = BootClock::now();
+    attempt.firstBytesAt = BootClock::now();
     firstEventMs_ = static_cast<double>(elapsedSince(request_.arrivedAt).count());
     gateway_.metrics_.observe(Timer::FirstByte, firstEventMs_);
 }
@@ -165,55 +181,91 @@
     eventsSeen_ += count;
 }
 
-Task<AttemptReport> Exchange::attempt(const Target &target)
+std::shared_ptr<Exchange::Attempt> Exchange::makeAttempt(Target target, std::optional<HeldPlace> place)
 {
     const bool local = target.upstream.has_value();
-    const AttemptPlan plan = planFor(target);
     const bool beside = !local && target.daemon->region == gateway_.identity_.region;
-    tried_.push_back(local ? target.upstream->id : beside ? target.daemon->id : target.daemon->region);
+    const std::string &key = local ? target.upstream->id : beside ? target.daemon->id : target.daemon->region;
+    tried_.push_back(key);
     askedTargets_
         += (askedTargets_.empty() ? "" : " ") + (local ? target.upstream->id : target.daemon->region + "/" + target.daemon->id);
     if (local) {
         askedVersions_ += (askedVersions_.empty() ? "" : " ") + target.upstream->version;
     }
+    const auto attempt = std::make_shared<Attempt>(gateway_, request_, writer_, progress_);
+    attempt->triedAs = key;
+    attempt->plan = planFor(target);
+    attempt->target = std::move(target);
+    attempt->place = std::move(place);
+    attempt->callbacks = callbacksFor(*attempt);
+    return attempt;
+}
+
+Task<AttemptReport> Exchange::attempt(Target target)
+{
+    AttemptReport report = co_await perform(makeAttempt(std::move(target), std::exchange(place_, std::nullopt)), nullptr);
+    while (standby_ && needsStandby(report)) {
+        const std::shared_ptr<Standby> standby = std::exchange(standby_, nullptr);
+        standby->isAdopted = true;
+        gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
+        log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0,
+            "another upstream goes on for it: " + report.error.message);
+        report = co_await perform(standby->attempt, standby);
+    }
+    dropStandby();
+    co_return report;
+}
 
-    LoadTicket ticket;
-    attemptFirstBytesAt_.reset();
-    const AttemptCallbacks callbacks = callbacksFor(target, ticket, !plan.memoryFrom.empty());
-    UpstreamAttempt sending(gateway_.pool_, gateway_.answerMemory_, gateway_.names_, request_, writer_, progress_);
-    current_ = &sending;
-    const auto watch = std::make_shared<SilenceWatch>(SilenceWatch{ plan.peer, BootClock::now(), &sending });
+Task<AttemptReport> Exchange::perform(std::shared_ptr<Attempt> attempt, std::shared_ptr<Standby> standby)
+{
+    const Target &target = attempt->target;
+    const bool local = target.upstream.has_value();
+    current_ = attempt;
+    lastTarget_ = target;
+    const auto watch = std::make_shared<SilenceWatch>(SilenceWatch{ attempt->plan.peer, BootClock::now() });
     if (local && route_->mayRunTwice() && !request_.relayed) {
         watchSilence(watch);
     }
-    const bool movable = local && plan.streamed && target.spec->movesMemory && !move_.begun();
+    const bool movable = local && attempt->plan.streamed && target.spec->movesMemory && !move_.begun();
     if (movable) {
-        gateway_.streams_[plan.peer].insert(this);
+        gateway_.streams_[attempt->plan.peer].insert(this);
+    }
+    AttemptReport report;
+    const bool started = standby ? co_await standby->awaitStart() : true;
+    if (!started) {
+        report = std::move(*standby->failure);
+    } else if (standby) {
+        report = co_await attempt->sending.receive(attempt->callbacks);
+    } else {
+        report = co_await attempt->sending.run(attempt->plan, attempt->callbacks);
     }
-    AttemptReport report = co_await sending.run(plan, callbacks);
     if (movable) {
-        gateway_.forgetStream(plan.peer, this);
+        gateway_.forgetStream(attempt->plan.peer, this);
     }
-    current_ = nullptr;
-    watch->sending = nullptr;
+    current_.reset();
+    watch->hasEnded = true;
     silenceTimer_.cancel();
-    noteAttemptEnd(target, ticket, report);
-    if (report.end == AttemptEnd::NotRun) {
-        refusedBy_.insert(tried_.back());
-    }
+    noteAttemptEnd(*attempt, report);
     co_return report;
 }
 
 /// Passes on what the attempt tells about its target: load, reachability, crashes, incarnation.
-void Exchange::noteAttemptEnd(const Target &target, LoadTicket &ticket, const AttemptReport &report)
+void Exchange::noteAttemptEnd(Attempt &attempt, const AttemptReport &report)
 {
+    const Target &target = attempt.target;
+    LoadTicket &ticket = attempt.ticket;
     const bool seen = report.sent && report.relayedSends != 0U;
-    if (seen) {
+    // A retry that is under way belongs to the standby, if there is one.
+    if (seen && !standby_) {
         noteRetryArrived();
     }
     const SteadyTime now = BootClock::now();
-    const bool interrupted = interruption_ != Interruption::None;
-    givePlaceBack(report.end == AttemptEnd::Complete || report.bufferedAnswer ? PlaceEnd::Answered : PlaceEnd::Unknown);
+    const bool interrupted = interruption_ != Interruption::None || attempt.isDropped;
+    const bool answered = report.end == AttemptEnd::Complete || report.bufferedAnswer;
+    givePlaceBack(attempt.place, answered ? PlaceEnd::Answered : PlaceEnd::Unknown);
+    if (report.end == AttemptEnd::NotRun) {
+        refusedBy_.insert(attempt.triedAs);
+    }
     if (!report.sent && !report.withheld && !interrupted) {
         if (target.upstream) {
             gateway_.noteConnectFailed(*target.upstream, now);
@@ -224,32 +276,31 @@
     if (target.upstream && report.connectionRefused) {
         gateway_.crashes_.connectionRefused(target.upstream->id, now);
     }
-    if (target.upstream && (report.end == AttemptEnd::Complete || report.bufferedAnswer)) {
+    if (target.upstream && answered) {
         gateway_.crashes_.recordCompleted(request_, callerName(), sharedParts(), now);
     }
     if (target.upstream && report.connectionBroke && !move_.stopOrdered()) {
-        noteBrokenRun(*target.upstream, now);
+        noteBrokenRun(attempt, now);
     }
     if (target.upstream && report.incarnationEnded) {
         gateway_.notices_.incarnationEnded(target.upstream->id, now);
     }
     if (target.upstream) {
-        gateway_.rollouts_.ended(std::exchange(rolloutTicket_, {}), sampleOf(*target.upstream, ticket, report, now));
+        gateway_.rollouts_.ended(std::exchange(attempt.rollout, {}), sampleOf(attempt, report, now));
     }
     // Where no upstream of the service sent anything, the path may have failed, which tells nothing about the time of a prefill.
-    const bool waited
-        = interrupted && !ticket.upstream.empty() && !attemptFirstBytesAt_ && gateway_.reach_.heardSince(service_, ticket.sentAt);
+    const bool waited = interruption_ != Interruption::None && !ticket.upstream.empty() && !attempt.firstBytesAt
+        && gateway_.reach_.heardSince(service_, ticket.sentAt);
     if (waited) {
         measureFirstToken(target, static_cast<double>(elapsedSince(ticket.sentAt).count()), true);
     }
     if (!ticket.upstream.empty()) {
-        const bool answered = report.end == AttemptEnd::Complete;
         // A run that was stopped in order to be moved is no failure of its upstream.
         const bool turnedAway = report.end == AttemptEnd::NotRun || report.turnedAway;
-        const LoadOutcome ended = answered ? LoadOutcome::Answered
-            : interrupted || move_.begun() ? LoadOutcome::Cancelled
-            : turnedAway                   ? LoadOutcome::TurnedAway
-                                           : LoadOutcome::Failed;
+        const LoadOutcome ended = report.end == AttemptEnd::Complete ? LoadOutcome::Answered
+            : interrupted || move_.begun()                           ? LoadOutcome::Cancelled
+            : turnedAway                                             ? LoadOutcome::TurnedAway
+                                                                     : LoadOutcome::Failed;
         gateway_.loads_.ended(ticket, ended, now);
     }
     if (target.daemon && report.peerCutOff) {
@@ -272,24 +323,24 @@
 }
 
 // A new version is not blamed for what happens to any upstream: one that crashes, refuses a request, or is still cold.
-std::optional<AnswerSample> Exchange::sampleOf(const UpstreamRecord &upstream, const LoadTicket &ticket,
-                                               const AttemptReport &report, SteadyTime now) const
+std::optional<AnswerSample> Exchange::sampleOf(const Attempt &attempt, const AttemptReport &report, SteadyTime now) const
 {
-    if (!report.sent || report.turnedAway || upstream.coldUntil > ticket.sentAt) {
+    const SteadyTime sentAt = attempt.ticket.sentAt;
+    if (!report.sent || report.turnedAway || attempt.target.upstream->coldUntil > sentAt) {
         return std::nullopt;
     }
     if (report.bufferedAnswer) {
-        return AnswerSample{ report.bufferedAnswer->status >= HttpStatus::internalError, now - ticket.sentAt };
+        return AnswerSample{ report.bufferedAnswer->status >= HttpStatus::internalError, now - sentAt };
     }
     const bool streams = route_->kind == RouteKind::Stream;
-    return streams && attemptFirstBytesAt_ ? std::optional(AnswerSample{ false, *attemptFirstBytesAt_ - ticket.sentAt })
-                                           : std::nullopt;
+    return streams && attempt.firstBytesAt ? std::optional(AnswerSample{ false, *attempt.firstBytesAt - sentAt }) : std::nullopt;
 }
 
-void Exchange::noteBrokenRun(const UpstreamRecord &upstream, SteadyTime now)
+void Exchange::noteBrokenRun(const Attempt &attempt, SteadyTime now)
 {
-    if (!attemptFirstBytesAt_ || now - *attemptFirstBytesAt_ < crashSuspicionTime) {
-        gateway_.crashes_.recordBrokenRun(upstream, { request_, callerName(), fingerprint(), sharedParts() }, now);
+    if (!attempt.firstBytesAt || now - *attempt.firstBytesAt < crashSuspicionTime) {
+        gateway_.crashes_.recordBrokenRun(*attempt.target.upstream, { request_, callerName(), fingerprint(), sharedParts() },
+                                          now);
     }
 }
 
@@ -327,22 +378,4 @@
     return *fingerprint_;
 }
 
-void Exchange::watchSilence(const std::shared_ptr<SilenceWatch> &watch)
-{
-    silenceTimer_.expires_after(upstreamSilenceBound);
-    silenceTimer_.async_wait([weak = weak_from_this(), watch](NetError error) {
-        const std::shared_ptr<Exchange> self = weak.lock();
-        if (error || !self || watch->sending == nullptr) {
-            return;
-        }
-        // An upstream that answers other requests does not hang: this request waits in its queue.
-        if (self->gateway_.loads_.heardSince(watch->upstream, watch->since) || !self->canAttemptAgain()) {
-            watch->since = BootClock::now();
-            self->watchSilence(watch);
-            return;
-        }
-        watch->sending->interrupt();
-    });
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/gateway/exchange_moves.cpp
@@ -28,7 +28,7 @@
 
 bool Exchange::moveAway(const UpstreamRecord &source, MoveWay way, SteadyTime until)
 {
-    if (move_.begun() || progress_.splitter.lastId().empty() || interruption_ != Interruption::None) {
+    if (move_.begun() || standby_ || progress_.splitter.lastId().empty() || interruption_ != Interruption::None) {
         return false;
     }
     // Engines that refused the request at its beginning may have room by now.
--- a/src/portpaddle/gateway/exchange_places.cpp
+++ b/src/portpaddle/gateway/exchange_places.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/gateway/exchange.h"
+#include "portpaddle/gateway/exchange_attempt.h"
 #include "portpaddle/net/elapsed.h"
 
 #include <fmt/format.h>
@@ -25,34 +26,35 @@
 } // namespace
 
 // A moved run has its memory at the upstream, which admits it before all others.
-Task<bool> Exchange::takePlace(const Target &target)
+Task<bool> Exchange::takePlace(const Target &target, std::optional<HeldPlace> &place)
 {
     const std::optional<double> borne = gateway_.brittleServices_.borne(service_, BootClock::now());
     if (!target.upstream || !borne || !memoryFrom_.empty()) {
         co_return true;
     }
-    place_ = co_await gateway_.places_.take(target.upstream->id, *borne);
-    if (!place_) {
+    place = co_await gateway_.places_.take(target.upstream->id, *borne);
+    if (!place) {
         gateway_.metrics_.count(Counter::PlacesDenied);
         co_return false;
     }
     if (interruption_ != Interruption::None) {
-        givePlaceBack(PlaceEnd::Unknown);
+        givePlaceBack(place, PlaceEnd::Unknown);
         co_return false;
     }
     co_return true;
 }
 
-void Exchange::givePlaceBack(PlaceEnd end)
+void Exchange::givePlaceBack(std::optional<HeldPlace> &place, PlaceEnd end)
 {
-    if (place_) {
-        gateway_.places_.release(*place_, end);
-        place_.reset();
+    if (place) {
+        gateway_.places_.release(*place, end);
+        place.reset();
     }
 }
 
-void Exchange::noteRejection(const UpstreamRecord &upstream, const AnswerNotice &notice, SteadyTime sentAt)
+void Exchange::noteRejection(Attempt &attempt, const AnswerNotice &notice)
 {
+    const UpstreamRecord &upstream = *attempt.target.upstream;
     const std::optional<double> borne = gateway_.brittleServices_.borne(service_, BootClock::now());
     const bool fromAsked = notice.incarnation.empty() || notice.incarnation == upstream.registeredName;
     if (!borne || !notice.full || !fromAsked || timeLeft() < queueTimeoutMargin) {
@@ -63,10 +65,10 @@
              { { "upstream", upstream.id },
                { "rejections_borne", fmt::format("{:.3f}", *borne) },
                { "own_running", std::to_string(gateway_.loads_.running(upstream.id)) } });
-    const Rejection rejection{ roomIn(notice.load), elapsedSince(sentAt) };
-    if (place_) {
-        gateway_.places_.reject(*place_, rejection);
-        place_.reset();
+    const Rejection rejection{ roomIn(notice.load), elapsedSince(attempt.ticket.sentAt) };
+    if (attempt.place) {
+        gateway_.places_.reject(*attempt.place, rejection);
+        attempt.place.reset();
     } else {
         gateway_.places_.rejectedWithoutPlace(upstream.id, *borne, rejection);
     }
--- /dev/null
+++ b/src/portpaddle/gateway/exchange_standby.cpp
@@ -0,0 +1,171 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// A second attempt that is prepared while the upstream of the first one is silent. A sound upstream may fall silent for a while,
+// so its run ends only once another upstream has the request; until then the run goes on as soon as its upstream is heard.
+
+#include "portpaddle/base/metrics.h"
+#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/net/spawn.h"
+
+#include <utility>
+
+namespace Portpaddle {
+
+Exchange::Attempt::Attempt(Gateway &gateway, const CallerRequest &request, CallerWriter &writer, StreamProgress &progress)
+    : sending(gateway.pool_, gateway.answerMemory_, gateway.names_, request, writer, progress)
+{
+}
+
+Exchange::Standby::Standby(const Executor &executor) : startTimer(executor), takeOverTimer(executor)
+{
+}
+
+Task<bool> Exchange::Standby::awaitStart()
+{
+    if (!hasStarted) {
+        NetError ignored;
+        startTimer.expires_at(SteadyTime::max());
+        co_await startTimer.async_wait(awaitingInto(ignored));
+    }
+    co_return !failure;
+}
+
+void Exchange::watchSilence(const std::shared_ptr<SilenceWatch> &watch)
+{
+    silenceTimer_.expires_after(upstreamSilenceBound);
+    silenceTimer_.async_wait([weak = weak_from_this(), watch](NetError error) {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (error || !self || watch->hasEnded) {
+            return;
+        }
+        // An upstream that answers other requests does not hang: this request waits in its queue.
+        if (!self->gateway_.loads_.heardSince(watch->upstream, watch->since)) {
+            self->beginStandby();
+        }
+        watch->since = BootClock::now();
+        self->watchSilence(watch);
+    });
+}
+
+void Exchange::beginStandby()
+{
+    const bool isMoved = move_.begun() || !memoryFrom_.empty() || continuation_;
+    if (standby_ || !current_ || isMoved || interruption_ != Interruption::None || isRequestQuarantined()) {
+        return;
+    }
+    if (!canAttemptAgain() || !payForRetry()) {
+        return;
+    }
+    Target target = gateway_.choose(request_, choiceContext(), BootClock::now());
+    if (!target.upstream && !target.daemon) {
+        refundRetry();
+        return;
+    }
+    standby_ = std::make_shared<Standby>(gateway_.executor_);
+    spawnTask(gateway_.executor_, "standby_attempt",
+              [self = shared_from_this(), standby = standby_, target = std::move(target)]() mutable -> Task<void> {
+                  co_await self->startStandby(std::move(standby), std::move(target));
+              });
+}
+
+Task<void> Exchange::startStandby(std::shared_ptr<Standby> standby, Target target)
+{
+    std::optional<HeldPlace> place;
+    const bool placed = co_await takePlace(target, place);
+    if (!placed || standby_ != standby) {
+        givePlaceBack(place, PlaceEnd::Unknown);
+        dropStandby();
+        co_return;
+    }
+    const std::shared_ptr<Attempt> attempt = makeAttempt(std::move(target), std::move(place));
+    standby->attempt = attempt;
+    const std::function<void()> noteSent = std::exchange(attempt->callbacks.sending, {});
+    attempt->callbacks.sending = [this, &noteSent, &standby] {
+        noteSent();
+        noteRetryArrived();
+        limitStandbyTime(standby);
+    };
+    standby->failure = co_await attempt->sending.start(attempt->plan, attempt->callbacks);
+    standby->hasStarted = true;
+    standby->startTimer.cancel();
+    standby->takeOverTimer.cancel();
+    noteStandbyStarted(standby);
+}
+
+void Exchange::noteStandbyStarted(const std::shared_ptr<Standby> &standby)
+{
+    if (standby->isAdopted) {
+        return;
+    }
+    if (standby->attempt->isDropped) {
+        endDropped(*standby->attempt, std::move(standby->failure));
+        return;
+    }
+    if (!standby->failure) {
+        replaceCurrent();
+        return;
+    }
+    standby_.reset();
+    refundRetry();
+    noteAttemptEnd(*standby->attempt, *standby->failure);
+    beginStandby();
+}
+
+void Exchange::limitStandbyTime(const std::shared_ptr<Standby> &standby)
+{
+    standby->takeOverTimer.expires_after(gateway_.options_.maxSharedRun);
+    standby->takeOverTimer.async_wait([weak = weak_from_this(), standby](NetError error) {
+        const std::shared_ptr<Exchange> self = weak.lock();
+        if (!error && self && self->standby_ == standby) {
+            self->replaceCurrent();
+        }
+    });
+}
+
+void Exchange::replaceCurrent()
+{
+    if (!canContinue()) {
+        dropStandby();
+    } else if (current_) {
+        current_->sending.interrupt();
+    }
+}
+
+bool Exchange::needsStandby(const AttemptReport &report)
+{
+    const bool failed = report.end == AttemptEnd::Broken || report.end == AttemptEnd::NotRun;
+    return failed && standby_->attempt && !report.continuation && interruption_ == Interruption::None && canContinue()
+        && !isRequestQuarantined();
+}
+
+void Exchange::dropStandby()
+{
+    const std::shared_ptr<Standby> standby = std::exchange(standby_, nullptr);
+    if (!standby) {
+        return;
+    }
+    refundRetry();
+    standby->takeOverTimer.cancel();
+    if (!standby->attempt) {
+        return;
+    }
+    standby->attempt->isDropped = true;
+    if (standby->hasStarted) {
+        endDropped(*standby->attempt, std::move(standby->failure));
+    } else {
+        standby->attempt->sending.interrupt();
+    }
+}
+
+void Exchange::endDropped(Attempt &attempt, std::optional<AttemptReport> failure)
+{
+    if (!failure) {
+        attempt.sending.discard();
+        failure = failedAttempt(AttemptEnd::Broken, ErrorCode::Cancelled, "the upstream that was asked before goes on");
+    }
+    noteAttemptEnd(attempt, *failure);
+}
+
+} // namespace Portpaddle
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -88,6 +88,9 @@
     std::set<std::string> regions;
     /// The whole fleet starts for the first time.
     bool isFirstStart = false;
+    /// For how long a silent upstream and the one that is to replace it may both work on a request. An upstream that refuses a
+    /// request does so at once.
+    std::chrono::milliseconds maxSharedRun{ 300 };
     /// A process that did not run for this long may have missed changes of the store.
     std::chrono::milliseconds stallBound{ 1'000 };
 };
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -92,9 +92,26 @@
     }
 }
 
+void UpstreamAttempt::discard()
+{
+    interrupt();
+    releaseConnection();
+}
+
 Task<AttemptReport> UpstreamAttempt::run(const AttemptPlan &plan, const AttemptCallbacks &callbacks)
+{
+    std::optional<AttemptReport> ended = co_await start(plan, callbacks);
+    if (ended) {
+        co_return std::move(*ended);
+    }
+    co_return co_await receive(callbacks);
+}
+
+Task<std::optional<AttemptReport>> UpstreamAttempt::start(const AttemptPlan &plan, const AttemptCallbacks &callbacks)
 {
     AttemptReport report;
+    peer_ = plan.peer;
+    streamed_ = plan.streamed;
     reportedSends_ = plan.reportedSends;
     upstreamVersion_ = plan.upstreamVersion;
     remote_ = plan.age.has_value();
@@ -103,22 +120,36 @@
         co_return report;
     }
     if (!callbacks.maySend()) {
-        connection_.reset();
-        pool_.ended(plan.peer);
+        releaseConnection();
         report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed, "the target no longer accepts requests");
         report.sent = false;
         report.withheld = true;
         co_return report;
     }
     callbacks.sending();
-    report = co_await sendAndReceive(plan, callbacks);
+    std::optional<AttemptReport> ended = co_await sendRequest(plan, callbacks);
+    if (ended) {
+        releaseConnection();
+    }
+    co_return ended;
+}
+
+Task<AttemptReport> UpstreamAttempt::receive(const AttemptCallbacks &callbacks)
+{
+    AttemptReport report = co_await receiveAnswer(callbacks);
+    releaseConnection();
+    co_return report;
+}
+
+/// Keeps the connection for other requests if it can serve them, and closes it otherwise.
+void UpstreamAttempt::releaseConnection()
+{
     if (reusable_ && connection_->looksUsable() && !interrupted_) {
-        pool_.keep(plan.peer, std::move(connection_));
+        pool_.keep(peer_, std::move(connection_));
     } else {
         connection_.reset();
-        pool_.ended(plan.peer);
+        pool_.ended(peer_);
     }
-    co_return report;
 }
 
 Task<bool> UpstreamAttempt::openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report)
@@ -195,58 +226,72 @@
     return message;
 }
 
-Task<AttemptReport> UpstreamAttempt::sendAndReceive(const AttemptPlan &plan, const AttemptCallbacks &callbacks)
+/// Sends the request and reads the head of the answer; returns a report if no answer is to be received after it.
+Task<std::optional<AttemptReport>> UpstreamAttempt::sendRequest(const AttemptPlan &plan, const AttemptCallbacks &callbacks)
 {
     NetError error;
     const Message message = composeRequest(plan);
     // An upstream may answer before it has read a long body. Its answer counts, so a failed write alone decides nothing.
     co_await http::async_write(connection_->socket, message, awaitingInto(error));
-    std::optional<Parser> parser;
     NetError readError;
-    const bool gotHead = co_await readHead(parser, callbacks, readError);
+    const bool gotHead = co_await readHead(parser_, callbacks, readError);
     if (!gotHead) {
         co_return brokenConnection("no answer: " + (error ? error : readError).message());
     }
-    const http::fields &fields = parser->get();
-    const unsigned status = parser->get().result_int();
-    const std::optional<unsigned> relayedSends = readReportedSends(fields);
-    const bool notRun = provesNotRun(parser->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
+    const http::fields &fields = parser_->get();
+    relayedSends_ = readReportedSends(fields);
+    const bool notRun = provesNotRun(parser_->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
     // A refusal also carries notices about its upstream.
-    const AnswerNotice notice = readNotice(parser->get(), names_, std::chrono::system_clock::now());
+    const AnswerNotice notice = readNotice(parser_->get(), names_, std::chrono::system_clock::now());
     callbacks.headReceived(notice);
-    const bool turnedAway = notice.backoff.kind == RetryAfterKind::Named;
-    AttemptReport report;
+    turnedAway_ = notice.backoff.kind == RetryAfterKind::Named;
     if (notRun) {
-        const bool whole = co_await discardRest(*parser, maxRefusalTime, readError);
-        updateReusable(*parser, whole);
-        report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
-                               "upstream did not run the request, status " + std::to_string(status));
-        const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
-        report.relayedSends = relayedSends;
-        report.peerCutOff = remote_ && !fields[relayCutOffHeader].empty();
-        report.incarnationEnded
-            = status == HttpStatus::misdirected && !incarnation.empty() && incarnation != plan.expectedUpstream;
-        report.turnedAway = turnedAway;
-        // The Retry-After of an unavailable upstream is meant for this daemon, not for the caller.
-        if (remote_ || status != HttpStatus::unavailable) {
-            const RetryAfter after = readRetryAfter(fields, std::chrono::system_clock::now());
-            report.error.retryAfter = after.kind == RetryAfterKind::Named ? std::optional(after.time) : std::nullopt;
-        }
-        co_return report;
+        co_return co_await discardRefusal(plan);
+    }
+    std::optional<AttemptReport> rejection = rejectionOf(*parser_);
+    if (rejection) {
+        rejection->relayedSends = relayedSends_;
+        rejection->turnedAway = turnedAway_;
+    }
+    co_return rejection;
+}
+
+Task<AttemptReport> UpstreamAttempt::discardRefusal(const AttemptPlan &plan)
+{
+    const http::fields &fields = parser_->get();
+    const unsigned status = parser_->get().result_int();
+    NetError error;
+    const bool whole = co_await discardRest(*parser_, maxRefusalTime, error);
+    updateReusable(*parser_, whole);
+    AttemptReport report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
+                                         "upstream did not run the request, status " + std::to_string(status));
+    const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
+    report.relayedSends = relayedSends_;
+    report.peerCutOff = remote_ && !fields[relayCutOffHeader].empty();
+    report.incarnationEnded = status == HttpStatus::misdirected && !incarnation.empty() && incarnation != plan.expectedUpstream;
+    report.turnedAway = turnedAway_;
+    // The Retry-After of an unavailable upstream is meant for this daemon, not for the caller.
+    if (remote_ || status != HttpStatus::unavailable) {
+        const RetryAfter after = readRetryAfter(fields, std::chrono::system_clock::now());
+        report.error.retryAfter = after.kind == RetryAfterKind::Named ? std::optional(after.time) : std::nullopt;
     }
-    if (std::optional<AttemptReport> rejection = rejectionOf(*parser)) {
-        report = std::move(*rejection);
-    } else if (plan.streamed && isStream(*parser)) {
-        report = co_await forwardStream(*parser, callbacks);
+    co_return report;
+}
+
+Task<AttemptReport> UpstreamAttempt::receiveAnswer(const AttemptCallbacks &callbacks)
+{
+    AttemptReport report;
+    if (streamed_ && isStream(*parser_)) {
+        report = co_await forwardStream(*parser_, callbacks);
     } else if (progress_.begun) {
         report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
-                               "status " + std::to_string(status) + " in place of the rest of the stream");
+                               "status " + std::to_string(parser_->get().result_int()) + " in place of the rest of the stream");
     } else {
-        report = co_await readWholeAnswer(*parser);
+        report = co_await readWholeAnswer(*parser_);
     }
-    report.relayedSends = relayedSends;
-    report.turnedAway = turnedAway;
-    updateReusable(*parser, report.end == AttemptEnd::Complete || report.bufferedAnswer.has_value());
+    report.relayedSends = relayedSends_;
+    report.turnedAway = turnedAway_;
+    updateReusable(*parser_, report.end == AttemptEnd::Complete || report.bufferedAnswer.has_value());
     co_return report;
 }
 
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -139,9 +139,17 @@
     UpstreamAttempt(ConnectionPool &pool, MemoryBudget &answerMemory, const HeaderNames &names, const CallerRequest &request,
                     CallerWriter &writer, StreamProgress &progress);
 
+    /// Performs the whole attempt: start(), and receive() if that has left an answer to receive.
     Task<AttemptReport> run(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
-    /// Closes the connection at once; run() returns soon after.
+    /// Sends the request and reads the head of the answer, of which nothing reaches the caller yet. Returns the report of an
+    /// attempt that has ended with it; no value if receive() is to follow.
+    Task<std::optional<AttemptReport>> start(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
+    /// Passes on the answer whose head start() has read.
+    Task<AttemptReport> receive(const AttemptCallbacks &callbacks);
+    /// Closes the connection at once; a call in progress returns soon after.
     void interrupt();
+    /// Gives up the answer whose head start() has read; nothing is received.
+    void discard();
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
@@ -149,7 +157,11 @@
 
     Task<bool> openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report);
     Message composeRequest(const AttemptPlan &plan) const;
-    Task<AttemptReport> sendAndReceive(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
+    void releaseConnection();
+    Task<std::optional<AttemptReport>> sendRequest(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
+    /// Reads the rest of a refusal and reports it.
+    Task<AttemptReport> discardRefusal(const AttemptPlan &plan);
+    Task<AttemptReport> receiveAnswer(const AttemptCallbacks &callbacks);
     /// Reads heads until one belongs to this request; returns false with @p error set if none does.
     Task<bool> readHead(std::optional<Parser> &parser, const AttemptCallbacks &callbacks, NetError &error);
     /// Whether the answer with this head to a streamed request is a stream, or the rest of the one that has begun.
@@ -186,6 +198,13 @@
     bool interrupted_ = false;
     /// The connection was closed because what came on it took too long.
     bool tooSlow_ = false;
+    /// Key of the target in the connection pool.
+    std::string peer_;
+    bool streamed_ = false;
+    /// The answer that is being read.
+    std::optional<Parser> parser_;
+    std::optional<unsigned> relayedSends_;
+    bool turnedAway_ = false;
     std::optional<unsigned> reportedSends_;
     std::optional<VersionKey> upstreamVersion_;
     /// The peer is another daemon.
