Callers' answers: one request has one head, and a begun stream only its end

The request of the stream was quarantined while the rest was waited for, and runAttempts() refused it as if nothing had been written; the text said "not sent", though it had run twice.

Cause: refuse(), fail() and whole answers did not ask whether an answer had begun. CallerWriter now belongs to one request and goes from none to begun to ended; it alone reaches the connection, which the session implements out of everybody else's sight. A head is written only from none. Whatever does not fit writes nothing, closes the connection and leaves a line with the request's id. refuse() and fail() end an answer that has begun. The session's own answers, 100 (Continue) among them, go the same way, and a handler that returns without an end is ended.

upstream_attempt_tests: the stand-in for a caller became one for its connection (support/recording_caller.h); the checks are unchanged.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -10,7 +10,6 @@
 #include "portpaddle/net/socket_options.h"
 #include "portpaddle/net/spawn.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
@@ -145,11 +144,13 @@
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
-        const bool whole = co_await readRequest(parser);
+        CallerWriter answer(*this);
+        const bool whole = co_await readRequest(parser, answer);
         if (!whole) {
             break;
         }
-        co_await serve(parser.release());
+        co_await serve(parser.release(), answer);
+        endUnanswered(answer);
         // The head of a stream may have announced, before a stop began, that the connection stays open.
         keepOpen_ = keepOpen_ && !handler_.closing();
     }
@@ -158,7 +159,7 @@
 }
 
 /// Waits for the first byte with the idle timeout, for the head with the header timeout, and for the body with the idle timeout.
-Task<bool> CallerSession::readRequest(Parser &parser)
+Task<bool> CallerSession::readRequest(Parser &parser, CallerWriter &answer)
 {
     const CallerLimits limits = handler_.limits();
     NetError error;
@@ -178,12 +179,12 @@
     co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
     noteRequestLine(parser);
     if (error) {
-        co_await reject(error);
+        co_await reject(error, answer);
         co_return false;
     }
     if (!parser.is_done()) {
         armTimer(limits.idleTimeout, &CallerSession::closeTimedOut);
-        const bool whole = co_await readBody(parser);
+        const bool whole = co_await readBody(parser, answer);
         if (!whole) {
             co_return false;
         }
@@ -204,7 +205,7 @@
     }
 }
 
-Task<bool> CallerSession::readBody(Parser &parser)
+Task<bool> CallerSession::readBody(Parser &parser, CallerWriter &answer)
 {
     NetError error;
     const boost::optional<std::uint64_t> announced = parser.content_length();
@@ -212,51 +213,53 @@
     // Only received bytes count, so that a few callers that announce long bodies cannot take all memory.
     bodyShare_.release();
     if (!fits) {
-        co_await refuseForMemory();
+        co_await refuseForMemory(answer);
         co_return false;
     }
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await boost::asio::async_write(socket_, boost::asio::buffer(continueResponse), awaitingInto(error));
+        const bool asked = co_await answer.askForBody();
+        if (!asked) {
+            co_return false;
+        }
     }
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
         if (!error && !bodyShare_.growTo(parser.get().body().size())) {
-            co_await refuseForMemory();
+            co_await refuseForMemory(answer);
             co_return false;
         }
     }
     if (error) {
-        co_await reject(error);
+        co_await reject(error, answer);
         co_return false;
     }
     co_return true;
 }
 
-Task<void> CallerSession::refuseForMemory()
+Task<void> CallerSession::refuseForMemory(CallerWriter &answer)
 {
     keepOpen_ = false;
-    WholeAnswer answer;
-    answer.status = HttpStatus::unavailable;
-    answer.fields.set(http::field::retry_after, "1");
-    co_await whole(std::move(answer));
+    WholeAnswer refusal;
+    refusal.status = HttpStatus::unavailable;
+    refusal.fields.set(http::field::retry_after, "1");
+    co_await answer.whole(std::move(refusal));
 }
 
 /// Answers a peer that broke the protocol or a bound with the reason; the connection closes afterwards.
-Task<void> CallerSession::reject(NetError error)
+Task<void> CallerSession::reject(NetError error, CallerWriter &answer)
 {
     keepOpen_ = false;
     if (!isProtocolError(error)) {
         co_return;
     }
-    WholeAnswer answer;
-    answer.status = statusOfReadError(error);
-    answer.body = error.message() + "\n";
-    answer.fields.set(http::field::content_type, "text/plain");
-    co_await whole(std::move(answer));
+    WholeAnswer refusal;
+    refusal.status = statusOfReadError(error);
+    refusal.body = error.message() + "\n";
+    refusal.fields.set(http::field::content_type, "text/plain");
+    co_await answer.whole(std::move(refusal));
 }
 
-Task<void> CallerSession::serve(HttpRequest message)
+Task<void> CallerSession::serve(HttpRequest message, CallerWriter &answer)
 {
     keepOpen_ = message.keep_alive();
     serving_ = true;
@@ -274,13 +277,23 @@
         request.continuation = decodeContinuation({ continuation.data(), continuation.size() });
     }
     watchCaller();
-    co_await handler_.serve(std::move(request), *this, onAbandoned_);
+    co_await handler_.serve(std::move(request), answer, onAbandoned_);
     onAbandoned_ = nullptr;
     co_await stopWatching();
     bodyShare_.release();
     serving_ = false;
 }
 
+void CallerSession::endUnanswered(CallerWriter &answer)
+{
+    if (answer.state() == AnswerState::Ended) {
+        return;
+    }
+    logEvent(LogEvent::RequestFailed,
+             { { "request", requestId_ }, { "message", "served without a complete answer: its connection is closed" } });
+    answer.abort();
+}
+
 /// Reads ahead while a request is served; the end or a reset of the connection means that the caller left.
 void CallerSession::watchCaller()
 {
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -36,7 +36,7 @@
 enum class SessionPeer { Caller, Daemon };
 
 /// A connection's session; it keeps itself alive until the connection ends.
-class CallerSession : public CallerWriter, public std::enable_shared_from_this<CallerSession>
+class CallerSession : public CallerConnection, public std::enable_shared_from_this<CallerSession>
 {
 public:
     CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler);
@@ -47,25 +47,30 @@
     void close();
     bool isOpen() const;
 
-    Task<bool> whole(WholeAnswer answer) override;
-    Task<bool> begin(unsigned status, boost::beast::http::fields fields) override;
-    Task<bool> writeChunk(std::string_view bytes) override;
-    Task<bool> end() override;
-    Task<bool> endWithTrailer(const char *name, const std::string &value) override;
-    void abort() override;
-
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    const std::string &requestId() const override;
+    Task<bool> sendContinue() override;
+    Task<bool> sendWhole(WholeAnswer answer) override;
+    Task<bool> sendHead(unsigned status, boost::beast::http::fields fields) override;
+    Task<bool> sendChunk(std::string_view bytes) override;
+    Task<bool> sendEnd() override;
+    Task<bool> sendEndWithTrailer(const char *name, const std::string &value) override;
+    void abandon() override;
+
     Task<void> run();
-    Task<bool> readRequest(Parser &parser);
-    Task<bool> readBody(Parser &parser);
-    Task<void> serve(HttpRequest message);
+    /// Reads a request whose answer, if it is rejected, goes to @p answer; returns false if there is none to serve.
+    Task<bool> readRequest(Parser &parser, CallerWriter &answer);
+    Task<bool> readBody(Parser &parser, CallerWriter &answer);
+    Task<void> serve(HttpRequest message, CallerWriter &answer);
+    /// Closes the connection if the request that was served has no complete answer.
+    void endUnanswered(CallerWriter &answer);
     /// Takes the id and the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
     void noteRequestLine(const Parser &parser);
-    Task<void> reject(NetError error);
+    Task<void> reject(NetError error, CallerWriter &answer);
     /// Answers a request for whose body there is no memory; the request has not run.
-    Task<void> refuseForMemory();
+    Task<void> refuseForMemory(CallerWriter &answer);
     void watchCaller();
     Task<void> stopWatching();
     void callerLeft();
--- a/src/portpaddle/gateway/caller_session_answers.cpp
+++ b/src/portpaddle/gateway/caller_session_answers.cpp
@@ -51,7 +51,20 @@
     (void)setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
-Task<bool> CallerSession::whole(WholeAnswer answer)
+const std::string &CallerSession::requestId() const
+{
+    return requestId_;
+}
+
+Task<bool> CallerSession::sendContinue()
+{
+    static constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+    NetError error;
+    co_await boost::asio::async_write(socket_, boost::asio::buffer(continueAnswer), awaitingInto(error));
+    co_return !error;
+}
+
+Task<bool> CallerSession::sendWhole(WholeAnswer answer)
 {
     const std::string &body = answer.sharedBody ? *answer.sharedBody : answer.body;
     framing_ = framingOfWhole(requestLine_, answer.status);
@@ -72,7 +85,7 @@
     co_return !error;
 }
 
-Task<bool> CallerSession::begin(unsigned status, http::fields fields)
+Task<bool> CallerSession::sendHead(unsigned status, http::fields fields)
 {
     framing_ = framingOfStream(requestLine_, status);
     http::response<http::empty_body> message(http::int_to_status(status), 11);
@@ -93,7 +106,7 @@
     co_return !error;
 }
 
-Task<bool> CallerSession::writeChunk(std::string_view bytes)
+Task<bool> CallerSession::sendChunk(std::string_view bytes)
 {
     if (bytes.empty()) {
         co_return true;
@@ -108,7 +121,7 @@
     }
 }
 
-Task<bool> CallerSession::end()
+Task<bool> CallerSession::sendEnd()
 {
     if (framing_ == BodyFraming::Chunks) {
         co_return co_await write(http::make_chunk_last());
@@ -120,10 +133,10 @@
 }
 
 // Without chunks there is no place for a trailer, and the answer must not look complete without it.
-Task<bool> CallerSession::endWithTrailer(const char *name, const std::string &value)
+Task<bool> CallerSession::sendEndWithTrailer(const char *name, const std::string &value)
 {
     if (framing_ != BodyFraming::Chunks) {
-        abort();
+        abandon();
         co_return false;
     }
     http::fields trailer;
@@ -131,7 +144,7 @@
     co_return co_await write(http::make_chunk_last(trailer));
 }
 
-void CallerSession::abort()
+void CallerSession::abandon()
 {
     keepOpen_ = false;
     close();
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -183,8 +183,12 @@
     /// Waits one polling interval for capacity; returns false when the request has waited for its maximum.
     Task<bool> waitForCapacity();
     Task<void> finish(AttemptReport report);
+    /// Answers that the request has not run and will not run; ends an answer that has begun.
     Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
+    /// Answers with the failure @p status; ends an answer that has begun.
     Task<void> fail(unsigned status, std::string message);
+    /// Ends an answer that has begun so that it does not look complete.
+    void endBegun(const std::string &message);
     void log(LogEvent event, unsigned status, const std::string &message) const;
     /// Whether the log line includes the retry budget: the request was sent more than once, or a retry lacked budget.
     bool logsBudget() const;
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -145,8 +145,9 @@
     }
     gateway_.metrics_.count(Counter::QuarantineRefusals);
     co_await refuse(ErrorCode::EndsUpstreams,
-                    "not sent: upstreams crashed while running requests with this path, caller and body, "
-                    "or with a part of this prompt",
+                    fmt::format("{}: upstreams crashed while running requests with this path, caller and body, "
+                                "or with a part of this prompt",
+                                sends_ == 0 ? "not sent" : "not sent again"),
                     quarantineTime);
     co_return false;
 }
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -33,8 +33,7 @@
             const bool taken = co_await writer_.end();
             log(taken ? LogEvent::RequestServed : LogEvent::RequestAbandoned, 200, report.error.message);
         } else {
-            writer_.abort();
-            log(LogEvent::RequestFailed, 200, report.error.message);
+            endBegun(report.error.message);
         }
         co_return;
     }
@@ -58,6 +57,12 @@
     co_await fail(late ? HttpStatus::gatewayTimeout : HttpStatus::badGateway, report.error.message);
 }
 
+void Exchange::endBegun(const std::string &message)
+{
+    writer_.abort();
+    log(LogEvent::RequestFailed, HttpStatus::ok, message);
+}
+
 Millis Exchange::retryAfterFor(const AttemptReport &report)
 {
     if (report.error.retryAfter) {
@@ -69,6 +74,10 @@
 /// Answers a request that has not run and will not run.
 Task<void> Exchange::refuse(ErrorCode code, std::string message, Millis retryAfter)
 {
+    if (writer_.state() != AnswerState::None) {
+        endBegun(message);
+        co_return;
+    }
     gateway_.metrics_.count(Counter::Refusals);
     WholeAnswer answer;
     answer.status = code == ErrorCode::LimitReached ? HttpStatus::tooMany : HttpStatus::unavailable;
@@ -89,6 +98,10 @@
 
 Task<void> Exchange::fail(unsigned status, std::string message)
 {
+    if (writer_.state() != AnswerState::None) {
+        endBegun(message);
+        co_return;
+    }
     log(LogEvent::RequestFailed, status, message);
     WholeAnswer answer;
     answer.status = status;
--- a/tests/gateway/crash_guard_tests.cpp
+++ b/tests/gateway/crash_guard_tests.cpp
@@ -4,6 +4,7 @@
 // Requests that crash upstreams: how they are distinguished from requests that ran there by chance, which daemons count crashes,
 // how long requests are quarantined. crashing_requests_tests.py tests all of it with real processes.
 
+#include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_store.h"
 #include "support/scripted_upstream.h"
@@ -312,3 +313,23 @@
     applyCurrentDigest();
     CHECK(ask("/plain/a", "id2", {}, "body").status == 503);
 }
+
+TEST_CASE_FIXTURE(CrashDigestFixture, "Begun stream, quarantined while its rest is waited for, ends without a second answer")
+{
+    removeUpstream("u1");
+    ScriptedUpstream ending([&ending](const SeenRequest &seen) {
+        return ScriptedAnswer{ streamHead(idOf(seen)) + eventChunk(1, 2), ScriptedAnswer::Then::Close,
+                               [&ending] { ending.refuseConnections(); } };
+    });
+    addUpstream("u2", ending.address());
+    RawCaller caller(address());
+    caller.send(GatewaySite::request("/resume/a", "id1", {}, "body"));
+    // Counted within the turn of the loop in which the wait begins.
+    REQUIRE(eventually([this] { return count(Counter::Resumes) == 1; }));
+    crashDigest.quarantined = { toWire(fingerprintOf(requestWith("/resume/a", "body"), {})) };
+    applyCurrentDigest();
+    const std::string received = caller.rest();
+    CHECK(received.find("HTTP/1.1") == received.rfind("HTTP/1.1"));
+    CHECK(received.ends_with(eventChunk(1, 2)));
+    CHECK(count(Counter::Refusals) == 0);
+}
--- a/tests/gateway/upstream_attempt_tests.cpp
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/spawn.h"
+#include "support/recording_caller.h"
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
@@ -13,35 +14,6 @@
 
 namespace {
 
-/// A caller to whom every write succeeds.
-class AcceptingCaller : public CallerWriter
-{
-public:
-    Task<bool> whole(WholeAnswer) override
-    {
-        co_return true;
-    }
-    Task<bool> begin(unsigned, boost::beast::http::fields) override
-    {
-        co_return true;
-    }
-    Task<bool> writeChunk(std::string_view) override
-    {
-        co_return true;
-    }
-    Task<bool> end() override
-    {
-        co_return true;
-    }
-    Task<bool> endWithTrailer(const char *, const std::string &) override
-    {
-        co_return true;
-    }
-    void abort() override
-    {
-    }
-};
-
 /// Runs one attempt against a scripted upstream.
 class AttemptFixture
 {
@@ -77,7 +49,8 @@
     unsigned signsOfLife = 0;
     MemoryBudget answerMemory;
     HeaderNames names;
-    AcceptingCaller caller;
+    RecordingCaller connection;
+    CallerWriter caller{ connection };
     StreamProgress progress;
     /// Whether the upstream may still be sent requests once the connection is open.
     bool upstreamAccepts = true;
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -389,6 +389,11 @@
     }
 }
 
+std::uint64_t GatewaySite::count(Counter counter) const
+{
+    return metrics_.value(counter);
+}
+
 std::string GatewaySite::address() const
 {
     return listener_->address();
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -106,6 +106,7 @@
     void publishRoutes();
     /// Runs @p work on the gateway's loop and waits for it.
     void onLoop(std::function<void(Gateway &)> work);
+    std::uint64_t count(Counter counter) const;
     /// Turns on or off that callers' idle connections are closed between any two steps of the loop.
     void closeIdleOnEveryTurn(bool on);
     std::string address() const;
