A relayed request names the configuration under which it was accepted

A route that only the newer configuration has was answered 404.

Cause: the receiver looks a request up anew in its own configuration; requests named no version, and nothing read the one in digests. Class: a decision made under one state is carried out under another one, and the message does not say which.

Change: the request carries version and sender. An older receiver asks the sender, if the store lists it, for its configuration (its items with one prefix) on a thread of its own, and the request waits for that for half a second at most; otherwise it is handed back as not run and without a send. The sender asks another daemon, prefers others for two seconds, also of other regions, and the rest of a begun stream is asked for again until its time ends; a region whose only daemon refused for reasons of its own is asked again then, which it was not. Newer receivers and daemons that name no version are served as before.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 60> catalogue{ {
+constexpr std::array<LogEventDescription, 61> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -36,7 +36,10 @@
     { LogEvent::FollowRoleChanged, "follow_role_changed", "info",
       "This daemon now follows the platform directly, or through other daemons." },
     { LogEvent::PeerStateTaken, "peer_state_taken", "info",
-      "Without contact with the platform, the daemon took newer changes from the state of another daemon." },
+      "The daemon took newer changes from the state of another daemon: it has no contact with the platform, or that one named a "
+      "newer version of the configuration." },
+    { LogEvent::CatchUpFailed, "catch_up_failed", "warning",
+      "Another daemon named a newer version of the configuration and did not hand it over." },
     { LogEvent::MemberJoined, "member_joined", "info", "Another daemon was discovered or returned." },
     { LogEvent::MemberSuspected, "member_suspected", "warning", "Another daemon does not answer probes." },
     { LogEvent::MemberDied, "member_died", "warning",
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -26,6 +26,7 @@
     FollowSourceLeft = 2103,
     FollowRoleChanged = 2104,
     PeerStateTaken = 2105,
+    CatchUpFailed = 2106,
     MemberJoined = 3001,
     MemberSuspected = 3002,
     MemberDied = 3003,
--- a/src/portpaddle/fleet/feed_server.cpp
+++ b/src/portpaddle/fleet/feed_server.cpp
@@ -46,7 +46,7 @@
 
 bool FeedServer::handles(const std::string &target) const
 {
-    return target == statePath || target.starts_with(changesPath);
+    return target == statePath || target.starts_with(changesPath) || target.starts_with(itemsPath);
 }
 
 void FeedServer::wake()
@@ -61,6 +61,9 @@
     if (target == statePath) {
         co_return answerState();
     }
+    if (target.starts_with(itemsPath)) {
+        co_return answerItems(std::string_view(target).substr(std::string_view(itemsPath).size()));
+    }
     if (const std::optional<std::uint64_t> revision = requestedRevision(target)) {
         co_return co_await answerChanges(*revision);
     }
@@ -95,6 +98,19 @@
     return sharedAnswer(wholeState, update, [this, &update] { return encodeKnownState(update); });
 }
 
+// Never from an earlier encoding: the daemon that asks was told that this one knows something newer.
+WholeAnswer FeedServer::answerItems(std::string_view prefix) const
+{
+    StoreState state = readState_();
+    std::erase_if(state.items, [prefix](const KeyValue &item) { return !item.key.starts_with(prefix); });
+    FeedUpdate update = feed_.since(0);
+    update.revision = state.revision;
+    update.scope = std::move(state.scope);
+    WholeAnswer answer;
+    answer.body = encodeState(daemon_, state.items, update);
+    return answer;
+}
+
 /// The state may be newer than the feed: it also contains what other daemons reported during an outage of the store.
 std::string FeedServer::encodeKnownState(FeedUpdate update) const
 {
--- a/src/portpaddle/fleet/feed_server.h
+++ b/src/portpaddle/fleet/feed_server.h
@@ -20,6 +20,8 @@
 /// Paths that a daemon serves on its link address: the whole state that it knows, and the changes since a revision.
 inline constexpr const char *statePath = "/portpaddle/state";
 inline constexpr const char *changesPath = "/portpaddle/changes";
+/// Path of those items of the state whose keys begin with what follows.
+inline constexpr const char *itemsPath = "/portpaddle/items?prefix=";
 /// How long a request for changes waits for one. By its next request the client notices whether this daemon is healthy.
 inline constexpr std::chrono::milliseconds maxFeedWait{ 1'000 };
 /// The state that a daemon knows is relied on while the store has confirmed it within this time: the daemon asks the store every
@@ -51,6 +53,7 @@
 private:
     Task<WholeAnswer> answerChanges(std::uint64_t revision);
     WholeAnswer answerState();
+    WholeAnswer answerItems(std::string_view prefix) const;
     std::string encodeKnownState(FeedUpdate update) const;
     /// Returns an answer with the encoding of @p update that @p encode makes. Requests for the same bytes share them.
     WholeAnswer sharedAnswer(std::uint64_t after, const FeedUpdate &update, const std::function<std::string()> &encode);
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -4,6 +4,7 @@
 /// A complete request of a caller with its decoded headers.
 #pragma once
 
+#include "portpaddle/gateway/configuration_stamp.h"
 #include "portpaddle/gateway/continuation.h"
 #include "portpaddle/gateway/header_names.h"
 #include "portpaddle/interfaces/answer_sink.h"
@@ -67,6 +68,8 @@
     bool relayed = false;
     /// The organisation that the forwarding daemon named; empty if the request came from its caller.
     std::string organisation;
+    /// The configuration under which the forwarding daemon accepted the request, as it named it.
+    std::optional<ConfigurationStamp> acceptedUnder;
     /// Number of times that other daemons sent the request to an upstream.
     unsigned earlierSends = 0;
     /// Number of events of the stream that the caller has received through the forwarding daemon.
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -268,6 +268,7 @@
         request.eventsSeen = static_cast<std::size_t>(relayedNumber(request.message, relayEventsHeader, maxReportedEvents));
         const auto organisation = request.message[relayOrganisationHeader];
         request.organisation.assign(organisation.data(), organisation.size());
+        request.acceptedUnder = decodeConfigurationStamp(viewOf(request.message[configurationHeader]));
         request.streamVersion = decodeVersionKey(viewOf(request.message[streamVersionHeader]));
         request.senderCanContinue = !request.message[continuesHeader].empty();
         const auto continuation = request.message[continueAtHeader];
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -47,8 +47,13 @@
     /// An attempt that is prepared while the upstream of the one in progress is silent.
     struct Standby;
 
-    /// Waits for the first configuration after a start; returns false if none arrives in time.
+    /// Waits for the first configuration after a start, or for the one under which another daemon accepted the request; returns
+    /// false if none arrives in time.
     Task<bool> awaitConfiguration();
+    /// Returns how long the request may wait for a configuration.
+    Millis configurationWait() const;
+    /// Whether another daemon accepted the request under a newer configuration than the one in force.
+    bool wasAcceptedUnderNewer() const;
     /// Looks up the route and the organisation in the newest configuration. Answers the caller and returns false if the request
     /// may not be served.
     Task<bool> findRoute();
@@ -138,8 +143,8 @@
     void dropStandby();
     /// Ends a standby that was given up and is no longer being started.
     void endDropped(Attempt &attempt, std::optional<AttemptReport> failure);
-    /// Records that @p daemon, the last target, refused the request because it does not reach the upstreams.
-    void noteCutOffPeer(const DaemonRecord &daemon);
+    /// Records that @p daemon, the last target, refused the request for a reason that concerns itself and not its region.
+    void noteUnfitPeer(const DaemonRecord &daemon);
     /// Returns the number of times that this daemon sent the request to an upstream.
     unsigned sendsByThisDaemon() const;
     /// Adds the number of sends by this daemon to an answer that goes to another daemon.
@@ -242,8 +247,8 @@
     std::vector<std::string> tried_;
     /// Those among them that refused the request.
     std::set<std::string> refusedBy_;
-    /// Number of daemons that refused the request because they do not reach the upstreams.
-    unsigned cutOffPeers_ = 0;
+    /// Number of daemons that refused the request for reasons of their own.
+    unsigned unfitPeers_ = 0;
     /// Targets asked so far, for the log; another region as "REGION/DAEMON".
     std::string askedTargets_;
     /// Versions of the upstreams among them, for the log.
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/gateway/exchange_admission.cpp
@@ -19,6 +19,8 @@
 
 constexpr Millis configurationPollInterval{ 20 };
 constexpr Millis retryAfterBeforeConfiguration{ 500 };
+// The sender needs most of the request's time to have it run elsewhere.
+constexpr int catchUpDivisor = 4;
 // Below every chance that draws a new version unless it receives all requests.
 constexpr double retryVersionChance = 0.999'999;
 
@@ -40,8 +42,11 @@
 
 Task<bool> Exchange::awaitConfiguration()
 {
-    while (!gateway_.view()->services && elapsedSince(request_.receivedAt) < gateway_.options_.configurationWait
+    while ((!gateway_.view()->services || wasAcceptedUnderNewer()) && elapsedSince(request_.receivedAt) < configurationWait()
            && interruption_ == Interruption::None) {
+        if (wasAcceptedUnderNewer()) {
+            gateway_.catchUpWith(*request_.acceptedUnder);
+        }
         NetError ignored;
         pollTimer_.expires_after(configurationPollInterval);
         co_await pollTimer_.async_wait(awaitingInto(ignored));
@@ -49,6 +54,21 @@
     co_return gateway_.view()->services != nullptr;
 }
 
+Millis Exchange::configurationWait() const
+{
+    if (!gateway_.view()->services) {
+        return gateway_.options_.configurationWait;
+    }
+    const Millis bound = gateway_.options_.catchUpWait;
+    return request_.timeLeft ? std::min(bound, *request_.timeLeft / catchUpDivisor) : bound;
+}
+
+// A run that goes on from a copy of its memory was placed when it began, and the copy is freed soon.
+bool Exchange::wasAcceptedUnderNewer() const
+{
+    return request_.acceptedUnder && !request_.continuation && request_.acceptedUnder->version > gateway_.configurationVersion();
+}
+
 Task<bool> Exchange::findRoute()
 {
     const bool configured = co_await awaitConfiguration();
@@ -57,6 +77,11 @@
         co_await refuse(ErrorCode::Stopping, "no configuration has been received yet", retryAfterBeforeConfiguration);
         co_return false;
     }
+    if (wasAcceptedUnderNewer()) {
+        co_await refuse(ErrorCode::PeerUnreachable, "accepted under a newer configuration than this daemon could get",
+                        retryAfterBeforeConfiguration);
+        co_return false;
+    }
     if (request_.id.empty()) {
         co_await fail(HttpStatus::badRequest, "the request has no id");
         co_return false;
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -27,8 +27,9 @@
 // Runs longer than this are not reported as possible causes of a crash: requests that crashed an upstream did so 48 to 82 ms
 // after it began to run them, before their first event.
 constexpr Millis crashSuspicionTime{ 250 };
-// After so many daemons that do not reach the upstreams, the region of the next one is not asked again.
-constexpr unsigned maxCutOffPeers = 2;
+// After so many daemons that do not reach the upstreams or have an older configuration, the region of the next one is not asked
+// again.
+constexpr unsigned maxUnfitPeers = 2;
 
 } // namespace
 
@@ -45,6 +46,7 @@
     plan.timeLeft = timeLeft();
     if (!local) {
         plan.age = elapsedSince(request_.arrivedAt) + (near ? Millis(0) : interRegionLatency);
+        plan.acceptedUnder = ConfigurationStamp{ services_->version, gateway_.identity_.id };
         plan.earlierSends = sends_;
         plan.eventsSeen = progress_.begun ? eventsSeen_ : 0;
     }
@@ -304,7 +306,13 @@
         gateway_.loads_.ended(ticket, ended, now);
     }
     if (target.daemon && report.peerCutOff) {
-        noteCutOffPeer(*target.daemon);
+        gateway_.regions_.markCutOff(target.daemon->id, bitOf(*gateway_.view_, service_));
+    }
+    if (target.daemon && report.peerOlder) {
+        gateway_.regions_.markOlder(target.daemon->id, services_->version, now);
+    }
+    if (target.daemon && (report.peerCutOff || report.peerOlder)) {
+        noteUnfitPeer(*target.daemon);
     }
     if (target.daemon && report.sent) {
         // A daemon that failed before it reported its sends is assumed to have sent the request once, as almost all do.
@@ -313,12 +321,12 @@
     mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
 }
 
-/// Another daemon of its region may reach the upstreams; a request asks only a few, since each costs a round trip.
-void Exchange::noteCutOffPeer(const DaemonRecord &daemon)
+/// Another daemon of its region may take the request; it asks only a few, since each costs a round trip.
+void Exchange::noteUnfitPeer(const DaemonRecord &daemon)
 {
-    gateway_.regions_.markCutOff(daemon.id, bitOf(*gateway_.view_, service_));
-    if (++cutOffPeers_ <= maxCutOffPeers) {
+    if (++unfitPeers_ <= maxUnfitPeers) {
         tried_.back() = daemon.id;
+        refusedBy_.insert(daemon.id);
     }
 }
 
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -82,6 +82,10 @@
     if (request_.relayed && gateway_.reach_.reach(service_) != Reach::Whole) {
         answer.fields.set(relayCutOffHeader, "1");
     }
+    if (request_.relayed && wasAcceptedUnderNewer()) {
+        answer.fields.set(configurationHeader,
+                          encodeConfigurationStamp({ gateway_.configurationVersion(), gateway_.identity_.id }));
+    }
     setSendsHeader(answer);
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
     co_await writer_.whole(std::move(answer));
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -70,6 +70,9 @@
     std::chrono::milliseconds listSettling{ 3'000 };
     /// How long a request waits for the first configuration after a start. A healthy store answers in milliseconds.
     std::chrono::milliseconds configurationWait{ 300 };
+    /// How long a request that another daemon accepted under a newer configuration waits for it. Asking a daemon of another
+    /// region takes two round trips.
+    std::chrono::milliseconds catchUpWait{ 500 };
     /// Runs are moved this long before their upstream ends, and earlier by the time that their copies take one after the other;
     /// the check runs every 100 ms.
     std::chrono::milliseconds moveLead{ 500 };
@@ -130,6 +133,8 @@
     std::vector<OutgoingDigest> dueLimitDigests();
     /// Sets the handler for other daemons' requests for the state of the store; it must outlive the gateway.
     void setPeerRequestHandler(PeerRequestHandler *handler);
+    /// Sets the function that asks another daemon for its configuration, which is newer; it must not block.
+    void setCatchUp(std::function<void(const std::string &address)> catchUp);
     /// Reads the view again; call when a newer one was published.
     void viewChanged();
     void setDigestInterval(std::chrono::milliseconds interval);
@@ -236,6 +241,13 @@
     void applyPrefixAffinity(const PromptFacts &prompt, const std::string &service, std::vector<UpstreamCandidate> &upstreams,
                              const std::vector<const UpstreamRecord *> &records, std::vector<RegionCandidate> &regions,
                              const std::vector<std::string> &regionNames);
+    /// Returns the version of the configuration in force; zero where none is known.
+    std::uint64_t configurationVersion() const;
+    /// Asks the daemon of @p newer for its configuration, if that is newer than the one in force.
+    void catchUpWith(const ConfigurationStamp &newer);
+    /// Removes the regions of which only daemons with an older configuration are left, unless there is no other region.
+    void passOverOlderRegions(std::vector<RegionCandidate> &regions, const std::vector<std::string> &regionNames,
+                              const ChoiceContext &context, SteadyTime now);
     /// Recomputes this daemon's share of the retry budget.
     void updateRetryBudget(SteadyTime now);
     /// Returns whether this daemon aggregates the usage of @p organisation for its region.
@@ -362,6 +374,7 @@
     /// Recent time that the move of one run took.
     SteadyTime::duration moveTime_ = std::chrono::milliseconds(20);
     PeerRequestHandler *peerRequestHandler_ = nullptr;
+    std::function<void(const std::string &address)> catchUp_ = [](const std::string &) {};
     MemoryBudget bodyMemory_;
     MemoryBudget answerMemory_;
     std::set<Exchange *> inProgress_;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -305,6 +305,7 @@
             return !context.allowsRegion(region) || std::find(tried.begin(), tried.end(), region) != tried.end()
                 || regions_.pick(*view_, region, context.service, tried, now, random_) == nullptr;
         });
+        passOverOlderRegions(regions, regionNames, context, now);
         for (RegionCandidate &candidate : regions) {
             candidate.fixedMs = modelOf(context.service).fixedMs();
         }
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/gateway/region_table.cpp
@@ -23,6 +23,8 @@
 // shorter than the age at which a summary no longer counts, so that other daemons of the region are tried before.
 constexpr std::chrono::milliseconds maxRegionSilence{ 1'000 };
 constexpr std::chrono::milliseconds avoidanceTime{ 1'000 };
+// A daemon that could not get a configuration from the one that named it is likely to get the next one late as well.
+constexpr std::chrono::milliseconds olderTime{ 2'000 };
 // Digests of a newly listed daemon reach all others within about two seconds, also in small fleets, where daemons take turns to
 // send.
 constexpr std::chrono::milliseconds firstDigestTimeout{ 3'000 };
@@ -75,6 +77,7 @@
     peer.phase = digest.phase;
     peer.heard = now;
     peer.unreachable = digest.unreachable;
+    peer.configVersion = digest.config_version;
     if (digest.region != ownRegion_) {
         takeRegion(digest.region, digest.services, digest.placed, now);
     }
@@ -258,14 +261,41 @@
     }
     const ServiceSet bit = bitOf(view, service);
     const std::size_t first = random.below(daemons.size());
+    const DaemonRecord *older = nullptr;
     for (std::size_t offset = 0; offset < daemons.size(); ++offset) {
         const DaemonRecord *daemon = daemons[(first + offset) % daemons.size()];
         const bool isCutOff = (unreachableFrom(daemon->id) & bit) != 0;
-        if (!isCutOff && std::find(tried.begin(), tried.end(), daemon->id) == tried.end()) {
+        if (isCutOff || std::find(tried.begin(), tried.end(), daemon->id) != tried.end()) {
+            continue;
+        }
+        if (!isOlder(daemon->id, now)) {
             return daemon;
         }
+        older = daemon;
     }
-    return nullptr;
+    return older;
+}
+
+void RegionTable::markOlder(const std::string &daemon, std::uint64_t version, SteadyTime now)
+{
+    Peer &peer = peers_[daemon];
+    peer.olderUntil = now + olderTime;
+    peer.missingVersion = version;
+    lastOlderUntil_ = peer.olderUntil;
+}
+
+bool RegionTable::isOlder(const std::string &daemon, SteadyTime now) const
+{
+    if (!knowsOlder(now)) {
+        return false;
+    }
+    const auto peer = peers_.find(daemon);
+    return peer != peers_.end() && peer->second.olderUntil > now && peer->second.configVersion < peer->second.missingVersion;
+}
+
+bool RegionTable::knowsOlder(SteadyTime now) const
+{
+    return lastOlderUntil_ > now;
 }
 
 void RegionTable::markCutOff(const std::string &daemon, ServiceSet services)
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/gateway/region_table.h
@@ -66,9 +66,16 @@
     std::vector<RegionCandidate> candidates(const std::string &service, const ServiceSpec &spec, const PromptFacts &prompt,
                                             Urgency urgency, SteadyTime now, std::vector<std::string> &regionNames) const;
     /// Returns a daemon of @p region to send a request of @p service to, except those whose ids are in @p tried; null when none
-    /// is known to be alive and to reach the upstreams.
+    /// is known to be alive and to reach the upstreams. One with an older configuration is the last resort.
     const DaemonRecord *pick(const FleetView &view, const std::string &region, const std::string &service,
                              const std::vector<std::string> &tried, SteadyTime now, RandomSource &random) const;
+    /// Records that a daemon refused a request because its configuration is older than @p version; for a moment others are
+    /// preferred, unless it reports that it has the version.
+    void markOlder(const std::string &daemon, std::uint64_t version, SteadyTime now);
+    /// Returns whether the daemon has an older configuration, as far as is known.
+    bool isOlder(const std::string &daemon, SteadyTime now) const;
+    /// Returns whether any daemon may have an older configuration.
+    bool knowsOlder(SteadyTime now) const;
     /// Records that a daemon refused a request because it does not reach the upstreams of @p services.
     void markCutOff(const std::string &daemon, ServiceSet services);
     /// Returns the services whose upstreams the daemon does not reach, as it last reported.
@@ -93,6 +100,10 @@
         SteadyTime heard{};
         SteadyTime avoidedUntil{};
         ServiceSet unreachable = 0;
+        std::uint64_t configVersion = 0;
+        /// Until then the daemon counts as older, unless it reports this version or a newer one.
+        SteadyTime olderUntil{};
+        std::uint64_t missingVersion = 0;
     };
 
     struct ListedDaemon
@@ -136,6 +147,7 @@
     std::string ownRegion_;
     std::chrono::milliseconds digestInterval_{ 100 };
     std::unordered_map<std::string, Peer> peers_;
+    SteadyTime lastOlderUntil_{};
     std::unordered_map<std::uint32_t, ListedDaemon> listedDaemons_;
     /// Regions of all daemons that are listed.
     std::set<std::string> listedRegions_;
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -29,7 +29,7 @@
     return Error{ ErrorCode::BadRequest, std::string("peer state: ") + why, RunState::NotRun, {} };
 }
 
-Result<PeerState> askPeer(const std::string &address)
+Result<PeerState> askPeer(const std::string &address, const std::string &target)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
@@ -40,7 +40,7 @@
     client.set_read_timeout(peerTimeout);
     BoundedBody body(largestStateBytes, BootClock::now() + maxStateTime);
     const httplib::Result result
-        = client.Get(statePath, [&body](const char *data, std::size_t size) { return body.append(data, size); });
+        = client.Get(target, [&body](const char *data, std::size_t size) { return body.append(data, size); });
     if (!result || result->status != 200) {
         return peerStateError("request failed");
     }
@@ -124,6 +124,11 @@
     return update.reachable && update.revision > 0 && now - update.confirmedAt < maxConfirmationAge;
 }
 
+Result<PeerState> fetchItems(const std::string &address, const std::string &prefix)
+{
+    return askPeer(address, itemsPath + prefix);
+}
+
 PeerStateClient::PeerStateClient(std::function<std::vector<std::string>()> peers) : peers_(std::move(peers))
 {
 }
@@ -135,7 +140,7 @@
         if (asked++ == maxPeersAsked) {
             break;
         }
-        Result<PeerState> peer = askPeer(address);
+        Result<PeerState> peer = askPeer(address, statePath);
         if (isOk(peer) && !valueOf(peer).state.items.empty()) {
             return peer;
         }
--- a/src/portpaddle/gateway/state_exchange.h
+++ b/src/portpaddle/gateway/state_exchange.h
@@ -39,6 +39,9 @@
 /// Whether the store confirmed @p update recently.
 bool isConfirmed(const FeedUpdate &update, SteadyTime now);
 
+/// Returns the items whose keys begin with @p prefix, as the daemon at the link address @p address knows them. Blocks.
+Result<PeerState> fetchItems(const std::string &address, const std::string &prefix);
+
 /// Fetches the state of the store from other daemons. Calls block.
 class PeerStateClient
 {
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -291,16 +291,34 @@
     const StateCoverage coverage = peer.state.scope == scope() ? StateCoverage::AllKeys : StateCoverage::SomeKeys;
     const std::vector<KeyChange> changes = replica_.merge(peer.state, coverage);
     if (!changes.empty()) {
-        logEvent(LogEvent::PeerStateTaken,
-                 { { "source", peer.address },
-                   { "revision", std::to_string(peer.state.revision) },
-                   { "followed_revision", std::to_string(revision_) },
-                   { "changes", std::to_string(changes.size()) },
-                   { "confirmed", peer.confirmed ? "true" : "false" } });
+        logPeerState(peer, changes.size());
     }
     listener_.receivedFromPeer(changes, peer.confirmed);
 }
 
+void StoreWatcher::logPeerState(const PeerState &peer, std::size_t changes) const
+{
+    logEvent(LogEvent::PeerStateTaken,
+             { { "source", peer.address },
+               { "revision", std::to_string(peer.state.revision) },
+               { "followed_revision", std::to_string(revision_) },
+               { "changes", std::to_string(changes) },
+               { "confirmed", peer.confirmed ? "true" : "false" } });
+}
+
+// The listener may be told meanwhile of other changes by the thread that follows the store; what it is told here concerns no key
+// that must keep an order with others.
+void StoreWatcher::takeItems(PeerState peer)
+{
+    peer.state.items = filtered(std::move(peer.state.items));
+    const std::vector<KeyChange> changes = replica_.merge(peer.state, StateCoverage::SomeKeys);
+    if (changes.empty()) {
+        return;
+    }
+    logPeerState(peer, changes.size());
+    listener_.receivedFromPeer(changes, false);
+}
+
 std::string StoreWatcher::scope() const
 {
     return filter_ == nullptr ? std::string() : filter_->scope();
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -55,6 +55,8 @@
     void start();
     /// Returns when the call in progress, if any, has ended.
     void stop();
+    /// Takes items that another daemon knows, without what it does not know. Thread-safe.
+    void takeItems(PeerState peer);
     /// Returns all that was reported, for other daemons. Thread-safe.
     StoreState state() const;
 
@@ -67,6 +69,7 @@
     void follow();
     void recordFailure(const Error &error);
     void fetchFromPeers();
+    void logPeerState(const PeerState &peer, std::size_t changes) const;
     void verify();
     void recordSuccess();
     /// Replaces the urgent items of @p listing by those that the store has now; leaves them if the store does not answer.
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -206,6 +206,9 @@
         message.set(relayEventsHeader, std::to_string(plan.eventsSeen));
         message.set(continuesHeader, "1");
     }
+    if (plan.acceptedUnder) {
+        message.set(configurationHeader, encodeConfigurationStamp(*plan.acceptedUnder));
+    }
     if (plan.age && progress_.version) {
         message.set(streamVersionHeader, encodeVersionKey(*progress_.version));
     }
@@ -268,6 +271,7 @@
     const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
     report.relayedSends = relayedSends_;
     report.peerCutOff = remote_ && !fields[relayCutOffHeader].empty();
+    report.peerOlder = remote_ && !fields[configurationHeader].empty();
     report.incarnationEnded = status == HttpStatus::misdirected && !incarnation.empty() && incarnation != plan.expectedUpstream;
     report.turnedAway = turnedAway_;
     // The Retry-After of an unavailable upstream is meant for this daemon, not for the caller.
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -69,6 +69,8 @@
     std::string fetchFrom;
     /// Set for another daemon: the age of the request when it arrives there.
     std::optional<std::chrono::milliseconds> age;
+    /// Set for another daemon: the configuration under which the request is sent.
+    std::optional<ConfigurationStamp> acceptedUnder;
     /// Number of times that the request was sent to an upstream before.
     unsigned earlierSends = 0;
     /// Set for another daemon: number of events of the stream that the caller has received.
@@ -104,6 +106,8 @@
     bool withheld = false;
     /// The target is a daemon that refused the request because it does not reach the upstreams.
     bool peerCutOff = false;
+    /// The target is a daemon that refused the request because its configuration is older.
+    bool peerOlder = false;
     /// Number of times that another daemon says it sent the request to an upstream.
     std::optional<unsigned> relayedSends;
     /// Where the stream can be continued if another daemon stops before its end.
--- a/tests/gateway/feed_server_tests.cpp
+++ b/tests/gateway/feed_server_tests.cpp
@@ -7,6 +7,7 @@
 
 #include "portpaddle/fleet/feed_server.h"
 
+#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/spawn.h"
 #include "support/suspended_clock.h"
 
@@ -62,3 +63,20 @@
     const Suspension later(3s);
     CHECK(answersAtOnce());
 }
+
+TEST_CASE("Request for items with a prefix, is answered with these and no others")
+{
+    boost::asio::io_context loop{ 1 };
+    const ChangeFeed feed{ [] {} };
+    const StoreState known{ { { "op/config", "8", 6 }, { "servers/u", "", 5 } }, 6, {} };
+    FeedServer server{ loop.get_executor(), "d", feed, [&known] { return known; } };
+    const std::string target = std::string(itemsPath) + "op/config";
+    REQUIRE(server.handles(target));
+    std::string body;
+    spawnTask(loop.get_executor(), "question", [&]() -> Task<void> { body = (co_await server.answer(target)).body; });
+    loop.poll();
+    const Result<FeedUpdate> items = decodeChanges(body, BootClock::now());
+    REQUIRE(isOk(items));
+    REQUIRE(valueOf(items).changes.size() == 1);
+    CHECK(valueOf(items).changes.front().item.value == "8");
+}
