Soak: settings say whether the whole fleet starts for the first time

The settings that tests/soak/daemons.py writes had no firstStart, which the platform's page defines as true only when the whole system starts for the first time. Without it no record of versions is complete for the first minute of a test, so no real daemon of ours ran on the path that users have: the proof by the only version.

Now true at the first start of a fleet, false for a daemon that starts again or joins later.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -33,12 +33,13 @@
     def address(self, part):
         return f"{self.host}:{self.ports[part]}"
 
-    def write_settings(self):
+    def write_settings(self, is_first):
         zones = {d.data_centre: d.region for d in self.soak.daemons}
         settings = {
             "nodeName": self.name, "ipAddress": self.host, "zone": self.data_centre, "region": self.region, "zones": zones,
             "internalPorts": [self.ports["link"], self.ports["link"]],
             "seeds": [f"{d.host}:{d.ports['link']}" for d in self.soak.daemons[:3]],
+            "firstStart": is_first,
             "listenAddresses": {"frontend": self.address("entry"), "readiness": self.address("readiness"),
                                 "control": "", "directory": self.address("directory")},
             "limits": {"memoryMb": 260, "fileDescriptors": 4100},
@@ -51,9 +52,10 @@
             json.dump({"settings": settings}, file)
         return path
 
-    async def start(self):
+    async def start(self, is_first=False):
+        """Starts the process. @p is_first: the whole fleet starts for the first time."""
         self.incarnation += 1
-        path = self.write_settings()
+        path = self.write_settings(is_first)
         self.process = await asyncio.create_subprocess_exec(
             self.soak.program, "--platform", env={**os.environ, "PORTPADDLE_NODE_FILE": path},
             stdout=self.log, stderr=self.log)
--- a/tests/soak/planned_stop_tests.py
+++ b/tests/soak/planned_stop_tests.py
@@ -109,7 +109,7 @@
                                     "slots": 64, "state": "ready", "coldRemainingMs": 0, "sequence": 1})
         self.session = aiohttp.ClientSession()
         self.attempts = 0
-        await self.daemon.start()
+        await self.daemon.start(is_first=True)
         await self.eventually(lambda: self.readiness(200))
 
     async def asyncTearDown(self):
--- a/tests/soak/small_fleet.py
+++ b/tests/soak/small_fleet.py
@@ -85,7 +85,7 @@
             daemon.store_proxy = SimpleNamespace(port=store_port)
             self.daemons.append(daemon)
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True, limit=0))
-        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        await asyncio.gather(*(daemon.start(is_first=True) for daemon in self.daemons))
         await self.eventually(self.all_serve)
 
     async def asyncTearDown(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -141,7 +141,7 @@
         for _ in range(self.options.daemons):
             await self.add_daemon()
         self.configure()
-        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        await asyncio.gather(*(daemon.start(is_first=True) for daemon in self.daemons))
 
     async def add_daemon(self):
         index = len(self.daemons)
