Tests: streams taken up after all daemons ended are of one version

What callers of a system like ours saw: two versions in service, or the old one's engines had just left, all daemons killed at once; streams that were taken up again were answered 200 and joined from two versions. Not seen here. No test said so; these do.

- stream_version_tests: a gateway that knows nothing of the stream, with the record that outlived the daemons.

--- a/tests/gateway/stream_version_tests.cpp
+++ b/tests/gateway/stream_version_tests.cpp
@@ -258,3 +258,22 @@
     CHECK(ask("/resume/a", "id2", std::string("Last-Event-ID: 3\r\n") + keptElsewhere).body.find("id: 4") == std::string::npos);
     CHECK(silent.seen().size() == 1);
 }
+
+TEST_CASE_FIXTURE(TwoVersionsFixture, "Streams taken up again, all daemons ended beside two versions, are not joined from them")
+{
+    ask("/resume/a", "id1");
+    const std::size_t begun = requestsSeen();
+    GatewaySite restarted;
+    restarted.setVersionSet({ { "v0", "v1" }, {}, true, 1 });
+    restarted.addUpstream("u1", upstreams[1]->address(), "v1");
+    SUBCASE("both versions are in service")
+    {
+        restarted.addUpstream("u0", upstreams[0]->address(), "v0");
+    }
+    SUBCASE("the upstreams of one have left")
+    {
+    }
+    const SeenAnswer answer = restarted.ask("/resume/a", "id2", "Last-Event-ID: 3\r\nX-Resumes: id1\r\n");
+    CHECK(answer.status == 503);
+    CHECK(requestsSeen() == begun);
+}
