--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -65,6 +65,8 @@
     StreamsAnnounced,
     BrittleRejections,
     PlacesDenied,
+    SilentUpstreamsLeft,
+    StandbysDropped,
     Count,
 };
 
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -207,6 +207,7 @@
     while (standby_ && needsStandby(report)) {
         const std::shared_ptr<Standby> standby = std::exchange(standby_, nullptr);
         standby->isAdopted = true;
+        gateway_.metrics_.count(Counter::SilentUpstreamsLeft);
         gateway_.metrics_.count(progress_.begun ? Counter::Resumes : Counter::Retries);
         log(progress_.begun ? LogEvent::RequestResumed : LogEvent::RequestRetried, 0,
             "another upstream goes on for it: " + report.error.message);
--- a/src/portpaddle/gateway/exchange_standby.cpp
+++ b/src/portpaddle/gateway/exchange_standby.cpp
@@ -146,6 +146,7 @@
     if (!standby) {
         return;
     }
+    gateway_.metrics_.count(Counter::StandbysDropped);
     refundRetry();
     standby->takeOverTimer.cancel();
     if (!standby->attempt) {
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,12 +7,13 @@
 
 MEAN_INTERVAL = 0.5  # mean seconds between two faults
 MAX_DURATION = 3.0  # longest duration of a fault in seconds
+SILENCE = (0.7, 1.3)  # seconds for which sound upstreams fall silent, at least and at most
 KILLS_IN_SERIES = 4  # consecutive kills of daemons
 KILL_INTERVAL = 1.5  # seconds; a daemon serves again some tenths of a second after a restart
 
 
 # Planned work, which must not lose a request.
-PLANNED = ("stop", "hang_up", "configure", "storm", "upstream_leaves")
+PLANNED = ("stop", "hang_up", "configure", "storm", "upstream_leaves", "fall_silent")
 # Faults that strain the retry budget: failing services, and daemons that lose, miss or delay reports of what was spent, or get
 # the callers of others.
 RETRY_FAULTS = ("spoil_service", "spoil_service", "move_callers", "stop_in_turn", "kill_in_series", "power_loss", "kill_many",
@@ -40,7 +41,7 @@
                       self.store_loses, self.store_refuses, self.store_cut, self.forget, self.link_delay, self.link_reset,
                       self.link_silent, self.entry_reset, self.spoil, self.upstream_crash, self.upstream_leaves,
                       self.upstream_vanishes, self.configure, self.storm, self.evacuate, self.kill_in_series, self.power_loss,
-                      self.join, self.spoil_service, self.name_limit, self.tell_leaving, self.ask_for_time]
+                      self.join, self.spoil_service, self.name_limit, self.tell_leaving, self.ask_for_time, self.fall_silent]
         if soak.planned_only:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in PLANNED]
         if soak.options.press:
@@ -64,7 +65,7 @@
     def begin(self, kind, lasts=None):
         self.counts[kind.__name__] += 1
         lasts = lasts or self.random.uniform(0.2, MAX_DURATION)
-        if kind not in (self.configure, self.upstream_leaves, self.evacuate, self.name_limit):
+        if kind not in (self.configure, self.upstream_leaves, self.evacuate, self.name_limit, self.fall_silent):
             self.soak.disturb(lasts + (6 if kind == self.store_away else 1))
         self.tasks.append(asyncio.create_task(kind(lasts)))
 
@@ -222,6 +223,15 @@
         await asyncio.sleep(lasts)
         upstream.mode = None
 
+    async def fall_silent(self, lasts):
+        """Makes one upstream, or all of a region, send nothing for about a second and go on. No trouble, and no excuse."""
+        one = self.upstream()
+        together = self.random.random() < 0.3
+        until = self.soak.now() + self.random.uniform(*SILENCE)
+        for upstream in self.soak.upstreams:
+            if upstream == one or (together and upstream.region == one.region):
+                upstream.silent_until = until
+
     async def spoil_service(self, lasts):
         """Makes every upstream of a service fail, so that daemons make as many retries as the budget allows."""
         service = self.random.choice(sorted({upstream.service for upstream in self.soak.upstreams}))
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -52,6 +52,7 @@
         self.limit = None  # announced limit in requests per second
         self.mode = None  # injected fault: errors, lost, torn, extra, shed, slow
         self.backoff = None  # backoff in seconds that refusals request
+        self.silent_until = 0.0  # time until which it sends nothing
         self.announces_leaving = False  # whether answers carry the leaving notice
         self.left_since = None  # time at which its leaving was written to the store
         self.transports = set()
@@ -102,7 +103,12 @@
         self.proxy.refusing = True
         self.proxy.reset_all()
 
+    async def wait_while_silent(self):
+        while self.soak.now() < self.silent_until:
+            await asyncio.sleep(self.silent_until - self.soak.now())
+
     async def serve(self, request):
+        await self.wait_while_silent()
         if request.path == "/v1/report":
             return web.json_response({"running": self.running})
         if request.path == "/v1/kv-move":
@@ -149,6 +155,7 @@
         if request.path.startswith("/stream"):
             return await self.stream(request, attempt, head)
         await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
+        await self.wait_while_silent()
         text = whole_body(attempt, self.service)
         if self.mode == "torn":
             answer = web.StreamResponse(headers={**head, "Content-Length": str(len(text))})
@@ -186,8 +193,12 @@
         version = self.version
         last = stream_length(stream)
         stop_ordered, stream_stopped = self.stopped[attempt] = (asyncio.Event(), asyncio.Event())
+        due = self.soak.now()
         for number in range(first, last + 1):
-            await asyncio.sleep(pace(attempt, request.path))
+            # Events that fell due while the upstream was silent follow at once, so that no stream outlasts its time.
+            due += pace(attempt, request.path)
+            await asyncio.sleep(max(0, due - self.soak.now()))
+            await self.wait_while_silent()
             if stop_ordered.is_set():
                 request.transport.close()
                 stream_stopped.set()
