Peers: nothing is reserved by an announced length

Cause: the parser of answers had a string body of Beast without a bound. That body reserves the announced length as soon as the head is parsed. The exception leaves a step of a read, which Asio 1.74 cannot carry to the coroutine: the process aborts. Class: what a peer announces is taken before it has come.

Change: ReceivedBody grows by the bytes that arrived and reports a lack of memory as an error. Upstreams' answers, those of other daemons, of orders and callers' requests use it; an answer to an order has a bound on its body in the parser. The bounds on what peers send stand in peer_bounds.h. A length above 2^40 bytes is a failed attempt; long answers and streams are passed on as they arrive, as before.

The parser in tests/support/gateway_site.cpp has the new type of body.

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -10,6 +10,7 @@
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/bounded_body.h"
 #include "portpaddle/net/endpoint.h"
+#include "portpaddle/net/peer_bounds.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
@@ -28,8 +29,6 @@
 constexpr Millis connectTimeout{ 400 };
 // Added to the time for which an answer may wait: a small VM may stall for some hundred milliseconds.
 constexpr Millis readTimeoutMargin{ 700 };
-// A whole state may come over a slow link, in this time after the wait.
-constexpr Millis maxFeedTime{ 5'000 };
 constexpr std::chrono::milliseconds avoidTime{ 1'000 };
 // Limit for a waiting call to the store after all sources failed, so that recovered sources are tried again soon. A lost answer
 // of the store shows only at this timeout.
@@ -144,7 +143,7 @@
         activeClient_ = client;
     }
     const Time begin = BootClock::now();
-    BoundedBody body(largestStateBytes, begin + maxFeedWait + maxFeedTime);
+    BoundedBody body(PeerBounds::stateBytes, begin + maxFeedWait + PeerBounds::stateTime);
     const httplib::Result result
         = client->Get(target, [&body](const char *data, std::size_t size) { return body.append(data, size); });
     if (!result && BootClock::now() - begin >= maxFeedWait + readTimeoutMargin) {
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/gateway/caller_request.h
@@ -9,10 +9,10 @@
 #include "portpaddle/interfaces/answer_sink.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/net/received_body.h"
 #include "portpaddle/stream_versions/stream_key.h"
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -22,7 +22,7 @@
 
 namespace Portpaddle {
 
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpRequest = boost::beast::http::request<ReceivedBody>;
 
 /// A part of a prompt that other prompts may share; the hash covers this part and all parts before it.
 struct PromptPart
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -7,6 +7,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/socket_options.h"
 #include "portpaddle/net/spawn.h"
 
@@ -22,8 +23,6 @@
 
 namespace {
 
-// Bytes of following requests that are buffered while one request is served; further bytes stay in the kernel.
-constexpr std::size_t maxReadAhead = 16 * 1024;
 constexpr std::size_t readAheadStep = 2 * 1024;
 
 unsigned statusOfReadError(NetError error)
@@ -284,7 +283,7 @@
 /// Reads ahead while a request is served; the end or a reset of the connection means that the caller left.
 void CallerSession::watchCaller()
 {
-    if (!socket_.is_open() || buffer_.size() >= maxReadAhead) {
+    if (!socket_.is_open() || buffer_.size() >= PeerBounds::callerReadAheadBytes) {
         return;
     }
     watching_ = true;
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -8,6 +8,7 @@
 #include "portpaddle/gateway/caller_writer.h"
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/answer_framing.h"
+#include "portpaddle/net/received_body.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -55,7 +56,7 @@
     void abort() override;
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
     Task<void> run();
     Task<bool> readRequest(Parser &parser);
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/gateway/memory_move.cpp
@@ -3,6 +3,9 @@
 
 #include "portpaddle/gateway/memory_move.h"
 
+#include "portpaddle/net/peer_bounds.h"
+#include "portpaddle/net/received_body.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -13,8 +16,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTimeout{ 300 };
-// Answers to orders name one handle.
-constexpr std::uint32_t maxAnswerBytes = 16 * 1024;
 
 } // namespace
 
@@ -38,14 +39,13 @@
         const ConnectionTimeout timeout(*connection, maxTime);
         order.prepare_payload();
         co_await http::async_write(connection->socket, order, awaitingInto(error));
-        http::response_parser<http::string_body> parser;
-        parser.header_limit(maxAnswerBytes);
+        http::response_parser<ReceivedBody> parser;
+        parser.header_limit(PeerBounds::orderAnswerBytes);
+        parser.body_limit(PeerBounds::orderAnswerBytes);
         while (!error && !parser.is_done()) {
             co_await http::async_read_some(connection->socket, connection->buffer, parser, awaitingInto(error));
-            const bool isTooLong = parser.get().body().size() > maxAnswerBytes;
-            error = !error && isTooLong ? NetError(boost::asio::error::message_size) : error;
         }
-        const http::response<http::string_body> &answer = parser.get();
+        const http::response<ReceivedBody> &answer = parser.get();
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
             onAnswer(source, answer);
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/net/bounded_body.h"
 #include "portpaddle/net/endpoint.h"
+#include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/wire/state_generated.h"
 
 #include <httplib.h>
@@ -19,8 +20,6 @@
 // Peers are one or two hops away; one that takes longer hangs or is cut off.
 constexpr Millis peerTimeout{ 400 };
 constexpr std::size_t maxPeersAsked = 3;
-// A whole state may come over a slow link.
-constexpr Millis maxStateTime{ 5'000 };
 // Upper bound of a reported age; a greater age means that the state was never confirmed.
 constexpr std::int64_t maxAgeMs = 3'600'000;
 
@@ -38,7 +37,7 @@
     httplib::Client client(endpoint->address().to_string(), endpoint->port());
     client.set_connection_timeout(peerTimeout);
     client.set_read_timeout(peerTimeout);
-    BoundedBody body(largestStateBytes, BootClock::now() + maxStateTime);
+    BoundedBody body(PeerBounds::stateBytes, BootClock::now() + PeerBounds::stateTime);
     const httplib::Result result
         = client.Get(statePath, [&body](const char *data, std::size_t size) { return body.append(data, size); });
     if (!result || result->status != 200) {
@@ -100,7 +99,7 @@
 {
     const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
-    if (bytes.size() > largestStateBytes || !verifier.VerifyBuffer<Wire::FleetState>(nullptr)) {
+    if (bytes.size() > PeerBounds::stateBytes || !verifier.VerifyBuffer<Wire::FleetState>(nullptr)) {
         return peerStateError("malformed");
     }
     Wire::FleetStateT state;
--- a/src/portpaddle/gateway/state_exchange.h
+++ b/src/portpaddle/gateway/state_exchange.h
@@ -16,9 +16,6 @@
 
 namespace Portpaddle {
 
-/// Larger states are rejected; a configuration of some hundred routes takes a tenth of this.
-inline constexpr std::size_t largestStateBytes = 8 * 1024 * 1024;
-
 /// Encodes all @p items that @p daemon knows; @p update has the minimum revision of their state.
 std::string encodeState(const std::string &daemon, const std::vector<KeyValue> &items, const FeedUpdate &update);
 /// Encodes the changes of @p update.
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -7,6 +7,7 @@
 #include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/peer_bounds.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
@@ -22,10 +23,6 @@
 
 namespace {
 
-// The rest of a refusal is only awaited so that its connection can be used again.
-constexpr std::chrono::milliseconds maxRefusalTime{ 20 };
-// Events of engines hold a few tokens each.
-constexpr std::size_t maxEventBytes = 1024 * 1024;
 // A connection is no longer used from this long before the upstream may close it.
 constexpr std::chrono::milliseconds keepAliveMargin{ 1'000 };
 
@@ -261,7 +258,7 @@
     const http::fields &fields = parser_->get();
     const unsigned status = parser_->get().result_int();
     NetError error;
-    const bool whole = co_await discardRest(*parser_, maxRefusalTime, error);
+    const bool whole = co_await discardRest(*parser_, PeerBounds::refusalTime, error);
     updateReusable(*parser_, whole);
     AttemptReport report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
                                          "upstream did not run the request, status " + std::to_string(status));
@@ -333,7 +330,7 @@
             progress_.splitter.dropPartial();
             co_return brokenConnection("the stream was cut off: " + error.message());
         }
-        if (progress_.splitter.bytesSinceEvent() > maxEventBytes) {
+        if (progress_.splitter.bytesSinceEvent() > PeerBounds::eventBytes) {
             progress_.splitter.dropPartial();
             co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                                     "an event of the stream is too long, or its bytes are no events");
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -10,6 +10,7 @@
 #include "portpaddle/gateway/service_map.h"
 #include "portpaddle/gateway/upstream_connection.h"
 #include "portpaddle/interfaces/attempt_target.h"
+#include "portpaddle/net/received_body.h"
 #include "portpaddle/upstream_notices/answer_notice.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -153,7 +154,7 @@
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
     Task<bool> openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report);
     Message composeRequest(const AttemptPlan &plan) const;
--- a/src/portpaddle/gateway/upstream_attempt_answers.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_answers.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/peer_bounds.h"
 
 #include <boost/beast/http/read.hpp>
 
@@ -17,13 +18,6 @@
 
 namespace {
 
-// Answers that are not streams are buffered until they are complete, so that a cut answer can be retried. One that is longer and
-// did not say so may have no end.
-constexpr std::size_t maxWholeBytes = 8 * 1024 * 1024;
-// An answer that reports a failure is short, and its caller waits for another attempt.
-constexpr std::size_t maxFailureBytes = 1024 * 1024;
-constexpr std::chrono::milliseconds maxFailureTime{ 2'000 };
-
 AttemptReport endlessAnswer()
 {
     return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "the answer has no end within its bounds");
@@ -45,7 +39,7 @@
     const bool failed = !HttpStatus::isSuccess(parser.get().result_int());
     std::optional<ConnectionTimeout> timeout;
     if (failed) {
-        timeout.emplace(*connection_, maxFailureTime);
+        timeout.emplace(*connection_, PeerBounds::failureTime);
     }
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
@@ -54,10 +48,10 @@
             co_return brokenConnection("the answer was cut off: " + error.message());
         }
         const std::size_t length = parser.get().body().size();
-        if (length > (failed ? maxFailureBytes : maxWholeBytes) && (failed || !parser.content_length())) {
+        if (length > (failed ? PeerBounds::failureBytes : PeerBounds::wholeAnswerBytes) && (failed || !parser.content_length())) {
             co_return endlessAnswer();
         }
-        if (parser.get().body().size() > maxWholeBytes || !memory.growTo(parser.get().body().size())) {
+        if (parser.get().body().size() > PeerBounds::wholeAnswerBytes || !memory.growTo(parser.get().body().size())) {
             memory.release();
             co_return co_await passOn(parser);
         }
@@ -82,7 +76,7 @@
         parser.get().body().clear();
         passedOn += bytes.size();
         taken = co_await writer_.writeChunk(bytes);
-        if (passedOn > maxWholeBytes && !parser.content_length()) {
+        if (passedOn > PeerBounds::wholeAnswerBytes && !parser.content_length()) {
             co_return endlessAnswer();
         }
         if (error) {
--- a/src/portpaddle/gateway/upstream_attempt_heads.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_heads.cpp
@@ -7,36 +7,19 @@
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/peer_bounds.h"
 
 #include <boost/beast/http/read.hpp>
 
-#include <limits>
-
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
 
-namespace {
-
-using std::chrono::milliseconds;
-
-constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
-// From the first byte of a head to its last one.
-constexpr milliseconds maxHeadTime{ 1'000 };
-constexpr unsigned maxInterimAnswers = 8;
-// Late answers to earlier requests on the connection, and the time that each of them may take.
-constexpr unsigned maxLateAnswers = 4;
-constexpr milliseconds maxLateAnswerTime{ 1'000 };
-// Maximum length of a late or refused answer that is read only to be discarded.
-constexpr std::size_t maxDiscardedBytes = 64 * 1024;
-
-} // namespace
-
 Task<bool> UpstreamAttempt::readHead(std::optional<Parser> &parser, const AttemptCallbacks &callbacks, NetError &error)
 {
     unsigned interim = 0;
     unsigned late = 0;
-    while (interim <= maxInterimAnswers && late <= maxLateAnswers) {
+    while (interim <= PeerBounds::interimAnswers && late <= PeerBounds::lateAnswers) {
         parser.emplace();
         co_await readOneHead(*parser, error);
         if (error) {
@@ -57,7 +40,7 @@
         // The answer may have waited on the idle connection for any time.
         notice.load = {};
         callbacks.headReceived(notice);
-        const bool whole = co_await discardRest(*parser, maxLateAnswerTime, error);
+        const bool whole = co_await discardRest(*parser, PeerBounds::lateAnswerTime, error);
         if (!whole || !parser->keep_alive()) {
             co_return false;
         }
@@ -68,8 +51,8 @@
 
 Task<void> UpstreamAttempt::readOneHead(Parser &parser, NetError &error)
 {
-    parser.header_limit(maxAnswerHeaderBytes);
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.header_limit(PeerBounds::answerHeadBytes);
+    parser.body_limit(PeerBounds::answerBytes);
     if (request_.message.method() == http::verb::head) {
         parser.skip(true);
     }
@@ -79,12 +62,12 @@
             co_return;
         }
     }
-    const ConnectionTimeout timeout(*connection_, maxHeadTime);
+    const ConnectionTimeout timeout(*connection_, PeerBounds::answerHeadTime);
     co_await http::async_read_header(connection_->socket, connection_->buffer, parser, awaitingInto(error));
     tooSlow_ = tooSlow_ || (error && !connection_->socket.is_open());
 }
 
-Task<bool> UpstreamAttempt::discardRest(Parser &parser, milliseconds maxTime, NetError &error)
+Task<bool> UpstreamAttempt::discardRest(Parser &parser, std::chrono::milliseconds maxTime, NetError &error)
 {
     const ConnectionTimeout timeout(*connection_, maxTime);
     std::size_t discarded = 0;
@@ -92,7 +75,7 @@
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
         discarded += parser.get().body().size();
         parser.get().body().clear();
-        if (error || discarded > maxDiscardedBytes) {
+        if (error || discarded > PeerBounds::discardedBytes) {
             tooSlow_ = tooSlow_ || (error && !connection_->socket.is_open());
             co_return false;
         }
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -296,7 +296,7 @@
 void GatewaySite::addRemoteDaemon(const std::string &id, const std::string &region, const std::string &address,
                                   const std::string &headers)
 {
-    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    boost::beast::http::request_parser<ReceivedBody> parser;
     NetError error;
     parser.eager(true);
     parser.put(boost::asio::buffer(request("/", id, headers)), error);
