The bound of a relayed request's head includes what daemons add

Cause: the receiving daemon holds the request to the bound for callers, after the sender has added its own lines and has written each line anew with a space after the colon.

Change: the bound for other daemons is larger by the most that these add: 8 KB for lines of their own, and a byte for each of the caller's lines, of which the shortest has four.

Not bounded: the Last-Event-ID that an upstream's stream brings.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/caller_session.h"
 
 #include "portpaddle/base/log.h"
+#include "portpaddle/gateway/connection_headers.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
@@ -143,7 +144,7 @@
     while (keepOpen_ && socket_.is_open()) {
         const CallerLimits limits = handler_.limits();
         Parser parser;
-        parser.header_limit(limits.headerBytes);
+        parser.header_limit(headLimit(limits));
         parser.body_limit(limits.bodyBytes);
         const bool whole = co_await readRequest(parser);
         if (!whole) {
@@ -192,6 +193,11 @@
     co_return true;
 }
 
+std::uint32_t CallerSession::headLimit(const CallerLimits &limits) const
+{
+    return peer_ == SessionPeer::Daemon ? greatestRelayedHead(limits.headerBytes) : limits.headerBytes;
+}
+
 void CallerSession::noteRequestLine(const Parser &parser)
 {
     constexpr std::string_view headStart = "HEAD ";
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/gateway/caller_session.h
@@ -61,6 +61,8 @@
     Task<bool> readRequest(Parser &parser);
     Task<bool> readBody(Parser &parser);
     Task<void> serve(HttpRequest message);
+    /// Returns the maximum size in bytes of a request's head.
+    std::uint32_t headLimit(const CallerLimits &limits) const;
     /// Takes the id and the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
     void noteRequestLine(const Parser &parser);
     Task<void> reject(NetError error);
--- a/src/portpaddle/gateway/connection_headers.cpp
+++ b/src/portpaddle/gateway/connection_headers.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr std::string_view relayPrefix = "X-Portpaddle-";
+// The most that daemons add to a head in lines of their own: some fifteen short ones and ids of organisations, upstreams and
+// events.
+constexpr std::uint32_t maxAddedHeadBytes = 8 * 1024;
+// The shortest line, a name of one letter with a colon and an end, is written again with one byte more: a space after the colon.
+constexpr std::uint32_t shortestLineBytes = 4;
 
 bool equalsIgnoringCase(std::string_view name, std::string_view other)
 {
@@ -21,6 +26,11 @@
 
 } // namespace
 
+std::uint32_t greatestRelayedHead(std::uint32_t callerHead)
+{
+    return callerHead + callerHead / shortestLineBytes + maxAddedHeadBytes;
+}
+
 bool isHopByHop(http::field field, std::string_view name, const http::fields &fields)
 {
     switch (field) {
--- a/src/portpaddle/gateway/connection_headers.h
+++ b/src/portpaddle/gateway/connection_headers.h
@@ -8,10 +8,15 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <cstdint>
 #include <string_view>
 
 namespace Portpaddle {
 
+/// Returns the maximum size in bytes of the head of a request from another daemon, which accepted a head of at most @p
+/// callerHead.
+std::uint32_t greatestRelayedHead(std::uint32_t callerHead);
+
 /// Whether the header concerns one connection only, by its name or because the message's Connection header lists it.
 bool isHopByHop(boost::beast::http::field field, std::string_view name, const boost::beast::http::fields &fields);
 
