Trailers never count as headers

The trailer of an answer reaches callers among the headers.

Cause: Beast's parser adds the fields of a trailer to those of the head while it reads the body, and both sides read them after it.

Change: a chunked request has the fields of its head again once its body is read. An attempt keeps the fields of an answer's head, and forwards and reads these; the trailer in which a stopping daemon hands a stream over is still read from the parser, from daemons alone.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace Portpaddle {
 
@@ -225,6 +226,8 @@
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await boost::asio::async_write(socket_, boost::asio::buffer(continueResponse), awaitingInto(error));
     }
+    // The parser adds the fields of a trailer to the headers, which are forwarded and decide about the request.
+    const std::optional<http::fields> head = parser.chunked() ? std::optional<http::fields>(parser.get()) : std::nullopt;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
         if (!error && !bodyShare_.growTo(parser.get().body().size())) {
@@ -236,6 +239,9 @@
         co_await reject(error);
         co_return false;
     }
+    if (head) {
+        static_cast<http::fields &>(parser.get()) = *head;
+    }
     co_return true;
 }
 
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -241,7 +241,8 @@
     if (!gotHead) {
         co_return brokenConnection("no answer: " + (error ? error : readError).message());
     }
-    const http::fields &fields = parser_->get();
+    head_ = parser_->get();
+    const http::fields &fields = head_;
     relayedSends_ = readReportedSends(fields);
     const bool notRun = provesNotRun(parser_->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
     // A refusal also carries notices about its upstream.
@@ -261,7 +262,7 @@
 
 Task<AttemptReport> UpstreamAttempt::discardRefusal(const AttemptPlan &plan)
 {
-    const http::fields &fields = parser_->get();
+    const http::fields &fields = head_;
     const unsigned status = parser_->get().result_int();
     NetError error;
     const bool whole = co_await discardRest(*parser_, maxRefusalTime, error);
@@ -384,7 +385,7 @@
 {
     progress_.begun = true;
     if (!progress_.version) {
-        progress_.version = remote_ ? decodeVersionKey(viewOf(parser.get()[streamVersionHeader])) : upstreamVersion_;
+        progress_.version = remote_ ? decodeVersionKey(viewOf(head_[streamVersionHeader])) : upstreamVersion_;
     }
     callbacks.streamBegins();
     http::fields fields = fieldsForCaller(parser);
@@ -410,7 +411,7 @@
 {
     reusable_ = whole && parser.is_done() && parser.keep_alive() && !parser.need_eof() && connection_->buffer.size() == 0;
     if (reusable_) {
-        connection_->usableUntil = BootClock::now() + keepAliveTime(parser.get());
+        connection_->usableUntil = BootClock::now() + keepAliveTime(head_);
     }
 }
 
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -207,6 +207,8 @@
     bool streamed_ = false;
     /// The answer that is being read.
     std::optional<Parser> parser_;
+    /// The fields of its head. The parser adds those of the trailer to its own, where they would count as headers.
+    boost::beast::http::fields head_;
     std::optional<unsigned> relayedSends_;
     bool turnedAway_ = false;
     std::optional<unsigned> reportedSends_;
--- a/src/portpaddle/gateway/upstream_attempt_answers.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_answers.cpp
@@ -104,7 +104,7 @@
 // is a fact about the resource.
 http::fields UpstreamAttempt::fieldsForCaller(const Parser &parser) const
 {
-    http::fields fields = forwardableFields(parser.get());
+    http::fields fields = forwardableFields(head_);
     const boost::optional<std::uint64_t> length = parser.content_length();
     if (length && !hasBody(request_.message.method(), parser.get().result_int())) {
         fields.set(http::field::content_length, std::to_string(*length));
