Events end at an empty line, whichever line end the upstream writes

Cause: EventSplitter knows only two LF in a row as the end of an event.

Change: lines end with LF, CR LF or CR, and an event ends with an empty line. After an event that ends with CR an LF that follows is dropped: to wait for it would keep the event back.

--- a/src/portpaddle/gateway/event_splitter.cpp
+++ b/src/portpaddle/gateway/event_splitter.cpp
@@ -7,15 +7,46 @@
 
 namespace {
 
-constexpr std::string_view separator = "\n\n";
+constexpr std::string_view lineEnds = "\r\n";
 constexpr std::string_view idField = "id:";
 constexpr std::string_view dataField = "data:";
 
+/// Whether a line of @p text begins at @p at.
+bool isLineBegin(std::string_view text, std::size_t at)
+{
+    return at == 0 || lineEnds.find(text[at - 1]) != std::string_view::npos;
+}
+
+/// Returns the position after the line that begins at @p begin; npos if it has no end.
+std::size_t lineEndAfter(std::string_view text, std::size_t begin)
+{
+    const std::size_t at = text.find_first_of(lineEnds, begin);
+    if (at == std::string_view::npos) {
+        return at;
+    }
+    const bool pair = text[at] == '\r' && at + 1 < text.size() && text[at + 1] == '\n';
+    return at + (pair ? 2 : 1);
+}
+
+/// Returns the position after the first empty line from @p begin on, where a line begins; npos if there is none.
+std::size_t blockEndAfter(std::string_view text, std::size_t begin)
+{
+    std::size_t line = begin;
+    while (line < text.size()) {
+        const bool empty = lineEnds.find(text[line]) != std::string_view::npos;
+        line = lineEndAfter(text, line);
+        if (empty) {
+            return line;
+        }
+    }
+    return std::string_view::npos;
+}
+
 /// Whether a line of @p block begins with @p field.
 bool hasField(std::string_view block, std::string_view field)
 {
     std::size_t at = block.find(field);
-    while (at != std::string_view::npos && at > 0 && block[at - 1] != '\n') {
+    while (at != std::string_view::npos && !isLineBegin(block, at)) {
         at = block.find(field, at + 1);
     }
     return at != std::string_view::npos;
@@ -30,14 +61,14 @@
 std::string_view lastIdIn(std::string_view events)
 {
     std::size_t at = events.rfind(idField);
-    while (at != std::string_view::npos && at > 0 && events[at - 1] != '\n') {
-        at = at == 0 ? std::string_view::npos : events.rfind(idField, at - 1);
+    while (at != std::string_view::npos && !isLineBegin(events, at)) {
+        at = events.rfind(idField, at - 1);
     }
     if (at == std::string_view::npos) {
         return {};
     }
     std::string_view value = events.substr(at + idField.size());
-    value = value.substr(0, value.find_first_of("\r\n"));
+    value = value.substr(0, value.find_first_of(lineEnds));
     while (!value.empty() && value.front() == ' ') {
         value.remove_prefix(1);
     }
@@ -46,19 +77,26 @@
 
 } // namespace
 
+// An event that ends with CR is not kept back until it is known whether LF follows, which would be dropped then.
 std::string EventSplitter::feed(std::string_view bytes)
 {
+    if (endedWithCr_ && bytes.starts_with('\n')) {
+        bytes.remove_prefix(1);
+        endedWithCr_ = false;
+    }
     partial_.append(bytes);
     std::string whole;
     std::size_t begin = 0;
-    for (std::size_t end = partial_.find(separator); end != std::string::npos; end = partial_.find(separator, begin)) {
-        const std::size_t next = end + separator.size();
+    for (std::size_t next = blockEndAfter(partial_, 0); next != std::string::npos; next = blockEndAfter(partial_, begin)) {
         const std::string_view block = std::string_view(partial_).substr(begin, next - begin);
         const bool kept = isEvent(block);
         whole += kept ? block : std::string_view{};
         droppedBytes_ = kept ? 0 : droppedBytes_ + block.size();
         begin = next;
     }
+    if (!bytes.empty()) {
+        endedWithCr_ = begin == partial_.size() && partial_.ends_with('\r');
+    }
     partial_.erase(0, begin);
     const std::string_view id = lastIdIn(whole);
     if (!id.empty()) {
@@ -70,8 +108,7 @@
 std::size_t EventSplitter::count(std::string_view whole)
 {
     std::size_t events = 0;
-    for (std::size_t at = whole.find(separator); at != std::string_view::npos;
-         at = whole.find(separator, at + separator.size())) {
+    for (std::size_t at = blockEndAfter(whole, 0); at != std::string_view::npos; at = blockEndAfter(whole, at)) {
         ++events;
     }
     return events;
@@ -91,6 +128,7 @@
 {
     partial_.clear();
     droppedBytes_ = 0;
+    endedWithCr_ = false;
 }
 
 const std::string &EventSplitter::partial() const
--- a/src/portpaddle/gateway/event_splitter.h
+++ b/src/portpaddle/gateway/event_splitter.h
@@ -10,7 +10,7 @@
 
 namespace Portpaddle {
 
-/// Buffers bytes of a stream until an event is complete.
+/// Buffers bytes of a stream until an event is complete: until an empty line, where lines end with LF, CR LF or CR.
 class EventSplitter
 {
 public:
@@ -31,6 +31,8 @@
 private:
     std::string partial_;
     std::string lastId_;
+    /// The last event ended with CR, which may be the first half of a line end.
+    bool endedWithCr_ = false;
     std::size_t droppedBytes_ = 0;
 };
 
