A request goes by the limits in force when its first byte comes

Cause: CallerSession::run() takes the limits before it waits.

Change: they are taken once the first byte is there.

Evidence: head_bounds_tests, the case of the idle connection, on the code before: 413 in place of 200 after the bound was raised, and no 413 after it was lowered. With the change it passes. Not changed: a caller that writes on after a 413 may see a reset in place of it.

--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -143,10 +143,7 @@
 Task<void> CallerSession::run()
 {
     while (keepOpen_ && socket_.is_open()) {
-        const CallerLimits limits = handler_.limits();
         Parser parser;
-        parser.header_limit(headLimit(limits));
-        parser.body_limit(limits.bodyBytes);
         const bool whole = co_await readRequest(parser);
         if (!whole) {
             break;
@@ -162,10 +159,9 @@
 /// Waits for the first byte with the idle timeout, for the head with the header timeout, and for the body with the idle timeout.
 Task<bool> CallerSession::readRequest(Parser &parser)
 {
-    const CallerLimits limits = handler_.limits();
     NetError error;
     if (buffer_.size() == 0) {
-        armTimer(limits.idleTimeout, &CallerSession::closeIfIdle);
+        armTimer(handler_.limits().idleTimeout, &CallerSession::closeIfIdle);
         awaitingRequest_ = true;
         const std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
         awaitingRequest_ = false;
@@ -174,6 +170,10 @@
         }
         buffer_.commit(got);
     }
+    // A connection may have been idle over a change of the configuration.
+    const CallerLimits limits = handler_.limits();
+    parser.header_limit(headLimit(limits));
+    parser.body_limit(limits.bodyBytes);
     requestStarted_ = BootClock::now();
     requestId_.clear();
     armTimer(limits.headerTimeout, &CallerSession::closeTimedOut);
--- a/tests/gateway/head_bounds_tests.cpp
+++ b/tests/gateway/head_bounds_tests.cpp
@@ -65,3 +65,24 @@
     sender.send(requestWithHead(tooLong, tooLong));
     CHECK(sender.receive().status == HttpStatus::headerTooLarge);
 }
+
+TEST_CASE_FIXTURE(GatewaySite,
+                  "Connection, idle while a configuration changes the limits, goes by those in force at its next request")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    const std::string body(2'000, 'x');
+    routes.limits.bodyBytes = 1'000;
+    publishRoutes();
+    RawCaller caller(address());
+    caller.send(request("/plain/a", "id2"));
+    REQUIRE(caller.receive().status == 200);
+    routes.limits.bodyBytes = 10'000;
+    publishRoutes();
+    caller.send(request("/plain/a", "id3", {}, body));
+    CHECK(caller.receive().status == 200);
+    routes.limits.bodyBytes = 1'000;
+    publishRoutes();
+    caller.send("POST /plain/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: id4\r\nContent-Length: 2000\r\n\r\n");
+    CHECK(caller.receive().status == HttpStatus::tooLarge);
+}
