--- a/benchmarks/fleet_growth.cpp
+++ b/benchmarks/fleet_growth.cpp
@@ -120,33 +120,44 @@
     return map;
 }
 
-/// A caller that ignores its answer.
-class NullWriter : public CallerWriter
+/// The connection of a caller that ignores its answer.
+class NullConnection : public CallerConnection
 {
 public:
-    Task<bool> whole(WholeAnswer) override
+    const std::string &requestId() const override
+    {
+        return requestId_;
+    }
+    Task<bool> sendContinue() override
+    {
+        co_return true;
+    }
+    Task<bool> sendWhole(WholeAnswer) override
     {
         co_return true;
     }
-    Task<bool> begin(unsigned, boost::beast::http::fields) override
+    Task<bool> sendHead(unsigned, boost::beast::http::fields) override
     {
         co_return true;
     }
-    Task<bool> writeChunk(std::string_view) override
+    Task<bool> sendChunk(std::string_view) override
     {
         co_return true;
     }
-    Task<bool> end() override
+    Task<bool> sendEnd() override
     {
         co_return true;
     }
-    Task<bool> endWithTrailer(const char *, const std::string &) override
+    Task<bool> sendEndWithTrailer(const char *, const std::string &) override
     {
         co_return true;
     }
-    void abort() override
+    void abandon() override
     {
     }
+
+private:
+    std::string requestId_;
 };
 
 /// One daemon with its registry and listener.
@@ -176,7 +187,8 @@
         message.set(boost::beast::http::field::host, "h");
         message.set("X-Request-Id", "a");
         const double begin = cpuMs();
-        NullWriter writer;
+        NullConnection connection;
+        CallerWriter writer(connection);
         std::function<void()> abandoned;
         spawnTask(loop.get_executor(), "request", [&]() -> Task<void> {
             co_await gateway.serve(decodeRequest(std::move(message), gateway.names(), BootClock::now()), writer, abandoned);
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/caller_session.h"
 
 #include "portpaddle/base/log.h"
+#include "portpaddle/gateway/connection_headers.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace Portpaddle {
 
@@ -139,10 +141,7 @@
 Task<void> CallerSession::run()
 {
     while (keepOpen_ && socket_.is_open()) {
-        const CallerLimits limits = handler_.limits();
         Parser parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
         CallerWriter answer(*this);
         const bool whole = co_await readRequest(parser, answer);
         if (!whole) {
@@ -160,10 +159,9 @@
 /// Waits for the first byte with the idle timeout, for the head with the header timeout, and for the body with the idle timeout.
 Task<bool> CallerSession::readRequest(Parser &parser, CallerWriter &answer)
 {
-    const CallerLimits limits = handler_.limits();
     NetError error;
     if (buffer_.size() == 0) {
-        armTimer(limits.idleTimeout, &CallerSession::closeIfIdle);
+        armTimer(handler_.limits().idleTimeout, &CallerSession::closeIfIdle);
         awaitingRequest_ = true;
         const std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
         awaitingRequest_ = false;
@@ -172,6 +170,10 @@
         }
         buffer_.commit(got);
     }
+    // A connection may have been idle over a change of the configuration.
+    const CallerLimits limits = handler_.limits();
+    parser.header_limit(headLimit(limits));
+    parser.body_limit(limits.bodyBytes);
     requestStarted_ = BootClock::now();
     requestId_.clear();
     armTimer(limits.headerTimeout, &CallerSession::closeTimedOut);
@@ -192,6 +194,11 @@
     co_return true;
 }
 
+std::uint32_t CallerSession::headLimit(const CallerLimits &limits) const
+{
+    return peer_ == SessionPeer::Daemon ? greatestRelayedHead(limits.headerBytes) : limits.headerBytes;
+}
+
 void CallerSession::noteRequestLine(const Parser &parser)
 {
     constexpr std::string_view headStart = "HEAD ";
@@ -221,6 +228,8 @@
             co_return false;
         }
     }
+    // The parser adds the fields of a trailer to the headers, which are forwarded and decide about the request.
+    const std::optional<http::fields> head = parser.chunked() ? std::optional<http::fields>(parser.get()) : std::nullopt;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
         if (!error && !bodyShare_.growTo(parser.get().body().size())) {
@@ -232,6 +241,9 @@
         co_await reject(error, answer);
         co_return false;
     }
+    if (head) {
+        static_cast<http::fields &>(parser.get()) = *head;
+    }
     co_return true;
 }
 
