gateway: A silent store shows by its checks, and lost calls are replaced

Callers were answered by a configuration several versions old for up to nine seconds after an outage of the store, and a daemon to which the store was silent went on sending to a zone that was being evacuated.

A watch call that the store took while silent is never answered, and was waited for up to 27 s. The check over the other connection ignored its own failures, and compared with a cheap read, which may be seconds old; after a failure the daemon waited 25 s again.

StoreContact now collects what calls and checks over either connection showed. A proof that fails counts as an outage, so that the neighbours are asked. A check that is answered ends the pause before the next call and the search among the peers. For 10 s after a failure, or after a read older than what is known already, the check is a counted read, and older reads confirm nothing to the daemons that follow this one. In calm times calls and checks are as before.

In the scripted store, an answer is now lost to calls that wait for a second or longer only, as its comment says: a shorter call ends by its own time, which the scripted store does not have.

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -298,9 +298,9 @@
     return changes;
 }
 
-Result<std::uint64_t> RelayedStore::newestRevision()
+Result<std::uint64_t> RelayedStore::newestRevision(ReadFreshness freshness)
 {
-    return store_.newestRevision();
+    return store_.newestRevision(freshness);
 }
 
 void RelayedStore::interrupt()
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -128,13 +128,14 @@
 {
 }
 
-Result<PeerState> PeerStateClient::fetch() const
+Result<PeerState> PeerStateClient::fetch(const std::function<bool()> &isOver) const
 {
     std::size_t asked = 0;
     for (const std::string &address : peers_()) {
-        if (asked++ == maxPeersAsked) {
+        if (asked == maxPeersAsked || (asked > 0 && isOver())) {
             break;
         }
+        ++asked;
         Result<PeerState> peer = askPeer(address);
         if (isOk(peer) && !valueOf(peer).state.items.empty()) {
             return peer;
--- a/src/portpaddle/gateway/state_exchange.h
+++ b/src/portpaddle/gateway/state_exchange.h
@@ -46,8 +46,9 @@
     /// @p peers returns the link addresses to ask, the most promising first.
     explicit PeerStateClient(std::function<std::vector<std::string>()> peers);
 
-    /// Returns the state of the first peer that has any items; PeerUnreachable when there is none.
-    Result<PeerState> fetch() const;
+    /// Returns the state of the first peer that has any items; PeerUnreachable when there is none. After the first one, no
+    /// further peer is asked once @p isOver returns true.
+    Result<PeerState> fetch(const std::function<bool()> &isOver = [] { return false; }) const;
 
 private:
     std::function<std::vector<std::string>()> peers_;
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/gateway/store_watcher.cpp
@@ -15,6 +15,8 @@
 
 // How long one call waits for changes: each watch call is paid for, but a longer one delays the stop of the process.
 constexpr Millis watchTimeout{ 25'000 };
+// How long a call waits that proves the contact with the store.
+constexpr Millis proofWait{ 10 };
 // Initial wait after a failure; doubled up to the maximum. The return of the store must be noticed within a second.
 constexpr Millis initialBackoff{ 100 };
 constexpr Millis maxBackoff{ 400 };
@@ -31,10 +33,8 @@
 constexpr Millis relayedCoalescingDelay{ 100 };
 // The changes that a listing missed exist already, so the store has no reason to wait.
 constexpr Millis maxCatchUpWait{ 500 };
-// Two rounds of the check detect a lost answer well within the few seconds in which a configuration must take effect. Each round
-// costs a tenth of a watch call.
-constexpr Millis verifyInterval{ 1'200 };
-constexpr Millis verifyStep{ 100 };
+// Steps of a wait that may end early.
+constexpr Millis pauseStep{ 50 };
 // Daemons that relay changes answer each second. After a longer silence the watch call may have gone to the store itself, so the
 // check is made again.
 constexpr Millis maxRelaySilence{ 2'000 };
@@ -155,9 +155,11 @@
     const SteadyTime begin = BootClock::now();
     Result<KeyListing> listing = store_.listAll(prefix_, freshness);
     if (!isOk(listing)) {
-        recordFailure(errorOf(listing));
+        contact_.recordFailure(BootClock::now());
+        recordFailure(errorOf(listing), begin);
         return false;
     }
+    contact_.recordAnswer(valueOf(listing).confirmedAt);
     recordSuccess();
     if (BootClock::now() - begin > maxListingTime && !valueOf(listing).relayed) {
         renewUrgent(valueOf(listing));
@@ -199,21 +201,22 @@
 
 void StoreWatcher::follow()
 {
-    Result<KeyChanges> reply = store_.follow(prefix_, revision_, watchTimeout);
+    const SteadyTime begin = BootClock::now();
+    const Millis wait = contact_.beginCall(begin) == CallKind::Proof ? proofWait : watchTimeout;
+    Result<KeyChanges> reply = store_.follow(prefix_, revision_, wait);
     const bool interrupted = interrupted_.exchange(false);
-    if (!isOk(reply) && interrupted) {
-        // The store answers other calls, so it is asked again at once.
-        return;
-    }
     if (!isOk(reply)) {
+        contact_.recordFailure(BootClock::now());
         listed_ = errorOf(reply).code != ErrorCode::HistoryCompacted;
-        if (listed_) {
-            recordFailure(errorOf(reply));
+        // After an interruption the store is asked again at once, by a call that proves whether it answers.
+        if (listed_ && !interrupted) {
+            recordFailure(errorOf(reply), begin);
         }
         return;
     }
-    recordSuccess();
     KeyChanges &update = valueOf(reply);
+    contact_.recordAnswer(update.confirmedAt);
+    recordSuccess();
     const bool behind = update.changes.size() >= minChangesWhenBehind;
     const std::vector<KeyChange> changes = filtered(std::move(update.changes));
     relayed_ = update.relayed;
@@ -234,34 +237,47 @@
 /// A store may lose the answer to a watch call and keep the connection open: changes are then missed while the call still waits.
 void StoreWatcher::verify()
 {
-    std::uint64_t behindAt = 0;
     while (!stopping_) {
-        for (const SteadyTime until = BootClock::now() + verifyInterval; BootClock::now() < until && !stopping_;) {
-            std::this_thread::sleep_for(verifyStep);
-        }
+        awaitCheck();
         if (relayed_ && BootClock::now() - answeredAt_.load() < maxRelaySilence) {
             // The daemon that relays the changes reports when the store confirmed them.
             continue;
         }
-        const std::uint64_t known = revision_;
-        const Result<std::uint64_t> newest = verifier_->newestRevision();
-        const bool behind = listed_ && isOk(newest) && valueOf(newest) > revision_;
-        // A cheap read may be stale itself: it says little about what other daemons relayed.
-        if (feed_ != nullptr && isOk(newest) && !behind && !relayed_) {
-            feed_->confirm(BootClock::now());
-        }
-        // The watch was behind the store at the same revision in two checks in a row, so the answer of the watch call was lost.
-        if (behind && behindAt == known) {
+        if (check() == CheckVerdict::Lost) {
             interrupted_ = true;
             store_.interrupt();
-            behindAt = 0;
-        } else {
-            behindAt = behind ? known : 0;
         }
     }
 }
 
-void StoreWatcher::recordFailure(const Error &error)
+void StoreWatcher::awaitCheck() const
+{
+    const SteadyTime begin = BootClock::now();
+    while (BootClock::now() - begin < contact_.checkInterval() && !stopping_) {
+        std::this_thread::sleep_for(pauseStep);
+    }
+}
+
+CheckVerdict StoreWatcher::check()
+{
+    const SteadyTime began = BootClock::now();
+    const std::uint64_t known = revision_;
+    const ReadFreshness freshness = contact_.checkFreshness(began);
+    const Result<std::uint64_t> newest = verifier_->newestRevision(freshness);
+    if (!isOk(newest)) {
+        return contact_.recordFailedCheck(BootClock::now());
+    }
+    // Before the first listing there is no call that could be behind.
+    const std::uint64_t seen = listed_ ? valueOf(newest) : known;
+    const CheckVerdict verdict = contact_.recordCheck(began, freshness, seen, known, revision_);
+    // A read says little about what other daemons relayed.
+    if (feed_ != nullptr && verdict == CheckVerdict::Sound && !relayed_) {
+        feed_->confirm(began);
+    }
+    return verdict;
+}
+
+void StoreWatcher::recordFailure(const Error &error, SteadyTime began)
 {
     if (!storeUnavailable_) {
         storeUnavailable_ = true;
@@ -270,19 +286,27 @@
     }
     const Millis backoff = std::min(maxBackoff, initialBackoff * (1U << std::min(failures_, maxDoublings)));
     ++failures_;
-    fetchFromPeers();
-    std::this_thread::sleep_for(backoff);
+    fetchFromPeers(began);
+    pause(backoff, began);
+}
+
+void StoreWatcher::pause(Millis time, SteadyTime began) const
+{
+    const SteadyTime until = BootClock::now() + time;
+    while (BootClock::now() < until && !stopping_ && !contact_.hasAnsweredSince(began)) {
+        std::this_thread::sleep_for(std::min(pauseStep, time));
+    }
 }
 
 /// During an outage of the store other daemons may still reach it.
-void StoreWatcher::fetchFromPeers()
+void StoreWatcher::fetchFromPeers(SteadyTime began)
 {
     const auto now = BootClock::now();
     if (peers_ == nullptr || now - fetchedFromPeersAt_ < peerFetchInterval) {
         return;
     }
     fetchedFromPeersAt_ = now;
-    Result<PeerState> fetched = peers_->fetch();
+    Result<PeerState> fetched = peers_->fetch([this, began] { return contact_.hasAnsweredSince(began); });
     if (!isOk(fetched)) {
         return;
     }
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/gateway/store_watcher.h
@@ -9,6 +9,7 @@
 #include "portpaddle/fleet/change_filter.h"
 #include "portpaddle/fleet/store_replica.h"
 #include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/gateway/store_contact.h"
 #include "portpaddle/interfaces/watched_store.h"
 
 #include <atomic>
@@ -38,7 +39,7 @@
 public:
     /// @p store and @p listener must outlive the watcher, and so must @p peers if given: they are asked during an outage of the
     /// store. With @p verifier, another connection to the same store, a watch call whose answer was lost is detected and
-    /// repeated.
+    /// repeated, and the silence of the store is noticed while a call waits.
     StoreWatcher(std::string prefix, WatchedStore &store, WatchListener &listener, const PeerStateClient *peers = nullptr,
                  WatchedStore *verifier = nullptr);
     ~StoreWatcher();
@@ -65,9 +66,15 @@
     /// Takes the changes up to @p revision without reporting them one by one; stops where the store does not answer.
     void catchUp(std::uint64_t revision);
     void follow();
-    void recordFailure(const Error &error);
-    void fetchFromPeers();
+    /// Handles the failure of a call that began at @p began, and waits until the next one is due.
+    void recordFailure(const Error &error, SteadyTime began);
+    /// Waits for @p time, or until the store answers what was asked after @p began.
+    void pause(Millis time, SteadyTime began) const;
+    void fetchFromPeers(SteadyTime began);
     void verify();
+    void awaitCheck() const;
+    /// Checks the open call over the other connection.
+    CheckVerdict check();
     void recordSuccess();
     /// Replaces the urgent items of @p listing by those that the store has now; leaves them if the store does not answer.
     void renewUrgent(KeyListing &listing);
@@ -97,6 +104,7 @@
     std::atomic<SteadyTime> answeredAt_{ SteadyTime{} };
     /// The call in progress was interrupted because its answer is lost.
     std::atomic<bool> interrupted_{ false };
+    StoreContact contact_;
     bool storeUnavailable_ = true;
     unsigned failures_ = 0;
     std::atomic<bool> stopping_{ false };
--- a/src/portpaddle/interfaces/watched_store.h
+++ b/src/portpaddle/interfaces/watched_store.h
@@ -55,10 +55,11 @@
 public:
     virtual ~WatchedStore() = default;
     virtual Result<KeyListing> listAll(const std::string &prefix, ReadFreshness freshness) = 0;
-    /// Waits up to @p timeout for changes after @p revision. HistoryCompacted means that the keys must be listed again.
+    /// Waits up to @p timeout for changes after @p revision. HistoryCompacted means that the keys must be listed again. A call
+    /// that waits for a second at most fails a second later if no answer comes.
     virtual Result<KeyChanges> follow(const std::string &prefix, std::uint64_t revision, Millis timeout) = 0;
-    /// Returns the revision of the newest change, which may be some seconds old; cheap for the store.
-    virtual Result<std::uint64_t> newestRevision() = 0;
+    /// Returns the revision of the newest change; fails within a second.
+    virtual Result<std::uint64_t> newestRevision(ReadFreshness freshness) = 0;
     /// Makes a call that is in progress on another thread fail.
     virtual void interrupt() = 0;
 };
--- a/tests/gateway/silent_source_tests.cpp
+++ b/tests/gateway/silent_source_tests.cpp
@@ -140,3 +140,48 @@
     CHECK(eventually([&] { return listener.has("op/added"); }));
     CHECK(silent.asked() == 0);
 }
+
+namespace {
+
+/// A watcher whose open call the store has taken while it is silent.
+class SilentStoreFixture
+{
+public:
+    SilentStoreFixture() : watcher("", store, listener, nullptr, &store)
+    {
+        store.set("op/config", "old");
+        watcher.start();
+        CHECK(eventually([this] { return listener.has("op/config"); }));
+        store.setSilent(true);
+        CHECK(eventually([this] { return store.lostCalls() == 1; }));
+    }
+
+    ~SilentStoreFixture()
+    {
+        // A call that hangs would keep the watcher from its end.
+        store.setSilent(false);
+        store.interrupt();
+    }
+
+    ScriptedStore store;
+    RecordingListener listener;
+    StoreWatcher watcher;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SilentStoreFixture, "Store watcher, store silent on an open call, counts as out of contact")
+{
+    CHECK(eventually([this] { return listener.unavailableCount == 1; }));
+    store.setSilent(false);
+    CHECK(eventually([this] { return listener.availableCount == 2; }));
+}
+
+TEST_CASE_FIXTURE(SilentStoreFixture, "Store watcher, call lost in an outage, is replaced though cheap reads stay old")
+{
+    store.holdCheapReads();
+    CHECK(eventually([this] { return store.lostCalls() == 0; }));
+    store.set("op/added", "new");
+    store.setSilent(false);
+    CHECK(eventually([this] { return listener.has("op/added"); }));
+}
--- a/tests/gateway/store_client_tests.cpp
+++ b/tests/gateway/store_client_tests.cpp
@@ -164,6 +164,6 @@
     const std::string address = endless.address();
     const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
     StoreClient client(SocketAddress{ "127.0.0.1", port });
-    CHECK_FALSE(isOk(client.newestRevision()));
+    CHECK_FALSE(isOk(client.newestRevision(ReadFreshness::MayBeStale)));
     CHECK(eventually([&endless] { return endless.closedByPeer() == 1; }));
 }
--- a/tests/support/scripted_store.h
+++ b/tests/support/scripted_store.h
@@ -7,7 +7,9 @@
 #include "portpaddle/interfaces/leased_store.h"
 #include "portpaddle/interfaces/watched_store.h"
 
+#include <algorithm>
 #include <condition_variable>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -37,6 +39,29 @@
         changed_.notify_all();
     }
 
+    /// While silent, calls are taken and never answered: waiting ones hang until they are interrupted, others fail at once, as if
+    /// their time had passed. Calls taken in that time stay without an answer afterwards.
+    void setSilent(bool silent)
+    {
+        const std::lock_guard lock(mutex_);
+        silent_ = silent;
+        changed_.notify_all();
+    }
+
+    /// Cheap reads report no newer revision than the present one from now on.
+    void holdCheapReads()
+    {
+        const std::lock_guard lock(mutex_);
+        cheapRevision_ = revision_;
+    }
+
+    /// Returns the number of calls that are waiting for an answer that does not come.
+    unsigned lostCalls() const
+    {
+        const std::lock_guard lock(mutex_);
+        return lostCalls_;
+    }
+
     void forgetHistory()
     {
         const std::lock_guard lock(mutex_);
@@ -83,7 +108,7 @@
     {
         const std::lock_guard lock(mutex_);
         ++calls_;
-        if (failing_) {
+        if (failing_ || silent_) {
             return down();
         }
         KeyListing listing;
@@ -110,15 +135,18 @@
                     changes.changes.push_back(change);
                 }
             }
-            return failing_ || revision < forgottenTo_ || !changes.changes.empty();
+            return failing_ || silent_ || revision < forgottenTo_ || !changes.changes.empty();
         });
-        if (losing_ && !changes.changes.empty()) {
+        if (silent_ && timeout >= shortestWait) {
+            return hangUntilInterrupted(lock);
+        }
+        if (losing_ && timeout >= shortestWait && !changes.changes.empty()) {
             losing_ = false;
             lost_ = true;
             changed_.wait(lock, [&] { return !lost_; });
             return down();
         }
-        if (failing_) {
+        if (failing_ || silent_) {
             return down();
         }
         if (revision < forgottenTo_) {
@@ -136,16 +164,20 @@
         losing_ = true;
     }
 
-    Result<std::uint64_t> newestRevision() override
+    Result<std::uint64_t> newestRevision(ReadFreshness freshness) override
     {
         const std::lock_guard lock(mutex_);
-        return failing_ ? Result<std::uint64_t>(down()) : Result<std::uint64_t>(revision_);
+        if (failing_ || silent_) {
+            return down();
+        }
+        return freshness == ReadFreshness::Newest ? revision_ : std::min(revision_, cheapRevision_);
     }
 
     void interrupt() override
     {
         const std::lock_guard lock(mutex_);
         lost_ = false;
+        ++interrupts_;
         changed_.notify_all();
     }
 
@@ -198,6 +230,18 @@
         std::uint64_t lease = noLease;
     };
 
+    /// Calls that wait for less are answered or fail at once.
+    static constexpr Millis shortestWait{ 1'000 };
+
+    Error hangUntilInterrupted(std::unique_lock<std::mutex> &lock)
+    {
+        const unsigned before = interrupts_;
+        ++lostCalls_;
+        changed_.wait(lock, [&] { return interrupts_ != before; });
+        --lostCalls_;
+        return down();
+    }
+
     static Error down()
     {
         return Error{ ErrorCode::PlatformUnavailable, "down", RunState::NotRun, {} };
@@ -230,6 +274,10 @@
     bool failing_ = false;
     bool losing_ = false;
     bool lost_ = false;
+    bool silent_ = false;
+    unsigned interrupts_ = 0;
+    unsigned lostCalls_ = 0;
+    std::uint64_t cheapRevision_ = std::numeric_limits<std::uint64_t>::max();
 };
 
 } // namespace Portpaddle
