Blocking calls: a long line in a head does not overflow the stack

What callers saw: nothing yet. A status line of the store or of another daemon of 200,000 bytes ends the daemon.

Cause: the library matches the status line by a recursive regular expression and reads lines without a bound. A probe of that pattern alone overflows a stack of 512 KB, as our threads have, from 4,000 bytes on (2,000 pass).

Change: BoundedClient puts a bound on each line that the library reads byte by byte (1,024 bytes), on the head and on its time. The clients of the stand-alone daemon do not yet.

--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -9,6 +9,7 @@
 #include "portpaddle/gateway/daemon_registration.h"
 #include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/bounded_body.h"
+#include "portpaddle/net/bounded_client.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/peer_bounds.h"
 
@@ -129,12 +130,12 @@
     if (!endpoint) {
         return unavailable("a daemon has an invalid link address");
     }
-    std::shared_ptr<httplib::Client> client;
+    std::shared_ptr<BoundedClient> client;
     {
         const std::lock_guard lock(mutex_);
         Source &source = sources_[address];
         if (!source.client) {
-            source.client = std::make_shared<httplib::Client>(endpoint->address().to_string(), endpoint->port());
+            source.client = std::make_shared<BoundedClient>(endpoint->address().to_string(), endpoint->port());
             source.client->set_keep_alive(true);
             source.client->set_connection_timeout(connectTimeout);
             source.client->set_read_timeout(maxFeedWait + readTimeoutMargin);
--- a/src/portpaddle/fleet/relayed_store.h
+++ b/src/portpaddle/fleet/relayed_store.h
@@ -14,12 +14,10 @@
 #include <unordered_map>
 #include <vector>
 
-namespace httplib {
-class Client;
-} // namespace httplib
-
 namespace Portpaddle {
 
+class BoundedClient;
+
 struct FeedUpdate;
 struct FleetView;
 
@@ -61,7 +59,7 @@
 
     struct Source
     {
-        std::shared_ptr<httplib::Client> client;
+        std::shared_ptr<BoundedClient> client;
         Time avoidedUntil{};
     };
 
@@ -88,7 +86,7 @@
     std::mutex mutex_;
     std::unordered_map<std::string, Source> sources_;
     /// The client of the request in progress; interrupt() stops it.
-    std::shared_ptr<httplib::Client> activeClient_;
+    std::shared_ptr<BoundedClient> activeClient_;
     std::size_t rotation_ = 0;
     std::uint64_t highestRevision_ = 0;
     bool direct_ = true;
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/gateway/state_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/net/bounded_body.h"
+#include "portpaddle/net/bounded_client.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/wire/state_generated.h"
@@ -34,7 +35,7 @@
     if (!endpoint) {
         return peerStateError("invalid peer address");
     }
-    httplib::Client client(endpoint->address().to_string(), endpoint->port());
+    BoundedClient client(endpoint->address().to_string(), endpoint->port());
     client.set_connection_timeout(peerTimeout);
     client.set_read_timeout(peerTimeout);
     BoundedBody body(PeerBounds::stateBytes, BootClock::now() + PeerBounds::stateTime);
--- a/src/portpaddle/net/peer_bounds.h
+++ b/src/portpaddle/net/peer_bounds.h
@@ -46,6 +46,9 @@
 inline constexpr std::size_t stateBytes = 8 * 1024 * 1024;
 inline constexpr milliseconds stateTime{ 5'000 };
 
+/// A line in the head of an answer to a blocking call, or between its chunks. Neither the store nor daemons send lines this long.
+inline constexpr std::size_t callLineBytes = 1024;
+
 /// Answers of the store. Pages of a listing have 1 MB; changes of the whole history come at once.
 inline constexpr std::size_t storeAnswerBytes = 64 * 1024 * 1024;
 /// A listing or a batch of changes may arrive over a slow link, in this time after the time-out of the call.
