Store client: an answer of another form is an error, not an exception

What callers saw: nothing yet. A store that answers a read or a write with [] or with text in place of a number ends the daemon: the exception leaves the thread that called.

Cause: listings and changes were read under a catch, single numbers (revision, lease) were not.

Evidence: the new case on the code before: 4 checks throw (json.exception.type_error 302 and 306).

--- a/tests/gateway/store_client_tests.cpp
+++ b/tests/gateway/store_client_tests.cpp
@@ -106,6 +106,29 @@
     CHECK(code(503) == ErrorCode::PlatformUnavailable);
 }
 
+TEST_CASE_FIXTURE(StoreFixture, "Store client, answers of another form, are errors and no exceptions")
+{
+    std::string body;
+    const auto reply
+        = [&body](const httplib::Request &, httplib::Response &response) { response.set_content(body, "application/json"); };
+    server.Get("/v1/kv-key", reply);
+    server.Get("/v1/kv-range", reply);
+    server.Get("/v1/kv-watch", reply);
+    server.Post("/v1/kv-lease", reply);
+    server.Post("/v1/kv-txn", reply);
+    const std::vector<std::string> bodies{ "[]", "7", R"({"storeRevision":"x","lease":"x","revision":"x"})" };
+    for (const std::string &each : bodies) {
+        CAPTURE(each);
+        body = each;
+        CHECK_FALSE(isOk(client->newestRevision()));
+        CHECK_FALSE(isOk(client->listAll("", ReadFreshness::Newest)));
+        CHECK_FALSE(isOk(client->follow("", 1, Millis(10))));
+        CHECK_FALSE(isOk(client->grantLease(Millis(100))));
+        CHECK_FALSE(isOk(client->write("k", "v", 0)));
+        CHECK_FALSE(isOk(client->writeIfUnchanged({ "k", "v", 1 }, { { "k", "w" } })));
+    }
+}
+
 TEST_CASE_FIXTURE(StoreFixture, "Store client, leases and writes, use the endpoints of the protocol")
 {
     Json written;
