Requests: an exception ends its request with an answer, not the process

What callers saw: where an exception left a request, no answer and an open connection; where it left a handler or a thread, the end of the daemon. An event id of 70,000 bytes is enough: the header that names it cannot be set for the next attempt. The caller heard no end, and the exchange stayed among the streams of its upstream, where the next move of runs used what was gone.

Cause: coroutines logged exceptions and left it at that; handlers, the event loop and threads let them through. Registrations were ended by the line after the wait, which an exception skips.

Change: an exception in an attempt is the report of a failed attempt, so that place, ticket, payment and connection go back by the usual way, and the usual rules decide about another one. Elsewhere in a request Exchange::endAfter() answers: 503 as not run if no target was asked, 502 if one was, the end of the connection if an answer has begun. Entries among streams and requests are scoped objects.

The whole ctest was not run.

Tests: GatewaySite has a random source that can be made to fail, and its thread runs the loop as the daemon does.

--- a/src/portpaddle/base/thread.cpp
+++ b/src/portpaddle/base/thread.cpp
@@ -3,15 +3,23 @@
 
 #include "portpaddle/base/thread.h"
 
+#include "portpaddle/base/log.h"
+
 #include <cerrno>
+#include <chrono>
+#include <exception>
 #include <memory>
 #include <system_error>
+#include <thread>
 #include <utility>
 
 namespace Portpaddle {
 
 namespace {
 
+// Before a body that ended with an exception starts anew.
+constexpr std::chrono::milliseconds restartDelay{ 200 };
+
 struct ThreadStart
 {
     std::string name;
@@ -21,11 +29,36 @@
 /// The kernel limits the name of a thread to 15 characters.
 constexpr std::size_t maxThreadNameLength = 15;
 
+void logFailure(const std::string &name, const char *message)
+{
+    try {
+        logEvent(LogEvent::TaskFailed, { { "task", name }, { "message", message } });
+    } catch (const std::exception &) {
+        // There is no memory for a line either; the process goes on without it.
+    }
+}
+
+/// Runs the body; returns false if an exception left it.
+bool runBody(const ThreadStart &start) noexcept
+{
+    try {
+        start.body();
+        return true;
+    } catch (const std::exception &exception) {
+        logFailure(start.name, exception.what());
+    } catch (...) {
+        logFailure(start.name, "an exception of an unknown type");
+    }
+    return false;
+}
+
 void *runThread(void *argument)
 {
     const std::unique_ptr<ThreadStart> start(static_cast<ThreadStart *>(argument));
     pthread_setname_np(pthread_self(), start->name.substr(0, maxThreadNameLength).c_str());
-    start->body();
+    while (!runBody(*start)) {
+        std::this_thread::sleep_for(restartDelay);
+    }
     return nullptr;
 }
 
--- a/src/portpaddle/base/thread.h
+++ b/src/portpaddle/base/thread.h
@@ -15,7 +15,8 @@
 /// The stack size of threads in bytes, dimensioned for HTTP route matching. Untouched stack pages take no memory.
 inline constexpr std::size_t defaultStackBytes = 512 * 1024;
 
-/// A thread that is joined when destroyed.
+/// A thread that is joined when destroyed. An exception that leaves its body is logged, and the body is run again after a short
+/// time, as without it the process would go on without the thread's work.
 class Thread
 {
 public:
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/caller_session.h"
 
 #include "portpaddle/base/log.h"
+#include "portpaddle/base/scope_exit.h"
 #include "portpaddle/gateway/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
@@ -139,6 +140,10 @@
 
 Task<void> CallerSession::run()
 {
+    const ScopeExit closing([this] {
+        disarmTimer();
+        close();
+    });
     while (keepOpen_ && socket_.is_open()) {
         const CallerLimits limits = handler_.limits();
         Parser parser;
@@ -152,8 +157,6 @@
         // The head of a stream may have announced, before a stop began, that the connection stays open.
         keepOpen_ = keepOpen_ && !handler_.closing();
     }
-    disarmTimer();
-    close();
 }
 
 /// Waits for the first byte with the idle timeout, for the head with the header timeout, and for the body with the idle timeout.
@@ -295,7 +298,7 @@
                 self->watchCaller();
             }
         } else if (error != boost::asio::error::operation_aborted) {
-            self->callerLeft();
+            runGuarded("caller_left", [&self] { self->callerLeft(); });
         }
         self->watchEnded_.cancel();
     });
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -26,8 +26,9 @@
     void callerLeft();
     /// Logs that this daemon stops before the answer is complete.
     void logUnfinished() const;
-    /// Logs that an exception ended the request.
-    void logException(const std::string &message) const;
+    /// Ends a request that @p exception has left: with an answer that says whether it may have run, or by closing the connection
+    /// if an answer has begun.
+    Task<void> endAfter(const std::exception_ptr &exception);
     /// Begins to move a stream in progress away from @p source, because either that engine or this daemon is about to stop.
     /// Returns false if no move began. Orders are repeated until @p until.
     bool moveAway(const UpstreamRecord &source, MoveWay way, SteadyTime until);
@@ -122,6 +123,13 @@
     void measureFirstToken(const Target &target, double ms, bool unfinished);
     /// Records that @p count whole events of the answer arrived.
     void noteEvents(std::size_t count);
+    /// Performs the attempt, or receives the answer of @p standby unless it is null. An exception becomes the report of a failed
+    /// attempt.
+    Task<AttemptReport> bringAnswer(Attempt &attempt, Standby *standby);
+    /// Starts a prepared attempt; an exception becomes the report of a failed attempt.
+    Task<std::optional<AttemptReport>> startSending(Attempt &attempt);
+    /// Ends the attempt that @p exception has left, logs that and returns its report.
+    AttemptReport reportOf(const std::exception_ptr &exception, Attempt &attempt) const;
     void noteAttemptEnd(Attempt &attempt, const AttemptReport &report);
     /// Prepares another attempt when the upstream of the one in progress hangs.
     void watchSilence(const std::shared_ptr<SilenceWatch> &watch);
@@ -182,6 +190,10 @@
     Millis capacityWaitLeft() const;
     /// Waits one polling interval for capacity; returns false when the request has waited for its maximum.
     Task<bool> waitForCapacity();
+    /// Sends the one whole answer.
+    Task<bool> answerWhole(WholeAnswer answer);
+    /// Gives back what is held for an attempt that will not begin.
+    void releaseHeld();
     Task<void> finish(AttemptReport report);
     Task<void> refuse(ErrorCode code, std::string message, Millis retryAfter);
     Task<void> fail(unsigned status, std::string message);
@@ -279,6 +291,8 @@
     SteadyTime::duration longestPause_{};
     /// Some upstream may have run the request.
     bool mayHaveRun_ = false;
+    /// A whole answer is being sent or was sent.
+    bool answering_ = false;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -10,6 +10,7 @@
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/spawn.h"
 
 #include <algorithm>
 #include <cmath>
@@ -30,6 +31,31 @@
 // After so many daemons that do not reach the upstreams, the region of the next one is not asked again.
 constexpr unsigned maxCutOffPeers = 2;
 
+/// Lists an exchange among the streams of an upstream, however the attempt ends.
+class StreamRegistration
+{
+public:
+    StreamRegistration(std::shared_ptr<StreamsByUpstream> streams, std::string upstream, Exchange *exchange)
+        : streams_(std::move(streams)), upstream_(std::move(upstream)), exchange_(exchange)
+    {
+        (*streams_)[upstream_].insert(exchange_);
+    }
+    StreamRegistration(const StreamRegistration &) = delete;
+    StreamRegistration &operator=(const StreamRegistration &) = delete;
+    ~StreamRegistration()
+    {
+        const auto found = streams_->find(upstream_);
+        if (found != streams_->end() && found->second.erase(exchange_) > 0 && found->second.empty()) {
+            streams_->erase(found);
+        }
+    }
+
+private:
+    std::shared_ptr<StreamsByUpstream> streams_;
+    std::string upstream_;
+    Exchange *exchange_;
+};
+
 } // namespace
 
 AttemptPlan Exchange::planFor(const Target &target)
@@ -227,20 +253,12 @@
         watchSilence(watch);
     }
     const bool movable = local && attempt->plan.streamed && target.spec->movesMemory && !move_.begun();
-    if (movable) {
-        gateway_.streams_[attempt->plan.peer].insert(this);
-    }
     AttemptReport report;
-    const bool started = standby ? co_await standby->awaitStart() : true;
-    if (!started) {
-        report = std::move(*standby->failure);
-    } else if (standby) {
-        report = co_await attempt->sending.receive(attempt->callbacks);
-    } else {
-        report = co_await attempt->sending.run(attempt->plan, attempt->callbacks);
-    }
     if (movable) {
-        gateway_.forgetStream(attempt->plan.peer, this);
+        const StreamRegistration registration(gateway_.streams_, attempt->plan.peer, this);
+        report = co_await bringAnswer(*attempt, standby.get());
+    } else {
+        report = co_await bringAnswer(*attempt, standby.get());
     }
     current_.reset();
     watch->hasEnded = true;
@@ -249,6 +267,49 @@
     co_return report;
 }
 
+Task<AttemptReport> Exchange::bringAnswer(Attempt &attempt, Standby *standby)
+{
+    std::exception_ptr failure;
+    try {
+        if (standby == nullptr) {
+            co_return co_await attempt.sending.run(attempt.plan, attempt.callbacks);
+        }
+        const bool started = co_await standby->awaitStart();
+        if (!started) {
+            co_return std::move(*standby->failure);
+        }
+        co_return co_await attempt.sending.receive(attempt.callbacks);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    progress_.splitter.dropPartial();
+    co_return reportOf(failure, attempt);
+}
+
+Task<std::optional<AttemptReport>> Exchange::startSending(Attempt &attempt)
+{
+    std::exception_ptr failure;
+    try {
+        co_return co_await attempt.sending.start(attempt.plan, attempt.callbacks);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    co_return reportOf(failure, attempt);
+}
+
+// The upstream is not to blame for an exception before anything was sent to it, as for a request that was withheld.
+AttemptReport Exchange::reportOf(const std::exception_ptr &exception, Attempt &attempt) const
+{
+    const std::string message = messageOf(exception);
+    logEvent(LogEvent::TaskFailed, { { "task", "attempt" }, { "request", request_.id }, { "message", message } });
+    const bool sent = attempt.sending.abandon();
+    AttemptReport report = failedAttempt(sent ? AttemptEnd::Broken : AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
+                                         "an exception ended the attempt: " + message);
+    report.sent = sent;
+    report.withheld = !sent;
+    return report;
+}
+
 /// Passes on what the attempt tells about its target: load, reachability, crashes, incarnation.
 void Exchange::noteAttemptEnd(Attempt &attempt, const AttemptReport &report)
 {
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/gateway/exchange_endings.cpp
@@ -7,6 +7,7 @@
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/spawn.h"
 
 #include <fmt/format.h>
 
@@ -42,7 +43,7 @@
         const unsigned status = report.bufferedAnswer->status;
         WholeAnswer answer = std::move(*report.bufferedAnswer);
         setSendsHeader(answer);
-        const bool taken = co_await writer_.whole(std::move(answer));
+        const bool taken = co_await answerWhole(std::move(answer));
         const LogEvent end = status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed;
         log(taken ? end : LogEvent::RequestAbandoned, status, report.error.message);
         co_return;
@@ -84,7 +85,7 @@
     }
     setSendsHeader(answer);
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
-    co_await writer_.whole(std::move(answer));
+    co_await answerWhole(std::move(answer));
 }
 
 Task<void> Exchange::fail(unsigned status, std::string message)
@@ -99,7 +100,7 @@
     }
     setSendsHeader(answer);
     answer.body = message + "\n";
-    co_await writer_.whole(std::move(answer));
+    co_await answerWhole(std::move(answer));
 }
 
 bool Exchange::logsBudget() const
@@ -153,9 +154,36 @@
     log(LogEvent::RequestFailed, 0, "this daemon stops before the answer is complete");
 }
 
-void Exchange::logException(const std::string &message) const
+Task<bool> Exchange::answerWhole(WholeAnswer answer)
 {
-    log(LogEvent::RequestFailed, 0, "an exception ended the request: " + message);
+    answering_ = true;
+    co_return co_await writer_.whole(std::move(answer));
+}
+
+void Exchange::releaseHeld()
+{
+    deadlineTimer_.cancel();
+    silenceTimer_.cancel();
+    dropStandby();
+    refundRetry();
+    givePlaceBack(place_, PlaceEnd::Unknown);
+}
+
+// Outside of an attempt it is not known what was sent, so a request of which any target was asked may have run.
+Task<void> Exchange::endAfter(const std::exception_ptr &exception)
+{
+    const std::string message = "an exception ended the request: " + messageOf(exception);
+    logEvent(LogEvent::TaskFailed, { { "task", "request" }, { "request", request_.id }, { "message", message } });
+    runGuarded("request_held", [this] { releaseHeld(); });
+    mayHaveRun_ = mayHaveRun_ || !askedTargets_.empty();
+    if (progress_.begun || answering_ || interruption_ == Interruption::CallerLeft) {
+        writer_.abort();
+        log(LogEvent::RequestFailed, 0, message);
+    } else if (mayHaveRun_) {
+        co_await fail(HttpStatus::badGateway, message);
+    } else {
+        co_await refuse(ErrorCode::NoUpstream, message, suggestedRetryAfter());
+    }
 }
 
 void Exchange::setSendsHeader(WholeAnswer &answer) const
--- a/src/portpaddle/gateway/exchange_standby.cpp
+++ b/src/portpaddle/gateway/exchange_standby.cpp
@@ -87,7 +87,7 @@
         noteRetryArrived();
         limitStandbyTime(standby);
     };
-    standby->failure = co_await attempt->sending.start(attempt->plan, attempt->callbacks);
+    standby->failure = co_await startSending(*attempt);
     standby->hasStarted = true;
     standby->startTimer.cancel();
     standby->takeOverTimer.cancel();
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/gateway/gateway.h"
 
+#include "portpaddle/base/scope_exit.h"
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/exchange.h"
 #include "portpaddle/routing/rendezvous.h"
@@ -61,20 +62,19 @@
         }
     }
     const auto exchange = std::make_shared<Exchange>(*this, std::move(request), writer);
-    inProgress_.insert(exchange.get());
+    inProgress_->insert(exchange.get());
+    const ScopeExit registration([inProgress = inProgress_, entry = exchange.get()] { inProgress->erase(entry); });
     abandoned = [exchange] { exchange->callerLeft(); };
     std::exception_ptr failure;
     try {
         co_await exchange->run();
-    } catch (const std::exception &exception) {
-        exchange->logException(exception.what());
+    } catch (...) {
         failure = std::current_exception();
     }
-    abandoned = nullptr;
-    inProgress_.erase(exchange.get());
     if (failure) {
-        std::rethrow_exception(failure);
+        co_await exchange->endAfter(failure);
     }
+    abandoned = nullptr;
 }
 
 CallerLimits Gateway::limits() const
@@ -347,12 +347,12 @@
 
 std::size_t Gateway::inProgress() const
 {
-    return inProgress_.size();
+    return inProgress_->size();
 }
 
 void Gateway::logUnfinished() const
 {
-    for (const Exchange *exchange : inProgress_) {
+    for (const Exchange *exchange : *inProgress_) {
         exchange->logUnfinished();
     }
 }
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -95,6 +95,9 @@
     std::chrono::milliseconds stallBound{ 1'000 };
 };
 
+/// Exchanges by the upstream that streams to them.
+using StreamsByUpstream = std::unordered_map<std::string, std::set<Exchange *>>;
+
 /// Handles the requests of one event loop and must only be used from it; only the view is written by another thread.
 class Gateway : public RequestHandler
 {
@@ -350,13 +353,13 @@
     bool isEnding(const UpstreamRecord &upstream, std::size_t runs, SteadyTime now) const;
     /// Returns whether a run that @p upstream stopped may go on there.
     bool mayReturnTo(const UpstreamRecord &upstream, SteadyTime now) const;
-    void forgetStream(const std::string &upstream, Exchange *exchange);
     /// Returns whether @p upstream is known to have ended.
     bool hasEnded(const std::string &upstream) const;
 
     const UpstreamOrders *orders_ = nullptr;
-    /// Streams in progress by upstream of the own region.
-    std::unordered_map<std::string, std::set<Exchange *>> streams_;
+    /// Streams in progress by upstream of the own region. Shared with their registrations, which end after the gateway where the
+    /// event loop does.
+    std::shared_ptr<StreamsByUpstream> streams_ = std::make_shared<StreamsByUpstream>();
     /// Number of runs that are copied from an upstream.
     std::unordered_map<std::string, std::size_t> copiesUnderWay_;
     /// Recent time that the move of one run took.
@@ -364,7 +367,7 @@
     PeerRequestHandler *peerRequestHandler_ = nullptr;
     MemoryBudget bodyMemory_;
     MemoryBudget answerMemory_;
-    std::set<Exchange *> inProgress_;
+    std::shared_ptr<std::set<Exchange *>> inProgress_ = std::make_shared<std::set<Exchange *>>();
     std::uint64_t digestSequence_ = 0;
     /// Prompt parts that the digests of this round announce, by reach.
     std::array<std::vector<Wire::PlacedPart>, 2> announcedParts_;
--- a/src/portpaddle/gateway/gateway_moves.cpp
+++ b/src/portpaddle/gateway/gateway_moves.cpp
@@ -27,7 +27,7 @@
         return;
     }
     const bool stops = stop_ && now + options_.handOverLead >= stop_->end;
-    for (const auto &[id, exchanges] : streams_) {
+    for (const auto &[id, exchanges] : *streams_) {
         const auto upstream = view_->upstreams.find(id);
         if (upstream == view_->upstreams.end()) {
             continue;
@@ -72,8 +72,8 @@
     const std::chrono::duration<double> newest = *took;
     moveTime_ = std::chrono::duration_cast<SteadyTime::duration>((1 - newestMoveShare) * before + newestMoveShare * newest);
     const auto upstream = view_->upstreams.find(source);
-    const auto streams = streams_.find(source);
-    if (upstream != view_->upstreams.end() && streams != streams_.end()) {
+    const auto streams = streams_->find(source);
+    if (upstream != view_->upstreams.end() && streams != streams_->end()) {
         moveRunsOf(upstream->second, streams->second, BootClock::now());
     }
 }
@@ -99,16 +99,4 @@
     return !upstream.leavingSince || now < std::min(endOf(upstream), *upstream.leavingSince + options_.drainBound);
 }
 
-void Gateway::forgetStream(const std::string &upstream, Exchange *exchange)
-{
-    const auto streams = streams_.find(upstream);
-    if (streams == streams_.end()) {
-        return;
-    }
-    streams->second.erase(exchange);
-    if (streams->second.empty()) {
-        streams_.erase(streams);
-    }
-}
-
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -6,6 +6,7 @@
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/net/endpoint.h"
+#include "portpaddle/net/spawn.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <boost/asio/buffer.hpp>
@@ -105,7 +106,7 @@
     ticks_.expires_after(tickInterval);
     ticks_.async_wait([this](NetError error) {
         if (!error) {
-            tick();
+            runGuarded("tick", [this] { tick(); });
             scheduleTick();
         }
     });
@@ -173,15 +174,20 @@
             return;
         }
         if (!error) {
-            const Result<Wire::LoadDigestT> digest = decodeDigest(std::span(receiveBuffer_.data(), size));
-            if (isOk(digest)) {
-                gateway_.applyDigest(valueOf(digest));
-            }
+            runGuarded("datagram", [this, size] { applyDatagram(size); });
         }
         receiveDatagram();
     });
 }
 
+void GatewayServer::applyDatagram(std::size_t size)
+{
+    const Result<Wire::LoadDigestT> digest = decodeDigest(std::span(receiveBuffer_.data(), size));
+    if (isOk(digest)) {
+        gateway_.applyDigest(valueOf(digest));
+    }
+}
+
 void GatewayServer::announceLoad()
 {
     const std::shared_ptr<const FleetView> view = gateway_.view();
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -67,6 +67,8 @@
     void continueStopping(SteadyTime now);
     Status openDatagrams();
     void receiveDatagram();
+    /// Takes the digest in the first @p size bytes that were received, if they are one.
+    void applyDatagram(std::size_t size);
     void announceLoad();
     void sendLocalDigests(const std::vector<const DaemonRecord *> &daemons);
     void sendRemoteDigests(const std::vector<const DaemonRecord *> &daemons);
--- a/src/portpaddle/gateway/gateway_streams.cpp
+++ b/src/portpaddle/gateway/gateway_streams.cpp
@@ -67,7 +67,7 @@
 
 void Gateway::announceStreams(SteadyTime now)
 {
-    for (Exchange *exchange : inProgress_) {
+    for (Exchange *exchange : *inProgress_) {
         exchange->announceStream(now);
     }
 }
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/gateway/run_move.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/log.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/net/spawn.h"
 
 #include <fmt/format.h>
 
@@ -65,7 +66,21 @@
                { "message", fmt::format("no engine can take the run: {}", nameOf(reason)) } });
 }
 
+// Whoever waits for the end would otherwise wait as long as the request may take.
 Task<void> RunMove::run(const UpstreamOrders &orders, MoveWay way, SteadyTime until)
+{
+    MemoryMove failed;
+    try {
+        co_await perform(orders, way, until);
+    } catch (...) {
+        failed.outcome = "an exception ended the move: " + messageOf(std::current_exception());
+    }
+    if (!failed.outcome.empty()) {
+        end(State::Failed, failed);
+    }
+}
+
+Task<void> RunMove::perform(const UpstreamOrders &orders, MoveWay way, SteadyTime until)
 {
     if (way == MoveWay::CopyFirst) {
         const bool copied = co_await copyMemory(orders, until);
--- a/src/portpaddle/gateway/run_move.h
+++ b/src/portpaddle/gateway/run_move.h
@@ -63,6 +63,7 @@
     enum class State { None, Moving, Moved, Failed };
 
     /// Orders the copy; returns false if none was made, so that the run goes on where it is.
+    Task<void> perform(const UpstreamOrders &orders, MoveWay way, SteadyTime until);
     Task<bool> copyMemory(const UpstreamOrders &orders, SteadyTime until);
     Task<MemoryMove> stopRun(const UpstreamOrders &orders, SteadyTime until);
     Task<MemoryMove> send(const UpstreamOrders &orders, HttpRequest order, SteadyTime until);
--- a/src/portpaddle/gateway/session_listener.cpp
+++ b/src/portpaddle/gateway/session_listener.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/gateway/session_listener.h"
 
 #include "portpaddle/net/endpoint.h"
+#include "portpaddle/net/spawn.h"
 
 namespace Portpaddle {
 
@@ -72,16 +73,21 @@
             });
             return;
         }
-        // A connection beyond the bound is closed at once, so that its caller tries another daemon.
-        if (sessions_.size() < maxSessions_ || open() < maxSessions_) {
-            const auto session = std::make_shared<CallerSession>(std::move(socket), peer_, handler_);
-            sessions_.push_back(session);
-            session->start();
-        }
+        runGuarded("accept", [this, &socket] { take(std::move(socket)); });
         acceptNext();
     });
 }
 
+// A connection beyond the bound is closed at once, so that its caller tries another daemon.
+void SessionListener::take(Socket socket)
+{
+    if (sessions_.size() < maxSessions_ || open() < maxSessions_) {
+        const auto session = std::make_shared<CallerSession>(std::move(socket), peer_, handler_);
+        sessions_.push_back(session);
+        session->start();
+    }
+}
+
 void SessionListener::stopAccepting()
 {
     NetError ignored;
--- a/src/portpaddle/gateway/session_listener.h
+++ b/src/portpaddle/gateway/session_listener.h
@@ -36,6 +36,8 @@
     using Acceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, Executor>;
 
     void acceptNext();
+    /// Serves a connection that was accepted, unless there are too many.
+    void take(Socket socket);
 
     Executor executor_;
     SessionPeer peer_;
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -95,6 +95,15 @@
     releaseConnection();
 }
 
+bool UpstreamAttempt::abandon()
+{
+    interrupt();
+    if (connection_) {
+        releaseConnection();
+    }
+    return sending_;
+}
+
 Task<AttemptReport> UpstreamAttempt::run(const AttemptPlan &plan, const AttemptCallbacks &callbacks)
 {
     std::optional<AttemptReport> ended = co_await start(plan, callbacks);
@@ -123,6 +132,7 @@
         report.withheld = true;
         co_return report;
     }
+    sending_ = true;
     callbacks.sending();
     std::optional<AttemptReport> ended = co_await sendRequest(plan, callbacks);
     if (ended) {
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -151,6 +151,8 @@
     void interrupt();
     /// Gives up the answer whose head start() has read; nothing is received.
     void discard();
+    /// Ends the connection after an exception has left start() or receive(); returns whether the request may have been sent.
+    bool abandon();
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
@@ -197,6 +199,8 @@
     std::unique_ptr<UpstreamConnection> connection_;
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
+    /// The request was sent, or is about to be.
+    bool sending_ = false;
     /// The connection was closed because what came on it took too long.
     bool tooSlow_ = false;
     /// Key of the target in the connection pool.
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -4,12 +4,14 @@
 #include "support/gateway_site.h"
 
 #include "portpaddle/net/endpoint.h"
+#include "portpaddle/net/spawn.h"
 
 #include <boost/asio/post.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <future>
 #include <stdexcept>
 
@@ -104,6 +106,7 @@
     char bytes[4096];
     const ssize_t got = recv(socket_, bytes, sizeof bytes, 0);
     wasReset_ = got < 0;
+    hung_ = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     if (got <= 0) {
         return false;
     }
@@ -111,6 +114,11 @@
     return true;
 }
 
+bool RawCaller::hung() const
+{
+    return hung_;
+}
+
 std::string RawCaller::rest()
 {
     while (readMore()) { }
@@ -192,7 +200,7 @@
 GatewaySite::GatewaySite(Routes known, Registration registration)
 {
     gateway_ = std::make_unique<Gateway>(loop_.get_executor(), GatewayIdentity{ "d", "north", "north-1" }, HeaderNames{}, view_,
-                                         random_, metrics_);
+                                         random, metrics_);
     terms.retryRatio = 1;
     terms.extraRetriesPerWindow = 100;
     terms.moveLead = std::chrono::hours(1);
@@ -215,7 +223,7 @@
     spec.name = "s";
     spec.connectionLimit = 100;
     routes.services["s"] = spec;
-    thread_ = Thread("gateway", [this] { loop_.run(); });
+    thread_ = Thread("gateway", [this] { runLoop(loop_); });
     registry_->onStoreAvailable(BootClock::now());
     DaemonRecord own;
     own.id = "d";
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -10,6 +10,7 @@
 #include "portpaddle/gateway/fleet_registry.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/session_listener.h"
+#include "support/fallible_random.h"
 #include "support/suspended_clock.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -49,6 +50,8 @@
     std::string rest();
     /// Returns whether the peer closes the connection.
     bool closedByPeer();
+    /// Returns whether the last read ended because nothing came for 20 s.
+    bool hung() const;
     void leave();
 
 private:
@@ -61,6 +64,7 @@
 
     int socket_ = -1;
     bool wasReset_ = false;
+    bool hung_ = false;
     std::string buffer_;
 };
 
@@ -101,6 +105,8 @@
     /// Options whose time bounds are raised so that no result depends on machine speed; call setOptions() after a change.
     GatewayOptions terms;
     void setOptions();
+    /// The source of all random numbers of the gateway.
+    FallibleRandom random{ 7 };
     /// Routes of the gateway; call publishRoutes() after a change.
     ServiceMap routes;
     void publishRoutes();
@@ -127,7 +133,6 @@
     boost::asio::io_context loop_{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{ loop_.get_executor() };
     RcuCell<FleetView> view_;
-    SeededRandom random_{ 7 };
     Metrics metrics_;
     std::unique_ptr<Gateway> gateway_;
     std::unique_ptr<FleetRegistry> registry_;
