--- a/tests/gateway/damaged_head_tests.cpp
+++ b/tests/gateway/damaged_head_tests.cpp
@@ -37,7 +37,7 @@
         const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
         StoreClient client(SocketAddress{ "127.0.0.1", port });
         std::optional<Result<std::uint64_t>> newest;
-        Thread thread("call", [&] { newest = client.newestRevision(); });
+        Thread thread("call", [&] { newest = client.newestRevision(ReadFreshness::MayBeStale); });
         thread.join();
         REQUIRE(newest.has_value());
         REQUIRE_FALSE(isOk(*newest));
--- a/tests/gateway/damaged_length_tests.cpp
+++ b/tests/gateway/damaged_length_tests.cpp
@@ -214,6 +214,6 @@
         const std::string address = store.address();
         const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
         StoreClient client(SocketAddress{ "127.0.0.1", port });
-        CHECK(errorOf(client.newestRevision()).code == ErrorCode::PlatformUnavailable);
+        CHECK(errorOf(client.newestRevision(ReadFreshness::MayBeStale)).code == ErrorCode::PlatformUnavailable);
     }
 }
--- a/tests/gateway/store_client_tests.cpp
+++ b/tests/gateway/store_client_tests.cpp
@@ -120,7 +120,7 @@
     for (const std::string &each : bodies) {
         CAPTURE(each);
         body = each;
-        CHECK_FALSE(isOk(client->newestRevision()));
+        CHECK_FALSE(isOk(client->newestRevision(ReadFreshness::MayBeStale)));
         CHECK_FALSE(isOk(client->listAll("", ReadFreshness::Newest)));
         CHECK_FALSE(isOk(client->follow("", 1, Millis(10))));
         CHECK_FALSE(isOk(client->grantLease(Millis(100))));
