--- a/tests/gateway/relayed_configuration_tests.cpp
+++ b/tests/gateway/relayed_configuration_tests.cpp
@@ -19,8 +19,9 @@
 namespace {
 
 constexpr const char *newer = "X-Portpaddle-Configuration: 2 e1\r\n";
-constexpr const char *olderRefusal = "HTTP/1.1 503 Older\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: 0\r\n"
-                                     "X-Portpaddle-Configuration: 1 e1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *olderRefusal
+    = "HTTP/1.1 503 Older\r\nX-Request-Id: @id\r\nX-Portpaddle-Outcome: not_run\r\nX-Portpaddle-Sends: 0\r\n"
+      "X-Portpaddle-Configuration: 1 e1\r\nContent-Length: 0\r\n\r\n";
 const std::string unversioned = std::string(streamVersionHeader) + ": " + encodeVersionKey(versionKeyOf("")) + "\r\n";
 
 ScriptedAnswer refuseAsOlder(const SeenRequest &)
