Silent upstreams: neither run is given up before the other one is sure

An interrupted attempt passes nothing on any more. - A caller that does not read was taken for a silent upstream. - A refusal of the silent upstream, or a late answer to another request, dropped the attempt that worked. Only an answer that will be received does now. - A failure (5xx), or a head that cannot go on with the stream, replaced a sound run. It is a failed start now. - After 300 ms the silent run was left whatever the other one showed. It stays if its upstream was heard meanwhile, or if the other one has runs and was not heard either. - An upstream whose attempt was dropped was never asked again; a run that had been moved was never watched again; a quarantine between decision and take-over lost both; a removed route was looked at after its end. - One payment stood for two attempts.

--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -78,7 +78,7 @@
     { "portpaddle_brittle_rejections_total", "Requests that brittle upstreams rejected for want of room." },
     { "portpaddle_places_denied_total", "Places at brittle upstreams that were asked for and not granted." },
     { "portpaddle_silent_upstreams_left_total", "Attempts that took over from one whose upstream had fallen silent." },
-    { "portpaddle_standbys_dropped_total", "Attempts prepared beside a silent upstream and dropped, because its run went on." },
+    { "portpaddle_standbys_dropped_total", "Attempts prepared beside a silent upstream and given up." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/gateway/exchange.h
@@ -123,6 +123,7 @@
     bool maySend(const Attempt &attempt);
     void noteSending(Attempt &attempt);
     void noteHead(Attempt &attempt, const AnswerNotice &notice);
+    void noteAnswerBegins(const Attempt &attempt);
     void noteFirstEvent(Attempt &attempt);
     /// Records that the first token of an attempt took @p ms, or would have taken longer if @p unfinished.
     void measureFirstToken(const Target &target, double ms, bool unfinished);
@@ -143,16 +144,21 @@
     Task<void> startStandby(std::shared_ptr<Standby> standby, Target target);
     /// Ends the start of @p standby: it takes over, or another one is prepared.
     void noteStandbyStarted(const std::shared_ptr<Standby> &standby);
-    /// Lets @p standby take over after a short time, whether or not its answer has begun by then.
-    void limitStandbyTime(const std::shared_ptr<Standby> &standby);
+    /// Decides after a short time which of the two upstreams goes on, if the answer of @p standby has not begun by then.
+    void limitSharedRun(const std::shared_ptr<Standby> &standby);
+    /// Whether the silent upstream has shown life since @p standby was sent, or the new one shows less than others there would.
+    bool isCurrentLivelier(const Standby &standby);
+    /// Whether another attempt may take the place of the one in progress.
+    bool mayReplaceCurrent();
     /// Ends the attempt in progress, so that the standby takes its place.
     void replaceCurrent();
     /// Gives the prepared attempt up, because the one in progress goes on or the request has ended.
     void dropStandby();
     /// Ends a standby that was given up and is no longer being started.
     void endDropped(Attempt &attempt, std::optional<AttemptReport> failure);
+    void settleRetry(const Attempt &attempt);
     /// Records that @p daemon, the last target, refused the request for a reason that concerns itself and not its region.
-    void noteUnfitPeer(const DaemonRecord &daemon);
+    void noteUnfitPeer(const Attempt &attempt);
     /// Returns the number of times that this daemon sent the request to an upstream.
     unsigned sendsByThisDaemon() const;
     /// Adds the number of sends by this daemon to an answer that goes to another daemon.
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/gateway/exchange_attempt.cpp
@@ -115,6 +115,7 @@
     callbacks.maySend = [this, &attempt] { return maySend(attempt); };
     callbacks.sending = [this, &attempt] { noteSending(attempt); };
     callbacks.headReceived = [this, &attempt](const AnswerNotice &notice) { noteHead(attempt, notice); };
+    callbacks.answerBegins = [this, &attempt] { noteAnswerBegins(attempt); };
     callbacks.firstEvent = [this, &attempt] {
         noteFirstEvent(attempt);
         const double took = static_cast<double>(elapsedSince(attempt.ticket.sentAt).count());
@@ -128,7 +129,7 @@
     };
     callbacks.bytesReceived = [this, &attempt] {
         const SteadyTime now = BootClock::now();
-        dropStandby();
+        noteAnswerBegins(attempt);
         gateway_.loads_.heard(attempt.target.upstream->id, now);
         gateway_.reach_.heard(*attempt.target.upstream, now);
     };
@@ -167,17 +168,23 @@
 {
     const UpstreamRecord &upstream = *attempt.target.upstream;
     const SteadyTime now = BootClock::now();
-    if (current_.get() == &attempt) {
-        dropStandby();
-    }
     gateway_.reach_.heard(upstream, now);
     gateway_.noteBrittle(upstream, notice, attempt.ticket.sentAt, now);
     noteRejection(attempt, notice);
     gateway_.noteAnswer(upstream, notice, attempt.ticket.sentAt);
 }
 
+/// The answer of the attempt in progress arrives: no other one is needed.
+void Exchange::noteAnswerBegins(const Attempt &attempt)
+{
+    if (current_.get() == &attempt) {
+        dropStandby();
+    }
+}
+
 void Exchange::noteFirstEvent(Attempt &attempt)
 {
+    noteAnswerBegins(attempt);
     noteRetryArrived();
     attempt.firstBytesAt = BootClock::now();
     firstEventMs_ = static_cast<double>(elapsedSince(request_.arrivedAt).count());
@@ -320,7 +327,7 @@
     LoadTicket &ticket = attempt.ticket;
     const bool seen = report.sent && report.relayedSends != 0U;
     // A retry that is under way belongs to the standby, if there is one.
-    if (seen && !standby_) {
+    if (seen && !standby_ && !attempt.isDropped) {
         noteRetryArrived();
     }
     const SteadyTime now = BootClock::now();
@@ -374,7 +381,7 @@
         gateway_.regions_.markOlder(target.daemon->id, services_->version, now);
     }
     if (target.daemon && (report.peerCutOff || report.peerOlder)) {
-        noteUnfitPeer(*target.daemon);
+        noteUnfitPeer(attempt);
     }
     if (target.daemon && report.sent) {
         // A daemon that failed before it reported its sends is assumed to have sent the request once, as almost all do.
@@ -384,11 +391,12 @@
 }
 
 /// Another daemon of its region may take the request; it asks only a few, since each costs a round trip.
-void Exchange::noteUnfitPeer(const DaemonRecord &daemon)
+void Exchange::noteUnfitPeer(const Attempt &attempt)
 {
     if (++unfitPeers_ <= maxUnfitPeers) {
-        tried_.back() = daemon.id;
-        refusedBy_.insert(daemon.id);
+        const std::string &daemon = attempt.target.daemon->id;
+        std::replace(tried_.begin(), tried_.end(), attempt.triedAs, daemon);
+        refusedBy_.insert(daemon);
     }
 }
 
@@ -402,8 +410,9 @@
     if (report.bufferedAnswer) {
         return AnswerSample{ report.bufferedAnswer->status >= HttpStatus::internalError, now - sentAt };
     }
-    const bool streams = route_->kind == RouteKind::Stream;
-    return streams && attempt.firstBytesAt ? std::optional(AnswerSample{ false, *attempt.firstBytesAt - sentAt }) : std::nullopt;
+    // The route may be gone by now.
+    return attempt.plan.streamed && attempt.firstBytesAt ? std::optional(AnswerSample{ false, *attempt.firstBytesAt - sentAt })
+                                                         : std::nullopt;
 }
 
 void Exchange::noteBrokenRun(const Attempt &attempt, SteadyTime now)
--- a/src/portpaddle/gateway/exchange_attempt.h
+++ b/src/portpaddle/gateway/exchange_attempt.h
@@ -54,8 +54,12 @@
     /// Why there is no answer to receive.
     std::optional<AttemptReport> failure;
     bool hasStarted = false;
-    /// The attempt has taken the place of the one that was in progress.
+    /// The attempt that was in progress has been ended for this one.
+    bool replacesCurrent = false;
+    /// This attempt is the one in progress.
     bool isAdopted = false;
+    /// When the request was written.
+    SteadyTime sentAt{};
     /// Cancelled when the start has ended.
     SteadyTimer startTimer;
     /// Ends the time in which two upstreams may hold the request.
--- a/src/portpaddle/gateway/exchange_standby.cpp
+++ b/src/portpaddle/gateway/exchange_standby.cpp
@@ -40,8 +40,10 @@
         if (error || !self || watch->hasEnded) {
             return;
         }
-        // An upstream that answers other requests does not hang: this request waits in its queue.
-        if (!self->gateway_.loads_.heardSince(watch->upstream, watch->since)) {
+        // An upstream that answers other requests does not hang: this request waits in its queue. While the caller does not read,
+        // the upstream cannot be heard.
+        const bool isPassingOn = self->current_ && self->current_->sending.isPassingOn();
+        if (!isPassingOn && !self->gateway_.loads_.heardSince(watch->upstream, watch->since)) {
             self->beginStandby();
         }
         watch->since = BootClock::now();
@@ -51,10 +53,12 @@
 
 void Exchange::beginStandby()
 {
-    const bool isMoved = move_.begun() || !memoryFrom_.empty() || continuation_;
-    if (standby_ || !current_ || isMoved || interruption_ != Interruption::None || isRequestQuarantined()) {
+    const bool isMoved = move_.inProgress() || !memoryFrom_.empty() || continuation_;
+    if (standby_ || !current_ || isMoved || interruption_ != Interruption::None || !mayReplaceCurrent()) {
         return;
     }
+    // The payment for the attempt in progress, which was sent long ago, must not be taken for the next one's.
+    noteRetryArrived();
     if (!canAttemptAgain() || !payForRetry()) {
         return;
     }
@@ -76,16 +80,18 @@
     const bool placed = co_await takePlace(target, place);
     if (!placed || standby_ != standby) {
         givePlaceBack(place, PlaceEnd::Unknown);
-        dropStandby();
+        if (standby_ == standby) {
+            dropStandby();
+        }
         co_return;
     }
     const std::shared_ptr<Attempt> attempt = makeAttempt(std::move(target), std::move(place));
+    attempt->plan.besideAnother = true;
     standby->attempt = attempt;
     const std::function<void()> noteSent = std::exchange(attempt->callbacks.sending, {});
     attempt->callbacks.sending = [this, &noteSent, &standby] {
         noteSent();
-        noteRetryArrived();
-        limitStandbyTime(standby);
+        limitSharedRun(standby);
     };
     standby->failure = co_await startSending(*attempt);
     standby->hasStarted = true;
@@ -96,39 +102,63 @@
 
 void Exchange::noteStandbyStarted(const std::shared_ptr<Standby> &standby)
 {
-    if (standby->isAdopted) {
-        return;
-    }
     if (standby->attempt->isDropped) {
         endDropped(*standby->attempt, std::move(standby->failure));
         return;
     }
+    if (standby->isAdopted || standby->replacesCurrent) {
+        return;
+    }
     if (!standby->failure) {
         replaceCurrent();
         return;
     }
     standby_.reset();
-    refundRetry();
+    settleRetry(*standby->attempt);
     noteAttemptEnd(*standby->attempt, *standby->failure);
     beginStandby();
 }
 
-void Exchange::limitStandbyTime(const std::shared_ptr<Standby> &standby)
+void Exchange::limitSharedRun(const std::shared_ptr<Standby> &standby)
 {
+    standby->sentAt = BootClock::now();
     standby->takeOverTimer.expires_after(gateway_.options_.maxSharedRun);
     standby->takeOverTimer.async_wait([weak = weak_from_this(), standby](NetError error) {
         const std::shared_ptr<Exchange> self = weak.lock();
-        if (!error && self && self->standby_ == standby) {
+        if (error || !self || self->standby_ != standby || standby->hasStarted) {
+            return;
+        }
+        if (self->isCurrentLivelier(*standby)) {
+            self->dropStandby();
+        } else {
             self->replaceCurrent();
         }
     });
 }
 
+bool Exchange::isCurrentLivelier(const Standby &standby)
+{
+    const UpstreamLoads &loads = gateway_.loads_;
+    if (current_ && loads.heardSince(current_->plan.peer, standby.sentAt)) {
+        return true;
+    }
+    const std::optional<UpstreamRecord> &next = standby.attempt->target.upstream;
+    const bool hasOtherRuns = next && loads.running(next->id) > 1;
+    return hasOtherRuns && !loads.heardSince(next->id, standby.sentAt);
+}
+
+bool Exchange::mayReplaceCurrent()
+{
+    const bool isPassingOn = current_ && current_->sending.isPassingOn();
+    return !isPassingOn && canContinue() && !isRequestQuarantined();
+}
+
 void Exchange::replaceCurrent()
 {
-    if (!canContinue()) {
+    if (!mayReplaceCurrent()) {
         dropStandby();
     } else if (current_) {
+        standby_->replacesCurrent = true;
         current_->sending.interrupt();
     }
 }
@@ -136,8 +166,7 @@
 bool Exchange::needsStandby(const AttemptReport &report)
 {
     const bool failed = report.end == AttemptEnd::Broken || report.end == AttemptEnd::NotRun;
-    return failed && standby_->attempt && !report.continuation && interruption_ == Interruption::None && canContinue()
-        && !isRequestQuarantined();
+    return failed && standby_->attempt && !report.continuation && interruption_ == Interruption::None && mayReplaceCurrent();
 }
 
 void Exchange::dropStandby()
@@ -147,11 +176,12 @@
         return;
     }
     gateway_.metrics_.count(Counter::StandbysDropped);
-    refundRetry();
     standby->takeOverTimer.cancel();
     if (!standby->attempt) {
+        refundRetry();
         return;
     }
+    settleRetry(*standby->attempt);
     standby->attempt->isDropped = true;
     if (standby->hasStarted) {
         endDropped(*standby->attempt, std::move(standby->failure));
@@ -160,13 +190,25 @@
     }
 }
 
+// The upstream that was given up may be asked again if the other one ends after all.
 void Exchange::endDropped(Attempt &attempt, std::optional<AttemptReport> failure)
 {
     if (!failure) {
         attempt.sending.discard();
         failure = failedAttempt(AttemptEnd::Broken, ErrorCode::Cancelled, "the upstream that was asked before goes on");
     }
+    std::erase(tried_, attempt.triedAs);
     noteAttemptEnd(attempt, *failure);
 }
 
+/// Counts the payment for @p attempt as used if its request was sent to an upstream.
+void Exchange::settleRetry(const Attempt &attempt)
+{
+    if (attempt.ticket.upstream.empty()) {
+        refundRetry();
+    } else {
+        noteRetryArrived();
+    }
+}
+
 } // namespace Portpaddle
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/gateway/run_move.cpp
@@ -35,6 +35,11 @@
     return state_ != State::None;
 }
 
+bool RunMove::inProgress() const
+{
+    return state_ == State::Moving;
+}
+
 const UpstreamRecord &RunMove::source() const
 {
     return moved_.source;
--- a/src/portpaddle/gateway/run_move.h
+++ b/src/portpaddle/gateway/run_move.h
@@ -41,6 +41,7 @@
 
     /// Whether a move is in progress or has ended; one whose copy failed before the run was stopped can begin again.
     bool begun() const;
+    bool inProgress() const;
     /// Returns the engine from which the run is moved.
     const UpstreamRecord &source() const;
     /// Whether the engine was ordered to stop the run.
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/gateway/upstream_attempt.cpp
@@ -89,10 +89,17 @@
     }
 }
 
+bool UpstreamAttempt::isPassingOn() const
+{
+    return isPassingOn_;
+}
+
 void UpstreamAttempt::discard()
 {
     interrupt();
-    releaseConnection();
+    if (connection_) {
+        releaseConnection();
+    }
 }
 
 bool UpstreamAttempt::abandon()
@@ -265,6 +272,13 @@
         co_return co_await discardRefusal(plan);
     }
     std::optional<AttemptReport> rejection = rejectionOf(*parser_);
+    std::optional<AttemptReport> unfit = unfitToReplace();
+    if (!rejection && !unfit) {
+        callbacks.answerBegins();
+    }
+    if (!rejection && plan.besideAnother) {
+        rejection = std::move(unfit);
+    }
     if (rejection) {
         rejection->relayedSends = relayedSends_;
         rejection->turnedAway = turnedAway_;
@@ -272,6 +286,17 @@
     co_return rejection;
 }
 
+std::optional<AttemptReport> UpstreamAttempt::unfitToReplace() const
+{
+    const unsigned status = parser_->get().result_int();
+    const bool isRest = !progress_.begun || (isStream(*parser_) && namesVersion(parser_->get()));
+    if (isRest && status < HttpStatus::internalError) {
+        return std::nullopt;
+    }
+    return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
+                         "status " + std::to_string(status) + " in place of an answer that replaces another one");
+}
+
 Task<AttemptReport> UpstreamAttempt::discardRefusal(const AttemptPlan &plan)
 {
     const http::fields &fields = head_;
@@ -304,7 +329,7 @@
         report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                                "status " + std::to_string(parser_->get().result_int()) + " in place of the rest of the stream");
     } else {
-        report = co_await readWholeAnswer(*parser_);
+        report = co_await readWholeAnswer(*parser_, callbacks);
     }
     report.relayedSends = relayedSends_;
     report.turnedAway = turnedAway_;
@@ -336,13 +361,20 @@
     bool first = true;
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        // Bytes that were read before the interruption may be another attempt's by now.
+        if (interrupted_) {
+            progress_.splitter.dropPartial();
+            co_return brokenConnection("the stream was given up");
+        }
         const std::string bytes = std::move(parser.get().body());
         parser.get().body().clear();
         if (first && !bytes.empty()) {
             first = false;
             callbacks.firstEvent();
         }
+        isPassingOn_ = true;
         const bool taken = co_await forwardEvents(parser, bytes, callbacks);
+        isPassingOn_ = false;
         if (!taken) {
             co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
         }
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/gateway/upstream_attempt.h
@@ -80,6 +80,8 @@
     std::optional<unsigned> reportedSends;
     unsigned priority = 5;
     bool streamed = false;
+    /// The attempt is made beside another one, which a failure must not replace.
+    bool besideAnother = false;
     /// The organisation that the request belongs to; empty if no key is needed.
     std::string organisation;
     /// The caller's key is not forwarded.
@@ -126,6 +128,8 @@
     std::function<void()> sending;
     /// The head of an answer arrived, possibly of a late answer to an earlier request.
     std::function<void(const AnswerNotice &notice)> headReceived;
+    /// The head of an answer arrived that is to be received: no refusal, no failure, and the rest of a stream that has begun.
+    std::function<void()> answerBegins = [] {};
     /// The first event of a stream is about to be passed on, and the version that wrote it is known as far as it can be.
     std::function<void()> streamBegins = [] {};
     /// The first bytes of a stream arrived.
@@ -155,6 +159,8 @@
     void interrupt();
     /// Gives up the answer whose head start() has read; nothing is received.
     void discard();
+    /// Whether bytes of the answer are being written to the caller, who may be slow.
+    bool isPassingOn() const;
     /// Ends the connection after an exception has left start() or receive(); returns whether the request may have been sent.
     bool abandon();
 
@@ -168,6 +174,8 @@
     Task<std::optional<AttemptReport>> sendRequest(const AttemptPlan &plan, const AttemptCallbacks &callbacks);
     /// Reads the rest of a refusal and reports it.
     Task<AttemptReport> discardRefusal(const AttemptPlan &plan);
+    /// Returns why the answer with this head must not take the place of another attempt's; no value if it may.
+    std::optional<AttemptReport> unfitToReplace() const;
     Task<AttemptReport> receiveAnswer(const AttemptCallbacks &callbacks);
     /// Reads heads until one belongs to this request; returns false, with @p error set if reading failed, if none does.
     Task<bool> readHead(std::optional<Parser> &parser, const AttemptCallbacks &callbacks, NetError &error);
@@ -179,7 +187,7 @@
     /// Whether the answer with this head to a streamed request is a stream, or the rest of the one that has begun.
     bool isStream(const Parser &parser) const;
     Task<AttemptReport> forwardStream(Parser &parser, const AttemptCallbacks &callbacks);
-    Task<AttemptReport> readWholeAnswer(Parser &parser);
+    Task<AttemptReport> readWholeAnswer(Parser &parser, const AttemptCallbacks &callbacks);
     /// Passes an answer for which there is no memory on to the caller as it arrives.
     Task<AttemptReport> passOn(Parser &parser);
     /// Returns why the answer with this head must not reach the caller; no value if it may.
@@ -208,6 +216,7 @@
     std::unique_ptr<UpstreamConnection> connection_;
     UpstreamConnection *opening_ = nullptr;
     bool interrupted_ = false;
+    bool isPassingOn_ = false;
     /// The connection had carried nothing when the request was written.
     bool isFresh_ = false;
     /// An answer that names no request came in the place of the one that is due.
--- a/src/portpaddle/gateway/upstream_attempt_answers.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_answers.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-Task<AttemptReport> UpstreamAttempt::readWholeAnswer(Parser &parser)
+Task<AttemptReport> UpstreamAttempt::readWholeAnswer(Parser &parser, const AttemptCallbacks &callbacks)
 {
     NetError error;
     MemoryShare memory(&answerMemory_);
@@ -47,12 +47,16 @@
             tooSlow_ = tooSlow_ || !connection_->socket.is_open();
             co_return brokenConnection("the answer was cut off: " + error.message());
         }
+        callbacks.bytesReceived();
         const std::size_t length = parser.get().body().size();
         if (length > (failed ? PeerBounds::failureBytes : PeerBounds::wholeAnswerBytes) && (failed || !parser.content_length())) {
             co_return endlessAnswer();
         }
         if (parser.get().body().size() > PeerBounds::wholeAnswerBytes || !memory.growTo(parser.get().body().size())) {
             memory.release();
+            if (interrupted_) {
+                co_return brokenConnection("the answer was given up");
+            }
             co_return co_await passOn(parser);
         }
     }
--- a/src/portpaddle/gateway/upstream_attempt_heads.cpp
+++ b/src/portpaddle/gateway/upstream_attempt_heads.cpp
@@ -22,6 +22,9 @@
     while (interim <= PeerBounds::interimAnswers && late <= PeerBounds::lateAnswers) {
         parser.emplace();
         co_await readOneHead(*parser, error);
+        if (!error && interrupted_) {
+            error = boost::asio::error::operation_aborted;
+        }
         if (error) {
             co_return false;
         }
--- a/tests/gateway/silent_upstream_tests.cpp
+++ b/tests/gateway/silent_upstream_tests.cpp
@@ -9,6 +9,7 @@
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <atomic>
 #include <functional>
@@ -65,10 +66,12 @@
         ScriptedAnswer answer;
         answer.bytes = streams ? streamHead(idOf(request)) + eventChunk(1, 2) : "";
         answer.afterWriting = [this] { eventually([this] { return isOver || goesOn(); }); };
-        answer.endless = streams ? eventChunk(3, 4) + lastChunk : wholeAnswer(idOf(request), "whole");
+        answer.endless = streams ? eventChunk(3, 4) + lastChunk : laterAnswer;
         return answer;
     }
 
+    /// What the silent upstream answers to a request that is no stream.
+    std::string laterAnswer = wholeAnswer("id1", "whole");
     std::atomic<bool> isOver{ false };
     ScriptedUpstream::Script secondScript;
     ScriptedUpstream second{ [this](const SeenRequest &request) { return secondScript(request); } };
@@ -160,3 +163,85 @@
     CHECK(answer.body == events(1, 4));
     CHECK(asked == 2);
 }
+
+TEST_CASE_FIXTURE(SilentUpstreamFixture, "Silent upstream, next one answers with a failure, its run goes on")
+{
+    const auto fail = [](const SeenRequest &request) {
+        return ScriptedAnswer{ "HTTP/1.1 500 Failed\r\nX-Request-Id: " + idOf(request) + "\r\nContent-Length: 0\r\n\r\n" };
+    };
+    SUBCASE("stream that has begun")
+    {
+        const SeenAnswer answer = askBeside("/resume/a", fail);
+        CHECK(answer.whole);
+        CHECK(answer.body == events(1, 4));
+    }
+    SUBCASE("no answer yet")
+    {
+        const SeenAnswer answer = askBeside("/plain/a", fail);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "whole");
+    }
+}
+
+TEST_CASE_FIXTURE(SilentUpstreamFixture,
+                  "Silent upstream that refuses at last, next one works on the request, is answered by that")
+{
+    laterAnswer = "HTTP/1.1 503 Busy\r\nX-Request-Id: id1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    const SeenAnswer answer = askBeside("/plain/a", [this](const SeenRequest &request) {
+        eventually([this] { return isOver || silent.closedByPeer() == 1; });
+        return echo(request);
+    });
+    CHECK(answer.status == 200);
+    CHECK(second.seen().size() == 1);
+}
+
+TEST_CASE_FIXTURE(SilentUpstreamFixture, "Silent upstream, the next attempt cannot be composed, its run goes on")
+{
+    // More than a header field can hold.
+    const std::string longId(70'000, '7');
+    ScriptedUpstream longIds([&longId](const SeenRequest &request) {
+        ScriptedAnswer answer;
+        const std::string event = "id: " + longId + "\ndata: x\n\n";
+        answer.bytes = streamHead(idOf(request)) + fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        answer.afterWriting = [] { std::this_thread::sleep_for(upstreamSilenceBound * 2); };
+        answer.endless = eventChunk(8, 8) + lastChunk;
+        return answer;
+    });
+    removeUpstream("u1");
+    addUpstream("u3", longIds.address());
+    secondScript = hang;
+    RawCaller caller(address());
+    caller.send(request("/resume/a", "id1"));
+    CHECK(eventually([&longIds] { return !longIds.seen().empty(); }));
+    addUpstream("u2", second.address());
+    const SeenAnswer answer = caller.receive();
+    CHECK(answer.whole);
+    std::size_t inProgress = 1;
+    CHECK(eventually([this, &inProgress] {
+        onLoop([&inProgress](Gateway &gateway) { inProgress = gateway.inProgress(); });
+        return inProgress == 0;
+    }));
+}
+
+TEST_CASE_FIXTURE(SilentUpstreamFixture, "Caller that does not read for a while, its upstream is not taken for silent")
+{
+    constexpr unsigned eventCount = 512;
+    std::string stream;
+    for (unsigned number = 1; number <= eventCount; ++number) {
+        const std::string event = fmt::format("id: {}\ndata: {}\n\n", number, std::string(32 * 1024, 'x'));
+        stream += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    }
+    ScriptedUpstream fast(
+        [&stream](const SeenRequest &request) { return ScriptedAnswer{ streamHead(idOf(request)) + stream + lastChunk }; });
+    removeUpstream("u1");
+    addUpstream("u3", fast.address());
+    secondScript = hang;
+    RawCaller caller(address());
+    caller.send(request("/resume/a", "id1"));
+    CHECK(eventually([&fast] { return !fast.seen().empty(); }));
+    addUpstream("u2", second.address());
+    std::this_thread::sleep_for(upstreamSilenceBound * 2);
+    const SeenAnswer answer = caller.receive();
+    CHECK(answer.whole);
+    CHECK(second.seen().empty());
+}
