--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -249,7 +249,7 @@
 
 TEST_CASE("Event splitter, bytes split at any position, gives the same events")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto count = *rc::gen::inRange(1, 20);
         std::string text;
         for (int id = 1; id <= count; ++id) {
@@ -266,7 +266,7 @@
         }
         RC_ASSERT(passed == text);
         RC_ASSERT(splitter.lastId() == std::to_string(count));
-    });
+    }));
 }
 
 TEST_CASE("Load digest, encoded and decoded, is unchanged")
@@ -338,10 +338,10 @@
 
 TEST_CASE("Load digest, arbitrary bytes of a hostile peer, are rejected or harmless")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto bytes = *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>());
         (void)decodeDigest(bytes);
-    });
+    }));
     Wire::LoadDigestT digest;
     digest.placed.resize(maxDigestParts + 1);
     CHECK_FALSE(isOk(decodeDigest(encodeDigest(digest))));
--- a/tests/gateway/limit_table_tests.cpp
+++ b/tests/gateway/limit_table_tests.cpp
@@ -77,10 +77,10 @@
 
 TEST_CASE("Limit reading, random bytes, give a bounded rate or none")
 {
-    rc::check([](const std::string &text) {
+    CHECK(rc::check([](const std::string &text) {
         const LimitReading reading = read({ text.c_str() });
         RC_ASSERT(reading.kind != LimitKind::Named || (reading.perSecond >= minNamedRate && reading.perSecond <= maxNamedRate));
-    });
+    }));
 }
 
 TEST_CASE_FIXTURE(NamedLimitFixture, "Named limit, answer without a limit to a request sent later, ends")
--- a/tests/gateway/load_reading_tests.cpp
+++ b/tests/gateway/load_reading_tests.cpp
@@ -82,17 +82,17 @@
 
 TEST_CASE("Load reading, random bytes, give a load within the bounds or none")
 {
-    rc::check([](const std::vector<std::string> &values) {
+    CHECK(rc::check([](const std::vector<std::string> &values) {
         const LoadReading reading = read(values);
         RC_ASSERT((reading.kind == LoadReadingKind::Absent) == values.empty());
         RC_ASSERT(reading.kind != LoadReadingKind::Reported || isPlausible(reading.load));
-    });
+    }));
 }
 
 // Random bytes are seldom figures at all, so that this one begins with figures.
 TEST_CASE("Load reading, random figures, are read exactly where all are within the bounds")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto figure = rc::gen::weightedOneOf<std::uint32_t>({ { 6, rc::gen::inRange<std::uint32_t>(0, 1'000'002) },
                                                                     { 2, rc::gen::inRange<std::uint32_t>(0, 3) },
                                                                     { 1, rc::gen::arbitrary<std::uint32_t>() } });
@@ -102,7 +102,7 @@
             = read({ fmt::format("{},{},{},{}", load.running, load.waiting, load.slots, load.pacePercent) });
         RC_ASSERT((reading.kind == LoadReadingKind::Reported) == isPlausible(load));
         RC_ASSERT(!isPlausible(load) || reading.load == load);
-    });
+    }));
 }
 
 // Guards against a report that is lost with a refusal, which an overloaded upstream gives most of the time.
--- a/tests/gateway/notice_book_tests.cpp
+++ b/tests/gateway/notice_book_tests.cpp
@@ -149,9 +149,9 @@
 
 TEST_CASE("Retry-After, any bytes, give a time within bounds or none")
 {
-    rc::check([](const std::string &value) {
+    CHECK(rc::check([](const std::string &value) {
         const RetryAfter after = read(value);
         RC_ASSERT(after.time >= 0ms);
         RC_ASSERT(after.time <= longestRetryAfter);
-    });
+    }));
 }
--- a/tests/gateway/platform_tests.cpp
+++ b/tests/gateway/platform_tests.cpp
@@ -67,10 +67,10 @@
 TEST_CASE("Operator configuration, any truncation of a valid one, is rejected without a crash")
 {
     const std::string text = configText;
-    rc::check([&] {
+    CHECK(rc::check([&] {
         const auto length = *rc::gen::inRange<std::size_t>(0, text.size() - 1);
         RC_ASSERT(!isOk(parseOperatorConfig(text.substr(0, length))));
-    });
+    }));
 }
 
 TEST_CASE("Upstream record, draining with remaining time, is leaving and has an end time")
@@ -124,6 +124,6 @@
 
 TEST_CASE("Base64, any bytes, are the same after encoding and decoding")
 {
-    rc::check([](const std::string &bytes) { RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes); });
+    CHECK(rc::check([](const std::string &bytes) { RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes); }));
     CHECK(encodeBase64("node-1") == "bm9kZS0x");
 }
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -266,7 +266,7 @@
 
 TEST_CASE("Fleet state, bytes of a hostile peer, are rejected or harmless")
 {
-    rc::check([](const std::string &bytes) { (void)decodeChanges(bytes, BootClock::now()); });
+    CHECK(rc::check([](const std::string &bytes) { (void)decodeChanges(bytes, BootClock::now()); }));
     const auto decoded = decodeChanges(encodeState("d", { { "k", "v", 7 } }, {}), BootClock::now());
     REQUIRE(isOk(decoded));
     CHECK(valueOf(decoded).changes.at(0).item.revision == 7);
--- a/tests/gateway/upstream_lives_tests.cpp
+++ b/tests/gateway/upstream_lives_tests.cpp
@@ -172,12 +172,12 @@
 TEST_CASE_FIXTURE(StoreFixture, "Record, any bytes or damage, throws nothing and leaves the others")
 {
     put("i-2", validRecord);
-    rc::check([this](const std::string &bytes, bool cut) {
+    CHECK(rc::check([this](const std::string &bytes, bool cut) {
         std::string record = validRecord;
         const auto at = *rc::gen::inRange<std::size_t>(0, record.size());
         record = cut ? record.substr(0, at) : record.replace(at, std::min(bytes.size(), record.size() - at), bytes);
         put("i-1", record);
         RC_ASSERT(find("i-2") != nullptr);
         RC_ASSERT(find("i-2")->address == "10.0.0.9:80");
-    });
+    }));
 }
