--- a/benchmarks/fleet_growth.cpp
+++ b/benchmarks/fleet_growth.cpp
@@ -9,12 +9,12 @@
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/daemon_registration.h"
-#include "portpaddle/gateway/fleet_registry.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/placement/load_digest.h"
+#include "portpaddle/store_following/daemon_registration.h"
+#include "portpaddle/store_following/fleet_registry.h"
+#include "portpaddle/store_following/state_exchange.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/portpaddle/gateway/configuration_stamp.cpp
+++ b/src/portpaddle/attempts/configuration_stamp.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/configuration_stamp.h"
+#include "portpaddle/attempts/configuration_stamp.h"
 
 #include <charconv>
 
--- a/src/portpaddle/gateway/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -1,9 +1,9 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/attempts/upstream_attempt.h"
 
-#include "portpaddle/gateway/connection_headers.h"
+#include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
--- a/src/portpaddle/gateway/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -4,13 +4,13 @@
 /// Sends a request once, to an upstream or to another daemon, and forwards the answer.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-#include "portpaddle/gateway/caller_writer.h"
-#include "portpaddle/gateway/event_splitter.h"
-#include "portpaddle/gateway/service_map.h"
-#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/attempts/upstream_connection.h"
+#include "portpaddle/callers/caller_request.h"
+#include "portpaddle/callers/caller_writer.h"
 #include "portpaddle/interfaces/attempt_target.h"
 #include "portpaddle/net/received_body.h"
+#include "portpaddle/store_following/service_map.h"
+#include "portpaddle/streams/event_splitter.h"
 #include "portpaddle/upstream_notices/answer_notice.h"
 
 #include <boost/beast/http/parser.hpp>
--- a/src/portpaddle/gateway/upstream_attempt_answers.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_answers.cpp
@@ -3,7 +3,7 @@
 
 // Answers that are not streams: held until they are complete, or passed on as they arrive where there is no memory to hold them.
 
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
--- a/src/portpaddle/gateway/upstream_attempt_heads.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_heads.cpp
@@ -4,7 +4,7 @@
 // What an upstream sends before its answer, and what is read only to be discarded. Each of it has a bound on bytes, on time and
 // on their number, since an upstream in trouble may send without end.
 
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
--- a/src/portpaddle/gateway/upstream_attempt_request.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_request.cpp
@@ -3,8 +3,8 @@
 
 // The request of an attempt: what the caller sent, without what daemons set, and with what this daemon tells its target.
 
-#include "portpaddle/gateway/connection_headers.h"
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/attempts/upstream_attempt.h"
+#include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/beast_text.h"
 
 namespace Portpaddle {
--- a/src/portpaddle/gateway/upstream_connection.cpp
+++ b/src/portpaddle/attempts/upstream_connection.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/attempts/upstream_connection.h"
 
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/socket_options.h"
--- a/src/portpaddle/gateway/caller_request.h
+++ b/src/portpaddle/callers/caller_request.h
@@ -4,14 +4,14 @@
 /// A complete request of a caller with its decoded headers.
 #pragma once
 
-#include "portpaddle/gateway/configuration_stamp.h"
-#include "portpaddle/gateway/continuation.h"
-#include "portpaddle/gateway/header_names.h"
+#include "portpaddle/attempts/configuration_stamp.h"
+#include "portpaddle/callers/header_names.h"
 #include "portpaddle/interfaces/answer_sink.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/net/asio.h"
 #include "portpaddle/net/received_body.h"
 #include "portpaddle/stream_versions/stream_key.h"
+#include "portpaddle/streams/continuation.h"
 
 #include <boost/beast/http/message.hpp>
 
--- a/src/portpaddle/gateway/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -1,12 +1,12 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/caller_session.h"
+#include "portpaddle/callers/caller_session.h"
 
+#include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/scope_exit.h"
-#include "portpaddle/gateway/connection_headers.h"
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
--- a/src/portpaddle/gateway/caller_session.h
+++ b/src/portpaddle/callers/caller_session.h
@@ -4,11 +4,11 @@
 /// Serves one connection of a caller or of another daemon: reads requests, writes answers, detects that the peer left.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-#include "portpaddle/gateway/caller_writer.h"
-#include "portpaddle/gateway/service_map.h"
+#include "portpaddle/callers/caller_request.h"
+#include "portpaddle/callers/caller_writer.h"
 #include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/received_body.h"
+#include "portpaddle/store_following/service_map.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/src/portpaddle/gateway/caller_session_answers.cpp
+++ b/src/portpaddle/callers/caller_session_answers.cpp
@@ -3,7 +3,7 @@
 
 // Answers on a session's connection. The framing is decided once, with the head, and everything after the head goes by it.
 
-#include "portpaddle/gateway/caller_session.h"
+#include "portpaddle/callers/caller_session.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
--- a/src/portpaddle/gateway/caller_writer.cpp
+++ b/src/portpaddle/callers/caller_writer.cpp
@@ -4,7 +4,7 @@
 // The state changes before the first byte is written, so that a call made meanwhile, as from a timer, finds the new state.
 // GCC 12 evaluates a co_await in an operand of ?: of a co_return whatever the condition, hence the early returns.
 
-#include "portpaddle/gateway/caller_writer.h"
+#include "portpaddle/callers/caller_writer.h"
 
 #include "portpaddle/base/log.h"
 
--- a/src/portpaddle/gateway/caller_writer.h
+++ b/src/portpaddle/callers/caller_writer.h
@@ -4,7 +4,7 @@
 /// The answer to one request: written once, and on a connection that serves many requests.
 #pragma once
 
-#include "portpaddle/gateway/memory_budget.h"
+#include "portpaddle/callers/memory_budget.h"
 #include "portpaddle/net/asio.h"
 
 #include <boost/beast/http/fields.hpp>
--- a/src/portpaddle/gateway/connection_headers.cpp
+++ b/src/portpaddle/callers/connection_headers.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/connection_headers.h"
+#include "portpaddle/callers/connection_headers.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
--- a/src/portpaddle/gateway/connection_headers.h
+++ b/src/portpaddle/callers/connection_headers.h
@@ -4,7 +4,7 @@
 /// Decides which HTTP headers are not forwarded.
 #pragma once
 
-#include "portpaddle/gateway/header_names.h"
+#include "portpaddle/callers/header_names.h"
 
 #include <boost/beast/http/fields.hpp>
 
--- a/src/portpaddle/gateway/memory_budget.cpp
+++ b/src/portpaddle/callers/memory_budget.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/memory_budget.h"
+#include "portpaddle/callers/memory_budget.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/portpaddle/gateway/session_listener.cpp
+++ b/src/portpaddle/callers/session_listener.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/session_listener.h"
+#include "portpaddle/callers/session_listener.h"
 
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/spawn.h"
--- a/src/portpaddle/gateway/session_listener.h
+++ b/src/portpaddle/callers/session_listener.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/error.h"
-#include "portpaddle/gateway/caller_session.h"
+#include "portpaddle/callers/caller_session.h"
 
 #include <boost/asio/basic_socket_acceptor.hpp>
 
--- a/src/portpaddle/crashes/completed_requests.h
+++ b/src/portpaddle/crashes/completed_requests.h
@@ -4,7 +4,7 @@
 /// The requests that upstreams have completed within the last moments.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/callers/caller_request.h"
 
 #include <array>
 #include <cstdint>
--- a/src/portpaddle/crashes/crash_digests.h
+++ b/src/portpaddle/crashes/crash_digests.h
@@ -6,7 +6,7 @@
 
 #include "portpaddle/crashes/request_fingerprint.h"
 #include "portpaddle/fleet/load_aggregation.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/portpaddle/crashes/crash_guard.h
+++ b/src/portpaddle/crashes/crash_guard.h
@@ -4,14 +4,14 @@
 /// Detects upstreams that crash while they run requests, and stops sending the requests that crash them.
 #pragma once
 
+#include "portpaddle/attempts/upstream_connection.h"
 #include "portpaddle/crashes/completed_requests.h"
 #include "portpaddle/crashes/crash_digests.h"
 #include "portpaddle/crashes/crash_ledger.h"
 #include "portpaddle/crashes/crash_watch.h"
 #include "portpaddle/crashes/part_guard.h"
 #include "portpaddle/crashes/quarantine.h"
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <functional>
 #include <memory>
--- a/src/portpaddle/crashes/part_guard.cpp
+++ b/src/portpaddle/crashes/part_guard.cpp
@@ -4,7 +4,7 @@
 #include "portpaddle/crashes/part_guard.h"
 
 #include "portpaddle/crashes/crash_digests.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/portpaddle/crashes/request_fingerprint.cpp
+++ b/src/portpaddle/crashes/request_fingerprint.cpp
@@ -4,7 +4,7 @@
 #include "portpaddle/crashes/request_fingerprint.h"
 
 #include "portpaddle/base/digest.h"
-#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/callers/caller_request.h"
 #include "portpaddle/net/beast_text.h"
 
 #include <fmt/format.h>
--- a/src/portpaddle/gateway/exchange.cpp
+++ b/src/portpaddle/exchanges/exchange.cpp
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/exchange.h"
-#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/exchanges/exchange.h"
+#include "portpaddle/exchanges/exchange_attempt.h"
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/net/elapsed.h"
--- a/src/portpaddle/gateway/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -4,12 +4,12 @@
 /// Handles one request from its arrival to its final answer: placement, attempts, retries, continued streams.
 #pragma once
 
+#include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/crashes/request_fingerprint.h"
+#include "portpaddle/exchanges/retry_rules.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/retry_rules.h"
-#include "portpaddle/gateway/run_move.h"
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/streams/run_move.h"
 
 #include <memory>
 #include <set>
--- a/src/portpaddle/gateway/exchange_admission.cpp
+++ b/src/portpaddle/exchanges/exchange_admission.cpp
@@ -4,7 +4,7 @@
 // Checks before an exchange looks for a target: a configuration, a route, and an organisation that may use the route.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
--- a/src/portpaddle/gateway/exchange_attempt.cpp
+++ b/src/portpaddle/exchanges/exchange_attempt.cpp
@@ -3,10 +3,10 @@
 
 // One attempt of an exchange: its request, its callbacks, and what its outcome tells about the target.
 
-#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/exchanges/exchange_attempt.h"
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/crashes/prompt_part_fingerprint.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/net/beast_text.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
--- a/src/portpaddle/gateway/exchange_attempt.h
+++ b/src/portpaddle/exchanges/exchange_attempt.h
@@ -4,7 +4,7 @@
 /// The attempts of an exchange: the one in progress, and the one that is prepared while its upstream is silent.
 #pragma once
 
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 
 #include <memory>
 #include <optional>
--- a/src/portpaddle/gateway/exchange_endings.cpp
+++ b/src/portpaddle/exchanges/exchange_endings.cpp
@@ -4,7 +4,7 @@
 // The end of an exchange: its final answer, and the log line with the facts behind the outcome.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/net/elapsed.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/spawn.h"
--- a/src/portpaddle/gateway/exchange_moves.cpp
+++ b/src/portpaddle/exchanges/exchange_moves.cpp
@@ -4,7 +4,7 @@
 // Streams of an exchange that are continued elsewhere, because their engine or a daemon on their path stops before their end.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/net/spawn.h"
 
 #include <algorithm>
--- a/src/portpaddle/gateway/exchange_perform.cpp
+++ b/src/portpaddle/exchanges/exchange_perform.cpp
@@ -4,8 +4,8 @@
 // Performs the attempts of an exchange, one after the other or one in place of another, and reports their exceptions as failures.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
-#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/exchanges/exchange.h"
+#include "portpaddle/exchanges/exchange_attempt.h"
 #include "portpaddle/net/spawn.h"
 
 #include <exception>
--- a/src/portpaddle/gateway/exchange_places.cpp
+++ b/src/portpaddle/exchanges/exchange_places.cpp
@@ -4,8 +4,8 @@
 // Places of a request at upstreams that fall over when they reject too many requests.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
-#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/exchanges/exchange.h"
+#include "portpaddle/exchanges/exchange_attempt.h"
 #include "portpaddle/net/elapsed.h"
 
 #include <fmt/format.h>
--- a/src/portpaddle/gateway/exchange_retries.cpp
+++ b/src/portpaddle/exchanges/exchange_retries.cpp
@@ -4,7 +4,7 @@
 // Further attempts of an exchange: whether one may follow, what pays for it, and how long a stream that has begun waits for it.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/exchange_standby.cpp
+++ b/src/portpaddle/exchanges/exchange_standby.cpp
@@ -5,8 +5,8 @@
 // so its run ends only once another upstream has the request; until then the run goes on as soon as its upstream is heard.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
-#include "portpaddle/gateway/exchange_attempt.h"
+#include "portpaddle/exchanges/exchange.h"
+#include "portpaddle/exchanges/exchange_attempt.h"
 #include "portpaddle/net/spawn.h"
 
 #include <utility>
--- a/src/portpaddle/gateway/exchange_streams.cpp
+++ b/src/portpaddle/exchanges/exchange_streams.cpp
@@ -5,7 +5,7 @@
 // daemons.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/net/beast_text.h"
 
 namespace Portpaddle {
--- a/src/portpaddle/gateway/retry_rules.cpp
+++ b/src/portpaddle/exchanges/retry_rules.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/retry_rules.h"
+#include "portpaddle/exchanges/retry_rules.h"
 
 #include "portpaddle/base/name_table.h"
 
--- a/src/portpaddle/gateway/target.h
+++ b/src/portpaddle/exchanges/target.h
@@ -4,8 +4,8 @@
 /// The target of one attempt of a request.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <memory>
 #include <optional>
--- a/src/portpaddle/fleet/aggregators.h
+++ b/src/portpaddle/fleet/aggregators.h
@@ -4,8 +4,8 @@
 /// Selection of the daemons that aggregate load reports for their region.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/upstream_loads.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <array>
 #include <functional>
--- a/src/portpaddle/fleet/digest_attachments.h
+++ b/src/portpaddle/fleet/digest_attachments.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "portpaddle/fleet/load_aggregation.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <algorithm>
 #include <span>
--- a/src/portpaddle/fleet/feed_server.cpp
+++ b/src/portpaddle/fleet/feed_server.cpp
@@ -3,9 +3,9 @@
 
 #include "portpaddle/fleet/feed_server.h"
 
-#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/gzip.h"
 #include "portpaddle/net/http_status.h"
+#include "portpaddle/store_following/state_exchange.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/portpaddle/fleet/feed_server.h
+++ b/src/portpaddle/fleet/feed_server.h
@@ -4,9 +4,9 @@
 /// Serves the store's contents and changes to other daemons.
 #pragma once
 
+#include "portpaddle/callers/caller_writer.h"
 #include "portpaddle/fleet/change_feed.h"
 #include "portpaddle/fleet/store_replica.h"
-#include "portpaddle/gateway/caller_writer.h"
 
 #include <deque>
 #include <functional>
--- a/src/portpaddle/fleet/load_aggregation.cpp
+++ b/src/portpaddle/fleet/load_aggregation.cpp
@@ -4,8 +4,8 @@
 #include "portpaddle/fleet/load_aggregation.h"
 
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/limits/limit_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
--- a/src/portpaddle/fleet/load_aggregation.h
+++ b/src/portpaddle/fleet/load_aggregation.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "portpaddle/fleet/aggregators.h"
-#include "portpaddle/gateway/region_table.h"
-#include "portpaddle/gateway/upstream_loads.h"
 #include "portpaddle/limits/organisation_limits.h"
+#include "portpaddle/placement/region_table.h"
+#include "portpaddle/placement/upstream_loads.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
--- a/src/portpaddle/fleet/load_aggregation_intake.cpp
+++ b/src/portpaddle/fleet/load_aggregation_intake.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/fleet/relayed_store.cpp
+++ b/src/portpaddle/fleet/relayed_store.cpp
@@ -6,12 +6,12 @@
 #include "portpaddle/base/log.h"
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/daemon_registration.h"
-#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/bounded_body.h"
 #include "portpaddle/net/bounded_client.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/peer_bounds.h"
+#include "portpaddle/store_following/daemon_registration.h"
+#include "portpaddle/store_following/state_exchange.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/portpaddle/fleet/role_ranking.h
+++ b/src/portpaddle/fleet/role_ranking.h
@@ -5,7 +5,7 @@
 /// so that no election is needed.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <cstdint>
 #include <string_view>
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -4,8 +4,8 @@
 #include "portpaddle/gateway/gateway.h"
 
 #include "portpaddle/base/scope_exit.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/exchange.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -4,11 +4,11 @@
 // Choice of a target: collects the candidate upstreams and regions and chooses between them.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/fetch_offers.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/prefix_affinity.h"
 #include "portpaddle/gateway/version_filter.h"
+#include "portpaddle/placement/prefix_affinity.h"
 #include "portpaddle/routing/rendezvous.h"
+#include "portpaddle/streams/fetch_offers.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/gateway_digests.cpp
+++ b/src/portpaddle/gateway/gateway_digests.cpp
@@ -6,10 +6,10 @@
 
 #include "portpaddle/fleet/digest_attachments.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/service_summary.h"
 #include "portpaddle/gateway/version_filter.h"
 #include "portpaddle/limits/limit_digest.h"
+#include "portpaddle/placement/load_digest.h"
+#include "portpaddle/placement/service_summary.h"
 #include "portpaddle/upstream_reports/report_digest.h"
 
 namespace Portpaddle {
--- a/src/portpaddle/gateway/gateway_moves.cpp
+++ b/src/portpaddle/gateway/gateway_moves.cpp
@@ -3,7 +3,7 @@
 
 // Runs that are moved away from upstreams that end soon, or handed over because this daemon does.
 
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/gateway/gateway.h"
 
 #include <algorithm>
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -4,9 +4,9 @@
 #include "portpaddle/gateway/gateway_server.h"
 
 #include "portpaddle/fleet/role_ranking.h"
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <boost/asio/buffer.hpp>
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -5,9 +5,9 @@
 /// the graceful stop.
 #pragma once
 
+#include "portpaddle/callers/session_listener.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/round_robin_cursor.h"
-#include "portpaddle/gateway/session_listener.h"
+#include "portpaddle/placement/round_robin_cursor.h"
 
 #include <boost/asio/basic_datagram_socket.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/portpaddle/gateway/gateway_streams.cpp
+++ b/src/portpaddle/gateway/gateway_streams.cpp
@@ -3,7 +3,7 @@
 
 // What the gateway knows of the software versions that began streams.
 
-#include "portpaddle/gateway/exchange.h"
+#include "portpaddle/exchanges/exchange.h"
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/gateway/version_filter.h"
 
--- a/src/portpaddle/gateway/policy_settings.h
+++ b/src/portpaddle/gateway/policy_settings.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/error.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/portpaddle/gateway/version_filter.h
+++ b/src/portpaddle/gateway/version_filter.h
@@ -4,8 +4,8 @@
 /// Keeps requests to the versions of a service that a rollout gives them, and streams to the version that began them.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/stream_versions/stream_key.h"
 
 #include <optional>
--- a/src/portpaddle/limits/urgency_fractions.h
+++ b/src/portpaddle/limits/urgency_fractions.h
@@ -4,7 +4,7 @@
 /// Decides which classes of an organisation's requests are admitted within its limit: pure functions of demand, limit and chance.
 #pragma once
 
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
 
 #include <array>
 #include <cstddef>
--- a/src/portpaddle/load_model/load_models.cpp
+++ b/src/portpaddle/load_model/load_models.cpp
@@ -3,8 +3,8 @@
 
 #include "portpaddle/load_model/load_models.h"
 
-#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/routing/rendezvous.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/portpaddle/load_model/load_models.h
+++ b/src/portpaddle/load_model/load_models.h
@@ -4,8 +4,8 @@
 /// The load model of each service, learned from the samples of all daemons of the region.
 #pragma once
 
-#include "portpaddle/gateway/upstream_shares.h"
 #include "portpaddle/load_model/first_token_model.h"
+#include "portpaddle/placement/upstream_shares.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
--- a/src/portpaddle/gateway/load_digest.cpp
+++ b/src/portpaddle/placement/load_digest.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include "portpaddle/limits/limit_digest.h"
 #include "portpaddle/load_model/load_models.h"
--- a/src/portpaddle/gateway/peer_shares.cpp
+++ b/src/portpaddle/placement/peer_shares.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/peer_shares.h"
+#include "portpaddle/placement/peer_shares.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/peer_shares.h
+++ b/src/portpaddle/placement/peer_shares.h
@@ -4,8 +4,8 @@
 /// Sums the load that other daemons' requests put on one upstream.
 #pragma once
 
-#include "portpaddle/gateway/placement.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/placement/placement.h"
 
 #include <string>
 #include <unordered_map>
--- a/src/portpaddle/gateway/prefix_affinity.cpp
+++ b/src/portpaddle/placement/prefix_affinity.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/prefix_affinity.h"
+#include "portpaddle/placement/prefix_affinity.h"
 
 #include "portpaddle/routing/rendezvous.h"
 
--- a/src/portpaddle/gateway/prefix_affinity.h
+++ b/src/portpaddle/placement/prefix_affinity.h
@@ -5,8 +5,8 @@
 /// upstreams, without coordination.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/callers/caller_request.h"
+#include "portpaddle/placement/placement.h"
 
 #include <cstdint>
 #include <span>
--- a/src/portpaddle/gateway/prefix_memory.cpp
+++ b/src/portpaddle/placement/prefix_memory.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/prefix_memory.h"
+#include "portpaddle/placement/prefix_memory.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/portpaddle/gateway/prefix_memory.h
+++ b/src/portpaddle/placement/prefix_memory.h
@@ -4,7 +4,7 @@
 /// Estimates which parts of prompts are in the prefix caches of engines.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/callers/caller_request.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/src/portpaddle/gateway/region_table.cpp
+++ b/src/portpaddle/placement/region_table.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/region_table.h"
+#include "portpaddle/placement/region_table.h"
 
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/interfaces/random_source.h"
--- a/src/portpaddle/gateway/region_table.h
+++ b/src/portpaddle/placement/region_table.h
@@ -5,10 +5,10 @@
 #pragma once
 
 #include "portpaddle/base/decaying_sum.h"
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/placement.h"
-#include "portpaddle/gateway/prefix_memory.h"
+#include "portpaddle/placement/placement.h"
+#include "portpaddle/placement/prefix_memory.h"
 #include "portpaddle/reachability/reach_monitor.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <optional>
--- a/src/portpaddle/gateway/round_robin_cursor.cpp
+++ b/src/portpaddle/placement/round_robin_cursor.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/round_robin_cursor.h"
+#include "portpaddle/placement/round_robin_cursor.h"
 
 namespace Portpaddle {
 
--- a/src/portpaddle/gateway/service_summary.cpp
+++ b/src/portpaddle/placement/service_summary.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/service_summary.h"
+#include "portpaddle/placement/service_summary.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/portpaddle/gateway/service_summary.h
+++ b/src/portpaddle/placement/service_summary.h
@@ -4,7 +4,7 @@
 /// Summarises the upstreams of a service in the own region for the digests to other regions.
 #pragma once
 
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
--- a/src/portpaddle/gateway/upstream_loads.cpp
+++ b/src/portpaddle/placement/upstream_loads.cpp
@@ -1,10 +1,10 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/upstream_loads.h"
 
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/upstream_shares.h"
+#include "portpaddle/placement/load_digest.h"
+#include "portpaddle/placement/upstream_shares.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/portpaddle/gateway/upstream_loads.h
+++ b/src/portpaddle/placement/upstream_loads.h
@@ -4,12 +4,12 @@
 /// Estimates the load of each upstream from this daemon's own requests, other daemons' digests and the answers of upstreams.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/peer_shares.h"
+#include "portpaddle/callers/caller_request.h"
 #include "portpaddle/gateway/policy_settings.h"
-#include "portpaddle/gateway/prefix_memory.h"
-#include "portpaddle/gateway/upstream_shares.h"
+#include "portpaddle/placement/peer_shares.h"
+#include "portpaddle/placement/prefix_memory.h"
+#include "portpaddle/placement/upstream_shares.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <array>
--- a/src/portpaddle/gateway/upstream_selection.cpp
+++ b/src/portpaddle/placement/upstream_selection.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/upstream_selection.h"
+#include "portpaddle/placement/upstream_selection.h"
 
 #include "portpaddle/routing/rendezvous.h"
 
--- a/src/portpaddle/gateway/upstream_selection.h
+++ b/src/portpaddle/placement/upstream_selection.h
@@ -5,8 +5,8 @@
 /// a choice, the connections and the load that a daemon has to know would otherwise grow with the region.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/callers/caller_request.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <cstdint>
 #include <string>
--- a/src/portpaddle/gateway/upstream_shares.cpp
+++ b/src/portpaddle/placement/upstream_shares.cpp
@@ -1,9 +1,9 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/upstream_shares.h"
+#include "portpaddle/placement/upstream_shares.h"
 
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
--- a/src/portpaddle/gateway/upstream_shares.h
+++ b/src/portpaddle/placement/upstream_shares.h
@@ -4,7 +4,7 @@
 /// The form in which daemons tell each other the load of upstreams.
 #pragma once
 
-#include "portpaddle/gateway/peer_shares.h"
+#include "portpaddle/placement/peer_shares.h"
 #include "portpaddle/wire/load_generated.h"
 
 #include <cstdint>
--- a/src/portpaddle/reachability/reach_monitor.h
+++ b/src/portpaddle/reachability/reach_monitor.h
@@ -4,9 +4,9 @@
 /// Observes from this daemon's connections whether it reaches the upstreams of each service, and tries again while it does not.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/upstream_connection.h"
+#include "portpaddle/attempts/upstream_connection.h"
 #include "portpaddle/reachability/service_reach.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <cstdint>
 #include <map>
--- a/src/portpaddle/rollouts/rollout_controller.cpp
+++ b/src/portpaddle/rollouts/rollout_controller.cpp
@@ -3,7 +3,7 @@
 
 #include "portpaddle/rollouts/rollout_controller.h"
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 namespace Portpaddle {
 
--- a/src/portpaddle/rollouts/rollout_coordinator.cpp
+++ b/src/portpaddle/rollouts/rollout_coordinator.cpp
@@ -3,7 +3,7 @@
 
 #include "portpaddle/rollouts/rollout_coordinator.h"
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/configuration_catch_up.cpp
+++ b/src/portpaddle/store_following/configuration_catch_up.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/configuration_catch_up.h"
+#include "portpaddle/store_following/configuration_catch_up.h"
 
 #include "portpaddle/base/log.h"
 
--- a/src/portpaddle/gateway/configuration_catch_up.h
+++ b/src/portpaddle/store_following/configuration_catch_up.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/thread.h"
-#include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/store_following/state_exchange.h"
 
 #include <condition_variable>
 #include <functional>
--- a/src/portpaddle/gateway/daemon_registration.cpp
+++ b/src/portpaddle/store_following/daemon_registration.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/daemon_registration.h"
+#include "portpaddle/store_following/daemon_registration.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/portpaddle/gateway/daemon_registration.h
+++ b/src/portpaddle/store_following/daemon_registration.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "portpaddle/base/thread.h"
-#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/interfaces/leased_store.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <atomic>
 #include <functional>
--- a/src/portpaddle/gateway/entry_choice.cpp
+++ b/src/portpaddle/store_following/entry_choice.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/entry_choice.h"
+#include "portpaddle/store_following/entry_choice.h"
 
 #include "portpaddle/gateway/gateway.h"
 #include "portpaddle/routing/rendezvous.h"
--- a/src/portpaddle/gateway/fleet_registry.cpp
+++ b/src/portpaddle/store_following/fleet_registry.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/fleet_registry.h"
+#include "portpaddle/store_following/fleet_registry.h"
 
 namespace Portpaddle {
 
--- a/src/portpaddle/gateway/fleet_registry.h
+++ b/src/portpaddle/store_following/fleet_registry.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "portpaddle/base/rcu_cell.h"
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/upstream_limits/limit_record.h"
 
 #include <functional>
--- a/src/portpaddle/gateway/fleet_view.h
+++ b/src/portpaddle/store_following/fleet_view.h
@@ -8,9 +8,9 @@
 #include "portpaddle/base/copy_on_write_map.h"
 #include "portpaddle/base/shared_list.h"
 #include "portpaddle/crashes/quarantine.h"
-#include "portpaddle/gateway/service_map.h"
 #include "portpaddle/net/asio.h"
 #include "portpaddle/rollouts/rollout.h"
+#include "portpaddle/store_following/service_map.h"
 #include "portpaddle/stream_versions/version_sets.h"
 #include "portpaddle/upstream_limits/limit_table.h"
 
--- a/src/portpaddle/gateway/service_map.cpp
+++ b/src/portpaddle/store_following/service_map.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/service_map.h"
+#include "portpaddle/store_following/service_map.h"
 
 #include "portpaddle/base/name_table.h"
 
--- a/src/portpaddle/gateway/state_exchange.cpp
+++ b/src/portpaddle/store_following/state_exchange.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/store_following/state_exchange.h"
 
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/net/bounded_body.h"
--- a/src/portpaddle/gateway/store_contact.cpp
+++ b/src/portpaddle/store_following/store_contact.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/store_contact.h"
+#include "portpaddle/store_following/store_contact.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/store_watcher.cpp
+++ b/src/portpaddle/store_following/store_watcher.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/store_watcher.h"
+#include "portpaddle/store_following/store_watcher.h"
 
 #include "portpaddle/base/log.h"
 
--- a/src/portpaddle/gateway/store_watcher.h
+++ b/src/portpaddle/store_following/store_watcher.h
@@ -8,9 +8,9 @@
 #include "portpaddle/fleet/change_feed.h"
 #include "portpaddle/fleet/change_filter.h"
 #include "portpaddle/fleet/store_replica.h"
-#include "portpaddle/gateway/state_exchange.h"
-#include "portpaddle/gateway/store_contact.h"
 #include "portpaddle/interfaces/watched_store.h"
+#include "portpaddle/store_following/state_exchange.h"
+#include "portpaddle/store_following/store_contact.h"
 
 #include <atomic>
 #include <memory>
--- a/src/portpaddle/stream_versions/stream_holders.h
+++ b/src/portpaddle/stream_versions/stream_holders.h
@@ -4,7 +4,7 @@
 /// Which daemons are told of a stream, the same for all daemons that know the same fleet.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/stream_versions/stream_key.h"
 
 #include <map>
--- a/src/portpaddle/stream_versions/version_set_recorder.h
+++ b/src/portpaddle/stream_versions/version_set_recorder.h
@@ -4,7 +4,7 @@
 /// Keeps the version sets of the own region's services in the store up to date.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/stream_versions/begun_streams.h"
 #include "portpaddle/stream_versions/version_sets.h"
 
--- a/src/portpaddle/gateway/event_splitter.cpp
+++ b/src/portpaddle/streams/event_splitter.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/event_splitter.h"
+#include "portpaddle/streams/event_splitter.h"
 
 namespace Portpaddle {
 
--- a/src/portpaddle/gateway/fetch_offers.cpp
+++ b/src/portpaddle/streams/fetch_offers.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/fetch_offers.h"
+#include "portpaddle/streams/fetch_offers.h"
 
 #include <algorithm>
 
--- a/src/portpaddle/gateway/fetch_offers.h
+++ b/src/portpaddle/streams/fetch_offers.h
@@ -4,8 +4,8 @@
 /// Finds out which engine can fetch cached parts of a prompt from which other engine.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/placement.h"
+#include "portpaddle/placement/placement.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <string>
 #include <unordered_map>
--- a/src/portpaddle/gateway/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/memory_move.h"
+#include "portpaddle/streams/memory_move.h"
 
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
--- a/src/portpaddle/gateway/memory_move.h
+++ b/src/portpaddle/streams/memory_move.h
@@ -4,9 +4,9 @@
 /// Orders an engine that is about to stop to copy the memory of a run to another engine.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/upstream_connection.h"
-#include "portpaddle/gateway/upstream_orders.h"
+#include "portpaddle/attempts/upstream_connection.h"
+#include "portpaddle/store_following/fleet_view.h"
+#include "portpaddle/streams/upstream_orders.h"
 
 #include <boost/beast/http/message.hpp>
 
--- a/src/portpaddle/gateway/run_move.cpp
+++ b/src/portpaddle/streams/run_move.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/run_move.h"
+#include "portpaddle/streams/run_move.h"
 
 #include "portpaddle/base/log.h"
 #include "portpaddle/net/http_status.h"
--- a/src/portpaddle/gateway/run_move.h
+++ b/src/portpaddle/streams/run_move.h
@@ -4,11 +4,11 @@
 /// Moves one run away from an engine that is about to stop, or because this daemon can no longer forward its stream.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
-#include "portpaddle/gateway/memory_move.h"
-#include "portpaddle/gateway/target.h"
-#include "portpaddle/gateway/upstream_connection.h"
-#include "portpaddle/gateway/upstream_orders.h"
+#include "portpaddle/attempts/upstream_connection.h"
+#include "portpaddle/exchanges/target.h"
+#include "portpaddle/store_following/fleet_view.h"
+#include "portpaddle/streams/memory_move.h"
+#include "portpaddle/streams/upstream_orders.h"
 
 #include <optional>
 #include <string>
--- a/src/portpaddle/gateway/upstream_orders.h
+++ b/src/portpaddle/streams/upstream_orders.h
@@ -4,7 +4,7 @@
 /// Orders that a daemon may give to an engine about a request in progress; an adapter defines their format.
 #pragma once
 
-#include "portpaddle/gateway/caller_request.h"
+#include "portpaddle/callers/caller_request.h"
 
 #include <optional>
 #include <string>
--- a/src/portpaddle/gateway/cold_gate.cpp
+++ b/src/portpaddle/upstream_limits/cold_gate.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-#include "portpaddle/gateway/cold_gate.h"
+#include "portpaddle/upstream_limits/cold_gate.h"
 
 #include <cmath>
 
--- a/src/portpaddle/upstream_limits/upstream_limits.cpp
+++ b/src/portpaddle/upstream_limits/upstream_limits.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <fmt/format.h>
--- a/src/portpaddle/upstream_limits/upstream_limits.h
+++ b/src/portpaddle/upstream_limits/upstream_limits.h
@@ -6,7 +6,7 @@
 
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/stable_owner.h"
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/upstream_limits/limit_announcer.h"
 #include "portpaddle/upstream_limits/limit_pace.h"
 #include "portpaddle/upstream_limits/limit_reading.h"
--- a/src/portpaddle/upstream_notices/answer_notice.h
+++ b/src/portpaddle/upstream_notices/answer_notice.h
@@ -4,7 +4,7 @@
 /// Reads from the head of an answer what it says about the upstream that gave it.
 #pragma once
 
-#include "portpaddle/gateway/header_names.h"
+#include "portpaddle/callers/header_names.h"
 #include "portpaddle/upstream_limits/limit_reading.h"
 #include "portpaddle/upstream_notices/retry_after.h"
 #include "portpaddle/upstream_reports/load_reading.h"
--- a/src/portpaddle/upstream_notices/upstream_notices.h
+++ b/src/portpaddle/upstream_notices/upstream_notices.h
@@ -4,8 +4,8 @@
 /// Keeps what upstreams have announced to this daemon: that they leave, and for how long they ask for no requests.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/routing/decision.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/upstream_notices/answer_notice.h"
 
 #include <optional>
--- a/src/portpaddle/upstream_places/brittle_services.cpp
+++ b/src/portpaddle/upstream_places/brittle_services.cpp
@@ -4,7 +4,7 @@
 #include "portpaddle/upstream_places/brittle_services.h"
 
 #include "portpaddle/base/log.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <fmt/format.h>
--- a/src/portpaddle/upstream_places/upstream_places.cpp
+++ b/src/portpaddle/upstream_places/upstream_places.cpp
@@ -3,7 +3,7 @@
 
 #include "portpaddle/upstream_places/upstream_places.h"
 
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
--- a/src/portpaddle/upstream_places/upstream_places.h
+++ b/src/portpaddle/upstream_places/upstream_places.h
@@ -6,8 +6,8 @@
 
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/stable_owner.h"
-#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/net/asio.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/upstream_places/place_ledger.h"
 
 #include <functional>
--- a/src/portpaddle/upstream_reports/reported_loads.cpp
+++ b/src/portpaddle/upstream_reports/reported_loads.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/base/log.h"
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/upstream_shares.h"
+#include "portpaddle/placement/upstream_shares.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/portpaddle/upstream_reports/reported_loads.h
+++ b/src/portpaddle/upstream_reports/reported_loads.h
@@ -4,7 +4,7 @@
 /// The newest load that each upstream of the region has reported to any of its daemons.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/upstream_reports/load_reading.h"
 #include "portpaddle/upstream_reports/reported_load.h"
 #include "portpaddle/wire/load_generated.h"
--- a/tests/gateway/bounds_tests.cpp
+++ b/tests/gateway/bounds_tests.cpp
@@ -3,9 +3,9 @@
 
 // Shares of fleet-wide bounds: retries and requests to cold upstreams.
 
-#include "portpaddle/gateway/cold_gate.h"
-#include "portpaddle/gateway/retry_rules.h"
+#include "portpaddle/exchanges/retry_rules.h"
 #include "portpaddle/retries/retry_credit.h"
+#include "portpaddle/upstream_limits/cold_gate.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/caller_writer_tests.cpp
+++ b/tests/gateway/caller_writer_tests.cpp
@@ -3,7 +3,7 @@
 
 // One request has one answer with one head, whoever writes it.
 
-#include "portpaddle/gateway/caller_writer.h"
+#include "portpaddle/callers/caller_writer.h"
 #include "portpaddle/net/spawn.h"
 #include "support/gateway_site.h"
 #include "support/recording_caller.h"
--- a/tests/gateway/configuration_catch_up_tests.cpp
+++ b/tests/gateway/configuration_catch_up_tests.cpp
@@ -3,10 +3,10 @@
 
 // A daemon that was told of a newer configuration fetches it from the daemon that has it.
 
-#include "portpaddle/gateway/configuration_catch_up.h"
+#include "portpaddle/store_following/configuration_catch_up.h"
 
 #include "portpaddle/fleet/feed_server.h"
-#include "portpaddle/gateway/store_watcher.h"
+#include "portpaddle/store_following/store_watcher.h"
 #include "support/eventually.h"
 #include "support/recording_listener.h"
 #include "support/scripted_store.h"
--- a/tests/gateway/crash_guard_tests.cpp
+++ b/tests/gateway/crash_guard_tests.cpp
@@ -15,7 +15,7 @@
 #include "portpaddle/crashes/crash_watch.h"
 #include "portpaddle/crashes/quarantine.h"
 #include "portpaddle/crashes/quarantine_record.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/gateway/damaged_head_tests.cpp
+++ b/tests/gateway/damaged_head_tests.cpp
@@ -4,7 +4,7 @@
 // Heads of answers to blocking calls, of the store and of other daemons, that are longer than any that these send.
 
 #include "platform/store_client.h"
-#include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/store_following/state_exchange.h"
 #include "support/scripted_upstream.h"
 
 #include <doctest/doctest.h>
--- a/tests/gateway/damaged_length_tests.cpp
+++ b/tests/gateway/damaged_length_tests.cpp
@@ -4,11 +4,11 @@
 // Peers whose heads announce lengths that nobody would send. Nothing is reserved by them, and the daemon goes on.
 
 #include "platform/store_client.h"
-#include "portpaddle/gateway/memory_move.h"
-#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/store_following/state_exchange.h"
+#include "portpaddle/streams/memory_move.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/plain_orders.h"
--- a/tests/gateway/event_splitter_tests.cpp
+++ b/tests/gateway/event_splitter_tests.cpp
@@ -3,7 +3,7 @@
 
 // Where the events of a stream end: at an empty line, whichever of the three line ends the upstream writes.
 
-#include "portpaddle/gateway/event_splitter.h"
+#include "portpaddle/streams/event_splitter.h"
 
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/exception_tests.cpp
+++ b/tests/gateway/exception_tests.cpp
@@ -3,8 +3,8 @@
 
 // Exceptions end what they belong to, with a true answer where none has begun, and nothing else.
 
-#include "portpaddle/gateway/run_move.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/streams/run_move.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/plain_orders.h"
--- a/tests/gateway/feed_server_tests.cpp
+++ b/tests/gateway/feed_server_tests.cpp
@@ -7,8 +7,8 @@
 
 #include "portpaddle/fleet/feed_server.h"
 
-#include "portpaddle/gateway/state_exchange.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/store_following/state_exchange.h"
 #include "support/suspended_clock.h"
 
 #include <doctest/doctest.h>
--- a/tests/gateway/fleet_size_tests.cpp
+++ b/tests/gateway/fleet_size_tests.cpp
@@ -5,11 +5,11 @@
 
 #include "platform/region_filter.h"
 #include "portpaddle/fleet/feed_server.h"
-#include "portpaddle/gateway/fleet_registry.h"
-#include "portpaddle/gateway/state_exchange.h"
-#include "portpaddle/gateway/store_watcher.h"
-#include "portpaddle/gateway/upstream_selection.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/placement/upstream_selection.h"
+#include "portpaddle/store_following/fleet_registry.h"
+#include "portpaddle/store_following/state_exchange.h"
+#include "portpaddle/store_following/store_watcher.h"
 #include "support/eventually.h"
 #include "support/scripted_store.h"
 
--- a/tests/gateway/fleet_view_tests.cpp
+++ b/tests/gateway/fleet_view_tests.cpp
@@ -5,14 +5,14 @@
 
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/daemon_registration.h"
-#include "portpaddle/gateway/entry_choice.h"
-#include "portpaddle/gateway/event_splitter.h"
-#include "portpaddle/gateway/fleet_registry.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/round_robin_cursor.h"
+#include "portpaddle/placement/load_digest.h"
+#include "portpaddle/placement/round_robin_cursor.h"
 #include "portpaddle/routing/rendezvous.h"
+#include "portpaddle/store_following/daemon_registration.h"
+#include "portpaddle/store_following/entry_choice.h"
+#include "portpaddle/store_following/fleet_registry.h"
+#include "portpaddle/streams/event_splitter.h"
 #include "support/daemon_records.h"
 
 #include <doctest/doctest.h>
--- a/tests/gateway/load_aggregation_tests.cpp
+++ b/tests/gateway/load_aggregation_tests.cpp
@@ -7,7 +7,7 @@
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/fleet/stable_owner.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <doctest/doctest.h>
--- a/tests/gateway/load_model_tests.cpp
+++ b/tests/gateway/load_model_tests.cpp
@@ -4,8 +4,8 @@
 // Learned time to the first token of a service's upstreams.
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/service_map.h"
 #include "portpaddle/load_model/load_models.h"
+#include "portpaddle/store_following/service_map.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/nameless_answer_tests.cpp
+++ b/tests/gateway/nameless_answer_tests.cpp
@@ -3,8 +3,8 @@
 
 // Answers that name no request: whose they are is known only on a connection that has carried nothing else.
 
-#include "portpaddle/gateway/memory_move.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/streams/memory_move.h"
 #include "support/gateway_site.h"
 #include "support/plain_orders.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/organisation_limits_tests.cpp
+++ b/tests/gateway/organisation_limits_tests.cpp
@@ -6,9 +6,9 @@
 #include "support/limit_scenario.h"
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/limits/limit_digest.h"
 #include "portpaddle/limits/organisation_limits.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/placement_tests.cpp
+++ b/tests/gateway/placement_tests.cpp
@@ -4,10 +4,10 @@
 // Placement of requests: the decision itself, and the load and cache state that it uses.
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/fetch_offers.h"
-#include "portpaddle/gateway/placement.h"
-#include "portpaddle/gateway/prefix_memory.h"
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/placement.h"
+#include "portpaddle/placement/prefix_memory.h"
+#include "portpaddle/placement/upstream_loads.h"
+#include "portpaddle/streams/fetch_offers.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/priority_order_tests.cpp
+++ b/tests/gateway/priority_order_tests.cpp
@@ -4,7 +4,7 @@
 // The order in which requests of several organisations and routes are served, and the few classes in which load is counted.
 
 #include "portpaddle/admission/priority_order.h"
-#include "portpaddle/gateway/service_map.h"
+#include "portpaddle/store_following/service_map.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/prompt_homes_tests.cpp
+++ b/tests/gateway/prompt_homes_tests.cpp
@@ -3,7 +3,7 @@
 
 // Where shared parts of prompts are expected to be cached.
 
-#include "portpaddle/gateway/prefix_affinity.h"
+#include "portpaddle/placement/prefix_affinity.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/prompt_part_tests.cpp
+++ b/tests/gateway/prompt_part_tests.cpp
@@ -7,7 +7,7 @@
 #include "portpaddle/crashes/completed_parts.h"
 #include "portpaddle/crashes/part_guard.h"
 #include "portpaddle/crashes/prompt_part_fingerprint.h"
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/gateway/region_contact_tests.cpp
+++ b/tests/gateway/region_contact_tests.cpp
@@ -8,7 +8,7 @@
 #include "portpaddle/fleet/load_aggregation.h"
 #include "portpaddle/fleet/role_ranking.h"
 #include "portpaddle/gateway/gateway_server.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/gateway/region_room_tests.cpp
+++ b/tests/gateway/region_room_tests.cpp
@@ -4,7 +4,7 @@
 // Load that the daemons of one region forward to another one between two summaries of it.
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/region_table.h"
+#include "portpaddle/placement/region_table.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/report_fleet_tests.cpp
+++ b/tests/gateway/report_fleet_tests.cpp
@@ -7,7 +7,7 @@
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/fleet/load_aggregation.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/routing/rendezvous.h"
 #include "portpaddle/upstream_reports/report_digest.h"
 #include "portpaddle/upstream_reports/reported_loads.h"
--- a/tests/gateway/reported_loads_tests.cpp
+++ b/tests/gateway/reported_loads_tests.cpp
@@ -4,9 +4,9 @@
 // The newest reported load of each upstream, and the digests that pass reports on.
 
 #include "portpaddle/base/metrics.h"
-#include "portpaddle/gateway/load_digest.h"
-#include "portpaddle/gateway/upstream_shares.h"
 #include "portpaddle/limits/limit_digest.h"
+#include "portpaddle/placement/load_digest.h"
+#include "portpaddle/placement/upstream_shares.h"
 #include "portpaddle/upstream_reports/report_digest.h"
 #include "portpaddle/upstream_reports/reported_loads.h"
 
--- a/tests/gateway/request_path_tests.cpp
+++ b/tests/gateway/request_path_tests.cpp
@@ -3,7 +3,7 @@
 
 // The path of a request through a gateway with upstreams that answer correctly, incorrectly or not at all.
 
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/upstream_loads.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/rollout_tests.cpp
+++ b/tests/gateway/rollout_tests.cpp
@@ -4,8 +4,8 @@
 // Parts of rollouts: which version a request may use, the verdict, the plan, and the forms of orders, records and reports.
 
 #include "platform/rollout_orders.h"
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/gateway/version_filter.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/rollouts/rollout_digest.h"
 #include "portpaddle/rollouts/rollout_plan.h"
 #include "portpaddle/rollouts/rollout_record.h"
--- a/tests/gateway/silent_source_tests.cpp
+++ b/tests/gateway/silent_source_tests.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/fleet/feed_server.h"
 #include "portpaddle/fleet/relayed_store.h"
-#include "portpaddle/gateway/state_exchange.h"
+#include "portpaddle/store_following/state_exchange.h"
 #include "support/eventually.h"
 #include "support/recording_listener.h"
 #include "support/scripted_store.h"
--- a/tests/gateway/silent_upstream_tests.cpp
+++ b/tests/gateway/silent_upstream_tests.cpp
@@ -3,7 +3,7 @@
 
 // Upstreams that fall silent for a while and go on: their runs end only once another upstream has taken the request over.
 
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/upstream_loads.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/store_contact_tests.cpp
+++ b/tests/gateway/store_contact_tests.cpp
@@ -3,7 +3,7 @@
 
 // How fresh a daemon's knowledge of the store is, over outages, lost calls and old reads, on a simulated clock.
 
-#include "portpaddle/gateway/store_contact.h"
+#include "portpaddle/store_following/store_contact.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/tests/gateway/store_following_tests.cpp
+++ b/tests/gateway/store_following_tests.cpp
@@ -4,9 +4,9 @@
 // Watching the store over outages, and the record of a daemon there.
 
 #include "portpaddle/fleet/feed_server.h"
-#include "portpaddle/gateway/daemon_registration.h"
-#include "portpaddle/gateway/state_exchange.h"
-#include "portpaddle/gateway/store_watcher.h"
+#include "portpaddle/store_following/daemon_registration.h"
+#include "portpaddle/store_following/state_exchange.h"
+#include "portpaddle/store_following/store_watcher.h"
 #include "support/daemon_records.h"
 #include "support/eventually.h"
 #include "support/recording_listener.h"
--- a/tests/gateway/stream_holder_tests.cpp
+++ b/tests/gateway/stream_holder_tests.cpp
@@ -4,8 +4,8 @@
 // What daemons tell each other of the versions that began streams, also where daemons end, datagrams are lost, or the fleet is
 // large.
 
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/net/spawn.h"
+#include "portpaddle/placement/load_digest.h"
 #include "portpaddle/stream_versions/stream_versions.h"
 
 #include <doctest/doctest.h>
--- a/tests/gateway/suspension_tests.cpp
+++ b/tests/gateway/suspension_tests.cpp
@@ -11,9 +11,9 @@
 #include "support/scripted_upstream.h"
 #include "support/suspended_clock.h"
 
-#include "portpaddle/gateway/daemon_registration.h"
-#include "portpaddle/gateway/region_table.h"
 #include "portpaddle/net/elapsed.h"
+#include "portpaddle/placement/region_table.h"
+#include "portpaddle/store_following/daemon_registration.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/upstream_attempt_tests.cpp
+++ b/tests/gateway/upstream_attempt_tests.cpp
@@ -3,7 +3,7 @@
 
 // One attempt of a request: the check before sending on an open connection, and the answers that are reported.
 
-#include "portpaddle/gateway/upstream_attempt.h"
+#include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/net/spawn.h"
 #include "support/recording_caller.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/upstream_lives_tests.cpp
+++ b/tests/gateway/upstream_lives_tests.cpp
@@ -5,7 +5,7 @@
 
 #include "platform/fleet_listener.h"
 #include "portpaddle/base/rcu_cell.h"
-#include "portpaddle/gateway/upstream_loads.h"
+#include "portpaddle/placement/upstream_loads.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/gateway/upstream_load_tests.cpp
+++ b/tests/gateway/upstream_load_tests.cpp
@@ -3,7 +3,7 @@
 
 // Upstreams that report their load in their answers, before a daemon with its sockets.
 
-#include "portpaddle/gateway/upstream_shares.h"
+#include "portpaddle/placement/upstream_shares.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
 
--- a/tests/gateway/upstream_reach_tests.cpp
+++ b/tests/gateway/upstream_reach_tests.cpp
@@ -3,8 +3,8 @@
 
 // A daemon whose paths to the upstreams fail: what becomes of its callers' requests, and of those that other daemons forward.
 
-#include "portpaddle/gateway/entry_choice.h"
 #include "portpaddle/reachability/service_reach.h"
+#include "portpaddle/store_following/entry_choice.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
--- a/tests/gateway/urgency_limit_tests.cpp
+++ b/tests/gateway/urgency_limit_tests.cpp
@@ -6,10 +6,10 @@
 #include "support/urgency_scenario.h"
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/load_digest.h"
 #include "portpaddle/limits/limit_digest.h"
 #include "portpaddle/limits/region_division.h"
 #include "portpaddle/limits/retry_time.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/gateway/urgency_transport_tests.cpp
+++ b/tests/gateway/urgency_transport_tests.cpp
@@ -5,7 +5,7 @@
 
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/fleet/load_aggregation.h"
-#include "portpaddle/gateway/load_digest.h"
+#include "portpaddle/placement/load_digest.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
--- a/tests/support/daemon_records.h
+++ b/tests/support/daemon_records.h
@@ -4,7 +4,7 @@
 /// Daemon records for tests.
 #pragma once
 
-#include "portpaddle/gateway/fleet_view.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <string>
 
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -7,9 +7,9 @@
 #include "portpaddle/base/metrics.h"
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/base/thread.h"
-#include "portpaddle/gateway/fleet_registry.h"
+#include "portpaddle/callers/session_listener.h"
 #include "portpaddle/gateway/gateway.h"
-#include "portpaddle/gateway/session_listener.h"
+#include "portpaddle/store_following/fleet_registry.h"
 #include "support/fallible_random.h"
 #include "support/suspended_clock.h"
 
--- a/tests/support/overloaded_region.h
+++ b/tests/support/overloaded_region.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/placement.h"
 #include "portpaddle/load_model/first_token_model.h"
+#include "portpaddle/placement/placement.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/support/plain_orders.h
+++ b/tests/support/plain_orders.h
@@ -4,7 +4,7 @@
 /// Orders to engines in a format that only the tests use.
 #pragma once
 
-#include "portpaddle/gateway/upstream_orders.h"
+#include "portpaddle/streams/upstream_orders.h"
 
 namespace Portpaddle {
 
--- a/tests/support/recording_caller.h
+++ b/tests/support/recording_caller.h
@@ -4,7 +4,7 @@
 /// A caller's connection on which every write succeeds.
 #pragma once
 
-#include "portpaddle/gateway/caller_writer.h"
+#include "portpaddle/callers/caller_writer.h"
 
 #include <string>
 
--- a/tests/support/recording_listener.h
+++ b/tests/support/recording_listener.h
@@ -4,7 +4,7 @@
 /// A listener of a store watcher that remembers what it was told.
 #pragma once
 
-#include "portpaddle/gateway/store_watcher.h"
+#include "portpaddle/store_following/store_watcher.h"
 
 #include <atomic>
 #include <mutex>
--- a/tests/support/rollout_fleet.h
+++ b/tests/support/rollout_fleet.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "portpaddle/base/system_clock.h"
-#include "portpaddle/gateway/fleet_view.h"
 #include "portpaddle/rollouts/rollout_coordinator.h"
+#include "portpaddle/store_following/fleet_view.h"
 
 #include <functional>
 #include <map>
