Runs that break in another region may be tried again there

Cause: the daemon of the caller did decide and pay for another attempt, but noted the whole other region as tried, since the answer does not say which upstream it was; so there was no target. Evidence: relayed_failure_tests count one paid repeat also without the change (RepeatsPaid 1), so that the reading 'nobody decides' is wrong. Without the change 5 of its 12 cases failed (noteWhereItRan() switched off); with it 12 of 12 pass. Change: answers between daemons name the upstream that may have run the request, requests all of them (X-Portpaddle-Ran-At); the region is asked again, within attempts and budget, and an executing daemon avoids those named. A daemon that ends before it answers, or where no process listens, no longer counts for its whole region. A request that may have run does not wait for capacity and is not sent again while it waits, whatever number of sends is told. Daemons of a build without the header are asked once, as before. Why it works: what is avoided is the upstream that broke, by the same rule in every region.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -61,6 +61,14 @@
     return report;
 }
 
+void setRelayReport(http::fields &fields, const RelayReport &report)
+{
+    fields.set(relaySendsHeader, std::to_string(report.sends));
+    if (!report.ranAt.empty()) {
+        fields.set(ranAtHeader, encodeUpstreamKeys(report.ranAt));
+    }
+}
+
 boost::beast::http::fields forwardableFields(const http::fields &fields)
 {
     http::fields result;
@@ -125,7 +133,7 @@
     AttemptReport report;
     peer_ = plan.peer;
     streamed_ = plan.streamed;
-    reportedSends_ = plan.reportedSends;
+    relayReport_ = plan.relayReport;
     upstreamVersion_ = plan.upstreamVersion;
     remote_ = plan.age.has_value();
     const bool opened = co_await openConnection(plan, callbacks, report);
@@ -226,8 +234,7 @@
         rejection = std::move(unfit);
     }
     if (rejection) {
-        rejection->relayedSends = relayedSends_;
-        rejection->turnedAway = turnedAway_;
+        addFactsOfHead(*rejection);
     }
     co_return rejection;
 }
@@ -253,11 +260,10 @@
     AttemptReport report = failedAttempt(AttemptEnd::NotRun, ErrorCode::UpstreamFailed,
                                          "upstream did not run the request, status " + std::to_string(status));
     const std::string_view incarnation = viewOf(fields[names_.answeringUpstream]);
-    report.relayedSends = relayedSends_;
+    addFactsOfHead(report);
     report.peerCutOff = remote_ && !fields[relayCutOffHeader].empty();
     report.peerOlder = remote_ && !fields[configurationHeader].empty();
     report.incarnationEnded = status == HttpStatus::misdirected && !incarnation.empty() && incarnation != plan.expectedUpstream;
-    report.turnedAway = turnedAway_;
     // The Retry-After of an unavailable upstream is meant for this daemon, not for the caller.
     if (remote_ || status != HttpStatus::unavailable) {
         const RetryAfter after = readRetryAfter(fields, std::chrono::system_clock::now());
@@ -277,12 +283,20 @@
     } else {
         report = co_await readWholeAnswer(*parser_, callbacks);
     }
-    report.relayedSends = relayedSends_;
-    report.turnedAway = turnedAway_;
+    addFactsOfHead(report);
     updateReusable(*parser_, report.end == AttemptEnd::Complete || report.bufferedAnswer.has_value());
     co_return report;
 }
 
+void UpstreamAttempt::addFactsOfHead(AttemptReport &report) const
+{
+    report.relayedSends = relayedSends_;
+    report.turnedAway = turnedAway_;
+    if (remote_) {
+        report.ranAt = decodeUpstreamKeys(viewOf(head_[ranAtHeader]));
+    }
+}
+
 AttemptReport UpstreamAttempt::brokenConnection(std::string message) const
 {
     AttemptReport report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, std::move(message));
@@ -379,10 +393,7 @@
     }
     callbacks.streamBegins();
     http::fields fields = fieldsForCaller(parser);
-    if (reportedSends_) {
-        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
-    }
-    if (reportedSends_ && progress_.version) {
+    if (relayReport_ && progress_.version) {
         fields.set(streamVersionHeader, encodeVersionKey(*progress_.version));
     }
     co_return co_await writer_.begin(parser.get().result_int(), std::move(fields));
--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -50,6 +50,17 @@
     std::optional<VersionKey> version;
 };
 
+/// What an answer tells the daemon that forwarded the request.
+struct RelayReport
+{
+    /// Number of sends by the answering daemon.
+    unsigned sends = 0;
+    /// Those of its upstreams that may have run the request.
+    UpstreamKeys ranAt;
+};
+/// Adds the headers of @p report to those of an answer.
+void setRelayReport(boost::beast::http::fields &fields, const RelayReport &report);
+
 /// The target of one attempt and the values of the headers that the attempt sets.
 struct AttemptPlan
 {
@@ -76,8 +87,10 @@
     unsigned earlierSends = 0;
     /// Set for another daemon: number of events of the stream that the caller has received.
     std::size_t eventsSeen = 0;
-    /// Set if the answer goes to another daemon: the number of sends by this daemon, as the answer reports it.
-    std::optional<unsigned> reportedSends;
+    /// Set for another daemon: the upstreams that may have run the request.
+    UpstreamKeys ranAt;
+    /// Set if the answer goes to another daemon.
+    std::optional<RelayReport> relayReport;
     unsigned priority = 5;
     bool streamed = false;
     /// The attempt is made beside another one, which a failure must not replace.
@@ -113,6 +126,8 @@
     bool peerOlder = false;
     /// Number of times that another daemon says it sent the request to an upstream.
     std::optional<unsigned> relayedSends;
+    /// The upstreams that may have run the request, as another daemon names them.
+    UpstreamKeys ranAt;
     /// Where the stream can be continued if another daemon stops before its end.
     std::optional<Continuation> continuation;
 };
@@ -193,6 +208,8 @@
     /// Returns why the answer with this head must not reach the caller; no value if it may.
     std::optional<AttemptReport> rejectionOf(const Parser &parser) const;
     AttemptReport brokenConnection(std::string message) const;
+    /// Adds what the head of the answer tells about the attempt, whichever way it ended.
+    void addFactsOfHead(AttemptReport &report) const;
     /// Reads the next head.
     Task<void> readOneHead(Parser &parser, NetError &error);
     /// Reads a short body to its end within @p maxTime; returns false if it is cut, too long or too slow.
@@ -234,7 +251,7 @@
     boost::beast::http::fields head_;
     std::optional<unsigned> relayedSends_;
     bool turnedAway_ = false;
-    std::optional<unsigned> reportedSends_;
+    std::optional<RelayReport> relayReport_;
     std::optional<VersionKey> upstreamVersion_;
     /// The peer is another daemon.
     bool remote_ = false;
--- a/src/portpaddle/attempts/upstream_attempt_answers.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_answers.cpp
@@ -69,9 +69,6 @@
 {
     progress_.begun = true;
     http::fields fields = fieldsForCaller(parser);
-    if (reportedSends_) {
-        fields.set(relaySendsHeader, std::to_string(*reportedSends_));
-    }
     bool taken = co_await writer_.begin(parser.get().result_int(), std::move(fields));
     NetError error;
     std::size_t passedOn = 0;
@@ -107,6 +104,9 @@
     if (length && !hasBody(request_.message.method(), parser.get().result_int())) {
         fields.set(http::field::content_length, std::to_string(*length));
     }
+    if (relayReport_) {
+        setRelayReport(fields, *relayReport_);
+    }
     return fields;
 }
 
--- a/src/portpaddle/attempts/upstream_attempt_request.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_request.cpp
@@ -37,6 +37,9 @@
     if (plan.age) {
         message.set(relayAgeHeader, std::to_string(plan.age->count()));
         message.set(relaySendsHeader, std::to_string(plan.earlierSends));
+        if (!plan.ranAt.empty()) {
+            message.set(ranAtHeader, encodeUpstreamKeys(plan.ranAt));
+        }
         message.set(relayEventsHeader, std::to_string(plan.eventsSeen));
         message.set(continuesHeader, "1");
     }
--- a/src/portpaddle/callers/caller_request.h
+++ b/src/portpaddle/callers/caller_request.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "portpaddle/attempts/configuration_stamp.h"
+#include "portpaddle/attempts/upstream_keys.h"
 #include "portpaddle/callers/header_names.h"
 #include "portpaddle/interfaces/answer_sink.h"
 #include "portpaddle/interfaces/clock.h"
@@ -72,6 +73,8 @@
     std::optional<ConfigurationStamp> acceptedUnder;
     /// Number of times that other daemons sent the request to an upstream.
     unsigned earlierSends = 0;
+    /// The upstreams that may have run the request before.
+    UpstreamKeys ranAt;
     /// Number of events of the stream that the caller has received through the forwarding daemon.
     std::size_t eventsSeen = 0;
     /// The forwarding daemon can have the stream continued elsewhere.
--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -286,6 +286,7 @@
     if (request.relayed) {
         request.arrivedAt -= relayedAge(request.message);
         request.earlierSends = static_cast<unsigned>(relayedNumber(request.message, relaySendsHeader, maxReportedSends));
+        request.ranAt = decodeUpstreamKeys(viewOf(request.message[ranAtHeader]));
         request.eventsSeen = static_cast<std::size_t>(relayedNumber(request.message, relayEventsHeader, maxReportedEvents));
         const auto organisation = request.message[relayOrganisationHeader];
         request.organisation.assign(organisation.data(), organisation.size());
--- a/src/portpaddle/exchanges/exchange.cpp
+++ b/src/portpaddle/exchanges/exchange.cpp
@@ -48,6 +48,7 @@
                 gateway.noteOrderAnswer(asked, head);
             })
     , continuation_(request_.continuation)
+    , ranAt_(request_.ranAt)
     , sends_(request_.earlierSends)
     , versionChance_(gateway.random_.fraction())
     , eventsSeen_(request_.eventsSeen)
@@ -258,7 +259,7 @@
 // none. A request that would not be served in time is therefore refused at once.
 bool Exchange::mayWaitForCapacity(ExclusionReason reason) const
 {
-    if (progress_.begun || sends_ > 0 || request_.relayed) {
+    if (progress_.begun || mayHaveRun_ || sends_ > 0 || request_.relayed) {
         return false;
     }
     // Only an order of the operator brings a version back.
--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -157,12 +157,14 @@
     /// Ends a standby that was given up and is no longer being started.
     void endDropped(Attempt &attempt, std::optional<AttemptReport> failure);
     void settleRetry(const Attempt &attempt);
-    /// Records that @p daemon, the last target, refused the request for a reason that concerns itself and not its region.
+    /// Records where an attempt that broke may have run the request.
+    void noteWhereItRan(const Attempt &attempt, const AttemptReport &report);
+    /// Records that the daemon of @p attempt did not take the request for a reason that concerns itself and not its region.
     void noteUnfitPeer(const Attempt &attempt);
     /// Returns the number of times that this daemon sent the request to an upstream.
     unsigned sendsByThisDaemon() const;
-    /// Adds the number of sends by this daemon to an answer that goes to another daemon.
-    void setSendsHeader(WholeAnswer &answer) const;
+    /// Adds what this daemon sent to an answer that goes to another daemon.
+    void setRelayHeaders(WholeAnswer &answer) const;
     /// Whether nothing has reached the caller yet, or the rest of the stream may come from another upstream.
     bool canContinue() const;
     /// Whether the caller has a part of a stream that this daemon can have continued: nothing but its time ends such a stream.
@@ -269,7 +271,9 @@
     std::vector<std::string> tried_;
     /// Those among them that refused the request.
     std::set<std::string> refusedBy_;
-    /// Number of daemons that refused the request for reasons of their own.
+    /// The upstreams of any region that may have run the request.
+    UpstreamKeys ranAt_;
+    /// Number of daemons that did not take the request for reasons of their own.
     unsigned unfitPeers_ = 0;
     /// Targets asked so far, for the log; another region as "REGION/DAEMON".
     std::string askedTargets_;
--- a/src/portpaddle/exchanges/exchange_admission.cpp
+++ b/src/portpaddle/exchanges/exchange_admission.cpp
@@ -189,6 +189,7 @@
         eventsSeen_, latestPredictedEnd_
     };
     context.versionRule = gateway_.rollouts_.rule(service_);
+    context.ranAt = ranAt_;
     context.streamVersion = progress_.version;
     context.beginsStream = route_->kind == RouteKind::Stream && route_->resumable;
     // Only the first attempt may try a new version: a caller that met its fault is better served by an older one.
--- a/src/portpaddle/exchanges/exchange_attempt.cpp
+++ b/src/portpaddle/exchanges/exchange_attempt.cpp
@@ -48,10 +48,11 @@
         plan.age = elapsedSince(request_.arrivedAt) + (near ? Millis(0) : interRegionLatency);
         plan.acceptedUnder = ConfigurationStamp{ services_->version, gateway_.identity_.id };
         plan.earlierSends = sends_;
+        plan.ranAt = ranAt_;
         plan.eventsSeen = progress_.begun ? eventsSeen_ : 0;
     }
     if (request_.relayed) {
-        plan.reportedSends = sendsByThisDaemon() + 1;
+        plan.relayReport = RelayReport{ sendsByThisDaemon() + 1, { upstreamKey(plan.peer) } };
     }
     const bool late = target.placement.urgency == Urgency::Late;
     plan.priority = late ? lowestUpstreamPriority : services_->priorities().upstreamPriorityOf(priority());
@@ -270,14 +271,34 @@
     if (target.daemon && report.peerOlder) {
         gateway_.regions_.markOlder(target.daemon->id, services_->version, now);
     }
-    if (target.daemon && (report.peerCutOff || report.peerOlder)) {
+    if (target.daemon && (report.peerCutOff || report.peerOlder || report.connectionRefused)) {
         noteUnfitPeer(attempt);
     }
     if (target.daemon && report.sent) {
         // A daemon that failed before it reported its sends is assumed to have sent the request once, as almost all do.
         sends_ += report.relayedSends.value_or(1);
     }
-    mayHaveRun_ = mayHaveRun_ || report.end == AttemptEnd::Broken;
+    if (report.end == AttemptEnd::Broken) {
+        mayHaveRun_ = true;
+    }
+    // An upstream that was given up for another one may be asked again.
+    if (report.end == AttemptEnd::Broken && !attempt.isDropped) {
+        noteWhereItRan(attempt, report);
+    }
+}
+
+// What may have run the request must not run it again. A daemon that named the upstream avoids it, so that its region may be asked
+// again. Where a daemon did not answer at all, another one of its region may.
+void Exchange::noteWhereItRan(const Attempt &attempt, const AttemptReport &report)
+{
+    if (attempt.target.upstream) {
+        ranAt_.push_back(upstreamKey(attempt.target.upstream->id));
+    } else if (report.relayedSends.value_or(0) > 0 && !report.ranAt.empty()) {
+        ranAt_.insert(ranAt_.end(), report.ranAt.begin(), report.ranAt.end());
+        std::erase(tried_, attempt.triedAs);
+    } else if (report.connectionBroke) {
+        std::replace(tried_.begin(), tried_.end(), attempt.triedAs, attempt.target.daemon->id);
+    }
 }
 
 /// Another daemon of its region may take the request; it asks only a few, since each costs a round trip.
--- a/src/portpaddle/exchanges/exchange_endings.cpp
+++ b/src/portpaddle/exchanges/exchange_endings.cpp
@@ -41,7 +41,7 @@
     if (report.bufferedAnswer) {
         const unsigned status = report.bufferedAnswer->status;
         WholeAnswer answer = std::move(*report.bufferedAnswer);
-        setSendsHeader(answer);
+        setRelayHeaders(answer);
         const bool taken = co_await answerWhole(std::move(answer));
         const LogEvent end = status < 500 ? LogEvent::RequestServed : LogEvent::RequestFailed;
         log(taken ? end : LogEvent::RequestAbandoned, status, report.error.message);
@@ -96,7 +96,7 @@
         answer.fields.set(configurationHeader,
                           encodeConfigurationStamp({ gateway_.configurationVersion(), gateway_.identity_.id }));
     }
-    setSendsHeader(answer);
+    setRelayHeaders(answer);
     answer.body = fmt::format("{}: {}\n", nameOf(code), message);
     co_await answerWhole(std::move(answer));
 }
@@ -115,7 +115,7 @@
     if (request_.relayed && !mayHaveRun_) {
         answer.fields.set(relayOutcomeHeader, relayNotRun);
     }
-    setSendsHeader(answer);
+    setRelayHeaders(answer);
     answer.body = message + "\n";
     co_await answerWhole(std::move(answer));
 }
@@ -203,10 +203,11 @@
     }
 }
 
-void Exchange::setSendsHeader(WholeAnswer &answer) const
+void Exchange::setRelayHeaders(WholeAnswer &answer) const
 {
     if (request_.relayed) {
-        answer.fields.set(relaySendsHeader, std::to_string(sendsByThisDaemon()));
+        const UpstreamKeys ranHere(ranAt_.begin() + static_cast<std::ptrdiff_t>(request_.ranAt.size()), ranAt_.end());
+        setRelayReport(answer.fields, { sendsByThisDaemon(), ranHere });
     }
 }
 
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -207,6 +207,8 @@
         std::optional<VersionKey> streamVersion{};
         /// A stream that can be taken up begins, which it does only at versions that all daemons know.
         bool beginsStream = false;
+        /// The upstreams that may have run the request.
+        UpstreamKeys ranAt{};
         /// No other region is considered.
         bool ownRegionOnly = false;
 
@@ -225,6 +227,9 @@
     std::vector<UpstreamCandidate> localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                    const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
                                                    SteadyTime now);
+    /// Excludes the upstreams that may have run the request.
+    static void excludeWhereItRan(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
+                                  const std::vector<const UpstreamRecord *> &records);
     /// Excludes the upstreams whose version the request may not be sent to.
     void excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
                          const std::vector<const UpstreamRecord *> &records, SteadyTime now) const;
--- a/src/portpaddle/gateway/gateway_choice.cpp
+++ b/src/portpaddle/gateway/gateway_choice.cpp
@@ -161,6 +161,20 @@
     return candidates;
 }
 
+void Gateway::excludeWhereItRan(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
+                                const std::vector<const UpstreamRecord *> &records)
+{
+    if (context.ranAt.empty()) {
+        return;
+    }
+    for (UpstreamCandidate &candidate : candidates) {
+        const std::uint32_t key = upstreamKey(records[candidate.index]->id);
+        if (std::find(context.ranAt.begin(), context.ranAt.end(), key) != context.ranAt.end()) {
+            candidate.exclusionReason = ExclusionReason::AlreadyTried;
+        }
+    }
+}
+
 std::vector<UpstreamCandidate> Gateway::localCandidates(const CallerRequest &request, const ChoiceContext &context,
                                                         const ServiceSpec &spec, std::vector<const UpstreamRecord *> &records,
                                                         SteadyTime now)
@@ -171,6 +185,7 @@
     }
     records = local->considered(request.prompt);
     std::vector<UpstreamCandidate> candidates = describe(records, spec, request.prompt, context.tried, now);
+    excludeWhereItRan(context, candidates, records);
     excludeVersions(context, candidates, records, now);
     const auto usable = std::count_if(candidates.begin(), candidates.end(), [](const UpstreamCandidate &candidate) {
         return candidate.exclusionReason == ExclusionReason::None;
@@ -179,6 +194,7 @@
     if (!local->isWhole() && usable < minUsableOfSubset) {
         records = local->all();
         candidates = describe(records, spec, request.prompt, context.tried, now);
+        excludeWhereItRan(context, candidates, records);
         excludeVersions(context, candidates, records, now);
     }
     return candidates;
