--- a/tests/gateway/store_client_tests.cpp
+++ b/tests/gateway/store_client_tests.cpp
@@ -76,6 +76,27 @@
     CHECK(valueOf(listing).revision == 10);
 }
 
+// Guards against a call without end, whose listing takes more and more memory.
+TEST_CASE_FIXTURE(StoreFixture, "Store client, listing whose pages do not advance, is an unavailable store")
+{
+    for (const Json &items : { Json::array({ item("p/a", "1", 3) }), Json::array() }) {
+        CAPTURE(items.dump());
+        std::atomic<unsigned> calls{ 0 };
+        server.Get("/v1/kv-range", [&calls, &items](const httplib::Request &request, httplib::Response &response) {
+            constexpr unsigned hangBound = 100;
+            const bool first = !request.has_param("after");
+            answer(response,
+                   { { "items", first ? Json::array({ item("p/a", "1", 3) }) : items },
+                     { "morePages", ++calls < hangBound },
+                     { "storeRevision", 10 } });
+        });
+        const auto listing = client->listAll("p/", ReadFreshness::Newest);
+        REQUIRE_FALSE(isOk(listing));
+        CHECK(errorOf(listing).code == ErrorCode::PlatformUnavailable);
+        CHECK(calls == 2);
+    }
+}
+
 TEST_CASE_FIXTURE(StoreFixture, "Store client, changes, distinguish writes and removals")
 {
     server.Get("/v1/kv-watch", [](const httplib::Request &request, httplib::Response &response) {
