--- a/src/portpaddle/exchanges/exchange_attempt.cpp
+++ b/src/portpaddle/exchanges/exchange_attempt.cpp
@@ -287,8 +287,8 @@
     }
 }
 
-// What may have run the request must not run it again. A daemon that named the upstream avoids it, so that its region may be asked
-// again. Where a daemon did not answer at all, another one of its region may.
+// What may have run the request must not run it again. A daemon that named the upstream avoids it, so that its region may be
+// asked again. Where a daemon did not answer at all, another one of its region may.
 void Exchange::noteWhereItRan(const Attempt &attempt, const AttemptReport &report)
 {
     if (attempt.target.upstream) {
