Headers between daemons are believed of daemons only

Callers would see: a request that may run once run by two upstreams (TWICE) and answered with 503 (REFUSED), and retries that no budget paid (BUDGET), if an upstream's answer has X-Portpaddle-Outcome or X-Portpaddle-Sends. No caller reported it. Cause: the head of any answer was read for them, also that of an upstream. Evidence: the new test of relay_tests failed before (1 of 12 cases of the file's group: 503 in place of 500, two runs in place of one, 0 repeats paid and 4 unpaid); with the change all 47 cases of the relay files pass. Change: both are read where the peer is a daemon; all other headers between daemons already were. Why it works: upstreams and callers have no way left to state an outcome, but for the platform's own proof of not having run.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -216,8 +216,10 @@
     }
     head_ = parser_->get();
     const http::fields &fields = head_;
-    relayedSends_ = readReportedSends(fields);
-    const bool notRun = provesNotRun(parser_->get(), names_) || viewOf(fields[relayOutcomeHeader]) == relayNotRun;
+    // What daemons tell each other is believed of daemons only.
+    relayedSends_ = remote_ ? readReportedSends(fields) : std::nullopt;
+    const bool refusedByDaemon = remote_ && viewOf(fields[relayOutcomeHeader]) == relayNotRun;
+    const bool notRun = refusedByDaemon || provesNotRun(parser_->get(), names_);
     // A refusal also carries notices about its upstream.
     const AnswerNotice notice = readNotice(parser_->get(), names_, std::chrono::system_clock::now());
     callbacks.headReceived(notice);
--- a/tests/gateway/relay_tests.cpp
+++ b/tests/gateway/relay_tests.cpp
@@ -187,3 +187,21 @@
     CHECK(daemon.seen().empty());
     CHECK(upstream.seen().size() == 40);
 }
+
+// Guards against a second run of a request that may run once, and against retries that nobody pays.
+TEST_CASE_FIXTURE(GatewaySite, "Headers between daemons, sent by an upstream, are not believed")
+{
+    const auto script = [](const SeenRequest &) {
+        return ScriptedAnswer{ "HTTP/1.1 500 Failed\r\nX-Request-Id: @id\r\nX-Signature: s\r\nX-Portpaddle-Outcome: not_run\r\n"
+                               "X-Portpaddle-Sends: 0\r\nContent-Length: 0\r\n\r\n" };
+    };
+    ScriptedUpstream first(script);
+    ScriptedUpstream second(script);
+    addUpstream("u1", first.address());
+    addUpstream("u2", second.address());
+    CHECK(ask("/once/a", "id1").status == 500);
+    CHECK(first.seen().size() + second.seen().size() == 1);
+    ask("/plain/a", "id2");
+    CHECK(count(Counter::RepeatsPaid) == 1);
+    CHECK(count(Counter::RepeatsUnseen) == 0);
+}
