Log: how an answer was delimited, whether its run was ordered to stop, unanswered orders

Cause: the line of a served stream could not tell an end of the engine's own from one that a stop brought about, so the hypotheses on streams that are told as complete after a part looked alike.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -50,6 +50,19 @@
     return std::max(timeout - keepAliveMargin, timeout / 2);
 }
 
+/// Returns what delimits the body of the answer whose head was parsed.
+template<typename Parser>
+BodyFraming framingOf(const Parser &parser)
+{
+    if (parser.chunked()) {
+        return BodyFraming::Chunks;
+    }
+    if (parser.content_length()) {
+        return BodyFraming::Length;
+    }
+    return parser.need_eof() ? BodyFraming::UntilClose : BodyFraming::None;
+}
+
 } // namespace
 
 AttemptReport failedAttempt(AttemptEnd end, ErrorCode code, std::string message)
@@ -286,6 +299,7 @@
         report = co_await readWholeAnswer(*parser_, callbacks);
     }
     addFactsOfHead(report);
+    report.framing = framingOf(*parser_);
     updateReusable(*parser_, report.end == AttemptEnd::Complete || report.bufferedAnswer.has_value());
     co_return report;
 }
--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -8,6 +8,7 @@
 #include "portpaddle/callers/caller_request.h"
 #include "portpaddle/callers/caller_writer.h"
 #include "portpaddle/interfaces/attempt_target.h"
+#include "portpaddle/net/answer_framing.h"
 #include "portpaddle/net/received_body.h"
 #include "portpaddle/store_following/service_map.h"
 #include "portpaddle/streams/event_splitter.h"
@@ -106,6 +107,8 @@
 {
     AttemptEnd end = AttemptEnd::Complete;
     Error error;
+    /// What delimits the answer that was received.
+    BodyFraming framing = BodyFraming::None;
     /// A complete answer that was not streamed; the caller receives it unless another attempt follows.
     std::optional<WholeAnswer> bufferedAnswer;
     /// The request was sent by this daemon.
--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -264,8 +264,9 @@
     bool handedOver_ = false;
     std::shared_ptr<Attempt> current_;
     std::shared_ptr<Standby> standby_;
-    /// The target of the attempt that ended last.
+    /// The target of the attempt that ended last, and what delimited its answer.
     Target lastTarget_;
+    BodyFraming lastFraming_ = BodyFraming::None;
     Interruption interruption_ = Interruption::None;
     /// Ids of the upstreams, names of the regions and ids of the daemons asked so far.
     std::vector<std::string> tried_;
--- a/src/portpaddle/exchanges/exchange_endings.cpp
+++ b/src/portpaddle/exchanges/exchange_endings.cpp
@@ -157,6 +157,8 @@
                { "first_event_ms", fmt::format("{:.0f}", firstEventMs_) },
                { "events", std::to_string(eventsSeen_) },
                { "longest_pause_ms", std::to_string(std::chrono::duration_cast<Millis>(longestPause_).count()) },
+               { "answer_framing", std::string(nameOf(lastFraming_)) },
+               { "stop_ordered", move_.stopOrdered() ? "true" : "false" },
                { "begun", progress_.begun || request_.eventsSeen > 0 ? "true" : "false" },
                { "time_left_ms", std::to_string(timeLeft().count()) },
                { "took_ms", std::to_string(elapsedSince(request_.arrivedAt).count()) },
--- a/src/portpaddle/exchanges/exchange_perform.cpp
+++ b/src/portpaddle/exchanges/exchange_perform.cpp
@@ -77,6 +77,7 @@
         report = co_await bringAnswer(*attempt, standby.get());
     }
     current_.reset();
+    lastFraming_ = report.framing;
     watch->hasEnded = true;
     silenceTimer_.cancel();
     noteAttemptEnd(*attempt, report);
--- a/src/portpaddle/net/answer_framing.cpp
+++ b/src/portpaddle/net/answer_framing.cpp
@@ -5,6 +5,8 @@
 
 #include "portpaddle/net/http_status.h"
 
+#include <array>
+
 namespace Portpaddle {
 
 namespace {
@@ -12,8 +14,15 @@
 // The first version with the chunked coding.
 constexpr unsigned http11 = 11;
 
+constexpr std::array<std::string_view, 4> framingNames{ "none", "length", "chunks", "until_close" };
+
 } // namespace
 
+std::string_view nameOf(BodyFraming framing)
+{
+    return framingNames.at(static_cast<std::size_t>(framing));
+}
+
 bool hasBody(boost::beast::http::verb method, unsigned status)
 {
     return method != boost::beast::http::verb::head && status != HttpStatus::notModified && mayHaveLength(status);
--- a/src/portpaddle/net/answer_framing.h
+++ b/src/portpaddle/net/answer_framing.h
@@ -9,6 +9,8 @@
 
 #include <boost/beast/http/verb.hpp>
 
+#include <string_view>
+
 namespace Portpaddle {
 
 /// What of a request decides how its answer is framed.
@@ -31,6 +33,7 @@
     UntilClose,
 };
 
+std::string_view nameOf(BodyFraming framing);
 /// Whether an answer with @p status to a request with @p method has a body.
 bool hasBody(boost::beast::http::verb method, unsigned status);
 /// Whether the head of an answer with @p status may have a Content-Length.
--- a/src/portpaddle/streams/run_move.cpp
+++ b/src/portpaddle/streams/run_move.cpp
@@ -118,15 +118,14 @@
 Task<MemoryMove> RunMove::stopRun(const UpstreamOrders &orders, SteadyTime until)
 {
     MemoryMove move;
-    unsigned unanswered = 0;
     stopOrdered_ = true;
-    while (BootClock::now() < until && unanswered < maxUnansweredOrders) {
+    while (BootClock::now() < until && unanswered_ < maxUnansweredOrders) {
         move = co_await send(orders, orders.stopAndMove(requestId_, moved_.target.upstream->address), until);
         const bool underWay = move.status == HttpStatus::conflict;
         if (move.status != 0 && !underWay) {
             break;
         }
-        unanswered += underWay ? 0 : 1;
+        unanswered_ += underWay ? 0 : 1;
         NetError ignored;
         repeatTimer_.expires_after(repeatDelay);
         co_await repeatTimer_.async_wait(awaitingInto(ignored));
@@ -149,6 +148,8 @@
                { "target", moved_.target.upstream->id },
                { "moved", move.memorySource ? "true" : "false" },
                { "stop_ordered", stopOrdered_ ? "true" : "false" },
+               { "orders_unanswered", std::to_string(unanswered_) },
+               { "status", std::to_string(move.status) },
                { "message", move.outcome } });
     moved_.memoryFrom = move.memorySource.value_or(std::string());
     state_ = state;
--- a/src/portpaddle/streams/run_move.h
+++ b/src/portpaddle/streams/run_move.h
@@ -76,6 +76,8 @@
     SteadyTimer repeatTimer_;
     State state_ = State::None;
     bool stopOrdered_ = false;
+    /// Number of orders to stop the run that were not answered; each may have been carried out.
+    unsigned unanswered_ = 0;
     bool noTargetLogged_ = false;
     std::string requestId_;
     MovedRun moved_;
