Answers of upstreams that end are not told as whole for the end of their connection

What callers saw: the play of the users' reading, engines that come to their planned end while the order to move is answered late or never: 6 of 6 streams without a length or chunks told as whole with 50 of 90 events.

Cause: of the class of the stopped streams, without an order: a process that ends closes its connections, and where nothing else delimits an answer that looks like its end. A whole answer of a plain service is cut in the same way.

Change: where the upstream has announced its end, or is gone from the list, an answer that ended with its connection is whole only if the upstream still accepts a connection 100 ms later. Upstreams that do not leave are not asked. The proofs stand in exchange_proof.cpp.

--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -115,8 +115,14 @@
     Task<AttemptReport> perform(std::shared_ptr<Attempt> attempt, std::shared_ptr<Standby> standby);
     /// Whether an order of this daemon may have stopped the run of @p attempt.
     bool mayBeStopped(const Attempt &attempt) const;
-    /// Returns @p report, or that of a broken stream if nothing proves that the stream of @p attempt is whole.
+    /// Returns @p report, or that of a broken answer if nothing proves that the answer to @p attempt is whole.
     Task<AttemptReport> proveEnd(const Attempt &attempt, AttemptReport report);
+    /// Whether the run of @p attempt, which an order may have stopped, had ended before.
+    Task<bool> hadEndedBeforeStop();
+    /// Whether @p upstream announced its end, or is gone from the list.
+    bool isEnding(const UpstreamRecord &upstream) const;
+    /// Whether @p upstream still accepts connections some time after it has closed one.
+    Task<bool> outlivesConnection(const UpstreamRecord &upstream);
     /// Whether the standby takes the place of the attempt that ended with @p report.
     bool needsStandby(const AttemptReport &report);
     Target chooseTarget();
--- a/src/portpaddle/exchanges/exchange_moves.cpp
+++ b/src/portpaddle/exchanges/exchange_moves.cpp
@@ -58,31 +58,6 @@
     return true;
 }
 
-bool Exchange::mayBeStopped(const Attempt &attempt) const
-{
-    return attempt.isMoved && move_.stopOrdered();
-}
-
-// An engine that is ordered to stop a run closes its stream without an end. Where only the end of the connection delimits the
-// stream, that looks like the end of a whole one, and the engine's answer to the order is the proof.
-Task<AttemptReport> Exchange::proveEnd(const Attempt &attempt, AttemptReport report)
-{
-    const bool isInDoubt
-        = report.end == AttemptEnd::Complete && report.framing == BodyFraming::UntilClose && mayBeStopped(attempt);
-    if (!isInDoubt) {
-        co_return report;
-    }
-    co_await move_.awaitEnd();
-    if (move_.foundRunEnded()) {
-        co_return report;
-    }
-    AttemptReport broken = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
-                                         "the stream was stopped, so that the end of its connection proves no end of the answer");
-    broken.framing = report.framing;
-    broken.turnedAway = report.turnedAway;
-    co_return broken;
-}
-
 Task<AttemptReport> Exchange::continueMovedRun(AttemptReport report, const Target &target)
 {
     if (report.end == AttemptEnd::Complete && move_.begun()) {
