Soak: engines send a quarter of the streams without length or chunks, and crash with a reset

The framework that the engines stand on chunks whatever has no length, so no soak met an answer that ends with its connection. Checks as before.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,16 @@
 # SPDX-License-Identifier: Apache-2.0
 """A loopback proxy that delays, resets or refuses connections, or withholds the bytes of one or both directions."""
 import asyncio
+import socket
+import struct
+
+
+def reset(transport):
+    """Ends a connection as a crash does: with a reset, after which no answer can look whole."""
+    if transport is None or transport.is_closing():
+        return
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
 
 
 class Proxy:
@@ -26,7 +36,7 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer.transport)
 
     async def _accepted(self, reader, writer):
         if self.refusing:
@@ -57,6 +67,6 @@
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         writer.close()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from proxy import reset
+
 VERSIONS = ("v1", "v1.2")  # software versions that serve side by side
 FULL = 64  # concurrent requests; more are declined without a run
 BACKOFF_SHARE = 0.9  # share of requests that an upstream in backoff refuses
@@ -28,6 +30,11 @@
     return 0.4 if slow else 0.02
 
 
+def ends_with_connection(attempt):
+    """Whether the answer to an attempt at a stream has neither a length nor chunks."""
+    return int(hashlib.sha256(attempt.encode()).hexdigest()[5], 16) < 4
+
+
 def event(stream, number, version="v1"):
     """Returns an event as an upstream of this software version writes it."""
     return f"id: {number}\ndata: {stream}:{number}:{version}\n\n"
@@ -38,6 +45,26 @@
     return set(re.findall(r"^data: [^:]*:\d+:(.*)\n\n", events, re.MULTILINE))
 
 
+class OpenEndedAnswer:
+    """An answer that has neither a length nor chunks: it ends with its connection."""
+
+    def __init__(self, request, headers):
+        self.transport = request.transport
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self.head = f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n"
+
+    async def prepare(self, _request):
+        self.transport.write(self.head.encode())
+
+    async def write(self, data):
+        self.transport.write(data)
+
+    def end(self):
+        """Closes the connection; the framework must not answer as well."""
+        self.transport.close()
+        raise asyncio.CancelledError
+
+
 class Upstream:
     def __init__(self, soak, name, service, region, data_centre):
         self.soak = soak
@@ -99,7 +126,7 @@
 
     def crash(self):
         for transport in list(self.transports):
-            transport.abort()
+            reset(transport)
         self.proxy.refusing = True
         self.proxy.reset_all()
 
@@ -151,7 +178,7 @@
         if self.mode == "errors":
             return web.Response(status=500, headers=head, text="failed")
         if self.mode == "lost":
-            request.transport.abort()
+            reset(request.transport)
         if request.path.startswith("/stream"):
             return await self.stream(request, attempt, head)
         await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
@@ -161,7 +188,7 @@
             answer = web.StreamResponse(headers={**head, "Content-Length": str(len(text))})
             await answer.prepare(request)
             await answer.write(text[:50].encode())
-            request.transport.abort()
+            reset(request.transport)
             return answer
         answer = web.Response(headers=head, text=text)
         if self.mode == "extra":
@@ -186,7 +213,9 @@
         return web.json_response({"handle": self.soak.record_copy(self, order["id"], order["targetVersion"]), "created": 0})
 
     async def stream(self, request, attempt, head):
-        answer = web.StreamResponse(headers={**head, "Content-Type": "text/event-stream"})
+        head = {**head, "Content-Type": "text/event-stream"}
+        open_ended = ends_with_connection(attempt)
+        answer = OpenEndedAnswer(request, head) if open_ended else web.StreamResponse(headers=head)
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         stream = request.headers.get("Resumes", attempt)
@@ -202,12 +231,12 @@
             if stop_ordered.is_set():
                 request.transport.close()
                 stream_stopped.set()
-                return answer
+                return answer.end() if open_ended else answer
             text = event(stream, number, version)
             if self.mode == "torn" and number > last // 2:
                 await answer.write(text[:9].encode())
-                request.transport.abort()
-                return answer
+                reset(request.transport)
+                return answer.end() if open_ended else answer
             await answer.write(text.encode())
         self.stopped.pop(attempt, None)
-        return answer
+        return answer.end() if open_ended else answer
