An answer whose status is none, such as 000 or 600, is no answer

A head with 000 to 099 counted as interim, so that the answer behind it on the connection was taken for the one that was due, even if the invalid head named an earlier request. With 600 beside a proof that nothing ran, a request that may run once was sent again. The answer to an order with any of these named the memory of a run.

Cause: both parsers take any three digits, and "interim" was compared with one bound only. Such a head ends the attempt, which may have run, as letters in the place of the status do: whose bytes follow it is unknown, and nothing beside it is believed.

Statuses of 200 to 599 pass through before and after.

--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -23,9 +23,15 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gatewayTimeout = 504;
 
+/// Whether @p status can be that of an answer, interim or not. Any three digits pass for one in a status line.
+constexpr bool isValid(unsigned status)
+{
+    return status >= 100 && status < 600;
+}
+
 constexpr bool isInformational(unsigned status)
 {
-    return status < 200;
+    return status >= 100 && status < 200;
 }
 
 constexpr bool isSuccess(unsigned status)
--- a/src/portpaddle/streams/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/streams/memory_move.h"
 
+#include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
 
@@ -51,6 +52,9 @@
             co_await http::async_read_some(connection->socket, connection->buffer, parser, awaitingInto(error));
         }
         const http::response<ReceivedBody> &answer = parser.get();
+        if (!error && !HttpStatus::isValid(answer.result_int())) {
+            error = http::error::bad_status;
+        }
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
             onAnswer(source, answer);
--- a/src/portpaddle/upstream/http_upstream_client.cpp
+++ b/src/portpaddle/upstream/http_upstream_client.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/socket_address.h"
 #include "portpaddle/base/text.h"
+#include "portpaddle/net/http_status.h"
 
 #include <algorithm>
 #include <array>
@@ -55,16 +56,28 @@
 
     AnswerSink &sink;
     bool headSeen = false;
+    bool hasInvalidStatus = false;
     bool refusedAsNotRun = false;
     bool receiverGone = false;
     int status = 0;
     std::optional<Millis> retryAfter;
 };
 
+/// Whether @p status can be that of the answer after which no other one follows.
+bool isFinal(int status)
+{
+    const auto number = static_cast<unsigned>(status);
+    return HttpStatus::isValid(number) && !HttpStatus::isInformational(number);
+}
+
 bool receiveHead(AttemptProgress &progress, const httplib::Response &response)
 {
     progress.headSeen = true;
     progress.status = response.status;
+    progress.hasInvalidStatus = !isFinal(response.status);
+    if (progress.hasInvalidStatus) {
+        return false;
+    }
     if (response.get_header_value(std::string(runStateHeader)) == nameOf(RunState::NotRun)) {
         progress.refusedAsNotRun = true;
         const std::string seconds = response.get_header_value("Retry-After");
@@ -87,6 +100,12 @@
 
 AttemptResult resultOf(const AttemptProgress &progress, httplib::Error error)
 {
+    if (progress.hasInvalidStatus) {
+        return AttemptResult{ AttemptEnd::Broken,
+                              Error{ ErrorCode::UpstreamFailed,
+                                     fmt::format("the upstream's answer has the invalid status {}", progress.status),
+                                     RunState::MayHaveRun, std::nullopt } };
+    }
     if (progress.refusedAsNotRun) {
         return notRun(ErrorCode::Overloaded, "the upstream refused the request without running it", progress.retryAfter);
     }
