An interim answer to an order is not its answer

An upstream that sends 100 or 103 before the answer to an order was heard as having answered with that status: the order to stop a run counted as answered without a handle, so the move failed though the run had stopped. Only read: no upstream that was seen sends any.

Cause: the reader of answers to orders took the first head. It reads on now, as the reader of answers to requests does, past at most PeerBounds::interimAnswers within the time of the order; more of them are no answer.

--- a/src/portpaddle/streams/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
+
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
@@ -18,6 +20,36 @@
 
 constexpr std::chrono::milliseconds connectTimeout{ 300 };
 
+using AnswerParser = http::response_parser<ReceivedBody>;
+
+Task<void> readOneAnswer(UpstreamConnection &connection, AnswerParser &parser, NetError &error)
+{
+    parser.header_limit(PeerBounds::orderAnswerBytes);
+    parser.body_limit(PeerBounds::orderAnswerBytes);
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(connection.socket, connection.buffer, parser, awaitingInto(error));
+    }
+    if (!error && !HttpStatus::isValid(parser.get().result_int())) {
+        error = http::error::bad_status;
+    }
+}
+
+/// Reads the answer to an order, past interim ones.
+Task<void> readAnswer(UpstreamConnection &connection, std::optional<AnswerParser> &parser, NetError &error)
+{
+    unsigned interim = 0;
+    parser.emplace();
+    co_await readOneAnswer(connection, *parser, error);
+    while (!error && HttpStatus::isInformational(parser->get().result_int())) {
+        if (++interim > PeerBounds::interimAnswers) {
+            error = boost::asio::error::message_size;
+            co_return;
+        }
+        parser.emplace();
+        co_await readOneAnswer(connection, *parser, error);
+    }
+}
+
 } // namespace
 
 Task<MemoryMove> sendMoveOrder(ConnectionPool &pool, const UpstreamOrders &orders, HttpRequest order,
@@ -45,16 +77,9 @@
         const ConnectionTimeout timeout(*connection, maxTime);
         order.prepare_payload();
         co_await http::async_write(connection->socket, order, awaitingInto(error));
-        http::response_parser<ReceivedBody> parser;
-        parser.header_limit(PeerBounds::orderAnswerBytes);
-        parser.body_limit(PeerBounds::orderAnswerBytes);
-        while (!error && !parser.is_done()) {
-            co_await http::async_read_some(connection->socket, connection->buffer, parser, awaitingInto(error));
-        }
-        const http::response<ReceivedBody> &answer = parser.get();
-        if (!error && !HttpStatus::isValid(answer.result_int())) {
-            error = http::error::bad_status;
-        }
+        std::optional<AnswerParser> parser;
+        co_await readAnswer(*connection, parser, error);
+        const http::response<ReceivedBody> &answer = parser->get();
         moved.outcome = error ? "no answer: " + error.message() : "status " + std::to_string(answer.result_int());
         if (!error) {
             onAnswer(source, answer);
--- a/tests/gateway/status_code_tests.cpp
+++ b/tests/gateway/status_code_tests.cpp
@@ -4,6 +4,7 @@
 // Heads whose status is none: not three digits, or the first digit not 1 to 5. They are no answers, and no interim ones either.
 
 #include "platform/store_client.h"
+#include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/spawn.h"
 #include "portpaddle/store_following/state_exchange.h"
 #include "portpaddle/streams/memory_move.h"
@@ -240,9 +241,7 @@
 
 TEST_CASE("Status code, invalid in the answer to an order, names no memory and is no answer")
 {
-    std::vector<std::string> statuses = outOfRange;
-    statuses.insert(statuses.end(), noNumbers.begin(), noNumbers.end());
-    for (const std::string &status : statuses) {
+    for (const std::string &status : invalidStatuses()) {
         CAPTURE(status);
         const MemoryMove moved = orderAnsweredBy(answerWith(status));
         CHECK_FALSE(moved.memorySource.has_value());
@@ -251,6 +250,32 @@
     }
 }
 
+TEST_CASE("Interim answer, before the answer to an order, is not taken for it")
+{
+    for (const std::string &status : interimAsFinal) {
+        CAPTURE(status);
+        const std::string interim = "HTTP/1.1 " + status + " S\r\n\r\n";
+        const MemoryMove moved = orderAnsweredBy(interim + interim + answerWith("200"));
+        CHECK(moved.status == 200);
+        REQUIRE(moved.memorySource.has_value());
+        CHECK(moved.memorySource->ends_with("/bad"));
+        const MemoryMove unanswered = orderAnsweredBy(interim);
+        CHECK(unanswered.status == 0);
+        CHECK(unanswered.outcome.starts_with("no answer"));
+    }
+}
+
+TEST_CASE("Interim answers, without end in the place of the answer to an order, are no answer")
+{
+    std::string interim;
+    while (interim.size() < PeerBounds::orderAnswerBytes) {
+        interim += "HTTP/1.1 103 Early\r\n\r\n";
+    }
+    const MemoryMove moved = orderAnsweredBy(interim + answerWith("200"));
+    CHECK(moved.status == 0);
+    CHECK_FALSE(moved.memorySource.has_value());
+}
+
 TEST_CASE("Status code, invalid in the store's answer, is an unavailable store")
 {
     for (const std::string &status : invalidStatuses()) {
