An event of a stream is searched once, however small the pieces it comes in

An upstream that sent one event without an end kept the daemon's event loop busy: callers waited for their deadline, where the bound of an event should have ended the attempt, and all other requests were slower.

Cause: EventSplitter::feed() searched all of the event that had come so far with each read of some hundred bytes, so that the work grew with the square of the event. The search goes on where it stopped now; a CR at the end of the bytes is looked at again, since LF may follow.

Evidence: event_splitter_tests, 1 MB byte by byte: not read in 60 s before (ended by hand), the file passes after. A second new case, events byte by byte with any line end, passes before and after.

--- a/src/portpaddle/streams/event_splitter.cpp
+++ b/src/portpaddle/streams/event_splitter.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/streams/event_splitter.h"
 
+#include <algorithm>
+
 namespace Portpaddle {
 
 namespace {
@@ -77,6 +79,30 @@
 
 } // namespace
 
+// Bytes may come in small pieces and without any line end, so the search goes on where the last one stopped.
+std::size_t EventSplitter::nextBlockEnd()
+{
+    while (lineBegin_ < partial_.size()) {
+        const bool empty = lineEnds.find(partial_[lineBegin_]) != std::string_view::npos;
+        const std::size_t next = lineEndAfter(partial_, std::max(lineBegin_, searched_));
+        if (next == std::string_view::npos) {
+            searched_ = partial_.size();
+            return next;
+        }
+        const bool mayGoOn = next == partial_.size() && partial_.back() == '\r';
+        if (mayGoOn && !empty) {
+            searched_ = next - 1;
+            return std::string_view::npos;
+        }
+        lineBegin_ = next;
+        searched_ = next;
+        if (empty) {
+            return next;
+        }
+    }
+    return std::string_view::npos;
+}
+
 // An event that ends with CR is not kept back until it is known whether LF follows, which would be dropped then.
 std::string EventSplitter::feed(std::string_view bytes)
 {
@@ -87,7 +113,7 @@
     partial_.append(bytes);
     std::string whole;
     std::size_t begin = 0;
-    for (std::size_t next = blockEndAfter(partial_, 0); next != std::string::npos; next = blockEndAfter(partial_, begin)) {
+    for (std::size_t next = nextBlockEnd(); next != std::string::npos; next = nextBlockEnd()) {
         const std::string_view block = std::string_view(partial_).substr(begin, next - begin);
         const bool kept = isEvent(block);
         whole += kept ? block : std::string_view{};
@@ -98,6 +124,8 @@
         endedWithCr_ = begin == partial_.size() && partial_.ends_with('\r');
     }
     partial_.erase(0, begin);
+    lineBegin_ -= begin;
+    searched_ -= begin;
     const std::string_view id = lastIdIn(whole);
     if (!id.empty()) {
         lastId_ = id;
@@ -127,6 +155,8 @@
 void EventSplitter::dropPartial()
 {
     partial_.clear();
+    lineBegin_ = 0;
+    searched_ = 0;
     droppedBytes_ = 0;
     endedWithCr_ = false;
 }
--- a/src/portpaddle/streams/event_splitter.h
+++ b/src/portpaddle/streams/event_splitter.h
@@ -29,7 +29,14 @@
     std::size_t bytesSinceEvent() const;
 
 private:
+    /// Returns the position after the next complete block of partial_; npos if there is none.
+    std::size_t nextBlockEnd();
+
     std::string partial_;
+    /// Begin of the line of partial_ that is not yet known to be complete.
+    std::size_t lineBegin_ = 0;
+    /// Bytes of partial_ that need not be searched again for the end of that line.
+    std::size_t searched_ = 0;
     std::string lastId_;
     /// The last event ended with CR, which may be the first half of a line end.
     bool endedWithCr_ = false;
--- a/tests/gateway/event_splitter_tests.cpp
+++ b/tests/gateway/event_splitter_tests.cpp
@@ -55,6 +55,35 @@
     }
 }
 
+TEST_CASE("Event, longer than any and byte by byte, is not searched again from its begin with each byte")
+{
+    constexpr std::size_t bytes = 1024 * 1024;
+    EventSplitter splitter;
+    for (std::size_t sent = 0; sent < bytes; ++sent) {
+        splitter.feed("x");
+    }
+    CHECK(splitter.bytesSinceEvent() == bytes);
+    CHECK(splitter.feed("\rdata: text\r\n\r").size() == bytes + std::string("\rdata: text\r\n\r").size());
+    CHECK(splitter.partial().empty());
+}
+
+TEST_CASE("Events, any line end, fed byte by byte, are those that are found in one piece")
+{
+    for (const std::string lineEnd : lineEnds) {
+        CAPTURE(lineEnd);
+        const std::string stream
+            = eventWith(1, lineEnd) + ":idle" + lineEnd + lineEnd + eventWith(2, lineEnd) + "id: 3" + lineEnd;
+        EventSplitter splitter;
+        std::string whole;
+        for (const char byte : stream) {
+            whole += splitter.feed(std::string(1, byte));
+        }
+        CHECK(withoutLineEnds(whole) == "id: 1data: textid: 2data: text");
+        CHECK(splitter.lastId() == "2");
+        CHECK(withoutLineEnds(splitter.partial()) == "id: 3");
+    }
+}
+
 TEST_CASE("Event, line ends of different kinds, ends at the first empty line")
 {
     EventSplitter splitter;
