Long events of streams share the memory for answers

Upstreams that send one event without an end, or short of its bound of 1 MB, to many streams at once: the daemon kept every event. With 240 streams it held 308 and 348 MB where its machine has 128 MB; a machine that ends what exceeds its memory would have ended it, and with it the requests of all other clients.

Cause: an event had a bound, the sum of all events had none, and the buffer of a stream stayed as large as its longest event. A buffer of more than 16 KB counts among the memory for answers now, until its event has been written; where there is none left, the attempt broke. Usual events hold a few tokens and are not counted, so usual streams go on when the memory is used up. Buffers are given back.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -50,6 +50,13 @@
     return std::max(timeout - keepAliveMargin, timeout / 2);
 }
 
+/// Counts the buffer of an event that is not complete in @p share; returns false if there is no memory for it.
+bool holds(MemoryShare &share, const std::string &partial)
+{
+    share.release();
+    return partial.capacity() <= PeerBounds::uncountedEventBytes || share.growTo(partial.capacity());
+}
+
 } // namespace
 
 AttemptReport failedAttempt(AttemptEnd end, ErrorCode code, std::string message)
@@ -320,6 +327,7 @@
                                 "the other daemon does not name the stream's version");
     }
     NetError error;
+    MemoryShare held(&answerMemory_);
     bool first = true;
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
@@ -349,6 +357,10 @@
             co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                                     "an event of the stream is too long, or its bytes are no events");
         }
+        if (!holds(held, progress_.splitter.partial())) {
+            progress_.splitter.dropPartial();
+            co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "no memory for a long event of the stream");
+        }
     }
     if (!progress_.splitter.partial().empty()) {
         progress_.splitter.dropPartial();
--- a/src/portpaddle/net/peer_bounds.h
+++ b/src/portpaddle/net/peer_bounds.h
@@ -37,6 +37,8 @@
 inline constexpr std::size_t discardedBytes = 64 * 1024;
 /// Events of upstreams hold a few tokens each.
 inline constexpr std::size_t eventBytes = 1024 * 1024;
+/// Buffers of events up to this size are not counted among the memory for answers: usual streams go on while others hold it.
+inline constexpr std::size_t uncountedEventBytes = 16 * 1024;
 
 /// Answers to orders name one handle; this holds for the head and for the body. The order sets the time.
 inline constexpr std::uint32_t orderAnswerBytes = 16 * 1024;
--- a/src/portpaddle/streams/event_splitter.cpp
+++ b/src/portpaddle/streams/event_splitter.cpp
@@ -13,6 +13,9 @@
 constexpr std::string_view idField = "id:";
 constexpr std::string_view dataField = "data:";
 
+/// Memory that is kept for the next events.
+constexpr std::size_t keptBytes = 4 * 1024;
+
 /// Whether a line of @p text begins at @p at.
 bool isLineBegin(std::string_view text, std::size_t at)
 {
@@ -126,6 +129,9 @@
     partial_.erase(0, begin);
     lineBegin_ -= begin;
     searched_ -= begin;
+    if (begin > 0 && partial_.capacity() > keptBytes) {
+        partial_.shrink_to_fit();
+    }
     const std::string_view id = lastIdIn(whole);
     if (!id.empty()) {
         lastId_ = id;
@@ -155,6 +161,7 @@
 void EventSplitter::dropPartial()
 {
     partial_.clear();
+    partial_.shrink_to_fit();
     lineBegin_ = 0;
     searched_ = 0;
     droppedBytes_ = 0;
--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -175,6 +175,28 @@
     CHECK(closedTroubled());
 }
 
+TEST_CASE_FIXTURE(TroubledUpstreamFixture, "Bytes of a long event, beyond the memory for answers, are not held")
+{
+    terms.answerMemoryBytes = block.size();
+    setOptions();
+    const std::string longEvent = "id: 1\ndata: " + std::string(8 * block.size(), 'x') + "\n\n";
+    const std::string chunk = fmt::format("{:x}\r\n{}\r\n", longEvent.size(), longEvent);
+    const SeenAnswer answer = askWith("/resume/a", { streamHead("id1") + chunk + lastChunk });
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4));
+}
+
+TEST_CASE_FIXTURE(TroubledUpstreamFixture, "Bytes of usual events, while no memory for answers is left, reach the caller")
+{
+    terms.answerMemoryBytes = 0;
+    setOptions();
+    const std::string head = streamHead("id1");
+    const SeenAnswer answer = askWith("/stream/a", { head + eventChunk(1, 4) + "5\r\nid: 5\r\n" + "2\r\n\n\n\r\n" + lastChunk });
+    CHECK(answer.whole);
+    CHECK(answer.body == events(1, 4) + "id: 5\n\n");
+    CHECK(asked == 1);
+}
+
 TEST_CASE_FIXTURE(TroubledUpstreamFixture,
                   "Bytes of an event that does not go on, before the first event, give way to another upstream")
 {
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -42,7 +42,7 @@
             "firstStart": is_first,
             "listenAddresses": {"frontend": self.address("entry"), "readiness": self.address("readiness"),
                                 "control": "", "directory": self.address("directory")},
-            "limits": {"memoryMb": 260, "fileDescriptors": 4100},
+            "limits": {"memoryMb": 260, "fileDescriptors": 4100, **self.soak.limits},
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 1},
             "bounds": {**BOUNDS, **self.soak.bounds},
             "platform": {"address": f"{self.host}:{self.store_proxy.port}", "ttlMinMs": 1000},
--- a/tests/soak/planned_stop_tests.py
+++ b/tests/soak/planned_stop_tests.py
@@ -98,7 +98,7 @@
         store_port = await store.start(host)
         self.upstream = HoldingUpstream()
         upstream_port = await self.upstream.start("127.0.0.1")
-        soak = SimpleNamespace(program=PROGRAM, directory=self.directory.name, daemons=[], bounds={}, now=time.monotonic,
+        soak = SimpleNamespace(program=PROGRAM, directory=self.directory.name, daemons=[], bounds={}, limits={}, now=time.monotonic,
                                process_ended=lambda *_: None)
         ports = dict(zip(("entry", "readiness", "directory", "link"), free_ports(host, 4)))
         self.daemon = Daemon(soak, "d0", "north", "north-1", host, ports, store_port)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,7 @@
         self.options = options
         self.program = options.program
         self.bounds = {}  # settings of the daemons that differ from the defaults
+        self.limits = {}
         self.directory = directory
         self.random = random.Random(options.seed)
         self.timing = options.timing
