--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -63,6 +63,13 @@
     return parser.need_eof() ? BodyFraming::UntilClose : BodyFraming::None;
 }
 
+/// Counts the buffer of an event that is not complete in @p share; returns false if there is no memory for it.
+bool holds(MemoryShare &share, const std::string &partial)
+{
+    share.release();
+    return partial.capacity() <= PeerBounds::uncountedEventBytes || share.growTo(partial.capacity());
+}
+
 } // namespace
 
 AttemptReport failedAttempt(AttemptEnd end, ErrorCode code, std::string message)
@@ -340,6 +347,7 @@
                                 "the other daemon does not name the stream's version");
     }
     NetError error;
+    MemoryShare held(&answerMemory_);
     bool first = true;
     while (!parser.is_done()) {
         co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
@@ -369,6 +377,10 @@
             co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                                     "an event of the stream is too long, or its bytes are no events");
         }
+        if (!holds(held, progress_.splitter.partial())) {
+            progress_.splitter.dropPartial();
+            co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, "no memory for a long event of the stream");
+        }
     }
     if (!progress_.splitter.partial().empty()) {
         progress_.splitter.dropPartial();
