Log and count what sessions refuse: a request that breaks a bound, a connection beyond the number

A rejected head or body, a request without memory and a connection closed on arrival left no line, so that nothing told which bound a client had met. `session_rejected` and `connection_refused`, each with a counter.

--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 61> catalogue{ {
+constexpr std::array<LogEventDescription, 63> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -59,6 +59,10 @@
       "An engine was ordered to stop a run and to move its memory; the message gives the outcome." },
     { LogEvent::SessionTimedOut, "session_timed_out", "warning",
       "A connection with a request on it was closed because its peer did not send, or did not read, for too long." },
+    { LogEvent::SessionRejected, "session_rejected", "warning",
+      "A request was refused and its connection closed because it broke the protocol or a bound; the line says which." },
+    { LogEvent::ConnectionRefused, "connection_refused", "warning",
+      "A connection was closed on arrival because its listener has as many as it may have." },
     { LogEvent::UpstreamEjected, "upstream_ejected", "warning",
       "An upstream failed repeatedly and receives no requests for a while." },
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream receives requests again, few at first." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -41,6 +41,8 @@
     RequestAbandoned = 4006,
     RunMoveEnded = 4007,
     SessionTimedOut = 4008,
+    SessionRejected = 4009,
+    ConnectionRefused = 4010,
     UpstreamEjected = 4101,
     UpstreamReadmitted = 4102,
     UpstreamChanged = 4103,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -79,6 +79,10 @@
     { "portpaddle_places_denied_total", "Places at brittle upstreams that were asked for and not granted." },
     { "portpaddle_silent_upstreams_left_total", "Attempts that took over from one whose upstream had fallen silent." },
     { "portpaddle_standbys_dropped_total", "Attempts prepared beside a silent upstream and given up." },
+    { "portpaddle_sessions_rejected_total",
+      "Connections closed because a request on them broke the protocol or a bound of what peers may send." },
+    { "portpaddle_connections_refused_total",
+      "Connections closed on arrival because their listener had as many as it may have." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -67,6 +67,8 @@
     PlacesDenied,
     SilentUpstreamsLeft,
     StandbysDropped,
+    SessionsRejected,
+    ConnectionsRefused,
     Count,
 };
 
--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/base/log.h"
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/base/scope_exit.h"
 #include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/beast_text.h"
@@ -71,6 +72,16 @@
     return nullptr;
 }
 
+Metrics *RequestHandler::metrics()
+{
+    return nullptr;
+}
+
+std::string_view nameOf(SessionPeer peer)
+{
+    return peer == SessionPeer::Daemon ? "daemon" : "caller";
+}
+
 CallerSession::CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler)
     : socket_(std::move(socket))
     , peer_(peer)
@@ -134,7 +145,7 @@
 {
     logEvent(LogEvent::SessionTimedOut,
              { { "request", requestId_ },
-               { "peer", peer_ == SessionPeer::Daemon ? "daemon" : "caller" },
+               { "peer", std::string(nameOf(peer_)) },
                { "message", serving_ ? "the peer does not read the answer" : "the request does not arrive" } });
     close();
 }
@@ -255,11 +266,24 @@
     keepOpen_ = false;
     WholeAnswer refusal;
     refusal.status = HttpStatus::unavailable;
+    noteRejected(refusal.status, "no memory for the request");
     refusal.fields.set(http::field::retry_after, "1");
     refusal.fields.set(handler_.names().requestId, requestId_);
     co_await answer.whole(std::move(refusal));
 }
 
+void CallerSession::noteRejected(unsigned status, const std::string &reason)
+{
+    logEvent(LogEvent::SessionRejected,
+             { { "request", requestId_ },
+               { "peer", std::string(nameOf(peer_)) },
+               { "status", std::to_string(status) },
+               { "message", reason } });
+    if (Metrics *metrics = handler_.metrics()) {
+        metrics->count(Counter::SessionsRejected);
+    }
+}
+
 /// Answers a peer that broke the protocol or a bound with the reason; the connection closes afterwards.
 Task<void> CallerSession::reject(NetError error, CallerWriter &answer)
 {
@@ -269,6 +293,7 @@
     }
     WholeAnswer refusal;
     refusal.status = statusOfReadError(error);
+    noteRejected(refusal.status, error.message());
     refusal.body = error.message() + "\n";
     if (!requestId_.empty()) {
         refusal.fields.set(handler_.names().requestId, requestId_);
--- a/src/portpaddle/callers/caller_session.h
+++ b/src/portpaddle/callers/caller_session.h
@@ -18,6 +18,8 @@
 
 namespace Portpaddle {
 
+class Metrics;
+
 /// Serves the requests that a session has read.
 class RequestHandler
 {
@@ -31,11 +33,15 @@
     virtual bool closing() const;
     /// Returns the budget of the memory for request bodies; null, which is the default, if it is not bounded.
     virtual MemoryBudget *bodyMemory();
+    /// Returns the metrics that count what is rejected; null, which is the default, if nothing counts it.
+    virtual Metrics *metrics();
 };
 
 /// The kind of peer at the other end of a connection.
 enum class SessionPeer { Caller, Daemon };
 
+std::string_view nameOf(SessionPeer peer);
+
 /// A connection's session; it keeps itself alive until the connection ends.
 class CallerSession : public CallerConnection, public std::enable_shared_from_this<CallerSession>
 {
@@ -74,6 +80,7 @@
     Task<void> reject(NetError error, CallerWriter &answer);
     /// Answers a request for whose body there is no memory; the request has not run.
     Task<void> refuseForMemory(CallerWriter &answer);
+    void noteRejected(unsigned status, const std::string &reason);
     void watchCaller();
     Task<void> stopWatching();
     void callerLeft();
--- a/src/portpaddle/callers/session_listener.cpp
+++ b/src/portpaddle/callers/session_listener.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/callers/session_listener.h"
 
+#include "portpaddle/base/log.h"
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/net/endpoint.h"
 #include "portpaddle/net/spawn.h"
 
@@ -81,10 +83,20 @@
 // A connection beyond the bound is closed at once, so that its caller tries another daemon.
 void SessionListener::take(Socket socket)
 {
-    if (sessions_.size() < maxSessions_ || open() < maxSessions_) {
-        const auto session = std::make_shared<CallerSession>(std::move(socket), peer_, handler_);
-        sessions_.push_back(session);
-        session->start();
+    if (sessions_.size() >= maxSessions_ && open() >= maxSessions_) {
+        noteRefused();
+        return;
+    }
+    const auto session = std::make_shared<CallerSession>(std::move(socket), peer_, handler_);
+    sessions_.push_back(session);
+    session->start();
+}
+
+void SessionListener::noteRefused()
+{
+    logEvent(LogEvent::ConnectionRefused, { { "address", address() }, { "peer", std::string(nameOf(peer_)) } });
+    if (Metrics *metrics = handler_.metrics()) {
+        metrics->count(Counter::ConnectionsRefused);
     }
 }
 
--- a/src/portpaddle/callers/session_listener.h
+++ b/src/portpaddle/callers/session_listener.h
@@ -38,6 +38,7 @@
     void acceptNext();
     /// Serves a connection that was accepted, unless there are too many.
     void take(Socket socket);
+    void noteRefused();
 
     Executor executor_;
     SessionPeer peer_;
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -97,6 +97,11 @@
     return &bodyMemory_;
 }
 
+Metrics *Gateway::metrics()
+{
+    return &metrics_;
+}
+
 void Gateway::setOptions(const GatewayOptions &options)
 {
     options_ = options;
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -113,6 +113,7 @@
     const HeaderNames &names() const override;
     bool closing() const override;
     MemoryBudget *bodyMemory() override;
+    Metrics *metrics() override;
 
     void setOptions(const GatewayOptions &options);
     void setPolicy(const PolicySettings &policy);
