Bound what a session holds before it is parsed: trailers and lines of chunks without end

Callers saw a daemon end: it ran out of memory. The parser takes a line of a chunk, or a trailer, only once it is whole, its bounds count heads and bodies, and the buffer of a session had no greatest size, at every listener. Now it has: the bound of a head, at least the bytes that may be read ahead, and 4 KB. A whole trailer as long as a head may be is served, as is an extension of 4 KB.

--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -187,6 +187,7 @@
     // A connection may have been idle over a change of the configuration.
     const CallerLimits limits = handler_.limits();
     parser.header_limit(headLimit(limits));
+    boundUnparsed(headLimit(limits));
     parser.body_limit(limits.bodyBytes);
     requestStarted_ = BootClock::now();
     requestId_.clear();
@@ -213,6 +214,13 @@
     return peer_ == SessionPeer::Daemon ? greatestRelayedHead(limits.headerBytes) : limits.headerBytes;
 }
 
+// A buffer with more bytes than its bound would throw in a step of a read.
+void CallerSession::boundUnparsed(std::uint32_t headBytes)
+{
+    const std::size_t longest = std::max<std::size_t>(headBytes, PeerBounds::callerReadAheadBytes);
+    buffer_.max_size(std::max(buffer_.size(), longest + PeerBounds::chunkLineBytes));
+}
+
 void CallerSession::noteRequestLine(const Parser &parser)
 {
     constexpr std::string_view headStart = "HEAD ";
--- a/src/portpaddle/callers/caller_session.h
+++ b/src/portpaddle/callers/caller_session.h
@@ -73,6 +73,8 @@
     Task<void> serve(HttpRequest message, CallerWriter &answer);
     /// Returns the maximum size in bytes of a request's head.
     std::uint32_t headLimit(const CallerLimits &limits) const;
+    /// Bounds the bytes that are held before they are parsed.
+    void boundUnparsed(std::uint32_t headBytes);
     /// Closes the connection if the request that was served has no complete answer.
     void endUnanswered(CallerWriter &answer);
     /// Takes the id and the facts that decide how the answer is framed, also from a request that breaks the protocol or a bound.
--- a/src/portpaddle/net/peer_bounds.h
+++ b/src/portpaddle/net/peer_bounds.h
@@ -56,5 +56,8 @@
 
 /// Bytes of a caller's following requests that are buffered while one request is served; further bytes stay in the kernel.
 inline constexpr std::size_t callerReadAheadBytes = 16 * 1024;
+/// The line of a chunk in a caller's body beside what a head may have; a trailer may be as long as a head. Neither is parsed, and
+/// its bytes given back, before it is whole.
+inline constexpr std::size_t chunkLineBytes = 4 * 1024;
 
 } // namespace Portpaddle::PeerBounds
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -10,6 +10,7 @@
 GRACE = 8  # seconds from the order to stop to the kill, as in the settings
 BOUNDS = {"drainMs": 3000, "graceS": GRACE, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtraAttempts": 54,
           "coldOvershoot": 1.5, "coldSlack": 3, "ttl_max_s": 5}
+LIMITS = {"memoryMb": 260, "fileDescriptors": 4100}
 
 
 class Daemon:
@@ -42,7 +43,7 @@
             "firstStart": is_first,
             "listenAddresses": {"frontend": self.address("entry"), "readiness": self.address("readiness"),
                                 "control": "", "directory": self.address("directory")},
-            "limits": {"memoryMb": 260, "fileDescriptors": 4100},
+            "limits": {**LIMITS, **getattr(self.soak, "limits", {})},
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 1},
             "bounds": {**BOUNDS, **self.soak.bounds},
             "platform": {"address": f"{self.host}:{self.store_proxy.port}", "ttlMinMs": 1000},
--- /dev/null
+++ b/tests/soak/hostile_clients_tests.py
@@ -0,0 +1,153 @@
+#!/usr/bin/python3
+# SPDX-FileCopyrightText: 2026 portpaddle contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Clients that do not keep to the limits, against a small machine. Usage: hostile_clients_tests.py PROGRAM
+
+Guards against a daemon that such clients end, or bring beyond the memory or the descriptors of its machine.
+"""
+import asyncio
+import os
+import unittest
+
+from aiohttp import web
+
+from small_fleet import HANG_BOUND, PLAIN_CONFIGURATION, PlainUpstream, SmallFleet
+
+MEMORY_MB = 100
+DESCRIPTORS = 400
+MEGABYTE = 1024 * 1024
+BLOCK = 64 * 1024
+FLOODERS = 8
+FLOOD = 32 * MEGABYTE  # sent by each of them; four of them are beyond the machine's memory
+CHUNKED = b"POST /look/bad HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n"
+
+
+class Upstream(PlainUpstream):
+    """Answers with the body of the request; a run at /look/held waits until the test releases it."""
+
+    async def serve(self, request):
+        body = await request.read()
+        if request.path == "/look/held":
+            self.fleet.held += 1
+            await self.fleet.release.wait()
+        attempt = request.headers["Portpaddle-Attempt-Id"]
+        return web.Response(body=body, headers={"Portpaddle-Attempt-Id": attempt, "Portpaddle-Server-Seal": f"e.{attempt}"})
+
+
+class SmallMachine(SmallFleet):
+    limits = {"memoryMb": MEMORY_MB, "fileDescriptors": DESCRIPTORS}
+    # No connection ends for its time while a crowd is gathered.
+    configuration = {**PLAIN_CONFIGURATION, "limits": {"headerTimeoutMs": 1_000 * HANG_BOUND, "idleTimeoutMs": 1_000 * HANG_BOUND}}
+
+    async def begin_upstreams(self):
+        self.held = 0
+        self.release = asyncio.Event()
+        self.writers = []
+        await Upstream(self, "u0", "north").begin()
+
+    async def asyncTearDown(self):
+        self.release.set()
+        self.leave()
+        await super().asyncTearDown()
+
+    async def all_serve(self):
+        status, whole, *_ = await self.ask(self.daemons[0], "/look/ready", b"whole")
+        return status == 200 and whole
+
+    async def connect(self, part="entry"):
+        reader, writer = await asyncio.open_connection(self.daemons[0].host, self.daemons[0].ports[part])
+        self.writers.append(writer)
+        return reader, writer
+
+    def leave(self):
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def process(self, file):
+        return f"/proc/{self.daemons[0].process.pid}/{file}"
+
+    def most_memory(self):
+        """Returns the most memory in bytes that the daemon has had."""
+        with open(self.process("status")) as file:
+            return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmHWM"))
+
+    def descriptors(self):
+        return len(os.listdir(self.process("fd")))
+
+    async def check_daemon(self):
+        """The daemon lives within the bounds of its machine; once the crowd has left, an ordinary request is served."""
+        self.assertTrue(self.daemons[0].running(), "the daemon has ended")
+        memory, descriptors = self.most_memory(), self.descriptors()
+        print(f"{self._testMethodName}: memory {memory / MEGABYTE:.0f} of {MEMORY_MB} MB, descriptors {descriptors} of {DESCRIPTORS}")
+        self.assertLessEqual(memory, MEMORY_MB * MEGABYTE)
+        self.assertLessEqual(descriptors, DESCRIPTORS)
+        self.leave()
+        await self.eventually(self.all_serve)
+
+
+class HostileClients(SmallMachine):
+    async def flood(self, begin, block, part="entry"):
+        """Sends @p begin and then @p block again and again, until enough is sent or the connection is closed."""
+        _, writer = await self.connect(part)
+        try:
+            writer.write(begin)
+            for _ in range(FLOOD // len(block)):
+                writer.write(block)
+                await asyncio.wait_for(writer.drain(), HANG_BOUND)
+        except (ConnectionError, OSError):
+            pass  # the daemon may close the connection
+
+    async def check_flood(self, begin, block):
+        await asyncio.gather(*(self.flood(begin, block) for _ in range(FLOODERS)))
+        await self.check_daemon()
+
+    async def test_trailer_without_end(self):
+        await self.check_flood(CHUNKED + b"\r\n0\r\n", b"X-Field: value\r\n" * (BLOCK // 16))
+
+    async def test_one_field_of_a_trailer_without_end(self):
+        await self.check_flood(CHUNKED + b"\r\n0\r\nX-Field: ", b"x" * BLOCK)
+
+    async def test_extension_of_a_chunk_without_end(self):
+        await self.check_flood(CHUNKED + b"\r\n4;x=", b"x" * BLOCK)
+
+    async def test_zeros_before_the_size_of_a_chunk_without_end(self):
+        await self.check_flood(CHUNKED + b"\r\n", b"0" * BLOCK)
+
+    async def test_long_extensions_of_short_chunks(self):
+        chunk = b"1;x=" + b"x" * 1017 + b"\r\nx\r\n"
+        await self.check_flood(CHUNKED + b"\r\n", chunk * 64)
+
+    async def test_head_without_end(self):
+        await self.check_flood(CHUNKED, b"X-Field: value\r\n" * (BLOCK // 16))
+
+    async def test_trailer_without_end_to_other_listeners(self):
+        parts = ("readiness", "directory", "link")
+        await asyncio.gather(*(self.flood(CHUNKED + b"\r\n0\r\n", b"X-Field: value\r\n" * (BLOCK // 16), part)
+                               for part in parts for _ in range(FLOODERS // 2)))
+        await self.check_daemon()
+
+
+class SlowClients(SmallMachine):
+    configuration = {**PLAIN_CONFIGURATION, "limits": {"idleTimeoutMs": 1_000}}
+
+    async def test_trailer_byte_by_byte(self):
+        reader, writer = await self.connect()
+        writer.write(CHUNKED + b"\r\n0\r\n")
+
+        async def drip():
+            while True:
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+
+        dripping = asyncio.create_task(drip())
+        try:
+            await asyncio.wait_for(reader.read(), HANG_BOUND)
+        except ConnectionError:
+            pass
+        dripping.cancel()
+        await self.check_daemon()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/small_fleet.py
+++ b/tests/soak/small_fleet.py
@@ -58,6 +58,7 @@
     regions = ("north",)  # region of each daemon
     configuration = {}
     bounds = {}  # settings of the daemons that differ from those of the soak
+    limits = {}  # limits of their machines that differ from those of the soak
 
     async def begin_upstreams(self):
         raise NotImplementedError
@@ -77,7 +78,7 @@
         await self.begin_upstreams()
         self.daemons = []
         soak = SimpleNamespace(program=PROGRAM, directory=self.directory.name, daemons=self.daemons, bounds=self.bounds,
-                               now=time.monotonic, process_ended=lambda *_: None)
+                               limits=self.limits, now=time.monotonic, process_ended=lambda *_: None)
         ports = free_ports(self.host, 4 * len(self.regions))
         for number, region in enumerate(self.regions):
             own = dict(zip(("entry", "readiness", "directory", "link"), ports[4 * number:4 * number + 4]))
