Count long heads against the memory of all callers

Callers that each keep to the bound of a head take a daemon beyond its memory together: a field of four bytes takes 80 more, twice while its request is read or sent on, and only bodies counted against the memory of all. What a head takes beyond an ordinary one now counts as a body does; beyond that memory the request is refused as not run. Ordinary requests without a body are still refused last.

--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -54,6 +54,17 @@
     return std::chrono::milliseconds(relayedNumber(message, relayAgeHeader, maxAgeMs));
 }
 
+/// Returns the memory that a request takes for its head beyond an ordinary one.
+std::size_t memoryOfHead(const http::fields &head)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : head) {
+        bytes += PeerBounds::fieldOverheadBytes + field.name_string().size() + field.value().size();
+    }
+    const std::size_t all = PeerBounds::headCopies * bytes;
+    return all - std::min(all, PeerBounds::ordinaryHeadBytes);
+}
+
 bool isProtocolError(NetError error)
 {
     return error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
@@ -198,6 +209,10 @@
         co_await reject(error, answer);
         co_return false;
     }
+    if (!bodyShare_.growTo(memoryOfHead(parser.get()))) {
+        co_await refuseForMemory(answer);
+        co_return false;
+    }
     if (!parser.is_done()) {
         armTimer(limits.idleTimeout, &CallerSession::closeTimedOut);
         const bool whole = co_await readBody(parser, answer);
@@ -237,9 +252,11 @@
 {
     NetError error;
     const boost::optional<std::uint64_t> announced = parser.content_length();
-    const bool fits = !announced || bodyShare_.growTo(static_cast<std::size_t>(*announced));
+    const std::size_t headBytes = memoryOfHead(parser.get());
+    bool fits = !announced || bodyShare_.growTo(headBytes + static_cast<std::size_t>(*announced));
     // Only received bytes count, so that a few callers that announce long bodies cannot take all memory.
     bodyShare_.release();
+    fits = fits && bodyShare_.growTo(headBytes);
     if (!fits) {
         co_await refuseForMemory(answer);
         co_return false;
@@ -254,7 +271,7 @@
     const std::optional<http::fields> head = parser.chunked() ? std::optional<http::fields>(parser.get()) : std::nullopt;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
-        if (!error && !bodyShare_.growTo(parser.get().body().size())) {
+        if (!error && !bodyShare_.growTo(headBytes + parser.get().body().size())) {
             co_await refuseForMemory(answer);
             co_return false;
         }
--- a/src/portpaddle/net/peer_bounds.h
+++ b/src/portpaddle/net/peer_bounds.h
@@ -56,6 +56,12 @@
 
 /// Bytes of a caller's following requests that are buffered while one request is served; further bytes stay in the kernel.
 inline constexpr std::size_t callerReadAheadBytes = 16 * 1024;
+/// What a field of a head takes beside its bytes, however short it is.
+inline constexpr std::size_t fieldOverheadBytes = 80;
+/// A head is held twice: as it came, and as it is sent on or kept beside its trailer.
+inline constexpr std::size_t headCopies = 2;
+/// An ordinary head; the number of connections bounds the sum of these. What a head takes beyond this counts as a body does.
+inline constexpr std::size_t ordinaryHeadBytes = 8 * 1024;
 /// The line of a chunk in a caller's body beside what a head may have; a trailer may be as long as a head. Neither is parsed, and
 /// its bytes given back, before it is whole.
 inline constexpr std::size_t chunkLineBytes = 4 * 1024;
--- a/tests/soak/hostile_clients_tests.py
+++ b/tests/soak/hostile_clients_tests.py
@@ -19,6 +19,9 @@
 BLOCK = 64 * 1024
 FLOODERS = 8
 FLOOD = 32 * MEGABYTE  # sent by each of them; four of them are beyond the machine's memory
+HOLDERS = 180  # connections of callers that are held; fewer than the sessions that the daemon allows
+HEADER_BYTES = 16 * 1024  # the default of the operator's limits
+BODY_BYTES = 4 * MEGABYTE  # likewise
 CHUNKED = b"POST /look/bad HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n"
 
 
@@ -127,6 +130,35 @@
                                for part in parts for _ in range(FLOODERS // 2)))
         await self.check_daemon()
 
+    async def hold(self, begin, answer):
+        """Sends @p begin and returns whether the daemon asked for more; a refusal and the end of the connection are answers, too."""
+        try:
+            reader, writer = await self.connect()
+            writer.write(begin)
+            return (await asyncio.wait_for(reader.readline(), HANG_BOUND)).startswith(answer)
+        except ConnectionError:
+            return False
+
+    async def test_heads_of_many_short_fields_held_beside_each_other(self):
+        head = CHUNKED + b"Expect: 100-continue\r\n"
+        head += b"a:\r\n" * ((HEADER_BYTES - len(head) - 2) // 4) + b"\r\n"
+        held = await asyncio.gather(*(self.hold(head, b"HTTP/1.1 100 ") for _ in range(HOLDERS)))
+        self.assertIn(True, held)
+        await self.check_daemon()
+
+    async def test_bodies_held_beside_each_other(self):
+        begin = CHUNKED + b"\r\n%x\r\n" % BODY_BYTES + b"x" * (BODY_BYTES - 1)
+        await asyncio.gather(*(self.send_and_hold(begin) for _ in range(HOLDERS // 3)))
+        await self.check_daemon()
+
+    async def send_and_hold(self, begin):
+        try:
+            _, writer = await self.connect()
+            writer.write(begin)
+            await asyncio.wait_for(writer.drain(), HANG_BOUND)
+        except ConnectionError:
+            pass
+
 
 class SlowClients(SmallMachine):
     configuration = {**PLAIN_CONFIGURATION, "limits": {"idleTimeoutMs": 1_000}}
