Give each kind of listener its part of the descriptors

Half of the descriptors was the bound of each listener and not of all, so that connections to four of them took twice what a process may have, and nothing was left for upstreams and the store. Callers keep one in two; daemons get one in four, readiness and the directory one in 16 each.

--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -49,8 +49,8 @@
     : loop_(loop)
     , gateway_(gateway)
     , config_(std::move(config))
-    , callers_(loop.get_executor(), SessionPeer::Caller, gateway, config_.maxSessions)
-    , daemons_(loop.get_executor(), SessionPeer::Daemon, gateway, config_.maxSessions)
+    , callers_(loop.get_executor(), SessionPeer::Caller, gateway, config_.maxCallerSessions)
+    , daemons_(loop.get_executor(), SessionPeer::Daemon, gateway, config_.maxDaemonSessions)
     , datagrams_(loop.get_executor())
     , ticks_(loop.get_executor())
     , remoteCursor_(stableHash(gateway.identity().id))
@@ -74,7 +74,7 @@
 Status GatewayServer::serveBeside(const std::string &address, RequestHandler &handler)
 {
     extraListeners_.push_back(
-        std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, handler, config_.maxSessions));
+        std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, handler, config_.maxSessionsBeside));
     return extraListeners_.back()->listen(address);
 }
 
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -31,7 +31,10 @@
     std::string entryAddress;
     /// Address for other daemons, by TCP and UDP.
     std::string linkAddress;
-    std::size_t maxSessions = 2'000;
+    std::size_t maxCallerSessions = 2'000;
+    std::size_t maxDaemonSessions = 1'000;
+    /// For each additional address.
+    std::size_t maxSessionsBeside = 250;
     /// Callers are accepted for at least this long, and longer while no other daemon of the region serves.
     std::chrono::milliseconds acceptWhileStopping{ 1'300 };
     /// After this, only requests are accepted whose deadline lies before the end of the stop. Requests accepted earlier on their
--- a/tests/soak/hostile_clients_tests.py
+++ b/tests/soak/hostile_clients_tests.py
@@ -22,6 +22,8 @@
 HOLDERS = 180  # connections of callers that are held; fewer than the sessions that the daemon allows
 HEADER_BYTES = 16 * 1024  # the default of the operator's limits
 BODY_BYTES = 4 * MEGABYTE  # likewise
+CONNECTIONS = 250  # to each listener
+RESETS = 100
 CHUNKED = b"POST /look/bad HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n"
 
 
@@ -159,6 +161,40 @@
         except ConnectionError:
             pass
 
+    async def test_connections_to_all_listeners(self):
+        for part in ("entry", "readiness", "directory", "link"):
+            for _ in range(CONNECTIONS):
+                await self.connect(part)
+            # Connections are accepted in their order: the end of the last one, or its answer, comes after all others.
+            reader, writer = await self.connect(part)
+            try:
+                writer.write(b"\0\r\n\r\n")
+                await asyncio.wait_for(reader.read(), HANG_BOUND)
+            except ConnectionError:
+                pass
+        await self.check_daemon()
+
+    async def test_resets_while_requests_run(self):
+        before = self.descriptors()
+        for number in range(RESETS):
+            _, writer = await self.connect()
+            writer.write(b"POST /look/held HTTP/1.1\r\nHost: a.example\r\nPortpaddle-Attempt-Id: r%d\r\n"
+                         b"Portpaddle-Deadline-Remaining: 3000\r\nPortpaddle-Token-Counts: 100,30\r\n"
+                         b"Portpaddle-Prompt-Prefix: %x:100\r\nContent-Length: 0\r\n\r\n" % (number, number))
+
+        async def some_run():
+            return self.held > 0
+
+        await self.eventually(some_run)
+        self.leave()
+        self.release.set()
+
+        async def descriptors_are_back():
+            return self.descriptors() <= before + RESETS // 10
+
+        await self.eventually(descriptors_are_back)
+        await self.check_daemon()
+
 
 class SlowClients(SmallMachine):
     configuration = {**PLAIN_CONFIGURATION, "limits": {"idleTimeoutMs": 1_000}}
