--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/base/log.h"
+#include "portpaddle/base/metrics.h"
 #include "portpaddle/base/scope_exit.h"
 #include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/beast_text.h"
@@ -53,6 +54,17 @@
     return std::chrono::milliseconds(relayedNumber(message, relayAgeHeader, maxAgeMs));
 }
 
+/// Returns the memory that a request takes for its head beyond an ordinary one.
+std::size_t memoryOfHead(const http::fields &head)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : head) {
+        bytes += PeerBounds::fieldOverheadBytes + field.name_string().size() + field.value().size();
+    }
+    const std::size_t all = PeerBounds::headCopies * bytes;
+    return all - std::min(all, PeerBounds::ordinaryHeadBytes);
+}
+
 bool isProtocolError(NetError error)
 {
     return error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
@@ -71,6 +83,16 @@
     return nullptr;
 }
 
+Metrics *RequestHandler::metrics()
+{
+    return nullptr;
+}
+
+std::string_view nameOf(SessionPeer peer)
+{
+    return peer == SessionPeer::Daemon ? "daemon" : "caller";
+}
+
 CallerSession::CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler)
     : socket_(std::move(socket))
     , peer_(peer)
@@ -134,7 +156,7 @@
 {
     logEvent(LogEvent::SessionTimedOut,
              { { "request", requestId_ },
-               { "peer", peer_ == SessionPeer::Daemon ? "daemon" : "caller" },
+               { "peer", std::string(nameOf(peer_)) },
                { "message", serving_ ? "the peer does not read the answer" : "the request does not arrive" } });
     close();
 }
@@ -176,6 +198,7 @@
     // A connection may have been idle over a change of the configuration.
     const CallerLimits limits = handler_.limits();
     parser.header_limit(headLimit(limits));
+    boundUnparsed(headLimit(limits));
     parser.body_limit(limits.bodyBytes);
     requestStarted_ = BootClock::now();
     requestId_.clear();
@@ -186,6 +209,10 @@
         co_await reject(error, answer);
         co_return false;
     }
+    if (!bodyShare_.growTo(memoryOfHead(parser.get()))) {
+        co_await refuseForMemory(answer);
+        co_return false;
+    }
     if (!parser.is_done()) {
         armTimer(limits.idleTimeout, &CallerSession::closeTimedOut);
         const bool whole = co_await readBody(parser, answer);
@@ -202,6 +229,13 @@
     return peer_ == SessionPeer::Daemon ? greatestRelayedHead(limits.headerBytes) : limits.headerBytes;
 }
 
+// A buffer with more bytes than its bound would throw in a step of a read.
+void CallerSession::boundUnparsed(std::uint32_t headBytes)
+{
+    const std::size_t longest = std::max<std::size_t>(headBytes, PeerBounds::callerReadAheadBytes);
+    buffer_.max_size(std::max(buffer_.size(), longest + PeerBounds::chunkLineBytes));
+}
+
 void CallerSession::noteRequestLine(const Parser &parser)
 {
     constexpr std::string_view headStart = "HEAD ";
@@ -218,9 +252,11 @@
 {
     NetError error;
     const boost::optional<std::uint64_t> announced = parser.content_length();
-    const bool fits = !announced || bodyShare_.growTo(static_cast<std::size_t>(*announced));
+    const std::size_t headBytes = memoryOfHead(parser.get());
+    bool fits = !announced || bodyShare_.growTo(headBytes + static_cast<std::size_t>(*announced));
     // Only received bytes count, so that a few callers that announce long bodies cannot take all memory.
     bodyShare_.release();
+    fits = fits && bodyShare_.growTo(headBytes);
     if (!fits) {
         co_await refuseForMemory(answer);
         co_return false;
@@ -235,7 +271,7 @@
     const std::optional<http::fields> head = parser.chunked() ? std::optional<http::fields>(parser.get()) : std::nullopt;
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(socket_, buffer_, parser, awaitingInto(error));
-        if (!error && !bodyShare_.growTo(parser.get().body().size())) {
+        if (!error && !bodyShare_.growTo(headBytes + parser.get().body().size())) {
             co_await refuseForMemory(answer);
             co_return false;
         }
@@ -255,11 +291,24 @@
     keepOpen_ = false;
     WholeAnswer refusal;
     refusal.status = HttpStatus::unavailable;
+    noteRejected(refusal.status, "no memory for the request");
     refusal.fields.set(http::field::retry_after, "1");
     refusal.fields.set(handler_.names().requestId, requestId_);
     co_await answer.whole(std::move(refusal));
 }
 
+void CallerSession::noteRejected(unsigned status, const std::string &reason)
+{
+    logEvent(LogEvent::SessionRejected,
+             { { "request", requestId_ },
+               { "peer", std::string(nameOf(peer_)) },
+               { "status", std::to_string(status) },
+               { "message", reason } });
+    if (Metrics *metrics = handler_.metrics()) {
+        metrics->count(Counter::SessionsRejected);
+    }
+}
+
 /// Answers a peer that broke the protocol or a bound with the reason; the connection closes afterwards.
 Task<void> CallerSession::reject(NetError error, CallerWriter &answer)
 {
@@ -269,6 +318,7 @@
     }
     WholeAnswer refusal;
     refusal.status = statusOfReadError(error);
+    noteRejected(refusal.status, error.message());
     refusal.body = error.message() + "\n";
     if (!requestId_.empty()) {
         refusal.fields.set(handler_.names().requestId, requestId_);
