Sessions: serve what has arrived when an idle connection is closed

Callers saw their connection reset, with no answer, for a request that had arrived before their idle connection was closed in a planned stop. The wait for the first byte was cancelled and the socket closed, whatever the kernel had received since the loop last looked; on a busy VM that is a whole turn of the loop. A connection whose answer had promised to stay open was closed as well, if the stop began before the answer's last step.

The session now reads once more, without waiting, when its wait ends, and serves what is there. After a whole answer that has promised to keep the connection open the session waits for the next request, and is closed as idle.

Test: 8 callers send while the loop is blocked, which then closes idle connections.

--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -154,24 +154,38 @@
         }
         co_await serve(parser.release(), answer);
         endUnanswered(answer);
-        // The head of a stream may have announced, before a stop began, that the connection stays open.
-        keepOpen_ = keepOpen_ && !handler_.closing();
+        // The head of a stream may have announced, before a stop began, that the connection stays open. After a whole answer that
+        // announced it, the next request may be on its way.
+        const bool wasStream = framing_ == BodyFraming::Chunks;
+        keepOpen_ = keepOpen_ && !(wasStream && handler_.closing());
     }
 }
 
+Task<bool> CallerSession::awaitRequest()
+{
+    NetError error;
+    armTimer(handler_.limits().idleTimeout, &CallerSession::closeIfIdle);
+    awaitingRequest_ = true;
+    std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
+    awaitingRequest_ = false;
+    if (error == boost::asio::error::operation_aborted && socket_.is_open()) {
+        // The loop may not have seen yet what arrived before the wait ended.
+        socket_.non_blocking(true, error);
+        got = socket_.read_some(buffer_.prepare(readAheadStep), error);
+    }
+    buffer_.commit(error ? 0 : got);
+    co_return !error;
+}
+
 /// Waits for the first byte with the idle timeout, for the head with the header timeout, and for the body with the idle timeout.
 Task<bool> CallerSession::readRequest(Parser &parser, CallerWriter &answer)
 {
     NetError error;
     if (buffer_.size() == 0) {
-        armTimer(handler_.limits().idleTimeout, &CallerSession::closeIfIdle);
-        awaitingRequest_ = true;
-        const std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
-        awaitingRequest_ = false;
-        if (error) {
+        const bool arrives = co_await awaitRequest();
+        if (!arrives) {
             co_return false;
         }
-        buffer_.commit(got);
     }
     // A connection may have been idle over a change of the configuration.
     const CallerLimits limits = handler_.limits();
--- a/src/portpaddle/callers/caller_session.h
+++ b/src/portpaddle/callers/caller_session.h
@@ -61,6 +61,8 @@
     void abandon() override;
 
     Task<void> run();
+    /// Waits for bytes of a next request; returns false if the connection ends without one.
+    Task<bool> awaitRequest();
     /// Reads a request whose answer, if it is rejected, goes to @p answer; returns false if there is none to serve.
     Task<bool> readRequest(Parser &parser, CallerWriter &answer);
     Task<bool> readBody(Parser &parser, CallerWriter &answer);
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -3,6 +3,7 @@
 
 // A stopping daemon accepts only requests that end before the daemon does.
 
+#include "portpaddle/gateway/stop_rules.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
@@ -12,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <list>
 
 using namespace Portpaddle;
 
@@ -113,3 +115,25 @@
     CHECK(ask("/once/a", "id2").status == 503);
     CHECK(upstream.seen().size() == 1);
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, request that arrives before its idle connection is closed, is answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    std::list<RawCaller> callers;
+    for (int index = 0; index < 8; ++index) {
+        callers.emplace_back(address());
+        callers.back().send(request("/plain/a", "first" + std::to_string(index)));
+        CHECK(callers.back().receive().status == 200);
+    }
+    onLoop([](Gateway &) {});
+    closeToCallers([&] {
+        for (RawCaller &caller : callers) {
+            caller.send(request("/plain/a", "second"));
+            CHECK(eventually([&] { return caller.hasDelivered(); }));
+        }
+    });
+    for (RawCaller &caller : callers) {
+        CHECK(caller.receive().whole);
+    }
+}
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -16,6 +16,8 @@
 #include <stdexcept>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -119,6 +121,12 @@
     return hung_;
 }
 
+bool RawCaller::hasDelivered() const
+{
+    int unacknowledged = 0;
+    return ioctl(socket_, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 std::string RawCaller::rest()
 {
     while (readMore()) { }
@@ -397,6 +405,16 @@
     }
 }
 
+void GatewaySite::closeToCallers(const std::function<void()> &meanwhile)
+{
+    onLoop([&](Gateway &gateway) {
+        meanwhile();
+        gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() });
+        listener_->stopAccepting();
+        listener_->closeIdle();
+    });
+}
+
 std::uint64_t GatewaySite::count(Counter counter) const
 {
     return metrics_.value(counter);
--- a/tests/support/gateway_site.h
+++ b/tests/support/gateway_site.h
@@ -52,6 +52,8 @@
     bool closedByPeer();
     /// Returns whether the last read ended because nothing came for 20 s.
     bool hung() const;
+    /// Returns whether the peer's machine has all that was sent, read or not.
+    bool hasDelivered() const;
     void leave();
 
 private:
@@ -115,6 +117,8 @@
     std::uint64_t count(Counter counter) const;
     /// Turns on or off that callers' idle connections are closed between any two steps of the loop.
     void closeIdleOnEveryTurn(bool on);
+    /// Blocks the loop during @p meanwhile; then, as late in a stop, stops accepting callers and closes their idle connections.
+    void closeToCallers(const std::function<void()> &meanwhile);
     std::string address() const;
     /// Returns the address for other daemons.
     std::string linkAddress() const;
