Listener: take the connections that wait before it closes

Callers whose connection waited to be accepted when a stopping daemon closed its listener were reset, with their request sent and unanswered. The listener accepts one connection a turn of the loop, and closing it resets all that wait; one that was accepted in the same turn was dropped too.

The listener's queue is now emptied, at most its length, before it closes; the sessions refuse or serve as any other.

Test: 8 callers connect and send while the loop is blocked, then the listener closes.

--- a/src/portpaddle/callers/session_listener.cpp
+++ b/src/portpaddle/callers/session_listener.cpp
@@ -61,7 +61,10 @@
 void SessionListener::acceptNext()
 {
     acceptor_.async_accept([this](NetError error, Socket socket) {
-        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (error && !acceptor_.is_open()) {
             return;
         }
         if (error) {
@@ -74,7 +77,9 @@
             return;
         }
         runGuarded("accept", [this, &socket] { take(std::move(socket)); });
-        acceptNext();
+        if (acceptor_.is_open()) {
+            acceptNext();
+        }
     });
 }
 
@@ -88,8 +93,26 @@
     }
 }
 
+// Closing the listener would reset connections whose callers have sent their requests already.
+void SessionListener::takeWaiting()
+{
+    NetError error;
+    acceptor_.non_blocking(true, error);
+    for (int count = 0; !error && count < backlog; ++count) {
+        Socket socket(executor_);
+        acceptor_.accept(socket, error);
+        if (!error) {
+            runGuarded("accept", [this, &socket] { take(std::move(socket)); });
+        }
+    }
+}
+
 void SessionListener::stopAccepting()
 {
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    takeWaiting();
     NetError ignored;
     acceptor_.close(ignored);
     retryTimer_.cancel();
--- a/src/portpaddle/callers/session_listener.h
+++ b/src/portpaddle/callers/session_listener.h
@@ -25,7 +25,7 @@
     Status listen(const std::string &address);
     /// Returns the address as IP:PORT, with the port that the system chose for port 0; empty if the listener is not open.
     std::string address() const;
-    /// Accepts no more connections; open sessions continue.
+    /// Takes the connections that wait to be accepted and accepts no others; open sessions continue.
     void stopAccepting();
     void closeIdle();
     void closeAll();
@@ -36,6 +36,8 @@
     using Acceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, Executor>;
 
     void acceptNext();
+    /// Takes the connections that wait to be accepted.
+    void takeWaiting();
     /// Serves a connection that was accepted, unless there are too many.
     void take(Socket socket);
 
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -137,3 +137,20 @@
         CHECK(caller.receive().whole);
     }
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, requests on connections that wait to be accepted, are answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    std::list<RawCaller> callers;
+    closeToCallers([&] {
+        for (int index = 0; index < 8; ++index) {
+            callers.emplace_back(address());
+            callers.back().send(request("/plain/a", "id" + std::to_string(index)));
+            CHECK(eventually([&] { return callers.back().hasDelivered(); }));
+        }
+    });
+    for (RawCaller &caller : callers) {
+        CHECK(caller.receive().whole);
+    }
+}
