Sessions: a caller that has just connected may send its first request

Such a connection is now spared three times, which is three ticks; one on which nothing ever comes is closed then. The test for the spared caller guards against the return of this; a second one bounds the patience.

--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::size_t readAheadStep = 2 * 1024;
+// Calls of closeIfIdle() until a connection without a first request is closed; a stopping daemon calls once a tick.
+constexpr unsigned maxSparedCalls = 3;
 
 unsigned statusOfReadError(NetError error)
 {
@@ -87,8 +89,16 @@
     spawnTask(socket_.get_executor(), "caller_session", [self = shared_from_this()]() -> Task<void> { co_await self->run(); });
 }
 
-// The wait is cancelled instead of closing the socket, so that a request whose bytes have already arrived is served.
 void CallerSession::closeIfIdle()
+{
+    const bool isSpared = !hasReceived_ && ++closeCalls_ <= maxSparedCalls;
+    if (!isSpared) {
+        endWait();
+    }
+}
+
+// The wait is cancelled instead of closing the socket, so that a request whose bytes have already arrived is served.
+void CallerSession::endWait()
 {
     if (awaitingRequest_) {
         NetError ignored;
@@ -164,7 +174,7 @@
 Task<bool> CallerSession::awaitRequest()
 {
     NetError error;
-    armTimer(handler_.limits().idleTimeout, &CallerSession::closeIfIdle);
+    armTimer(handler_.limits().idleTimeout, &CallerSession::endWait);
     awaitingRequest_ = true;
     std::size_t got = co_await socket_.async_read_some(buffer_.prepare(readAheadStep), awaitingInto(error));
     awaitingRequest_ = false;
@@ -174,6 +184,7 @@
         got = socket_.read_some(buffer_.prepare(readAheadStep), error);
     }
     buffer_.commit(error ? 0 : got);
+    hasReceived_ = true;
     co_return !error;
 }
 
--- a/src/portpaddle/callers/caller_session.h
+++ b/src/portpaddle/callers/caller_session.h
@@ -43,7 +43,8 @@
     CallerSession(Socket socket, SessionPeer peer, RequestHandler &handler);
 
     void start();
-    /// Closes the connection if no byte of a next request has arrived.
+    /// Closes the connection if no byte of a next request has arrived. A peer that has just connected is about to send its first
+    /// request, so that its connection is closed only at one of the next calls.
     void closeIfIdle();
     void close();
     bool isOpen() const;
@@ -61,6 +62,8 @@
     void abandon() override;
 
     Task<void> run();
+    /// Ends the wait for the first byte of a request.
+    void endWait();
     /// Waits for bytes of a next request; returns false if the connection ends without one.
     Task<bool> awaitRequest();
     /// Reads a request whose answer, if it is rejected, goes to @p answer; returns false if there is none to serve.
@@ -105,6 +108,9 @@
     bool serving_ = false;
     /// The session waits for the first byte of a request.
     bool awaitingRequest_ = false;
+    bool hasReceived_ = false;
+    /// How often a connection on which nothing was received was to be closed.
+    unsigned closeCalls_ = 0;
     bool watching_ = false;
     bool keepOpen_ = true;
     /// The request that is read or served.
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -154,3 +154,26 @@
         CHECK(caller.receive().whole);
     }
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, first request of a caller that has just connected, is answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    RawCaller caller(address());
+    onLoop([](Gateway &) {});
+    onLoop([](Gateway &) {});
+    closeToCallers([] {});
+    caller.send(request("/plain/a", "id1"));
+    CHECK(caller.receive().whole);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, caller that connects and sends nothing, is disconnected after a few ticks")
+{
+    constexpr int ticks = 10;
+    RawCaller caller(address());
+    for (int tick = 0; tick < ticks; ++tick) {
+        closeToCallers([] {});
+    }
+    CHECK(caller.closedByPeer());
+    CHECK_FALSE(caller.hung());
+}
