Stop rules: a deadline just before the end leaves no time for its answer

In a trial play of a planned stop a request of 3 s, taken 4.474 s after the order since its deadline lay 26 ms before the end, was passed on and cut at 7.539 s with no answer. The answer that a request gets at its deadline comes a little later than that.

A deadline now counts as before the end if it lies 0.4 s before it. A pure function of times, tested with the times of that play; without the margin it accepts them.

--- a/src/portpaddle/gateway/stop_rules.cpp
+++ b/src/portpaddle/gateway/stop_rules.cpp
@@ -10,6 +10,8 @@
 // A request is refused if its predicted duration is more than this multiple of the time left. Predictions are rough: with a
 // factor of 1.0, 80 % of the refused streams would have completed.
 constexpr double predictionTolerance = 1.6;
+// The answer that a request is given at its deadline comes some time after it, and its caller has to receive it before the end.
+constexpr std::chrono::milliseconds lastAnswerTime{ 400 };
 
 } // namespace
 
@@ -17,7 +19,7 @@
 // for it again if the request may not be repeated. A daemon that forwards a request loses only the round trip.
 StopVerdict decideWhileStopping(const StopDeadlines &stop, SteadyTime deadline, bool relayed, SteadyTime now)
 {
-    if (deadline < stop.end) {
+    if (deadline < stop.end - lastAnswerTime) {
         return StopVerdict::Accept;
     }
     return relayed || now >= stop.acceptLikelyUntil ? StopVerdict::Refuse : StopVerdict::AcceptIfLikely;
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -177,3 +177,12 @@
     CHECK(caller.closedByPeer());
     CHECK_FALSE(caller.hung());
 }
+
+TEST_CASE("Stop rules, deadline just before the end of the stop, leaves no time for the answer at the deadline")
+{
+    const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
+    const StopDeadlines stop{ ordered + Millis(2'600), ordered + Millis(7'500) };
+    const SteadyTime late = ordered + Millis(4'474);
+    CHECK(decideWhileStopping(stop, ordered + Millis(7'474), false, late) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, ordered + Millis(7'000), false, late) == StopVerdict::Accept);
+}
