Stop rules: what may run only once is taken only if its deadline ends it

A request that may run only once, with a deadline of 30 s, was taken after the order to stop, passed on, and cut at the end with no answer. Services without tokens have no prediction, so that such a request was predicted to take no time at all.

A request that may run only once, and is no stream, is now refused as not run unless it surely ends, from the order on. What may run twice is accepted by prediction as before.

planned_stop_tests before: server disconnected; stop_tests before: 200 instead of 503.

--- a/src/portpaddle/exchanges/exchange.cpp
+++ b/src/portpaddle/exchanges/exchange.cpp
@@ -142,7 +142,8 @@
         return true;
     }
     const SteadyTime now = BootClock::now();
-    const StopVerdict verdict = decideWhileStopping(*stop, deadline_, request_.relayed, now);
+    const bool mustSurelyEnd = !route_->mayRunTwice() && route_->kind != RouteKind::Stream;
+    const StopVerdict verdict = decideWhileStopping(*stop, { deadline_, request_.relayed, mustSurelyEnd }, now);
     latestPredictedEnd_ = verdict == StopVerdict::AcceptIfLikely ? latestPredictedEnd(*stop, now) : SteadyTime::max();
     return verdict != StopVerdict::Refuse;
 }
--- a/src/portpaddle/gateway/stop_rules.cpp
+++ b/src/portpaddle/gateway/stop_rules.cpp
@@ -17,12 +17,13 @@
 
 // A refusal costs a caller one round trip and one of its few tries. A cut answer is lost as a whole, and the caller cannot ask
 // for it again if the request may not be repeated. A daemon that forwards a request loses only the round trip.
-StopVerdict decideWhileStopping(const StopDeadlines &stop, SteadyTime deadline, bool relayed, SteadyTime now)
+StopVerdict decideWhileStopping(const StopDeadlines &stop, const StopFacts &request, SteadyTime now)
 {
-    if (deadline < stop.end - lastAnswerTime) {
+    if (request.deadline < stop.end - lastAnswerTime) {
         return StopVerdict::Accept;
     }
-    return relayed || now >= stop.acceptLikelyUntil ? StopVerdict::Refuse : StopVerdict::AcceptIfLikely;
+    const bool mayBeLikely = !request.relayed && !request.mustSurelyEnd && now < stop.acceptLikelyUntil;
+    return mayBeLikely ? StopVerdict::AcceptIfLikely : StopVerdict::Refuse;
 }
 
 SteadyTime latestPredictedEnd(const StopDeadlines &stop, SteadyTime now)
--- a/src/portpaddle/gateway/stop_rules.h
+++ b/src/portpaddle/gateway/stop_rules.h
@@ -17,6 +17,16 @@
     SteadyTime end;
 };
 
+/// What decides whether a stopping daemon may accept a request.
+struct StopFacts
+{
+    SteadyTime deadline;
+    /// The request comes from another daemon, which can forward it elsewhere.
+    bool relayed = false;
+    /// The request may run only once, and a part of its answer is of no use.
+    bool mustSurelyEnd = false;
+};
+
 /// Whether a stopping daemon may accept a request.
 enum class StopVerdict {
     /// The request's deadline lies before the daemon's end.
@@ -27,9 +37,7 @@
     Refuse
 };
 
-/// Returns the verdict for a request that may last until @p deadline. A relayed request comes from another daemon, which can
-/// forward it elsewhere.
-StopVerdict decideWhileStopping(const StopDeadlines &stop, SteadyTime deadline, bool relayed, SteadyTime now);
+StopVerdict decideWhileStopping(const StopDeadlines &stop, const StopFacts &request, SteadyTime now);
 
 /// Returns the latest predicted end of a request that is accepted at @p now.
 SteadyTime latestPredictedEnd(const StopDeadlines &stop, SteadyTime now);
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -116,6 +116,17 @@
     CHECK(upstream.seen().size() == 1);
 }
 
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, request of unknown duration that may run only once, is refused as not run")
+{
+    CHECK(ask("/once/a", "id1").status == 503);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, request of unknown duration that may run twice, is served")
+{
+    CHECK(ask("/plain/a", "id1").status == 200);
+}
+
 TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, request that arrives before its idle connection is closed, is answered")
 {
     ScriptedUpstream upstream(echo);
@@ -183,6 +194,18 @@
     const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
     const StopDeadlines stop{ ordered + Millis(2'600), ordered + Millis(7'500) };
     const SteadyTime late = ordered + Millis(4'474);
-    CHECK(decideWhileStopping(stop, ordered + Millis(7'474), false, late) == StopVerdict::Refuse);
-    CHECK(decideWhileStopping(stop, ordered + Millis(7'000), false, late) == StopVerdict::Accept);
+    CHECK(decideWhileStopping(stop, { ordered + Millis(7'474), false, false }, late) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { ordered + Millis(7'000), false, false }, late) == StopVerdict::Accept);
+}
+
+TEST_CASE("Stop rules, request that may outlast the stop, is accepted only early, from a caller, and if it may be cut")
+{
+    const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
+    const StopDeadlines stop{ ordered + Millis(2'600), ordered + Millis(7'500) };
+    const SteadyTime deadline = ordered + Millis(30'000);
+    const SteadyTime early = ordered + Millis(1'000);
+    CHECK(decideWhileStopping(stop, { deadline, false, false }, early) == StopVerdict::AcceptIfLikely);
+    CHECK(decideWhileStopping(stop, { deadline, false, true }, early) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { deadline, true, false }, early) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { deadline, false, false }, ordered + Millis(2'600)) == StopVerdict::Refuse);
 }
--- a/tests/soak/planned_stop_tests.py
+++ b/tests/soak/planned_stop_tests.py
@@ -35,17 +35,22 @@
     "routes": [{"name": "long", "host": "a.example", "pathPrefix": "/stream/", "kind": "stream", "service": "engines", "attempts": 1,
                 "timeoutMs": DEADLINE_MS, "targetLatencyMs": 1000, "priority": 0},
                {"name": "look", "host": "a.example", "pathPrefix": "/look/", "kind": "idempotent", "service": "engines",
-                "attempts": 2, "timeoutMs": 1000, "targetLatencyMs": 400, "priority": 0}],
+                "attempts": 2, "timeoutMs": 1000, "targetLatencyMs": 400, "priority": 0},
+               {"name": "slow", "host": "a.example", "pathPrefix": "/slow/", "kind": "idempotent", "service": "engines",
+                "attempts": 2, "timeoutMs": DEADLINE_MS, "targetLatencyMs": 400, "priority": 0},
+               {"name": "once", "host": "a.example", "pathPrefix": "/once/", "kind": "non_idempotent", "service": "engines",
+                "attempts": 1, "timeoutMs": DEADLINE_MS, "targetLatencyMs": 400, "priority": 0}],
     "services": [{"name": "engines", "connectionLimit": 100, "coldStartS": 0, "coldPerS": 0,
                   "engine": {"kvCapacityTokens": 600_000, "stride": 1, "moves": False}}]}
 
 
 class HoldingUpstream:
-    """Answers plain requests; sends one event of a stream, and the other one after the release."""
+    """Answers short requests at once and others after the release; sends one event of a stream before it and one after it."""
 
     def __init__(self):
         self.release = asyncio.Event()
         self.streams = 0
+        self.held = 0
 
     async def start(self, host):
         app = web.Application()
@@ -60,6 +65,9 @@
         attempt = request.headers.get("Portpaddle-Attempt-Id", "")
         head = {"Portpaddle-Attempt-Id": attempt, "Portpaddle-Server-Seal": "e." + attempt}
         await request.read()
+        if request.path.startswith(("/slow", "/once")):
+            self.held += 1
+            await self.release.wait()
         if not request.path.startswith("/stream"):
             return web.Response(headers=head, text="whole")
         self.streams += 1
@@ -183,6 +191,13 @@
         self.upstream.release.set()
         self.assertEqual((await held)[:2], (200, True))
 
+    async def test_request_that_may_run_once_and_has_a_long_deadline_is_refused_at_once(self):
+        await self.order_to_stop()
+        status, whole, headers = await self.ask("/once/x")
+        self.assertEqual((status, whole), (503, True))
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(self.upstream.held, 0)
+
     async def holds_a_stream(self):
         return self.upstream.streams == 1
 
