Exchanges: decide again before each send whether a stop leaves time

A request that waited, or that its upstream declined, was sent on late in a stop, since whether it fits was decided once, when it was accepted, and never for one accepted before the order. It was then cut at the end.

As long as a request has not run, the decision is made again before each target is chosen and right before it is sent; too late, it is refused as not run with Retry-After. Streams that have begun, continued runs and second attempts beside another go on as before.

Test: the upstream declines late in the stop, of a request that may run twice and of one that may not.

--- a/src/portpaddle/exchanges/exchange.cpp
+++ b/src/portpaddle/exchanges/exchange.cpp
@@ -116,7 +116,8 @@
     startDeadline();
     if (!fitsStopDeadline()) {
         deadlineTimer_.cancel();
-        co_await refuse(ErrorCode::Stopping, "this daemon stops before the request can complete", suggestedRetryAfter());
+        const Error error = stoppingError();
+        co_await refuse(error.code, error.message, suggestedRetryAfter());
         co_return;
     }
     const bool versionKnown = co_await findStreamVersion();
@@ -138,7 +139,7 @@
 {
     const std::optional<StopDeadlines> &stop = gateway_.stop();
     // A continued run can be handed over again.
-    if (!stop || continuation_) {
+    if (!stop || request_.continuation || continuation_) {
         return true;
     }
     const SteadyTime now = BootClock::now();
@@ -148,6 +149,23 @@
     return verdict != StopVerdict::Refuse;
 }
 
+// The stop may have begun, or have gone on, since the request was accepted.
+bool Exchange::isTooLateToRun()
+{
+    return !mayHaveRun_ && !progress_.begun && !fitsStopDeadline();
+}
+
+bool Exchange::isTooLateToSend(const AttemptPlan &plan)
+{
+    return !plan.besideAnother && isTooLateToRun();
+}
+
+Error Exchange::stoppingError() const
+{
+    return Error{ ErrorCode::Stopping, "this daemon stops before the request can complete", RunState::NotRun,
+                  suggestedRetryAfter() };
+}
+
 Task<void> Exchange::runAttempts()
 {
     const SteadyTime started = BootClock::now();
@@ -158,6 +176,12 @@
     bool attempted = false;
     unsigned denials = 0;
     while (interruption_ == Interruption::None && timeLeft() > minAttemptTime) {
+        if (isTooLateToRun()) {
+            report = AttemptReport{};
+            report.end = AttemptEnd::NotRun;
+            report.error = stoppingError();
+            break;
+        }
         const Target target = chooseTarget();
         const bool found = target.placement.verdict == Verdict::Serve || target.placement.verdict == Verdict::Forward;
         const bool placed = found ? co_await takePlace(target, place_) : false;
--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -80,6 +80,11 @@
     void startDeadline();
     /// Whether the request may be accepted during a stop; sets latestPredictedEnd_ if this depends on the prediction.
     bool fitsStopDeadline();
+    /// Whether the request, which has not run, must not be sent any more because of a stop.
+    bool isTooLateToRun();
+    /// As isTooLateToRun(), for the attempt of @p plan. One beside another is made for a request that may have run.
+    bool isTooLateToSend(const AttemptPlan &plan);
+    Error stoppingError() const;
     /// Takes a place at the upstream of @p target if its service is brittle; returns false if there is none.
     Task<bool> takePlace(const Target &target, std::optional<HeldPlace> &place);
     void givePlaceBack(std::optional<HeldPlace> &place, PlaceEnd end);
--- a/src/portpaddle/exchanges/exchange_attempt.cpp
+++ b/src/portpaddle/exchanges/exchange_attempt.cpp
@@ -73,7 +73,7 @@
     callbacks.firstEvent = [this, &attempt] { noteFirstEvent(attempt); };
     callbacks.eventsReceived = [this](std::size_t count) { noteEvents(count); };
     callbacks.bytesReceived = [] {};
-    callbacks.maySend = [&attempt] { return !attempt.isDropped; };
+    callbacks.maySend = [this, &attempt] { return !attempt.isDropped && !isTooLateToSend(attempt.plan); };
     // The answer of another daemon concerns upstreams to which this daemon sends nothing.
     callbacks.headReceived = [](const AnswerNotice &) {};
     return callbacks;
@@ -116,7 +116,8 @@
     const UpstreamRecord &upstream = *attempt.target.upstream;
     const SteadyTime now = BootClock::now();
     const bool continuesMovedRun = !attempt.plan.memoryFrom.empty();
-    if (attempt.isDropped || !admitsVersion(gateway_.rollouts_.rule(service_), upstream.version)) {
+    if (attempt.isDropped || isTooLateToSend(attempt.plan)
+        || !admitsVersion(gateway_.rollouts_.rule(service_), upstream.version)) {
         return false;
     }
     if (!attempt.place && !continuesMovedRun && gateway_.brittleServices_.borne(service_, now)) {
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -116,6 +116,44 @@
     CHECK(upstream.seen().size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, request that its upstream declines late in the stop, is not sent to another one")
+{
+    std::atomic<bool> go{ false };
+    std::atomic<unsigned> sends{ 0 };
+    const ScriptedUpstream::Script firstDeclines = [&](const SeenRequest &request) {
+        if (++sends > 1) {
+            return echo(request);
+        }
+        eventually([&] { return go.load(); });
+        return ScriptedAnswer{ notRunAnswer };
+    };
+    ScriptedUpstream first(firstDeclines);
+    ScriptedUpstream second(firstDeclines);
+    addUpstream("u1", first.address());
+    addUpstream("u2", second.address());
+    for (Route &route : routes.routes) {
+        route.timeout = std::chrono::hours(1);
+    }
+    publishRoutes();
+    for (const char *path : { "/plain/a", "/once/a" }) {
+        sends = 0;
+        go = false;
+        onLoop([](Gateway &gateway) { gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() }); });
+        RawCaller caller(address());
+        caller.send(request(path, "id1"));
+        CHECK(eventually([&] { return sends == 1; }));
+        onLoop([](Gateway &gateway) {
+            const SteadyTime now = BootClock::now();
+            gateway.beginDrain({ now, now + stopDuration });
+        });
+        go = true;
+        const SeenAnswer answer = caller.receive();
+        CHECK(answer.status == 503);
+        CHECK(answer.head.find("Retry-After") != std::string::npos);
+        CHECK(sends == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, request of unknown duration that may run only once, is refused as not run")
 {
     CHECK(ask("/once/a", "id1").status == 503);
