Planned stop: answer what is still in progress at the end

Requests in progress at the end of a planned stop saw their connection close without an answer; callers could not tell whether they had run. The process simply ended.

0.2 s before the end each request of which no answer has begun gets one: 503 if it has not run, 502 if it may have. If the loop was blocked until after the end, the answers come first. Streams that have begun go on to the end.

--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -26,6 +26,8 @@
     void callerLeft();
     /// Logs that this daemon stops before the answer is complete.
     void logUnfinished() const;
+    /// Ends the request, if no answer has begun, with one that says whether it may have run.
+    void endUnanswered();
     /// Ends a request that @p exception has left: with an answer that says whether it may have run, or by closing the connection
     /// if an answer has begun.
     Task<void> endAfter(const std::exception_ptr &exception);
@@ -40,7 +42,7 @@
 private:
     /// An upstream cannot answer within less time than this, so no attempt begins.
     static constexpr Millis minAttemptTime{ 5 };
-    enum class Interruption { None, CallerLeft, Deadline };
+    enum class Interruption { None, CallerLeft, Deadline, Stopping };
     /// One attempt: its target, what is counted for it, and its connection.
     struct Attempt;
     /// State of the check whether the upstream of the attempt in progress hangs.
--- a/src/portpaddle/exchanges/exchange_endings.cpp
+++ b/src/portpaddle/exchanges/exchange_endings.cpp
@@ -47,6 +47,9 @@
         log(taken ? end : LogEvent::RequestAbandoned, status, report.error.message);
         co_return;
     }
+    if (interruption_ == Interruption::Stopping) {
+        report.error = stoppingError();
+    }
     if (!mayHaveRun_) {
         if (countedUnits_ > 0 && organisation_ != nullptr) {
             gateway_.organisationLimits_.refund(*organisation_, countedUnits_);
@@ -171,6 +174,14 @@
     log(LogEvent::RequestFailed, 0, "this daemon stops before the answer is complete");
 }
 
+// A stream that has begun goes on until the end, since nothing can be said in its answer.
+void Exchange::endUnanswered()
+{
+    if (writer_.state() == AnswerState::None && !progress_.begun && !answering_) {
+        interrupt(Interruption::Stopping);
+    }
+}
+
 Task<bool> Exchange::answerWhole(WholeAnswer answer)
 {
     answering_ = true;
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -350,6 +350,15 @@
     return inProgress_->size();
 }
 
+void Gateway::answerUnfinished()
+{
+    // What an interruption ends at once leaves the set.
+    const std::vector<Exchange *> exchanges(inProgress_->begin(), inProgress_->end());
+    for (Exchange *exchange : exchanges) {
+        exchange->endUnanswered();
+    }
+}
+
 void Gateway::logUnfinished() const
 {
     for (const Exchange *exchange : *inProgress_) {
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -159,6 +159,8 @@
     /// Returns whether another daemon of the own region accepts callers.
     bool othersServeRegion(SteadyTime now) const;
     std::size_t inProgress() const;
+    /// Ends the requests of which no answer has begun, with an answer to each.
+    void answerUnfinished();
     /// Logs each request whose answer is cut off by the end of this daemon.
     void logUnfinished() const;
     std::shared_ptr<const FleetView> view() const;
--- a/src/portpaddle/gateway/gateway_server.cpp
+++ b/src/portpaddle/gateway/gateway_server.cpp
@@ -130,6 +130,12 @@
 void GatewayServer::continueStopping(SteadyTime now)
 {
     const auto since = now - *stoppingSince_;
+    // The answers are written before the next tick, also if the loop was blocked until after the end.
+    if (!answeredUnfinished_ && since >= config_.stopBound - config_.answerBeforeEnd) {
+        answeredUnfinished_ = true;
+        gateway_.answerUnfinished();
+        return;
+    }
     if (since >= config_.stopBound) {
         gateway_.logUnfinished();
         loop_.stop();
--- a/src/portpaddle/gateway/gateway_server.h
+++ b/src/portpaddle/gateway/gateway_server.h
@@ -39,7 +39,9 @@
     std::chrono::milliseconds acceptLikelyWhileStopping{ 2'600 };
     /// No caller is accepted from this long before the end of the stop.
     std::chrono::milliseconds closeBeforeEnd{ 800 };
-    /// The duration of the stop; requests still in progress are cut off then.
+    /// Requests of which no answer has begun are answered this long before the end of the stop, whether they may have run.
+    std::chrono::milliseconds answerBeforeEnd{ 200 };
+    /// The duration of the stop; answers still in progress are cut off then.
     std::chrono::milliseconds stopBound{ 7'500 };
 };
 
@@ -89,6 +91,7 @@
     SteadyTimer ticks_;
     std::function<void()> tickHook_;
     std::optional<SteadyTime> stoppingSince_;
+    bool answeredUnfinished_ = false;
     std::size_t tickNumber_ = 0;
     SteadyTime lastTickAt_ = BootClock::now();
     SteadyTime previousTickAt_ = lastTickAt_;
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -227,6 +227,36 @@
     CHECK_FALSE(caller.hung());
 }
 
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, requests without an answer at its end, are told that they may have run")
+{
+    std::atomic<bool> go{ false };
+    ScriptedUpstream upstream([&](const SeenRequest &request) {
+        eventually([&] { return go.load(); });
+        return echo(request);
+    });
+    addUpstream("u1", upstream.address());
+    for (Route &route : routes.routes) {
+        route.timeout = std::chrono::hours(1);
+    }
+    publishRoutes();
+    RawCaller plain(address());
+    RawCaller once(address());
+    plain.send(request("/plain/a", "id1"));
+    once.send(request("/once/a", "id2"));
+    CHECK(eventually([&] { return upstream.seen().size() == 2; }));
+    onLoop([](Gateway &gateway) {
+        gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() });
+        gateway.answerUnfinished();
+    });
+    for (RawCaller *caller : { &plain, &once }) {
+        const SeenAnswer answer = caller->receive();
+        CHECK(answer.status == 502);
+        CHECK(answer.whole);
+    }
+    go = true;
+    CHECK(upstream.seen().size() == 2);
+}
+
 TEST_CASE("Stop rules, deadline just before the end of the stop, leaves no time for the answer at the deadline")
 {
     const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
--- a/tests/soak/planned_stop_tests.py
+++ b/tests/soak/planned_stop_tests.py
@@ -198,6 +198,17 @@
         self.assertIn("Retry-After", headers)
         self.assertEqual(self.upstream.held, 0)
 
+    async def test_requests_in_progress_at_the_end_of_a_stop_are_answered(self):
+        held = [asyncio.create_task(self.ask(path)) for path in ("/slow/x", "/once/x", "/slow/y")]
+        await self.eventually(self.holds_three_requests)
+        await self.order_to_stop()
+        answers = await asyncio.gather(*held, return_exceptions=True)
+        self.assertEqual([answer[:2] if isinstance(answer, tuple) else answer for answer in answers], [(502, True)] * 3,
+                         "cut without an answer")
+
+    async def holds_three_requests(self):
+        return self.upstream.held == 3
+
     async def holds_a_stream(self):
         return self.upstream.streams == 1
 
