--- a/src/portpaddle/callers/session_listener.cpp
+++ b/src/portpaddle/callers/session_listener.cpp
@@ -63,7 +63,10 @@
 void SessionListener::acceptNext()
 {
     acceptor_.async_accept([this](NetError error, Socket socket) {
-        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (error && !acceptor_.is_open()) {
             return;
         }
         if (error) {
@@ -76,7 +79,9 @@
             return;
         }
         runGuarded("accept", [this, &socket] { take(std::move(socket)); });
-        acceptNext();
+        if (acceptor_.is_open()) {
+            acceptNext();
+        }
     });
 }
 
@@ -100,8 +105,26 @@
     }
 }
 
+// Closing the listener would reset connections whose callers have sent their requests already.
+void SessionListener::takeWaiting()
+{
+    NetError error;
+    acceptor_.non_blocking(true, error);
+    for (int count = 0; !error && count < backlog; ++count) {
+        Socket socket(executor_);
+        acceptor_.accept(socket, error);
+        if (!error) {
+            runGuarded("accept", [this, &socket] { take(std::move(socket)); });
+        }
+    }
+}
+
 void SessionListener::stopAccepting()
 {
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    takeWaiting();
     NetError ignored;
     acceptor_.close(ignored);
     retryTimer_.cancel();
--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -26,6 +26,8 @@
     void callerLeft();
     /// Logs that this daemon stops before the answer is complete.
     void logUnfinished() const;
+    /// Ends the request, if no answer has begun, with one that says whether it may have run.
+    void endUnanswered();
     /// Ends a request that @p exception has left: with an answer that says whether it may have run, or by closing the connection
     /// if an answer has begun.
     Task<void> endAfter(const std::exception_ptr &exception);
@@ -40,7 +42,7 @@
 private:
     /// An upstream cannot answer within less time than this, so no attempt begins.
     static constexpr Millis minAttemptTime{ 5 };
-    enum class Interruption { None, CallerLeft, Deadline };
+    enum class Interruption { None, CallerLeft, Deadline, Stopping };
     /// One attempt: its target, what is counted for it, and its connection.
     struct Attempt;
     /// State of the check whether the upstream of the attempt in progress hangs.
@@ -80,6 +82,11 @@
     void startDeadline();
     /// Whether the request may be accepted during a stop; sets latestPredictedEnd_ if this depends on the prediction.
     bool fitsStopDeadline();
+    /// Whether the request, which has not run, must not be sent any more because of a stop.
+    bool isTooLateToRun();
+    /// As isTooLateToRun(), for the attempt of @p plan. One beside another is made for a request that may have run.
+    bool isTooLateToSend(const AttemptPlan &plan);
+    Error stoppingError() const;
     /// Takes a place at the upstream of @p target if its service is brittle; returns false if there is none.
     Task<bool> takePlace(const Target &target, std::optional<HeldPlace> &place);
     void givePlaceBack(std::optional<HeldPlace> &place, PlaceEnd end);
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -3,6 +3,7 @@
 
 // A stopping daemon accepts only requests that end before the daemon does.
 
+#include "portpaddle/gateway/stop_rules.h"
 #include "support/eventually.h"
 #include "support/gateway_site.h"
 #include "support/scripted_upstream.h"
@@ -12,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <list>
 
 using namespace Portpaddle;
 
@@ -113,3 +115,165 @@
     CHECK(ask("/once/a", "id2").status == 503);
     CHECK(upstream.seen().size() == 1);
 }
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, request that its upstream declines late in the stop, is not sent to another one")
+{
+    std::atomic<bool> go{ false };
+    std::atomic<unsigned> sends{ 0 };
+    const ScriptedUpstream::Script firstDeclines = [&](const SeenRequest &request) {
+        if (++sends > 1) {
+            return echo(request);
+        }
+        eventually([&] { return go.load(); });
+        return ScriptedAnswer{ notRunAnswer };
+    };
+    ScriptedUpstream first(firstDeclines);
+    ScriptedUpstream second(firstDeclines);
+    addUpstream("u1", first.address());
+    addUpstream("u2", second.address());
+    for (Route &route : routes.routes) {
+        route.timeout = std::chrono::hours(1);
+    }
+    publishRoutes();
+    for (const char *path : { "/plain/a", "/once/a" }) {
+        sends = 0;
+        go = false;
+        onLoop([](Gateway &gateway) { gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() }); });
+        RawCaller caller(address());
+        caller.send(request(path, "id1"));
+        CHECK(eventually([&] { return sends == 1; }));
+        onLoop([](Gateway &gateway) {
+            const SteadyTime now = BootClock::now();
+            gateway.beginDrain({ now, now + stopDuration });
+        });
+        go = true;
+        const SeenAnswer answer = caller.receive();
+        CHECK(answer.status == 503);
+        CHECK(answer.head.find("Retry-After") != std::string::npos);
+        CHECK(sends == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, request of unknown duration that may run only once, is refused as not run")
+{
+    CHECK(ask("/once/a", "id1").status == 503);
+    CHECK(upstream.seen().empty());
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "Stopping daemon, request of unknown duration that may run twice, is served")
+{
+    CHECK(ask("/plain/a", "id1").status == 200);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, request that arrives before its idle connection is closed, is answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    std::list<RawCaller> callers;
+    for (int index = 0; index < 8; ++index) {
+        callers.emplace_back(address());
+        callers.back().send(request("/plain/a", "first" + std::to_string(index)));
+        CHECK(callers.back().receive().status == 200);
+    }
+    onLoop([](Gateway &) {});
+    closeToCallers([&] {
+        for (RawCaller &caller : callers) {
+            caller.send(request("/plain/a", "second"));
+            CHECK(eventually([&] { return caller.hasDelivered(); }));
+        }
+    });
+    for (RawCaller &caller : callers) {
+        CHECK(caller.receive().whole);
+    }
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, requests on connections that wait to be accepted, are answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    std::list<RawCaller> callers;
+    closeToCallers([&] {
+        for (int index = 0; index < 8; ++index) {
+            callers.emplace_back(address());
+            callers.back().send(request("/plain/a", "id" + std::to_string(index)));
+            CHECK(eventually([&] { return callers.back().hasDelivered(); }));
+        }
+    });
+    for (RawCaller &caller : callers) {
+        CHECK(caller.receive().whole);
+    }
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, first request of a caller that has just connected, is answered")
+{
+    ScriptedUpstream upstream(echo);
+    addUpstream("u1", upstream.address());
+    RawCaller caller(address());
+    onLoop([](Gateway &) {});
+    onLoop([](Gateway &) {});
+    closeToCallers([] {});
+    caller.send(request("/plain/a", "id1"));
+    CHECK(caller.receive().whole);
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, caller that connects and sends nothing, is disconnected after a few ticks")
+{
+    constexpr int ticks = 10;
+    RawCaller caller(address());
+    for (int tick = 0; tick < ticks; ++tick) {
+        closeToCallers([] {});
+    }
+    CHECK(caller.closedByPeer());
+    CHECK_FALSE(caller.hung());
+}
+
+TEST_CASE_FIXTURE(GatewaySite, "Stopping daemon, requests without an answer at its end, are told that they may have run")
+{
+    std::atomic<bool> go{ false };
+    ScriptedUpstream upstream([&](const SeenRequest &request) {
+        eventually([&] { return go.load(); });
+        return echo(request);
+    });
+    addUpstream("u1", upstream.address());
+    for (Route &route : routes.routes) {
+        route.timeout = std::chrono::hours(1);
+    }
+    publishRoutes();
+    RawCaller plain(address());
+    RawCaller once(address());
+    plain.send(request("/plain/a", "id1"));
+    once.send(request("/once/a", "id2"));
+    CHECK(eventually([&] { return upstream.seen().size() == 2; }));
+    onLoop([](Gateway &gateway) {
+        gateway.beginDrain({ SteadyTime::max(), SteadyTime::max() });
+        gateway.answerUnfinished();
+    });
+    for (RawCaller *caller : { &plain, &once }) {
+        const SeenAnswer answer = caller->receive();
+        CHECK(answer.status == 502);
+        CHECK(answer.whole);
+    }
+    go = true;
+    CHECK(upstream.seen().size() == 2);
+}
+
+TEST_CASE("Stop rules, deadline just before the end of the stop, leaves no time for the answer at the deadline")
+{
+    const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
+    const StopDeadlines stop{ ordered + Millis(2'600), ordered + Millis(7'500) };
+    const SteadyTime late = ordered + Millis(4'474);
+    CHECK(decideWhileStopping(stop, { ordered + Millis(7'474), false, false }, late) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { ordered + Millis(7'000), false, false }, late) == StopVerdict::Accept);
+}
+
+TEST_CASE("Stop rules, request that may outlast the stop, is accepted only early, from a caller, and if it may be cut")
+{
+    const SteadyTime ordered = SteadyTime{} + std::chrono::hours(1);
+    const StopDeadlines stop{ ordered + Millis(2'600), ordered + Millis(7'500) };
+    const SteadyTime deadline = ordered + Millis(30'000);
+    const SteadyTime early = ordered + Millis(1'000);
+    CHECK(decideWhileStopping(stop, { deadline, false, false }, early) == StopVerdict::AcceptIfLikely);
+    CHECK(decideWhileStopping(stop, { deadline, false, true }, early) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { deadline, true, false }, early) == StopVerdict::Refuse);
+    CHECK(decideWhileStopping(stop, { deadline, false, false }, ordered + Millis(2'600)) == StopVerdict::Refuse);
+}
