--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -317,15 +317,6 @@
     co_return report;
 }
 
-void UpstreamAttempt::addFactsOfHead(AttemptReport &report) const
-{
-    report.relayedSends = relayedSends_;
-    report.turnedAway = turnedAway_;
-    if (remote_) {
-        report.ranAt = decodeUpstreamKeys(viewOf(head_[ranAtHeader]));
-    }
-}
-
 AttemptReport UpstreamAttempt::brokenConnection(std::string message) const
 {
     AttemptReport report = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed, std::move(message));
@@ -333,12 +324,6 @@
     return report;
 }
 
-// A daemon that does not know the header may have continued the stream anywhere.
-bool UpstreamAttempt::namesVersion(const boost::beast::http::fields &fields) const
-{
-    return !remote_ || !progress_.version || decodeVersionKey(viewOf(fields[streamVersionHeader])) == progress_.version;
-}
-
 Task<AttemptReport> UpstreamAttempt::forwardStream(Parser &parser, const AttemptCallbacks &callbacks)
 {
     const http::fields &fields = parser.get();
--- a/src/portpaddle/attempts/upstream_attempt_heads.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_heads.cpp
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// What an upstream sends before its answer, and what is read only to be discarded. Each of it has a bound on bytes, on time and
-// on their number, since an upstream in trouble may send without end.
+// Heads of answers, what an upstream sends before its answer, and what is read only to be discarded. Each of it has a bound on
+// bytes, on time and on their number, since an upstream in trouble may send without end.
 
 #include "portpaddle/attempts/upstream_attempt.h"
 #include "portpaddle/net/beast_text.h"
@@ -107,4 +107,19 @@
     co_return true;
 }
 
+void UpstreamAttempt::addFactsOfHead(AttemptReport &report) const
+{
+    report.relayedSends = relayedSends_;
+    report.turnedAway = turnedAway_;
+    if (remote_) {
+        report.ranAt = decodeUpstreamKeys(viewOf(head_[ranAtHeader]));
+    }
+}
+
+// A daemon that does not know the header may have continued the stream anywhere.
+bool UpstreamAttempt::namesVersion(const boost::beast::http::fields &fields) const
+{
+    return !remote_ || !progress_.version || decodeVersionKey(viewOf(fields[streamVersionHeader])) == progress_.version;
+}
+
 } // namespace Portpaddle
