--- a/tests/gateway/store_contact_tests.cpp
+++ b/tests/gateway/store_contact_tests.cpp
@@ -3,7 +3,7 @@
 
 // How fresh a daemon's knowledge of the store is, over outages, lost calls and old reads, on a simulated clock.
 
-#include "portpaddle/store_following/store_contact.h"
+#include "support/following_daemon.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -25,16 +25,11 @@
 // After the store's first answer each call is proved or replaced within this time.
 constexpr Millis proofBound{ 1'000 };
 constexpr Millis step{ 4 };
-constexpr Millis callPatience{ 600 };
-constexpr Millis longWait{ 25'000 };
-constexpr Millis longPatience{ 27'000 };
-constexpr Millis backoff{ 400 };
-constexpr Millis coalescing{ 500 };
 
 /// A store whose revision rises at irregular times, and which is silent in one interval.
-struct SilentStore
+struct SilentStore : public SimulatedStore
 {
-    SilentStore(std::uint64_t seed, Millis outage, Millis lagOfReads) : silentUntil(silentFrom + outage), lag(lagOfReads)
+    SilentStore(std::uint64_t seed, Millis outage, Millis readLag) : silentUntil(silentFrom + outage), lag(readLag)
     {
         std::mt19937_64 random(seed);
         for (Time at = Time{} + 10ms; at < end; at += Millis(50 + random() % 1'500)) {
@@ -42,19 +37,19 @@
         }
     }
 
-    bool isSilent(Time now) const
+    bool isSilent(Time now) const override
     {
         return now >= silentFrom && now < silentUntil;
     }
 
-    std::uint64_t revision(Time now) const
+    std::uint64_t revision(Time now) const override
     {
         return static_cast<std::uint64_t>(std::upper_bound(changes.begin(), changes.end(), now) - changes.begin());
     }
 
-    std::uint64_t read(ReadFreshness freshness, Time now) const
+    Millis lagOfReads(Time) const override
     {
-        return revision(freshness == ReadFreshness::Newest ? now : now - lag);
+        return lag;
     }
 
     Time silentFrom = Time{} + 20s;
@@ -64,127 +59,6 @@
     std::vector<Time> changes;
 };
 
-/// A daemon that follows the store and checks its open call, as StoreWatcher does.
-class FollowingDaemon
-{
-public:
-    FollowingDaemon(const SilentStore &store, Millis phase) : store_(store), checkedAt_(Time{} + phase)
-    {
-    }
-
-    void advance(Time now)
-    {
-        advanceCall(now);
-        advanceCheck(now);
-    }
-
-    bool inTouch = false;
-    /// Whether a check ran into the silence.
-    bool sawSilence = false;
-    std::uint64_t revision = 0;
-    Time provedAt{};
-    std::optional<Time> signOfLifeAt;
-    StoreContact contact;
-
-private:
-    struct Call
-    {
-        CallKind kind = CallKind::Proof;
-        Time began{};
-        bool lost = false;
-    };
-
-    void advanceCall(Time now)
-    {
-        if (!call_) {
-            if (now >= nextCallAt_ || (!inTouch && contact.hasAnsweredSince(failedCallBegan_))) {
-                call_ = Call{ contact.beginCall(now), now, store_.isSilent(now) };
-            }
-            return;
-        }
-        // Each call that is open while the store is silent is lost.
-        call_->lost = call_->lost || store_.isSilent(now);
-        const Millis patience = call_->kind == CallKind::Proof ? callPatience : longPatience;
-        if (call_->lost && now - call_->began >= patience) {
-            failCall(now);
-        } else if (!call_->lost && isAnswerDue(now)) {
-            answerCall(now);
-        }
-    }
-
-    bool isAnswerDue(Time now) const
-    {
-        return call_->kind == CallKind::Proof || store_.revision(now) > revision || now - call_->began >= longWait;
-    }
-
-    void failCall(Time now)
-    {
-        contact.recordFailure(now);
-        failedCallBegan_ = call_->began;
-        inTouch = false;
-        nextCallAt_ = now + backoff;
-        call_.reset();
-    }
-
-    void answerCall(Time now)
-    {
-        contact.recordAnswer(now);
-        nextCallAt_ = store_.revision(now) > revision ? now + coalescing : now;
-        revision = store_.revision(now);
-        provedAt = call_->began;
-        inTouch = true;
-        call_.reset();
-    }
-
-    void advanceCheck(Time now)
-    {
-        if (!check_) {
-            if (now - checkedAt_ >= contact.checkInterval()) {
-                check_ = Check{ now, store_.isSilent(now), contact.checkFreshness(now), revision };
-            }
-            return;
-        }
-        if (check_->lost && now - check_->began < callPatience) {
-            return;
-        }
-        checkedAt_ = now;
-        if (endCheck(now) == CheckVerdict::Lost) {
-            contact.recordFailure(now);
-            nextCallAt_ = now;
-            call_.reset();
-        }
-        check_.reset();
-    }
-
-    CheckVerdict endCheck(Time now)
-    {
-        if (check_->lost) {
-            sawSilence = true;
-            return contact.recordFailedCheck(now);
-        }
-        if (now >= store_.silentUntil && !signOfLifeAt) {
-            signOfLifeAt = now;
-        }
-        const std::uint64_t seen = store_.read(check_->freshness, now);
-        return contact.recordCheck(check_->began, check_->freshness, seen, check_->known, revision);
-    }
-
-    struct Check
-    {
-        Time began{};
-        bool lost = false;
-        ReadFreshness freshness = ReadFreshness::MayBeStale;
-        std::uint64_t known = 0;
-    };
-
-    const SilentStore &store_;
-    std::optional<Call> call_;
-    std::optional<Check> check_;
-    Time nextCallAt_{};
-    Time failedCallBegan_{};
-    Time checkedAt_;
-};
-
 /// Returns for how long the store has had changes that @p revision does not contain.
 Millis ageOf(std::uint64_t revision, const SilentStore &store, Time now)
 {
