Streams: the only version is believed by a read that begins after the stream is taken up

Cause: the proof by the only version rested on changes of the store being known within three seconds, which nothing proves. A silence between two checks loses the open call for changes, and the checks are cheap reads, which may be seconds old and then agree with what the daemon knows: it counts itself in touch with knowledge that is older than the wait after an announcement. Holders that are out of step vouched for the version in the same way. Holders that cannot be reached contradict nobody.

Now the daemon's knowledge only says whether a proof is worth a try. VersionSetReader reads all version sets from the store, by a counted (linearizable) read that begins after the stream is taken up; every version is on record before its first stream and stays there until its streams have ended, so the read names it. Holders vouch after a read of their own.

stream_holder_tests: the function that vouches answers by a call now; its case and check are the same.

--- a/src/portpaddle/exchanges/exchange_streams.cpp
+++ b/src/portpaddle/exchanges/exchange_streams.cpp
@@ -29,7 +29,7 @@
         co_return true;
     }
     versionService_ = service_;
-    const std::optional<VersionKey> sole = gateway_.soleVersion(*route_, service_, BootClock::now());
+    const std::optional<VersionKey> sole = co_await gateway_.provenSoleVersion(*route_, service_);
     progress_.version
         = request_.resumes.empty() ? sole : co_await gateway_.streamVersions_.find(streamKey(), serviceKey(service_), sole);
     if (progress_.version) {
--- a/src/portpaddle/gateway/gateway.cpp
+++ b/src/portpaddle/gateway/gateway.cpp
@@ -48,7 +48,8 @@
     , versionSets_(identity_.region)
 {
     regions_.setOwnRegion(identity_.region);
-    streamVersions_.setSoleVersion([this](std::uint64_t service) { return soleVersionOf(service, BootClock::now()); });
+    streamVersions_.setSoleVersion(
+        [this](std::uint64_t service, const StreamVersions::SoleAnswer &answer) { proveSoleVersion(service, answer); });
 }
 
 Task<void> Gateway::serve(CallerRequest request, CallerWriter &writer, std::function<void()> &abandoned)
--- a/src/portpaddle/gateway/gateway.h
+++ b/src/portpaddle/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "portpaddle/rollouts/rollout_coordinator.h"
 #include "portpaddle/store_following/fleet_view.h"
 #include "portpaddle/stream_versions/stream_versions.h"
+#include "portpaddle/stream_versions/version_set_reader.h"
 #include "portpaddle/stream_versions/version_set_recorder.h"
 #include "portpaddle/streams/run_move.h"
 #include "portpaddle/upstream_limits/cold_gate.h"
@@ -130,6 +131,10 @@
     std::vector<OutgoingDigest> dueRolloutDigests();
     /// Sets the function that writes sets of versions to the platform.
     void setVersionSetWriter(VersionSetRecorder::WriteRecord write);
+    /// Reads the version sets from the platform as they are now; may call back on any thread.
+    using ReadVersionSets = std::function<void(VersionSetReader::Receive receive)>;
+    /// Without it no stream is known by the only version of its service.
+    void setVersionSetReader(ReadVersionSets read);
     /// Sets the function that sends a digest at once.
     void setDigestSender(const std::function<void(const OutgoingDigest &digest)> &send);
     /// Returns the digests about limits named by upstreams and about brittle services; call once in each interval.
@@ -233,10 +238,18 @@
     /// Excludes the upstreams whose version the request may not be sent to.
     void excludeVersions(const ChoiceContext &context, std::vector<UpstreamCandidate> &candidates,
                          const std::vector<const UpstreamRecord *> &records, SteadyTime now) const;
-    /// Returns the one version at which all streams of @p route at @p service began; no value if that is not certain.
+    /// Returns the one version at which all streams of @p route at @p service begin, as far as this daemon knows. That may be
+    /// seconds old, so it proves nothing of a stream; see provenSoleVersion().
     std::optional<VersionKey> soleVersion(const Route &route, const std::string &service, SteadyTime now) const;
+    /// Returns the one version at which all streams of the service with this hash begin according to @p sets, for all its routes.
+    std::optional<VersionKey> soleVersionOf(std::uint64_t service, const VersionSets &sets) const;
+    /// Whether what this daemon knows of the store may be believed as far as it goes.
+    bool followsStore(SteadyTime now) const;
+    /// Returns the one version at which all streams of @p route at @p service began that began before this call; no value if that
+    /// is not certain.
+    Task<std::optional<VersionKey>> provenSoleVersion(const Route &route, const std::string &service);
     /// As above for all routes of the service with this hash, as other daemons ask for it.
-    std::optional<VersionKey> soleVersionOf(std::uint64_t service, SteadyTime now) const;
+    void proveSoleVersion(std::uint64_t service, const StreamVersions::SoleAnswer &answer);
     /// Tells other daemons of streams in progress whose version they cannot know otherwise.
     void announceStreams(SteadyTime now);
     /// Returns whether this process did not run for a while, so that what it knows of the store may be old.
@@ -343,6 +356,7 @@
     StreamVersions streamVersions_;
     std::function<void(const OutgoingDigest &digest)> sendDigest_ = [](const OutgoingDigest &) {};
     VersionSetRecorder versionSets_;
+    ReadVersionSets readVersionSets_ = [](const VersionSetReader::Receive &receive) { receive(std::nullopt); };
     std::optional<SteadyTime> tickedAt_;
     /// Until then the process may not have caught up with the store after a stall.
     SteadyTime stalledUntil_{};
--- a/src/portpaddle/stream_versions/stream_versions.cpp
+++ b/src/portpaddle/stream_versions/stream_versions.cpp
@@ -138,16 +138,23 @@
     if (link.empty()) {
         return;
     }
-    Wire::LoadDigestT answer = emptyDigest();
     for (const Wire::StreamQuery &query : digest.stream_queries) {
         const StreamKey stream = keyOf(query.stream());
-        const std::optional<VersionKey> version
-            = begun_.contains(stream, now) ? begun_.find(stream, now) : soleVersion_(query.service());
-        if (version) {
-            answer.begun_streams.emplace_back(query.stream(), *version);
-        } else {
-            answer.unknown_streams.push_back(query.stream());
+        if (begun_.contains(stream, now)) {
+            answer(link, stream, begun_.find(stream, now));
+            continue;
         }
+        soleVersion_(query.service(), [this, link, stream](std::optional<VersionKey> version) { answer(link, stream, version); });
+    }
+}
+
+void StreamVersions::answer(const std::string &link, const StreamKey &stream, std::optional<VersionKey> version) const
+{
+    Wire::LoadDigestT answer = emptyDigest();
+    if (version) {
+        answer.begun_streams.emplace_back(toWire(stream), *version);
+    } else {
+        answer.unknown_streams.push_back(toWire(stream));
     }
     send_({ { link }, std::move(answer) });
 }
--- a/src/portpaddle/stream_versions/stream_versions.h
+++ b/src/portpaddle/stream_versions/stream_versions.h
@@ -24,8 +24,9 @@
 {
 public:
     using Send = std::function<void(const OutgoingDigest &digest)>;
-    /// Returns the one version at which all streams of a service began; no value if that is not certain.
-    using SoleVersion = std::function<std::optional<VersionKey>(std::uint64_t service)>;
+    using SoleAnswer = std::function<void(std::optional<VersionKey> version)>;
+    /// Answers with the one version at which all streams of a service began, now or later; no value if that is not certain.
+    using SoleVersion = std::function<void(std::uint64_t service, const SoleAnswer &answer)>;
 
     StreamVersions(Executor executor, std::string ownId, std::string ownRegion);
 
@@ -61,12 +62,14 @@
     /// passed.
     Task<void> ask(const Wire::StreamQuery &query, Lookup &lookup, StreamHolders::Reach reach, Millis maxWait);
     void answerQueries(const Wire::LoadDigestT &digest, SteadyTime now);
+    /// Answers the daemon at @p link; no version if none is known.
+    void answer(const std::string &link, const StreamKey &stream, std::optional<VersionKey> version) const;
     Wire::LoadDigestT emptyDigest() const;
 
     Executor executor_;
     std::string ownId_;
     Send send_ = [](const OutgoingDigest &) {};
-    SoleVersion soleVersion_ = [](std::uint64_t) { return std::optional<VersionKey>(); };
+    SoleVersion soleVersion_ = [](std::uint64_t, const SoleAnswer &answer) { answer(std::nullopt); };
     StreamHolders holders_;
     BegunStreams begun_;
     std::multimap<StreamKey, std::shared_ptr<Lookup>> lookups_;
--- a/src/portpaddle/stream_versions/version_sets.cpp
+++ b/src/portpaddle/stream_versions/version_sets.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/stream_versions/version_sets.h"
 
+#include "portpaddle/stream_versions/version_set_reader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Portpaddle {
@@ -11,7 +13,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::string_view keyPrefix = "portpaddle/versions/";
+constexpr std::string_view keyPrefix = versionSetPrefix;
 constexpr char keySeparator = '/';
 
 } // namespace
--- a/tests/gateway/stream_holder_tests.cpp
+++ b/tests/gateway/stream_holder_tests.cpp
@@ -191,7 +191,9 @@
 {
     HolderFleet fleet(8);
     for (auto &[id, daemon] : fleet.daemons) {
-        daemon->setSoleVersion([](std::uint64_t asked) { return asked == service ? std::optional(began) : std::nullopt; });
+        daemon->setSoleVersion([](std::uint64_t asked, const StreamVersions::SoleAnswer &answer) {
+            answer(asked == service ? std::optional(began) : std::nullopt);
+        });
     }
     CHECK(fleet.find(0, streamOf(1)) == began);
 }
--- a/tests/gateway/stream_version_tests.cpp
+++ b/tests/gateway/stream_version_tests.cpp
@@ -12,6 +12,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <future>
 #include <memory>
 #include <optional>
 #include <set>
@@ -60,6 +61,51 @@
     std::array<std::unique_ptr<ScriptedUpstream>, 2> upstreams;
 };
 
+/// A daemon that knows one version, beside a store that may know more.
+class OldKnowledgeFixture : public TwoVersionsFixture
+{
+public:
+    OldKnowledgeFixture()
+    {
+        setVersionSet({ { "v1" }, {}, true, 1 });
+        addDaemonBeside("e", "127.0.0.1:1");
+        onLoop([this](Gateway &gateway) {
+            gateway.setDigestSender([this](const OutgoingDigest &outgoing) { told.set_value(outgoing.digest); });
+        });
+    }
+
+    /// The store has @p set from now on; without one it does not say.
+    void setStored(const std::optional<VersionSet> &set)
+    {
+        std::optional<VersionSets> sets;
+        if (set) {
+            sets.emplace();
+            (*sets)["s"]["north"] = *set;
+        }
+        onLoop([&sets](Gateway &gateway) {
+            gateway.setVersionSetReader([sets](const VersionSetReader::Receive &receive) { receive(sets); });
+        });
+    }
+
+    /// Returns what the daemon answers to one that asks for the version of a stream; no value if it says that it knows none.
+    std::optional<VersionKey> versionTold()
+    {
+        told = {};
+        std::future<Wire::LoadDigestT> answered = told.get_future();
+        Wire::LoadDigestT question;
+        question.daemon = "e";
+        question.kind = Wire::DigestKind::StreamVersions;
+        question.stream_queries.emplace_back(Wire::RequestDigest{ 1, ++asked }, serviceKey("s"));
+        onLoop([&question](Gateway &gateway) { gateway.applyDigest(question); });
+        const Wire::LoadDigestT answer = answered.get();
+        REQUIRE(answer.begun_streams.size() + answer.unknown_streams.size() == 1);
+        return answer.begun_streams.empty() ? std::nullopt : std::optional(answer.begun_streams.front().version());
+    }
+
+    std::promise<Wire::LoadDigestT> told;
+    std::uint64_t asked = 0;
+};
+
 /// Returns the header by which daemons name the version of a stream.
 std::string versionHeader(const std::string &version)
 {
@@ -238,6 +284,37 @@
     CHECK(requestsSeen() == 0);
 }
 
+TEST_CASE_FIXTURE(OldKnowledgeFixture, "Taken up stream, the store names a version that this daemon does not know, is refused")
+{
+    setStored(VersionSet{ { "v1" }, { "v0" }, true, 2 });
+    CHECK_FALSE(takeUp("unknown", "id2"));
+    CHECK(ask("/resume/a", "id3", "Last-Event-ID: 3\r\n").status == 503);
+    CHECK(requestsSeen() == 0);
+}
+
+TEST_CASE_FIXTURE(OldKnowledgeFixture, "Taken up stream, the store does not say which versions are in use, is refused")
+{
+    SUBCASE("it fails")
+    {
+        setStored(std::nullopt);
+    }
+    SUBCASE("it does not answer")
+    {
+        onLoop([](Gateway &gateway) { gateway.setVersionSetReader([](const VersionSetReader::Receive &) {}); });
+    }
+    CHECK_FALSE(takeUp("unknown", "id2"));
+    CHECK(requestsSeen() == 0);
+}
+
+TEST_CASE_FIXTURE(OldKnowledgeFixture, "Stream of which another daemon asks, only the store's word vouches for its version")
+{
+    CHECK(versionTold() == versionKeyOf("v1"));
+    setStored(VersionSet{ { "v1" }, { "v0" }, true, 2 });
+    CHECK_FALSE(versionTold());
+    setStored(std::nullopt);
+    CHECK_FALSE(versionTold());
+}
+
 TEST_CASE_FIXTURE(TwoVersionsFixture, "New stream, a version not yet known to all daemons, does not begin there")
 {
     setVersionSet({ { "v0" }, { "v1" }, true, 1 });
--- a/tests/support/gateway_site.cpp
+++ b/tests/support/gateway_site.cpp
@@ -208,6 +208,7 @@
     terms.regions = { "north" };
     terms.stallBound = std::chrono::hours(1);
     gateway_->setOptions(terms);
+    gateway_->setVersionSetReader([this](const VersionSetReader::Receive &receive) { receive(view_.read()->versionSets); });
     registry_ = std::make_unique<FleetRegistry>(view_, [this] { boost::asio::post(loop_, [this] { gateway_->viewChanged(); }); });
     listener_ = std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Caller, *gateway_, 64);
     daemonListener_ = std::make_unique<SessionListener>(loop_.get_executor(), SessionPeer::Daemon, *gateway_, 64);
