An answer that a reset cuts during the upload is not told as whole

What callers saw: an engine answered a long upload at once, with a 200 that had neither length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The same with a failure, with a stream, which ended with its last chunk, with an answer that is passed on for want of memory, and in the answer to another daemon's request.

Cause: Linux tells an error of a connection once, to whichever call comes first. The write under way took the reset; the reads after it got what had arrived and then 0, as after a FIN, which the parser of a body without a length takes for its end. The write's error was kept for the text of a missing head only.

Change: a connection remembers that any call on it has failed, be it a write, a read, a wait, a peek or a timeout of this daemon's. All bodies of upstreams and daemons are read through readMore(), which cuts an answer that its connection delimits if any has. A length or chunks prove their end themselves, whatever became of the write. A stream that is cut before its first event no longer begins for the caller.

Why it works: the fact does not depend on which call the kernel tells, and an end without any error is a FIN, as with an upstream that reads the upload to its end and finishes (kept by a test). A FIN that a reset follows is cut too (RFC 9112, section 8).

Handled before, kept as tests: the stand-alone daemon's upstream and the store, whose calls end with the failed write; answers of other daemons; an end of its own.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -225,6 +225,7 @@
     isFresh_ = !connection_->reused && connection_->looksUsable();
     // An upstream may answer before it has read a long body. Its answer counts, so a failed write alone decides nothing.
     co_await http::async_write(connection_->socket, message, awaitingInto(error));
+    connection_->noteError(error);
     NetError readError;
     const bool gotHead = co_await readHead(parser_, callbacks, readError);
     if (nameless_) {
@@ -335,7 +336,7 @@
     MemoryShare held(&answerMemory_);
     bool first = true;
     while (!parser.is_done()) {
-        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        co_await readMore(*connection_, parser, error);
         // Bytes that were read before the interruption may be another attempt's by now.
         if (interrupted_) {
             progress_.splitter.dropPartial();
@@ -348,7 +349,8 @@
             callbacks.firstEvent();
         }
         isPassingOn_ = true;
-        const bool taken = co_await forwardEvents(parser, bytes, callbacks);
+        const bool ended = parser.is_done() && !error;
+        const bool taken = co_await forwardEvents(parser, bytes, ended, callbacks);
         isPassingOn_ = false;
         if (!taken) {
             co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
@@ -384,14 +386,14 @@
 }
 
 /// Forwards complete events to the caller; the head is sent with the first of them, or at the end of an empty stream.
-Task<bool> UpstreamAttempt::forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks)
+Task<bool> UpstreamAttempt::forwardEvents(Parser &parser, std::string_view bytes, bool ended, const AttemptCallbacks &callbacks)
 {
     const std::string whole = progress_.splitter.feed(bytes);
     if (!whole.empty()) {
         callbacks.bytesReceived();
         callbacks.eventsReceived(EventSplitter::count(whole));
     }
-    const bool due = !whole.empty() || parser.is_done();
+    const bool due = !whole.empty() || ended;
     if (due && !progress_.begun) {
         const bool begun = co_await beginStream(parser, callbacks);
         if (!begun) {
--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -221,7 +221,8 @@
     bool namesVersion(const boost::beast::http::fields &fields) const;
     /// Sends the head to the caller; returns false if the caller is gone.
     Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
-    Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
+    /// @p ended tells whether @p bytes are the last ones of the stream.
+    Task<bool> forwardEvents(Parser &parser, std::string_view bytes, bool ended, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
     /// Returns the fields of the answer that the caller receives.
     boost::beast::http::fields fieldsForCaller(const Parser &parser) const;
--- a/src/portpaddle/attempts/upstream_attempt_answers.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_answers.cpp
@@ -8,8 +8,6 @@
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 
-#include <boost/beast/http/read.hpp>
-
 #include <utility>
 
 namespace Portpaddle {
@@ -42,7 +40,7 @@
         timeout.emplace(*connection_, PeerBounds::failureTime);
     }
     while (!parser.is_done()) {
-        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        co_await readMore(*connection_, parser, error);
         if (error) {
             tooSlow_ = tooSlow_ || !connection_->socket.is_open();
             co_return brokenConnection("the answer was cut off: " + error.message());
@@ -89,7 +87,7 @@
             co_return report;
         }
         if (taken) {
-            co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+            co_await readMore(*connection_, parser, error);
         }
     }
     co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
--- a/src/portpaddle/attempts/upstream_attempt_heads.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_heads.cpp
@@ -78,6 +78,7 @@
     }
     if (connection_->buffer.size() == 0) {
         co_await connection_->socket.async_wait(Socket::wait_read, awaitingInto(error));
+        connection_->noteError(error);
         if (error) {
             co_return;
         }
@@ -96,7 +97,7 @@
     const ConnectionTimeout timeout(*connection_, maxTime);
     std::size_t discarded = 0;
     while (!parser.is_done()) {
-        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        co_await readMore(*connection_, parser, error);
         discarded += parser.get().body().size();
         parser.get().body().clear();
         if (error || discarded > PeerBounds::discardedBytes) {
--- a/src/portpaddle/attempts/upstream_connection.cpp
+++ b/src/portpaddle/attempts/upstream_connection.cpp
@@ -19,16 +19,29 @@
 {
     NetError ignored;
     socket.close(ignored);
+    failed_ = true;
 }
 
 bool UpstreamConnection::looksUsable()
 {
-    if (!socket.is_open() || buffer.size() != 0) {
+    if (failed_ || !socket.is_open() || buffer.size() != 0) {
         return false;
     }
     char byte = 0;
     const ssize_t got = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const bool isQuiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    failed_ = failed_ || (got < 0 && !isQuiet);
+    return isQuiet;
+}
+
+void UpstreamConnection::noteError(const NetError &error)
+{
+    failed_ = failed_ || error;
+}
+
+bool UpstreamConnection::hasFailed() const
+{
+    return failed_;
 }
 
 ConnectionTimeout::ConnectionTimeout(UpstreamConnection &connection, std::chrono::milliseconds time)
--- a/src/portpaddle/attempts/upstream_connection.h
+++ b/src/portpaddle/attempts/upstream_connection.h
@@ -7,6 +7,8 @@
 #include "portpaddle/net/asio.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <deque>
 #include <memory>
@@ -27,8 +29,12 @@
     explicit UpstreamConnection(Executor executor);
     /// Closes the connection; pending operations on it fail.
     void interrupt();
-    /// Returns false if the connection is closed or unexpected bytes have arrived on it.
+    /// Returns false if the connection is closed or has failed, or if unexpected bytes have arrived on it.
     bool looksUsable();
+    /// Records that a call on the connection has failed, unless @p error is none.
+    void noteError(const NetError &error);
+    /// Whether any call on the connection has failed.
+    bool hasFailed() const;
 
     Socket socket;
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
@@ -36,8 +42,24 @@
     SteadyTime usableUntil{};
     /// The connection has served a request before.
     bool reused = false;
+
+private:
+    bool failed_ = false;
 };
 
+/// Reads more of the answer that @p parser takes. The kernel tells of a reset once, to whichever call comes first; reads after it
+/// end as if the peer had closed the connection in order. An answer that ends with its connection is therefore cut, with
+/// @p error set, if any call on the connection has failed (RFC 9112, section 8).
+template<typename Parser>
+Task<void> readMore(UpstreamConnection &connection, Parser &parser, NetError &error)
+{
+    co_await boost::beast::http::async_read_some(connection.socket, connection.buffer, parser, awaitingInto(error));
+    connection.noteError(error);
+    if (!error && parser.is_done() && parser.need_eof() && connection.hasFailed()) {
+        error = boost::beast::http::error::partial_message;
+    }
+}
+
 /// Closes a connection after a time, unless this object is destroyed before.
 class ConnectionTimeout
 {
--- a/src/portpaddle/streams/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -7,7 +7,6 @@
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <optional>
@@ -27,7 +26,7 @@
     parser.header_limit(PeerBounds::orderAnswerBytes);
     parser.body_limit(PeerBounds::orderAnswerBytes);
     while (!error && !parser.is_done()) {
-        co_await http::async_read_some(connection.socket, connection.buffer, parser, awaitingInto(error));
+        co_await readMore(connection, parser, error);
     }
     if (!error && !HttpStatus::isValid(parser.get().result_int())) {
         error = http::error::bad_status;
@@ -78,6 +77,7 @@
         order.prepare_payload();
         moved.sent = true;
         co_await http::async_write(connection->socket, order, awaitingInto(error));
+        connection->noteError(error);
         std::optional<AnswerParser> parser;
         co_await readAnswer(*connection, parser, error);
         const http::response<ReceivedBody> &answer = parser->get();
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -53,8 +53,8 @@
     return request;
 }
 
-/// Removes one request from @p buffer, reading more as needed.
-std::optional<SeenRequest> readRequest(int socket, std::string &buffer)
+/// Removes the head of one request from @p buffer, reading more as needed.
+std::optional<SeenRequest> readHead(int socket, std::string &buffer)
 {
     std::size_t end = std::string::npos;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
@@ -64,16 +64,22 @@
     }
     SeenRequest request = parseHead(buffer.substr(0, end));
     buffer.erase(0, end + 4);
+    return request;
+}
+
+/// Moves the body of @p request from @p buffer into it, reading more as needed; returns false when the peer closed before.
+bool readBody(int socket, std::string &buffer, SeenRequest &request)
+{
     const auto length = request.headers.find("content-length");
     const std::size_t wanted = length == request.headers.end() ? 0 : std::stoul(length->second);
     while (buffer.size() < wanted) {
         if (!readMore(socket, buffer)) {
-            return std::nullopt;
+            return false;
         }
     }
     request.body = buffer.substr(0, wanted);
     buffer.erase(0, wanted);
-    return request;
+    return true;
 }
 
 void nameRequest(std::string &bytes, const SeenRequest &request)
@@ -89,11 +95,16 @@
 {
     const linger now{ 1, 0 };
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    // The descriptor stays reserved until the end, so that no other connection gets the same number.
+    const int placeholder = ::socket(AF_INET, SOCK_STREAM, 0);
+    dup2(placeholder, socket);
+    close(placeholder);
 }
 
 } // namespace
 
-ScriptedUpstream::ScriptedUpstream(Script script) : script_(std::move(script))
+ScriptedUpstream::ScriptedUpstream(Script script, AnswersAfter answersAfter)
+    : script_(std::move(script)), answersAfter_(answersAfter)
 {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -170,8 +181,9 @@
 {
     std::string buffer;
     while (!stopping_) {
-        std::optional<SeenRequest> request = readRequest(socket, buffer);
-        if (!request) {
+        std::optional<SeenRequest> request = readHead(socket, buffer);
+        const bool early = answersAfter_ == AnswersAfter::Head;
+        if (!request || (!early && !readBody(socket, buffer, *request))) {
             ++closedByPeer_;
             return;
         }
@@ -189,23 +201,27 @@
             ++closedByPeer_;
             return;
         }
-        if (answer.then == ScriptedAnswer::Then::Hang) {
+        using Then = ScriptedAnswer::Then;
+        if (answer.then == Then::FinishAndReset || answer.then == Then::FinishAndRead) {
+            shutdown(socket, SHUT_WR);
+        }
+        if (answer.then == Then::Hang || answer.then == Then::FinishAndRead) {
             while (readMore(socket, buffer)) { }
             ++closedByPeer_;
             return;
         }
-        if (answer.then == ScriptedAnswer::Then::Reset) {
+        if (answer.then == Then::Reset || answer.then == Then::FinishAndReset) {
             reset(socket);
-            // The descriptor stays reserved until the end, so that no other connection gets the same number.
-            const int placeholder = ::socket(AF_INET, SOCK_STREAM, 0);
-            dup2(placeholder, socket);
-            close(placeholder);
             return;
         }
-        if (answer.then == ScriptedAnswer::Then::Close) {
+        if (answer.then == Then::Close) {
             shutdown(socket, SHUT_RDWR);
             return;
         }
+        if (early && !readBody(socket, buffer, *request)) {
+            ++closedByPeer_;
+            return;
+        }
     }
 }
 
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -34,20 +34,24 @@
 {
     /// Bytes of the answer, sent unchanged but for @id.
     std::string bytes;
-    enum class Then { KeepOpen, Close, Reset, Hang } then = Then::KeepOpen;
+    /// After the end of the bytes was announced, as by shutdown(), the connection is reset, or read until the peer closes it.
+    enum class Then { KeepOpen, Close, Reset, Hang, FinishAndReset, FinishAndRead } then = Then::KeepOpen;
     /// Called after the bytes are written and before @ref then takes effect; may block.
     std::function<void()> afterWriting = [] {};
     /// Sent again and again until the peer closes the connection; empty for nothing.
     std::string endless = {};
 };
 
+/// When the script is asked for an answer: once a request has arrived, or before any of its body is read.
+enum class AnswersAfter { Request, Head };
+
 /// Serves each connection on its own thread.
 class ScriptedUpstream
 {
 public:
     using Script = std::function<ScriptedAnswer(const SeenRequest &)>;
 
-    explicit ScriptedUpstream(Script script);
+    explicit ScriptedUpstream(Script script, AnswersAfter answersAfter = AnswersAfter::Request);
     ~ScriptedUpstream();
 
     /// Returns the address as IP:PORT.
@@ -64,6 +68,7 @@
     void serve(int socket, unsigned number);
 
     Script script_;
+    AnswersAfter answersAfter_;
     int listener_ = -1;
     unsigned short port_ = 0;
     std::atomic<bool> stopping_{ false };
