A head whose field name is none is no answer to the blocking clients either

Beside "X-Run-State: not_run" it was taken for a proof that nothing had run.

Cause: cpp-httplib takes any bytes up to a colon for a name and skips lines that have no colon or no CRLF.

Change: AnswerHeadCheck decides byte by byte whether a head can be one: names of token characters, no control bytes in values, lines that end with CRLF. CheckedClient asks it for each byte of a head that the library reads; it stands in for httplib::Client everywhere, and BoundedClient is one with bounds. Such an answer is a failed call, which may have run.

Why it works: the library reads heads through this stream only, and reads nothing after a byte that was refused.

Evidence: field_name_tests, 27 lines with each reader. Handled before, kept as tests: upstreams and daemons read by the gateway on every kind of route, interim and late answers, trailers, orders to move runs.

--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -3,8 +3,9 @@
 
 #include "ctl/admin_client.h"
 
+#include "portpaddle/net/checked_client.h"
+
 #include <fmt/format.h>
-#include <httplib.h>
 
 namespace Portpaddle {
 
@@ -41,7 +42,7 @@
 
 Result<nlohmann::json> AdminClient::get(const std::string &path, const std::multimap<std::string, std::string> &parameters) const
 {
-    httplib::Client client(address_.host, address_.port);
+    CheckedClient client(address_.host, address_.port);
     client.set_connection_timeout(connectTimeout);
     client.set_read_timeout(readTimeout);
     client.set_bearer_token_auth(operatorKey_);
@@ -50,7 +51,7 @@
 
 Result<nlohmann::json> AdminClient::post(const std::string &path, const nlohmann::json &body) const
 {
-    httplib::Client client(address_.host, address_.port);
+    CheckedClient client(address_.host, address_.port);
     client.set_connection_timeout(connectTimeout);
     client.set_read_timeout(readTimeout);
     client.set_bearer_token_auth(operatorKey_);
--- a/src/portpaddle/control/observer_controller.cpp
+++ b/src/portpaddle/control/observer_controller.cpp
@@ -5,10 +5,10 @@
 
 #include "portpaddle/base/socket_address.h"
 #include "portpaddle/interfaces/clock.h"
+#include "portpaddle/net/checked_client.h"
 
 #include <algorithm>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace Portpaddle {
@@ -39,7 +39,7 @@
     if (!isOk(parsed)) {
         return report;
     }
-    httplib::Client client(valueOf(parsed).host, valueOf(parsed).port);
+    CheckedClient client(valueOf(parsed).host, valueOf(parsed).port);
     client.set_connection_timeout(pollTimeout);
     client.set_read_timeout(pollTimeout);
     const httplib::Result reply = client.Get("/load");
--- a/src/portpaddle/control/order_controller.cpp
+++ b/src/portpaddle/control/order_controller.cpp
@@ -8,12 +8,12 @@
 #include "portpaddle/base/socket_address.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
+#include "portpaddle/net/checked_client.h"
 #include "portpaddle/routing/blackboard.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace Portpaddle {
@@ -98,7 +98,7 @@
     if (!isOk(address)) {
         return OrderOutcome::Unknown;
     }
-    httplib::Client client(valueOf(address).host, valueOf(address).port);
+    CheckedClient client(valueOf(address).host, valueOf(address).port);
     client.set_connection_timeout(orderTimeout);
     client.set_read_timeout(orderTimeout);
     const nlohmann::json body = { { "order", nameOf(order.kind) }, { "subject", order.subject }, { "fence", order.fence } };
--- /dev/null
+++ b/src/portpaddle/net/answer_head_check.h
@@ -0,0 +1,43 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+/// Checks the lines of an answer's head (RFC 9112, sections 2.2 and 5).
+#pragma once
+
+namespace Portpaddle {
+
+/// Takes the bytes of an answer one by one, from its status line on.
+class AnswerHeadCheck
+{
+public:
+    /// Returns false if no head has @p byte in this place; what follows has no meaning then. Bytes after the head are not looked
+    /// at.
+    bool accept(char byte);
+    /// Whether the empty line that ends the head was taken.
+    bool hasEnded() const;
+    /// Whether another head follows this one.
+    bool isInterim() const;
+
+private:
+    enum class Part {
+        StatusLine,
+        LineBegin,
+        Name,
+        Value,
+        /// After a carriage return, which only the end of a line has.
+        ValueEnd,
+        HeadEnd,
+        Ended,
+    };
+
+    bool acceptNameByte(char byte);
+    void takeStatusByte(char byte);
+
+    Part part_ = Part::StatusLine;
+    /// The last byte of the status line so far.
+    char lastStatusByte_ = '\0';
+    bool statusBegan_ = false;
+    bool isInterim_ = false;
+};
+
+} // namespace Portpaddle
--- a/src/portpaddle/net/bounded_client.h
+++ b/src/portpaddle/net/bounded_client.h
@@ -4,20 +4,20 @@
 /// Blocking calls over HTTP to peers that may answer anything.
 #pragma once
 
-#include <httplib.h>
+#include "portpaddle/net/checked_client.h"
 
 namespace Portpaddle {
 
 /// A client that gives up an answer whose head has too long lines, is too long or takes too long; see PeerBounds. The library
 /// matches a status line by a recursive pattern, so that a line of a few thousand bytes would overflow the stack. The body is for
 /// the receiver to bound.
-class BoundedClient : public httplib::ClientImpl
+class BoundedClient : public CheckedClient
 {
 public:
-    using httplib::ClientImpl::ClientImpl;
+    using CheckedClient::CheckedClient;
 
 private:
-    bool process_socket(const Socket &socket, std::function<bool(httplib::Stream &stream)> callback) override;
+    std::unique_ptr<CheckedStream> check(httplib::Stream &stream) const override;
 };
 
 } // namespace Portpaddle
--- a/src/portpaddle/platform/http_platform.cpp
+++ b/src/portpaddle/platform/http_platform.cpp
@@ -3,10 +3,9 @@
 
 #include "portpaddle/platform/http_platform.h"
 
+#include "portpaddle/net/checked_client.h"
 #include "portpaddle/platform/platform_codec.h"
 
-#include <httplib.h>
-
 namespace Portpaddle {
 
 namespace {
@@ -104,7 +103,7 @@
 
 Result<nlohmann::json> HttpPlatform::call(const std::string &operation, const nlohmann::json &arguments, Millis timeout) const
 {
-    httplib::Client client(address_.host, address_.port);
+    CheckedClient client(address_.host, address_.port);
     client.set_connection_timeout(connectTimeout);
     client.set_read_timeout(timeout);
     client.set_write_timeout(timeout_);
--- a/src/portpaddle/upstream/http_upstream_client.cpp
+++ b/src/portpaddle/upstream/http_upstream_client.cpp
@@ -5,6 +5,7 @@
 
 #include "portpaddle/base/socket_address.h"
 #include "portpaddle/base/text.h"
+#include "portpaddle/net/checked_client.h"
 #include "portpaddle/net/http_status.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 #include <memory>
 
 #include <fmt/format.h>
-#include <httplib.h>
 
 namespace Portpaddle {
 
@@ -133,7 +133,7 @@
     if (!isOk(parsed)) {
         return notRun(ErrorCode::UpstreamFailed, errorOf(parsed).message);
     }
-    httplib::Client client(valueOf(parsed).host, valueOf(parsed).port);
+    CheckedClient client(valueOf(parsed).host, valueOf(parsed).port);
     client.set_connection_timeout(std::min(connectTimeout, timeLeft));
     client.set_read_timeout(std::min(maxSilence, timeLeft));
     client.set_write_timeout(std::min(maxSilence, timeLeft));
