A line that begins with a blank makes a head no answer

What callers saw: an upstream's line " X-Odd: 1" was joined to the value of the line before it. Behind the signature or any other field the answer was passed on with status 200 and that value; behind the request's id it counted as the answer to another request, and the caller waited for its deadline.

Cause: Beast takes such a line for a continuation, which RFC 9112, 5.2, lets a reader do. A field whose name is damaged at its begin looks the same.

Change: readAnswerHead() reads all heads of upstreams, daemons and answers to orders. It shows the bytes to AnswerHeadCheck before the parser gets them, and refuses a status that is none, which both of its callers did for themselves. readMore() stands beside it.

Why it works: the check sees each byte of each head, interim and late ones included, before the parser can join lines.

Evidence: field_name_tests, "Folded line": four kinds of lines in four places, on routes that may and may not be repeated, as answers to orders, and to a daemon on settings.

--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -4,6 +4,7 @@
 /// Sends a request once, to an upstream or to another daemon, and forwards the answer.
 #pragma once
 
+#include "portpaddle/attempts/answer_reading.h"
 #include "portpaddle/attempts/upstream_connection.h"
 #include "portpaddle/callers/caller_request.h"
 #include "portpaddle/callers/caller_writer.h"
@@ -184,7 +185,7 @@
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
-    using Parser = boost::beast::http::response_parser<ReceivedBody>;
+    using Parser = AnswerParser;
 
     Task<bool> openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report);
     Message composeRequest(const AttemptPlan &plan) const;
--- a/src/portpaddle/attempts/upstream_attempt_heads.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_heads.cpp
@@ -9,8 +9,6 @@
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 
-#include <boost/beast/http/read.hpp>
-
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
@@ -84,12 +82,8 @@
         }
     }
     const ConnectionTimeout timeout(*connection_, PeerBounds::answerHeadTime);
-    co_await http::async_read_header(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+    co_await readAnswerHead(*connection_, parser, error);
     tooSlow_ = tooSlow_ || (error && !connection_->socket.is_open());
-    // Such a head is no answer, not even an interim one, so whose bytes follow it is unknown.
-    if (!error && !HttpStatus::isValid(parser.get().result_int())) {
-        error = http::error::bad_status;
-    }
 }
 
 Task<bool> UpstreamAttempt::discardRest(Parser &parser, std::chrono::milliseconds maxTime, NetError &error)
--- a/src/portpaddle/attempts/upstream_connection.h
+++ b/src/portpaddle/attempts/upstream_connection.h
@@ -7,8 +7,6 @@
 #include "portpaddle/net/asio.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <deque>
 #include <memory>
@@ -47,19 +45,6 @@
     bool failed_ = false;
 };
 
-/// Reads more of the answer that @p parser takes. The kernel tells of a reset once, to whichever call comes first; reads after it
-/// end as if the peer had closed the connection in order. An answer that ends with its connection is therefore cut, with
-/// @p error set, if any call on the connection has failed (RFC 9112, section 8).
-template<typename Parser>
-Task<void> readMore(UpstreamConnection &connection, Parser &parser, NetError &error)
-{
-    co_await boost::beast::http::async_read_some(connection.socket, connection.buffer, parser, awaitingInto(error));
-    connection.noteError(error);
-    if (!error && parser.is_done() && parser.need_eof() && connection.hasFailed()) {
-        error = boost::beast::http::error::partial_message;
-    }
-}
-
 /// Closes a connection after a time, unless this object is destroyed before.
 class ConnectionTimeout
 {
--- a/src/portpaddle/streams/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/streams/memory_move.h"
 
+#include "portpaddle/attempts/answer_reading.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
@@ -19,18 +20,16 @@
 
 constexpr std::chrono::milliseconds connectTimeout{ 300 };
 
-using AnswerParser = http::response_parser<ReceivedBody>;
-
 Task<void> readOneAnswer(UpstreamConnection &connection, AnswerParser &parser, NetError &error)
 {
     parser.header_limit(PeerBounds::orderAnswerBytes);
     parser.body_limit(PeerBounds::orderAnswerBytes);
+    if (!error) {
+        co_await readAnswerHead(connection, parser, error);
+    }
     while (!error && !parser.is_done()) {
         co_await readMore(connection, parser, error);
     }
-    if (!error && !HttpStatus::isValid(parser.get().result_int())) {
-        error = http::error::bad_status;
-    }
 }
 
 /// Reads the answer to an order, past interim ones.
--- a/tests/gateway/field_name_tests.cpp
+++ b/tests/gateway/field_name_tests.cpp
@@ -381,3 +381,31 @@
         CHECK_FALSE(isOk(AdminClient(addressOf(daemon), "key").get("/members", {})));
     }
 }
+
+TEST_CASE("Folded line, behind any field of an answer, is a failure and neither joined to it nor passed on")
+{
+    for (const char *fold : { " X-Odd: 1\r\n", "\tX-Odd: 1\r\n", " \r\n", "  more\r\n" }) {
+        for (const std::string &bytes :
+             { "HTTP/1.1 200 OK\r\nX-Good: 1\r\n"s + fold + ownId + "X-Signature: s\r\nContent-Length: 3\r\n\r\nbad",
+               "HTTP/1.1 200 OK\r\n"s + ownId + fold + "X-Signature: s\r\nContent-Length: 3\r\n\r\nbad",
+               "HTTP/1.1 200 OK\r\n"s + ownId + "X-Signature: s\r\n" + fold + "Content-Length: 3\r\n\r\nbad",
+               "HTTP/1.1 200 OK\r\n"s + ownId + "X-Signature: s\r\nContent-Length: 3\r\n" + fold + "\r\nbad" }) {
+            CAPTURE(bytes);
+            for (const char *path : { "/once/a", "/stream/a" }) {
+                FieldNameFixture site;
+                site.bytes = bytes;
+                const SeenAnswer answer = site.ask(path, "id1");
+                CHECK(answer.status == 502);
+                CHECK(answer.head.find("X-Odd") == std::string::npos);
+                CHECK(site.seen() == 1);
+            }
+            FieldNameFixture again;
+            again.bytes = bytes;
+            again.onlyFirst = true;
+            CHECK(again.ask("/plain/a", "id1").body == "own");
+            CHECK(orderAnsweredBy(bytes).outcome.starts_with("no answer"));
+            RecordingSink sink;
+            CHECK(askOnSettings(bytes, sink).end == AttemptEnd::Broken);
+        }
+    }
+}
