An answer whose coding or length no reader understands is none

What callers saw: an answer with "Transfer-Encoding: gzip" or "chunked, identity" reached its caller with status 200, without that line and with the coded bytes, or chunks with their sizes, for its body: a body that was not the engine's.

Cause: Beast and cpp-httplib undo chunks only, and read the body of any other coding up to its length or the end of the connection.

Change: BodyFramingFields says what the fields of a head tell about its body; AnswerHeadCheck asks it at the end of a head and refuses one whose coding is not "chunked" alone, or whose length is told twice, beside chunks, or by anything but digits.

Why it works: all heads of answers pass AnswerHeadCheck, by the gateway, in answers to orders, and by all blocking clients.

--- a/src/portpaddle/net/answer_head_check.cpp
+++ b/src/portpaddle/net/answer_head_check.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Longer than the names of the fields that frame a body, and than any value of theirs that has a meaning.
+constexpr std::size_t maxKeptBytes = 64;
+
 /// Whether a field's name may have @p byte (tchar of RFC 9110, section 5.6.2).
 bool isNameByte(char byte)
 {
@@ -17,6 +20,14 @@
     return isLetter || (byte >= '0' && byte <= '9') || marks.find(byte) != std::string_view::npos;
 }
 
+/// Returns @p value without the blanks around it, which don't belong to it.
+std::string_view withoutBlanks(std::string_view value)
+{
+    constexpr std::string_view blanks = " \t";
+    const std::size_t first = value.find_first_not_of(blanks);
+    return first == std::string_view::npos ? std::string_view() : value.substr(first, value.find_last_not_of(blanks) + 1 - first);
+}
+
 bool isControlByte(char byte)
 {
     constexpr unsigned char firstPrintable = 0x20;
@@ -34,18 +45,20 @@
         return true;
     case Part::LineBegin:
         part_ = byte == '\r' ? Part::HeadEnd : Part::Name;
+        name_.assign(1, byte);
+        value_.clear();
         return byte == '\r' || isNameByte(byte);
     case Part::Name:
         return acceptNameByte(byte);
     case Part::Value:
-        part_ = byte == '\r' ? Part::ValueEnd : Part::Value;
-        return byte == '\r' || byte == '\t' || !isControlByte(byte);
+        return acceptValueByte(byte);
     case Part::ValueEnd:
         part_ = Part::LineBegin;
+        framing_.add(name_, withoutBlanks(value_));
         return byte == '\n';
     case Part::HeadEnd:
         part_ = Part::Ended;
-        return byte == '\n';
+        return acceptHeadEnd(byte);
     case Part::Ended:
         break;
     }
@@ -65,9 +78,26 @@
 bool AnswerHeadCheck::acceptNameByte(char byte)
 {
     part_ = byte == ':' ? Part::Value : Part::Name;
+    if (byte != ':' && name_.size() < maxKeptBytes) {
+        name_.push_back(byte);
+    }
     return byte == ':' || isNameByte(byte);
 }
 
+bool AnswerHeadCheck::acceptValueByte(char byte)
+{
+    part_ = byte == '\r' ? Part::ValueEnd : Part::Value;
+    if (byte != '\r' && value_.size() < maxKeptBytes) {
+        value_.push_back(byte);
+    }
+    return byte == '\r' || byte == '\t' || !isControlByte(byte);
+}
+
+bool AnswerHeadCheck::acceptHeadEnd(char byte) const
+{
+    return byte == '\n' && !framing_.hasUnknownCoding() && !framing_.hasUnknownLength();
+}
+
 // What the status line says is for the reader; here only whether it begins an interim head, whose first digit is 1.
 void AnswerHeadCheck::takeStatusByte(char byte)
 {
--- a/src/portpaddle/net/answer_head_check.h
+++ b/src/portpaddle/net/answer_head_check.h
@@ -1,17 +1,21 @@
 // SPDX-FileCopyrightText: 2026 portpaddle contributors
 // SPDX-License-Identifier: Apache-2.0
 
-/// Checks the lines of an answer's head (RFC 9112, sections 2.2 and 5).
+/// Checks the head of an answer (RFC 9112, sections 2.2, 5 and 6).
 #pragma once
 
+#include "portpaddle/net/body_framing.h"
+
+#include <string>
+
 namespace Portpaddle {
 
 /// Takes the bytes of an answer one by one, from its status line on.
 class AnswerHeadCheck
 {
 public:
-    /// Returns false if no head has @p byte in this place; what follows has no meaning then. Bytes after the head are not looked
-    /// at.
+    /// Returns false if no head has @p byte in this place, or if the head ends with it and leaves unknown what its body is; what
+    /// follows has no meaning then. Bytes after the head are not looked at.
     bool accept(char byte);
     /// Whether the empty line that ends the head was taken.
     bool hasEnded() const;
@@ -31,6 +35,8 @@
     };
 
     bool acceptNameByte(char byte);
+    bool acceptValueByte(char byte);
+    bool acceptHeadEnd(char byte) const;
     void takeStatusByte(char byte);
 
     Part part_ = Part::StatusLine;
@@ -38,6 +44,10 @@
     char lastStatusByte_ = '\0';
     bool statusBegan_ = false;
     bool isInterim_ = false;
+    /// The begin of the line's name and value, as much of them as the fields that frame a body may have.
+    std::string name_;
+    std::string value_;
+    BodyFramingFields framing_;
 };
 
 } // namespace Portpaddle
--- /dev/null
+++ b/tests/gateway/body_framing_tests.cpp
@@ -0,0 +1,206 @@
+// SPDX-FileCopyrightText: 2026 portpaddle contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Codings that no reader undoes, and lengths that are none: what the body is, or where it ends, is unknown.
+
+#include "portpaddle/net/spawn.h"
+#include "portpaddle/streams/memory_move.h"
+#include "portpaddle/upstream/http_upstream_client.h"
+#include "support/gateway_site.h"
+#include "support/plain_orders.h"
+#include "support/recording_sink.h"
+#include "support/scripted_upstream.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+using namespace Portpaddle;
+using namespace std::string_literals;
+
+namespace {
+
+using Then = ScriptedAnswer::Then;
+
+const std::string chunkedBody = "3\r\nbad\r\n0\r\n\r\n";
+
+/// Lines that leave the body of an answer unknown, each with a body in chunks.
+const std::vector<std::string> unknownCodings{ "Transfer-Encoding: gzip\r\n",
+                                               "Transfer-Encoding: gzip, chunked\r\n",
+                                               "Transfer-Encoding: chunked, identity\r\n",
+                                               "Transfer-Encoding: chunked, gzip\r\n",
+                                               "Transfer-Encoding: chunked, chunked\r\n",
+                                               "Transfer-Encoding: identity\r\n",
+                                               "Transfer-Encoding: xchunked\r\n",
+                                               "Transfer-Encoding: chunked;a=b\r\n",
+                                               "Transfer-Encoding:\r\n",
+                                               "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" };
+/// Lines that leave the length of an answer unknown, each with a body of three bytes.
+const std::vector<std::string> unknownLengths{ "Content-Length: 3, 3\r\n",
+                                               "Content-Length: 3,3\r\n",
+                                               "Content-Length: 3, 4\r\n",
+                                               "Content-Length: 3x\r\n",
+                                               "Content-Length: +3\r\n",
+                                               "Content-Length: -3\r\n",
+                                               "Content-Length:\r\n",
+                                               "Content-Length: 0x3\r\n",
+                                               "Content-Length: 3 3\r\n",
+                                               "Content-Length: 3;a=b\r\n",
+                                               "Content-Length: 3\r\nContent-Length: 4\r\n" };
+const std::vector<std::string> soundFramings{ "Transfer-Encoding: chunked\r\n\r\n" + chunkedBody,
+                                              "Transfer-Encoding: Chunked\r\n\r\n" + chunkedBody, "Content-Length: 3\r\n\r\nbad",
+                                              "Content-Length: 03\r\n\r\nbad" };
+
+/// Returns signed answers with @p framing in each place of their heads.
+std::vector<std::string> answersWith(const std::string &framing, const std::string &body)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string signature = "X-Signature: s\r\n";
+    return { status + framing + ownId + signature + "\r\n" + body, status + ownId + framing + signature + "\r\n" + body,
+             status + ownId + signature + framing + "\r\n" + body };
+}
+
+std::vector<std::string> brokenAnswers()
+{
+    std::vector<std::string> answers;
+    for (const std::string &coding : unknownCodings) {
+        const std::vector<std::string> some = answersWith(coding, chunkedBody);
+        answers.insert(answers.end(), some.begin(), some.end());
+    }
+    for (const std::string &length : unknownLengths) {
+        const std::vector<std::string> some = answersWith(length, "bad");
+        answers.insert(answers.end(), some.begin(), some.end());
+    }
+    for (const std::string &both : answersWith("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunkedBody)) {
+        answers.push_back(both);
+    }
+    return answers;
+}
+
+/// Two upstreams of which the first that is asked sends @ref bytes.
+class BodyFramingFixture : public GatewaySite
+{
+public:
+    BodyFramingFixture()
+    {
+        addUpstream("u1", one.address());
+        addUpstream("u2", other.address());
+    }
+
+    ScriptedAnswer answer(const SeenRequest &request)
+    {
+        return asked_++ == 0 && !bytes.empty() ? ScriptedAnswer{ bytes, Then::Close }
+                                               : ScriptedAnswer{ wholeAnswer(idOf(request), "own") };
+    }
+
+    std::size_t seen() const
+    {
+        return one.seen().size() + other.seen().size();
+    }
+
+    std::string bytes;
+    ScriptedUpstream one{ [this](const SeenRequest &request) { return answer(request); } };
+    ScriptedUpstream other{ [this](const SeenRequest &request) { return answer(request); } };
+
+private:
+    std::atomic<unsigned> asked_{ 0 };
+};
+
+AttemptResult askOnSettings(const std::string &bytes, RecordingSink &sink)
+{
+    const ScriptedUpstream upstream([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
+    HttpUpstreamClient client;
+    Call call;
+    call.path = "/v1/run";
+    return client.attempt(upstream.address(), call, Millis(20'000), sink);
+}
+
+MemoryMove orderAnsweredBy(const std::string &bytes)
+{
+    const ScriptedUpstream upstream([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
+    boost::asio::io_context loop{ 1 };
+    ConnectionPool pool{ loop.get_executor() };
+    UpstreamRecord source;
+    source.id = "u1";
+    source.address = upstream.address();
+    const PlainOrders orders;
+    MemoryMove moved;
+    spawnTask(loop.get_executor(), "order", [&]() -> Task<void> {
+        moved = co_await sendMoveOrder(pool, orders, orders.copy("id1", "10.0.0.1:80"), source, std::chrono::hours(1),
+                                       [](const UpstreamRecord &, const boost::beast::http::response_header<> &) {});
+    });
+    loop.run();
+    return moved;
+}
+
+} // namespace
+
+TEST_CASE("Body of an answer, in chunks or with a length, reaches the caller as its upstream sent it")
+{
+    for (const std::string &framed : soundFramings) {
+        CAPTURE(framed);
+        const std::string bytes = "HTTP/1.1 200 OK\r\n"s + ownId + "X-Signature: s\r\n" + framed;
+        BodyFramingFixture site;
+        site.bytes = bytes;
+        CHECK(site.ask("/once/a", "id1").body == "bad");
+        RecordingSink sink;
+        CHECK(askOnSettings(bytes, sink).end == AttemptEnd::Complete);
+        CHECK(sink.text() == "bad");
+    }
+}
+
+TEST_CASE("Body of an answer, of an unknown coding or length, does not reach the caller")
+{
+    for (const std::string &bytes : brokenAnswers()) {
+        CAPTURE(bytes);
+        for (const char *path : { "/once/a", "/stream/a" }) {
+            CAPTURE(path);
+            BodyFramingFixture site;
+            site.bytes = bytes;
+            const SeenAnswer answer = site.ask(path, "id1");
+            CHECK(answer.status == 502);
+            CHECK(site.seen() == 1);
+        }
+        BodyFramingFixture again;
+        again.bytes = bytes;
+        CHECK(again.ask("/plain/a", "id1").body == "own");
+    }
+}
+
+TEST_CASE("Body of an answer, of an unknown coding or length, is no answer between daemons")
+{
+    for (const std::string &bytes : brokenAnswers()) {
+        CAPTURE(bytes);
+        BodyFramingFixture asked;
+        asked.bytes = bytes;
+        CHECK(asked.askAsDaemon("/once/a", "id1").status == 502);
+        GatewaySite asking;
+        const ScriptedUpstream daemon([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
+        asking.addRemoteDaemon("e1", "east", daemon.address(), {});
+        CHECK(asking.ask("/once/a", "id1").status == 502);
+    }
+}
+
+TEST_CASE("Body of an answer, of an unknown coding or length, is no answer to an order")
+{
+    for (const std::string &bytes : brokenAnswers()) {
+        CAPTURE(bytes);
+        CHECK(orderAnsweredBy(bytes).outcome.starts_with("no answer"));
+    }
+}
+
+TEST_CASE("Body of an answer, of an unknown coding or length, does not reach the caller of a daemon on settings")
+{
+    for (const std::string &bytes : brokenAnswers()) {
+        CAPTURE(bytes);
+        RecordingSink sink;
+        const AttemptResult result = askOnSettings(bytes, sink);
+        CHECK(result.end == AttemptEnd::Broken);
+        CHECK(result.error.run == RunState::MayHaveRun);
+        CHECK(sink.heads() == 0);
+    }
+}
