A request of an unknown coding is rejected in place of running without its body

What callers saw: a request with "Transfer-Encoding: gzip", "identity" or "chunked, gzip" ran with no body, and its body was read as the next request on the connection; one with "gzip, chunked" ran with the coded bytes for a body and without the line that named the coding. One with "Content-Length: 3, 3" ran; other lists of lengths were rejected.

Cause: as with answers, the parser undoes chunks only, and takes a request of any other coding for one without a body.

Change: the session asks checkBodyFraming() once a head is read, and answers 400 as for other broken framing; the connection ends (RFC 9112, sections 6.1 and 6.3).

Evidence: body_framing_tests, "Body of a request", 12 codings and 11 lengths in two places.

--- a/src/portpaddle/callers/caller_session.cpp
+++ b/src/portpaddle/callers/caller_session.cpp
@@ -9,6 +9,7 @@
 #include "portpaddle/base/scope_exit.h"
 #include "portpaddle/callers/connection_headers.h"
 #include "portpaddle/net/beast_text.h"
+#include "portpaddle/net/body_framing.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/socket_options.h"
@@ -230,6 +231,7 @@
     armTimer(limits.headerTimeout, &CallerSession::closeTimedOut);
     co_await http::async_read_header(socket_, buffer_, parser, awaitingInto(error));
     noteRequestLine(parser);
+    error = error ? error : checkBodyFraming(parser.get());
     if (error) {
         co_await reject(error, answer);
         co_return false;
--- a/tests/gateway/body_framing_tests.cpp
+++ b/tests/gateway/body_framing_tests.cpp
@@ -204,3 +204,24 @@
         CHECK(sink.heads() == 0);
     }
 }
+
+TEST_CASE("Body of a request, of an unknown coding or length, is rejected and does not reach an upstream")
+{
+    std::vector<std::string> requests;
+    for (const std::string &coding : unknownCodings) {
+        requests.push_back("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: id1\r\n" + coding + "\r\n" + chunkedBody);
+    }
+    for (const std::string &length : unknownLengths) {
+        requests.push_back("POST /once/a HTTP/1.1\r\n" + length + "Host: h\r\nX-Request-Id: id1\r\n\r\nbad");
+        requests.push_back("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: id1\r\n" + length + "\r\nbad");
+    }
+    for (const std::string &bytes : requests) {
+        CAPTURE(bytes);
+        BodyFramingFixture site;
+        RawCaller caller(site.address());
+        caller.send(bytes);
+        CHECK(caller.receive().status == 400);
+        CHECK(caller.closedByPeer());
+        CHECK(site.seen() == 0);
+    }
+}
