A very deeply nested text does not end a process that reads it

What operators of other systems saw: one odd entry among those of the engines, and machines that read the list ended again and again. Here the entries of engines hold: kept as tests. The handle in an answer to an order, as deep as 16 KB allow, overflows a thread's stack, not that of the main thread, which reads it.

Cause: nlohmann::json parses and frees any depth, but copies, compares and writes a value by recursion; value() with a default copies.

Change: parseJson() and parseJsonOrThrow() read all JSON that others wrote and take no depth above 64, before the library sees the text. A configuration that is too deep is rejected, as any that can't be read.

Evidence: odd_record_tests. On "Record of any other kind", "Answer to an order" and "Text that the stand-alone daemon" end by SIGSEGV; each form was run by itself in a scratch copy. Now all pass. Handled before, kept as tests: 96 odd records of engines, listed, added later and in the store's answer, on threads with a daemon's stack; the store's own answer; requests of chat completions.

--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -3,6 +3,7 @@
 
 #include "ctl/admin_client.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/net/checked_client.h"
 
 #include <fmt/format.h>
@@ -22,7 +23,7 @@
                                   toText(address), httplib::to_string(reply.error())),
                       RunState::MayHaveRun, std::nullopt };
     }
-    nlohmann::json json = nlohmann::json::parse(reply->body, nullptr, false);
+    nlohmann::json json = parseJson(reply->body);
     if (reply->status == 200 && !json.is_discarded()) {
         return json;
     }
--- a/src/portpaddle/claims/claim_store.cpp
+++ b/src/portpaddle/claims/claim_store.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/claims/claim_store.h"
 
 #include "portpaddle/base/digest.h"
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
 #include "portpaddle/interfaces/random_source.h"
@@ -41,7 +42,7 @@
 
 std::string parseClaimId(const std::string &record)
 {
-    const nlohmann::json json = nlohmann::json::parse(record, nullptr, false);
+    const nlohmann::json json = parseJson(record);
     const bool hasClaimId = json.is_object() && json.contains("claim_id") && json["claim_id"].is_string();
     return hasClaimId ? json["claim_id"].get<std::string>() : std::string{};
 }
@@ -178,7 +179,7 @@
 
 Error ClaimStore::duplicateError(const std::string &key, const std::string &record) const
 {
-    const nlohmann::json json = nlohmann::json::parse(record, nullptr, false);
+    const nlohmann::json json = parseJson(record);
     const bool hasDaemon = json.is_object() && json.contains("daemon") && json["daemon"].is_string();
     const std::string holder = hasDaemon ? json["daemon"].get<std::string>() : std::string{};
     const bool ran = holder == daemon_ ? ranHere(key) : hasDaemon && ranElsewhere_ && ranElsewhere_(holder, key);
--- a/src/portpaddle/control/audit_trail.cpp
+++ b/src/portpaddle/control/audit_trail.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/control/audit_trail.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
 
@@ -26,7 +27,7 @@
 
 AuditEntry entryFromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     AuditEntry entry;
     if (json.is_object()) {
         entry.wallMs = json.value("time_ms", std::int64_t{ 0 });
--- a/src/portpaddle/control/observer_controller.cpp
+++ b/src/portpaddle/control/observer_controller.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/control/observer_controller.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/base/socket_address.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/net/checked_client.h"
@@ -43,7 +44,7 @@
     client.set_connection_timeout(pollTimeout);
     client.set_read_timeout(pollTimeout);
     const httplib::Result reply = client.Get("/load");
-    const nlohmann::json json = reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+    const nlohmann::json json = reply ? parseJson(reply->body) : nlohmann::json();
     if (!json.is_object()) {
         return report;
     }
--- a/src/portpaddle/control/settings_controller.cpp
+++ b/src/portpaddle/control/settings_controller.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/control/settings_controller.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
@@ -74,7 +75,7 @@
 
 bool SettingsController::applyPeerReply(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     if (!json.is_object()) {
         return false;
     }
--- a/src/portpaddle/daemon/admin_server.cpp
+++ b/src/portpaddle/daemon/admin_server.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/daemon/admin_server.h"
 
 #include "portpaddle/base/digest.h"
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/daemon/daemon.h"
 #include "portpaddle/entry/caller_answers.h"
@@ -345,7 +346,7 @@
 
 void AdminServer::drain(const httplib::Request &request, httplib::Response &response)
 {
-    const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json json = parseJson(request.body);
     const bool valid = json.is_object() && json.contains("author") && json["author"].is_string() && json.contains("reason")
         && json["reason"].is_string();
     if (!valid) {
--- a/src/portpaddle/entry/chat_request.cpp
+++ b/src/portpaddle/entry/chat_request.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/entry/chat_request.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/routing/rendezvous.h"
 
 #include <algorithm>
@@ -86,7 +87,7 @@
 
 Result<ChatRequest> parseChatRequest(const std::string &body)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json json = parseJson(body);
     if (json.is_discarded()) {
         return badRequest("the body is not valid JSON in UTF-8");
     }
--- a/src/portpaddle/platform/http_platform.cpp
+++ b/src/portpaddle/platform/http_platform.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/platform/http_platform.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/net/checked_client.h"
 #include "portpaddle/platform/platform_codec.h"
 
@@ -114,7 +115,7 @@
         const bool neverSent = reply.error() == httplib::Error::Connection || reply.error() == httplib::Error::ConnectionTimeout;
         return unavailable(neverSent ? RunState::NotRun : RunState::MayHaveRun);
     }
-    nlohmann::json json = nlohmann::json::parse(reply->body, nullptr, false);
+    nlohmann::json json = parseJson(reply->body);
     if (!json.is_object()) {
         return unavailable(RunState::MayHaveRun);
     }
--- a/src/portpaddle/rollouts/rollout_record.cpp
+++ b/src/portpaddle/rollouts/rollout_record.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/rollouts/rollout_record.h"
 
+#include "portpaddle/base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -41,7 +43,7 @@
 std::optional<RolloutRecord> decodeRolloutRecord(const std::string &service, const std::string &text, std::uint64_t revision)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJsonOrThrow(text);
         const std::optional<RolloutStage> stage = rolloutStageNamed(json.at("stage").get<std::string>());
         if (!stage) {
             return std::nullopt;
--- a/src/portpaddle/settings/settings_log.cpp
+++ b/src/portpaddle/settings/settings_log.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/settings/settings_log.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/base/log.h"
 #include "portpaddle/interfaces/clock.h"
 #include "portpaddle/interfaces/platform.h"
@@ -75,7 +76,7 @@
 
 Result<SettingsChange> changeFromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     const bool readable = json.is_object() && json.contains("version") && json["version"].is_number_unsigned()
         && json.contains("patch") && json["patch"].is_object();
     if (!readable) {
--- a/src/portpaddle/settings/tree.cpp
+++ b/src/portpaddle/settings/tree.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/settings/tree.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/settings/schema.h"
 
 #include <algorithm>
@@ -159,7 +160,7 @@
 
 Result<SettingsTree> SettingsTree::fromSnapshot(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     if (!json.is_object() || !json.contains("version") || !json["version"].is_number_unsigned() || !json.contains("nodes")) {
         return invalid("the settings snapshot cannot be read");
     }
--- a/src/portpaddle/store_following/daemon_registration.cpp
+++ b/src/portpaddle/store_following/daemon_registration.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/store_following/daemon_registration.h"
 
+#include "portpaddle/base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -44,7 +46,7 @@
 Result<DaemonRecord> decodeDaemonRecord(const std::string &text)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJsonOrThrow(text);
         DaemonRecord record;
         record.id = json.at("id").get<std::string>();
         record.region = json.at("region").get<std::string>();
--- a/src/portpaddle/stream_versions/version_sets.cpp
+++ b/src/portpaddle/stream_versions/version_sets.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/stream_versions/version_sets.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/stream_versions/version_set_reader.h"
 
 #include <nlohmann/json.hpp>
@@ -73,7 +74,7 @@
 std::optional<VersionSet> decodeVersionSet(const std::string &text, std::uint64_t revision)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJsonOrThrow(text);
         VersionSet set;
         set.open = json.at("open").get<std::set<std::string>>();
         set.announced = json.at("announced").get<std::set<std::string>>();
--- a/src/portpaddle/upstream_limits/limit_record.cpp
+++ b/src/portpaddle/upstream_limits/limit_record.cpp
@@ -3,6 +3,7 @@
 
 #include "portpaddle/upstream_limits/limit_record.h"
 
+#include "portpaddle/base/json_text.h"
 #include "portpaddle/upstream_limits/limit_reading.h"
 
 #include <fmt/format.h>
@@ -43,7 +44,7 @@
 std::optional<StoredLimit> readLimitRecord(const std::string &key, const std::string &text)
 {
     const std::optional<std::uint64_t> upstream = upstreamOfLimitKey(key);
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseJson(text);
     if (!upstream || !json.is_object() || !json.contains(rateField) || !json[rateField].is_number()) {
         return std::nullopt;
     }
