An upstream's record with port 0 is odd as other ports out of range are

What callers saw: nothing but a choice lost to an upstream that no connection reaches, each time one fell on it.

Cause: an address is parsed as one to listen on may be, where 0 asks for any port.

--- a/tests/gateway/odd_record_tests.cpp
+++ b/tests/gateway/odd_record_tests.cpp
@@ -76,7 +76,8 @@
                                          "127.0.0.1",
                                          "127.0.0.1:99999999999999999999999",
                                          "127.0.0.1:+80",
-                                         "127.0.0.1:80x" };
+                                         "127.0.0.1:80x",
+                                         "127.0.0.1:0" };
 
 /// Returns a sound record, with @p value in the place of that of @p field, and @p more at its end.
 std::string recordWith(const std::string &field = {}, const std::string &value = {}, const std::string &more = {})
