A key or text of the store that can't be a header's value is rejected

Other control bytes went out as they were.

Cause: the key of an upstream is sent as the instance that is expected, and Beast writes values of headers as they come. Texts of other writers were checked for their length only.

Change: isFieldValue() decides whether a text is received as it was sent: no control bytes, no blanks at its ends. It is asked where such texts are read: keys and texts of upstreams' records, ids of daemons, names of organisations, and handles of orders, which become part of a request line too and have no blanks. Such a record is odd and its upstream goes out of use.

Why it works: no text of the store or of an order's answer that becomes a header is read past that check.

Evidence: odd_record_tests, 11 odd keys and 7 unusual ones, six texts in four fields. Handled before, kept as a test: keys in the store's own calls are percent-encoded.

--- a/src/portpaddle/net/answer_head_check.cpp
+++ b/src/portpaddle/net/answer_head_check.cpp
@@ -3,6 +3,8 @@
 
 #include "portpaddle/net/answer_head_check.h"
 
+#include "portpaddle/net/field_text.h"
+
 #include <string_view>
 
 namespace Portpaddle {
@@ -12,14 +14,6 @@
 // Longer than the names of the fields that frame a body, and than any value of theirs that has a meaning.
 constexpr std::size_t maxKeptBytes = 64;
 
-/// Whether a field's name may have @p byte (tchar of RFC 9110, section 5.6.2).
-bool isNameByte(char byte)
-{
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    const bool isLetter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
-    return isLetter || (byte >= '0' && byte <= '9') || marks.find(byte) != std::string_view::npos;
-}
-
 /// Returns @p value without the blanks around it, which don't belong to it.
 std::string_view withoutBlanks(std::string_view value)
 {
@@ -28,13 +22,6 @@
     return first == std::string_view::npos ? std::string_view() : value.substr(first, value.find_last_not_of(blanks) + 1 - first);
 }
 
-bool isControlByte(char byte)
-{
-    constexpr unsigned char firstPrintable = 0x20;
-    constexpr char deleteByte = 0x7f;
-    return static_cast<unsigned char>(byte) < firstPrintable || byte == deleteByte;
-}
-
 } // namespace
 
 bool AnswerHeadCheck::accept(char byte)
@@ -47,7 +34,7 @@
         part_ = byte == '\r' ? Part::HeadEnd : Part::Name;
         name_.assign(1, byte);
         value_.clear();
-        return byte == '\r' || isNameByte(byte);
+        return byte == '\r' || isFieldNameByte(byte);
     case Part::Name:
         return acceptNameByte(byte);
     case Part::Value:
@@ -81,7 +68,7 @@
     if (byte != ':' && name_.size() < maxKeptBytes) {
         name_.push_back(byte);
     }
-    return byte == ':' || isNameByte(byte);
+    return byte == ':' || isFieldNameByte(byte);
 }
 
 bool AnswerHeadCheck::acceptValueByte(char byte)
@@ -90,7 +77,7 @@
     if (byte != '\r' && value_.size() < maxKeptBytes) {
         value_.push_back(byte);
     }
-    return byte == '\r' || byte == '\t' || !isControlByte(byte);
+    return byte == '\r' || isFieldValueByte(byte);
 }
 
 bool AnswerHeadCheck::acceptHeadEnd(char byte) const
--- a/src/portpaddle/store_following/daemon_registration.cpp
+++ b/src/portpaddle/store_following/daemon_registration.cpp
@@ -4,6 +4,7 @@
 #include "portpaddle/store_following/daemon_registration.h"
 
 #include "portpaddle/base/json_text.h"
+#include "portpaddle/net/field_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,6 +30,11 @@
 constexpr Millis maxRetryDelay{ 1'000 };
 constexpr unsigned maxDoublings = 3;
 
+Error invalidRecord(const std::string &reason)
+{
+    return Error{ ErrorCode::SettingsInvalid, "invalid daemon record: " + reason, RunState::NotRun, {} };
+}
+
 } // namespace
 
 std::string encodeDaemonRecord(const DaemonRecord &record)
@@ -55,11 +61,12 @@
         record.linkAddress = json.at("link").get<std::string>();
         record.leaving = json.value("leaving", false);
         record.cpuCores = json.value("strength", 0.0);
+        if (!isFieldValue(record.id)) {
+            return invalidRecord("the id can't be the value of a header");
+        }
         return record;
     } catch (const Json::exception &exception) {
-        return Error{
-            ErrorCode::SettingsInvalid, std::string("invalid daemon record: ") + exception.what(), RunState::NotRun, {}
-        };
+        return invalidRecord(exception.what());
     }
 }
 
--- a/tests/gateway/odd_record_tests.cpp
+++ b/tests/gateway/odd_record_tests.cpp
@@ -295,6 +295,19 @@
 
 namespace {
 
+const std::vector<std::string> oddIds{ "odd\r\nX-Injected: 1",
+                                       "odd\nX-Injected: 1",
+                                       "odd\rX-Injected: 1",
+                                       std::string("a\0b", 3),
+                                       "\x01",
+                                       "a\x7f",
+                                       "a\x1b[0m",
+                                       " a",
+                                       "a ",
+                                       "a\t",
+                                       "\r\n" };
+const std::vector<std::string> unusualIds{ "a b", "a\tb", "a/b", "a\xc3\xa4", "a;b&c%d#e?f", "a\xff", std::string(200, 'x') };
+
 /// The answers of a platform of the stand-alone daemon, of a daemon to an operator, or of a store.
 ScriptedUpstream peerThatSends(const std::string &body)
 {
@@ -304,6 +317,91 @@
 
 } // namespace
 
+TEST_CASE("Upstream record, under a key that can't be the value of a header, is rejected")
+{
+    for (const std::string &id : oddIds) {
+        CAPTURE(id);
+        CHECK_FALSE(isOk(parseUpstreamRecord(id, recordWith(), regionOfDataCentre, BootClock::now())));
+    }
+    for (const std::string &id : unusualIds) {
+        CAPTURE(id);
+        CHECK(isOk(parseUpstreamRecord(id, recordWith(), regionOfDataCentre, BootClock::now())));
+    }
+}
+
+TEST_CASE("Upstream record, with a text that can't be the value of a header, is rejected")
+{
+    for (const char *field : { "service", "address", "zone", "version" }) {
+        for (const char *text :
+             { R"("m\r\nX: 1")", R"("m\n")", R"("m\u0000")", R"("127.0.0.1\u0000:80")", R"("\u0001")", R"("m\u007f")" }) {
+            CAPTURE(field);
+            CAPTURE(text);
+            CHECK_FALSE(isOk(parseUpstreamRecord("a", recordWith(field, text), regionOfDataCentre, BootClock::now())));
+        }
+    }
+}
+
+TEST_CASE("Store watcher, record under a key that can't be the value of a header, takes the others and follows on")
+{
+    for (const std::string &id : oddIds) {
+        CAPTURE(id);
+        OddRecordFixture daemon;
+        daemon.store.set("servers/" + id, recordWith());
+        daemon.watcher.start();
+        REQUIRE(eventually([&] { return daemon.knows("a"); }));
+        CHECK_FALSE(daemon.knows(id));
+        daemon.store.set("servers/" + id, recordWith("slots", "9"));
+        daemon.store.set("servers/d", recordWith());
+        CHECK(eventually([&] { return daemon.knows("d"); }));
+        CHECK_FALSE(daemon.knows(id));
+    }
+}
+
+TEST_CASE("Text of a header, from any other record or from an answer to an order, that can't be its value, is rejected")
+{
+    for (const std::string &text : oddIds) {
+        CAPTURE(text);
+        DaemonRecord daemon;
+        daemon.id = text;
+        CHECK_FALSE(isOk(decodeDaemonRecord(encodeDaemonRecord(daemon))));
+        const nlohmann::json configuration = { { "version", 1 },
+                                               { "routes", nlohmann::json::array() },
+                                               { "services", nlohmann::json::array() },
+                                               { "tenants", { { { "name", text } } } } };
+        CHECK_FALSE(isOk(parseOperatorConfig(configuration.dump())));
+        CHECK_FALSE(EngineOrders().memoryIn(200, nlohmann::json{ { "handle", text } }.dump()).has_value());
+    }
+    CHECK_FALSE(EngineOrders().memoryIn(200, R"({"handle":"h 7"})").has_value());
+    CHECK_FALSE(EngineOrders().memoryIn(200, R"({"handle":""})").has_value());
+    CHECK(EngineOrders().memoryIn(200, R"({"handle":"h7"})").has_value());
+    CHECK(EngineOrders().memoryIn(200, R"({"handle":7})").has_value());
+}
+
+TEST_CASE("Store client, page that ends with an odd key, asks for the next page after that key")
+{
+    std::vector<std::string> keys = oddIds;
+    keys.insert(keys.end(), unusualIds.begin(), unusualIds.end() - 2);
+    for (const std::string &key : keys) {
+        CAPTURE(key);
+        const nlohmann::json item{ { "privateKey", key }, { "value", "" }, { "revision", 3 } };
+        const std::string first = nlohmann::json{ { "storeRevision", 3 }, { "items", { item } }, { "morePages", true } }.dump();
+        const std::string last = R"({"storeRevision":3,"items":[],"morePages":false})";
+        const ScriptedUpstream store([&](const SeenRequest &request) {
+            const std::string &body = request.requestLine.find("after=") == std::string::npos ? first : last;
+            return ScriptedAnswer{ fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body) };
+        });
+        StoreClient client(valueOf(parseSocketAddress(store.address())));
+        CHECK(isOk(client.listAll("servers/", ReadFreshness::Newest)));
+        REQUIRE(store.seen().size() == 2);
+        const std::string line = store.seen().back().requestLine;
+        const std::size_t begin = line.find('?') + 1;
+        httplib::Params query;
+        httplib::detail::parse_query_text(line.substr(begin, line.rfind(' ') - begin), query);
+        CHECK(query.find("after")->second == key);
+        CHECK(std::count(line.begin(), line.end(), ' ') == 2);
+    }
+}
+
 TEST_CASE("Text that the stand-alone daemon or the CLI reads, very deeply nested, does not end the process")
 {
     for (const std::string &deep : deepValues) {
