--- a/src/portpaddle/attempts/answer_reading.cpp
+++ b/src/portpaddle/attempts/answer_reading.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-// As much as the kernel hands out at once in most cases.
-constexpr std::size_t readBytes = 64 * 1024;
+// The most that is read at once.
+constexpr std::size_t maxReadBytes = 64 * 1024;
 
 /// Checks the lines of a head in the buffer of a connection, from which the parser takes whole lines.
 class BufferedHeadCheck
@@ -57,7 +57,7 @@
 /// Reads what has arrived into the buffer of @p connection.
 Task<void> readIntoBuffer(UpstreamConnection &connection, NetError &error)
 {
-    const std::size_t room = boost::beast::read_size(connection.buffer, readBytes);
+    const std::size_t room = boost::beast::read_size(connection.buffer, maxReadBytes);
     if (room == 0) {
         error = http::error::header_limit;
         co_return;
