Tests: one place for upstreams that damage their answers

The fixture of two upstreams, the order and the request of a daemon on settings stood in three files.

--- a/tests/gateway/body_framing_tests.cpp
+++ b/tests/gateway/body_framing_tests.cpp
@@ -3,17 +3,10 @@
 
 // Codings that no reader undoes, and lengths that are none: what the body is, or where it ends, is unknown.
 
-#include "portpaddle/net/spawn.h"
-#include "portpaddle/streams/memory_move.h"
-#include "portpaddle/upstream/http_upstream_client.h"
-#include "support/gateway_site.h"
-#include "support/plain_orders.h"
-#include "support/recording_sink.h"
-#include "support/scripted_upstream.h"
+#include "support/damaged_answers.h"
 
 #include <doctest/doctest.h>
 
-#include <atomic>
 #include <string>
 #include <vector>
 
@@ -22,8 +15,6 @@
 
 namespace {
 
-using Then = ScriptedAnswer::Then;
-
 const std::string chunkedBody = "3\r\nbad\r\n0\r\n\r\n";
 
 /// Lines that leave the body of an answer unknown, each with a body in chunks.
@@ -81,62 +72,6 @@
     return answers;
 }
 
-/// Two upstreams of which the first that is asked sends @ref bytes.
-class BodyFramingFixture : public GatewaySite
-{
-public:
-    BodyFramingFixture()
-    {
-        addUpstream("u1", one.address());
-        addUpstream("u2", other.address());
-    }
-
-    ScriptedAnswer answer(const SeenRequest &request)
-    {
-        return asked_++ == 0 && !bytes.empty() ? ScriptedAnswer{ bytes, Then::Close }
-                                               : ScriptedAnswer{ wholeAnswer(idOf(request), "own") };
-    }
-
-    std::size_t seen() const
-    {
-        return one.seen().size() + other.seen().size();
-    }
-
-    std::string bytes;
-    ScriptedUpstream one{ [this](const SeenRequest &request) { return answer(request); } };
-    ScriptedUpstream other{ [this](const SeenRequest &request) { return answer(request); } };
-
-private:
-    std::atomic<unsigned> asked_{ 0 };
-};
-
-AttemptResult askOnSettings(const std::string &bytes, RecordingSink &sink)
-{
-    const ScriptedUpstream upstream([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
-    HttpUpstreamClient client;
-    Call call;
-    call.path = "/v1/run";
-    return client.attempt(upstream.address(), call, Millis(20'000), sink);
-}
-
-MemoryMove orderAnsweredBy(const std::string &bytes)
-{
-    const ScriptedUpstream upstream([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
-    boost::asio::io_context loop{ 1 };
-    ConnectionPool pool{ loop.get_executor() };
-    UpstreamRecord source;
-    source.id = "u1";
-    source.address = upstream.address();
-    const PlainOrders orders;
-    MemoryMove moved;
-    spawnTask(loop.get_executor(), "order", [&]() -> Task<void> {
-        moved = co_await sendMoveOrder(pool, orders, orders.copy("id1", "10.0.0.1:80"), source, std::chrono::hours(1),
-                                       [](const UpstreamRecord &, const boost::beast::http::response_header<> &) {});
-    });
-    loop.run();
-    return moved;
-}
-
 } // namespace
 
 TEST_CASE("Body of an answer, in chunks or with a length, reaches the caller as its upstream sent it")
@@ -144,7 +79,7 @@
     for (const std::string &framed : soundFramings) {
         CAPTURE(framed);
         const std::string bytes = "HTTP/1.1 200 OK\r\n"s + ownId + "X-Signature: s\r\n" + framed;
-        BodyFramingFixture site;
+        DamagedAnswerSite site;
         site.bytes = bytes;
         CHECK(site.ask("/once/a", "id1").body == "bad");
         RecordingSink sink;
@@ -159,14 +94,15 @@
         CAPTURE(bytes);
         for (const char *path : { "/once/a", "/stream/a" }) {
             CAPTURE(path);
-            BodyFramingFixture site;
+            DamagedAnswerSite site;
             site.bytes = bytes;
             const SeenAnswer answer = site.ask(path, "id1");
             CHECK(answer.status == 502);
             CHECK(site.seen() == 1);
         }
-        BodyFramingFixture again;
+        DamagedAnswerSite again;
         again.bytes = bytes;
+        again.onlyFirst = true;
         CHECK(again.ask("/plain/a", "id1").body == "own");
     }
 }
@@ -175,11 +111,11 @@
 {
     for (const std::string &bytes : brokenAnswers()) {
         CAPTURE(bytes);
-        BodyFramingFixture asked;
+        DamagedAnswerSite asked;
         asked.bytes = bytes;
         CHECK(asked.askAsDaemon("/once/a", "id1").status == 502);
         GatewaySite asking;
-        const ScriptedUpstream daemon([&bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
+        const ScriptedUpstream daemon = peerThatSends(bytes);
         asking.addRemoteDaemon("e1", "east", daemon.address(), {});
         CHECK(asking.ask("/once/a", "id1").status == 502);
     }
@@ -217,7 +153,7 @@
     }
     for (const std::string &bytes : requests) {
         CAPTURE(bytes);
-        BodyFramingFixture site;
+        DamagedAnswerSite site;
         RawCaller caller(site.address());
         caller.send(bytes);
         CHECK(caller.receive().status == 400);
--- a/tests/gateway/field_name_tests.cpp
+++ b/tests/gateway/field_name_tests.cpp
@@ -9,15 +9,9 @@
 #include "portpaddle/base/system_clock.h"
 #include "portpaddle/control/observer_controller.h"
 #include "portpaddle/control/order_controller.h"
-#include "portpaddle/net/spawn.h"
 #include "portpaddle/platform/http_platform.h"
 #include "portpaddle/store_following/state_exchange.h"
-#include "portpaddle/streams/memory_move.h"
-#include "portpaddle/upstream/http_upstream_client.h"
-#include "support/gateway_site.h"
-#include "support/plain_orders.h"
-#include "support/recording_sink.h"
-#include "support/scripted_upstream.h"
+#include "support/damaged_answers.h"
 
 #include <doctest/doctest.h>
 
@@ -82,80 +76,11 @@
     return "HTTP/1.1 200 OK\r\n" + line + ownId + "X-Signature: s\r\n" + more + "Content-Length: 3\r\n\r\nbad";
 }
 
-/// A stream of two events, or a whole answer.
-std::string sound(const SeenRequest &request)
-{
-    const bool isStream = request.requestLine.starts_with("POST /resume");
-    return isStream ? streamHead(idOf(request)) + eventChunk(1, 2) + lastChunk : wholeAnswer(idOf(request), "own");
-}
-
-/// Two upstreams whose answers have a bad line while the test says so.
-class FieldNameFixture : public GatewaySite
-{
-public:
-    FieldNameFixture()
-    {
-        addUpstream("u1", one.address());
-        addUpstream("u2", other.address());
-    }
-
-    ScriptedAnswer answer(const SeenRequest &request)
-    {
-        const bool fails = !bytes.empty() && !(onlyFirst && asked_++ > 0);
-        return fails ? ScriptedAnswer{ bytes, Then::Close } : ScriptedAnswer{ sound(request) };
-    }
-
-    std::size_t seen() const
-    {
-        return one.seen().size() + other.seen().size();
-    }
-
-    std::string bytes;
-    bool onlyFirst = false;
-    ScriptedUpstream one{ [this](const SeenRequest &request) { return answer(request); } };
-    ScriptedUpstream other{ [this](const SeenRequest &request) { return answer(request); } };
-
-private:
-    std::atomic<unsigned> asked_{ 0 };
-};
-
-ScriptedUpstream peerThatSends(const std::string &bytes)
-{
-    return ScriptedUpstream([bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
-}
-
 SocketAddress addressOf(const ScriptedUpstream &peer)
 {
     return valueOf(parseSocketAddress(peer.address()));
 }
 
-MemoryMove orderAnsweredBy(const std::string &bytes)
-{
-    const ScriptedUpstream upstream = peerThatSends(bytes);
-    boost::asio::io_context loop{ 1 };
-    ConnectionPool pool{ loop.get_executor() };
-    UpstreamRecord source;
-    source.id = "u1";
-    source.address = upstream.address();
-    const PlainOrders orders;
-    MemoryMove moved;
-    spawnTask(loop.get_executor(), "order", [&]() -> Task<void> {
-        moved = co_await sendMoveOrder(pool, orders, orders.copy("id1", "10.0.0.1:80"), source, std::chrono::hours(1),
-                                       [](const UpstreamRecord &, const boost::beast::http::response_header<> &) {});
-    });
-    loop.run();
-    return moved;
-}
-
-AttemptResult askOnSettings(const std::string &bytes, RecordingSink &sink)
-{
-    const ScriptedUpstream upstream = peerThatSends(bytes);
-    HttpUpstreamClient client;
-    Call call;
-    call.path = "/v1/run";
-    return client.attempt(upstream.address(), call, Millis(20'000), sink);
-}
-
 std::string jsonWith(const std::string &line, const std::string &json)
 {
     return "HTTP/1.1 200 OK\r\n" + line + "Content-Length: " + std::to_string(json.size()) + "\r\n\r\n" + json;
@@ -167,7 +92,7 @@
 {
     for (const std::string &name : soundNames) {
         CAPTURE(name);
-        FieldNameFixture site;
+        DamagedAnswerSite site;
         site.bytes = answerWith(name + ": 1\r\n");
         const SeenAnswer answer = site.ask("/once/a", "id1");
         CHECK(answer.status == 200);
@@ -184,7 +109,7 @@
         for (const char *path : { "/once/a", "/stream/a" }) {
             CAPTURE(line);
             CAPTURE(path);
-            FieldNameFixture site;
+            DamagedAnswerSite site;
             site.bytes = answerWith(line);
             const SeenAnswer answer = site.ask(path, "id1");
             CHECK(answer.status == 502);
@@ -200,7 +125,7 @@
         for (const auto &[path, body] : { std::pair("/plain/a", "own"s), std::pair("/resume/a", events(1, 2)) }) {
             CAPTURE(line);
             CAPTURE(path);
-            FieldNameFixture site;
+            DamagedAnswerSite site;
             site.bytes = answerWith(line);
             site.onlyFirst = true;
             const SeenAnswer answer = site.ask(path, "id1");
@@ -215,7 +140,7 @@
 {
     for (const std::string &line : badLines()) {
         CAPTURE(line);
-        FieldNameFixture site;
+        DamagedAnswerSite site;
         site.bytes = answerWith(line, "X-Not-Run: 1\r\n");
         CHECK(site.ask("/once/a", "id1").status == 502);
         CHECK(site.seen() == 1);
@@ -230,7 +155,7 @@
              { "HTTP/1.1 103 Early\r\n" + line + "\r\n",
                "HTTP/1.1 200 OK\r\n" + line + "X-Request-Id: earlier\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n" }) {
             CAPTURE(before);
-            FieldNameFixture site;
+            DamagedAnswerSite site;
             site.bytes = before + answerWith({});
             CHECK(site.ask("/once/a", "id1").status == 502);
             CHECK(site.seen() == 1);
@@ -242,7 +167,7 @@
 {
     for (const std::string &line : badLines()) {
         CAPTURE(line);
-        FieldNameFixture site;
+        DamagedAnswerSite site;
         CHECK(site.ask("/once/a", "id1").body == "own");
         site.bytes = answerWith(line);
         CHECK(site.ask("/once/a", "id2").status == 502);
@@ -253,7 +178,7 @@
 {
     for (const std::string &line : badLines()) {
         CAPTURE(line);
-        FieldNameFixture asked;
+        DamagedAnswerSite asked;
         asked.bytes = answerWith(line);
         const SeenAnswer answer = asked.askAsDaemon("/once/a", "id1");
         CHECK(answer.status == 502);
@@ -270,7 +195,7 @@
 {
     for (const std::string &line : badLines()) {
         CAPTURE(line);
-        FieldNameFixture site;
+        DamagedAnswerSite site;
         site.bytes = std::string("HTTP/1.1 200 OK\r\n") + ownId + "X-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "3\r\nbad\r\n0\r\n" + line + "\r\n";
         CHECK(site.ask("/once/a", "id1").status == 502);
@@ -392,14 +317,14 @@
                "HTTP/1.1 200 OK\r\n"s + ownId + "X-Signature: s\r\nContent-Length: 3\r\n" + fold + "\r\nbad" }) {
             CAPTURE(bytes);
             for (const char *path : { "/once/a", "/stream/a" }) {
-                FieldNameFixture site;
+                DamagedAnswerSite site;
                 site.bytes = bytes;
                 const SeenAnswer answer = site.ask(path, "id1");
                 CHECK(answer.status == 502);
                 CHECK(answer.head.find("X-Odd") == std::string::npos);
                 CHECK(site.seen() == 1);
             }
-            FieldNameFixture again;
+            DamagedAnswerSite again;
             again.bytes = bytes;
             again.onlyFirst = true;
             CHECK(again.ask("/plain/a", "id1").body == "own");
--- a/tests/gateway/status_code_tests.cpp
+++ b/tests/gateway/status_code_tests.cpp
@@ -5,14 +5,8 @@
 
 #include "platform/store_client.h"
 #include "portpaddle/net/peer_bounds.h"
-#include "portpaddle/net/spawn.h"
 #include "portpaddle/store_following/state_exchange.h"
-#include "portpaddle/streams/memory_move.h"
-#include "portpaddle/upstream/http_upstream_client.h"
-#include "support/gateway_site.h"
-#include "support/plain_orders.h"
-#include "support/recording_sink.h"
-#include "support/scripted_upstream.h"
+#include "support/damaged_answers.h"
 
 #include <doctest/doctest.h>
 
@@ -54,73 +48,13 @@
     return "HTTP/1.1 " + status + " S\r\nX-Request-Id: " + id + "\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n";
 }
 
-/// A stream of two events, or a whole answer.
-std::string sound(const SeenRequest &request)
-{
-    const bool isStream = request.requestLine.starts_with("POST /resume");
-    return isStream ? streamHead(idOf(request)) + eventChunk(1, 2) + lastChunk : wholeAnswer(idOf(request), "own");
-}
-
-/// Two upstreams whose answers have an invalid status while the test says so.
-class StatusFixture : public GatewaySite
-{
-public:
-    StatusFixture()
-    {
-        addUpstream("u1", one.address());
-        addUpstream("u2", other.address());
-    }
-
-    ScriptedAnswer answer(const SeenRequest &request)
-    {
-        const bool fails = !bytes.empty() && !(onlyFirst && asked_++ > 0);
-        return fails ? ScriptedAnswer{ bytes, Then::Close } : ScriptedAnswer{ sound(request) };
-    }
-
-    std::size_t seen() const
-    {
-        return one.seen().size() + other.seen().size();
-    }
-
-    std::string bytes;
-    bool onlyFirst = false;
-    ScriptedUpstream one{ [this](const SeenRequest &request) { return answer(request); } };
-    ScriptedUpstream other{ [this](const SeenRequest &request) { return answer(request); } };
-
-private:
-    std::atomic<unsigned> asked_{ 0 };
-};
-
-ScriptedUpstream peerThatSends(const std::string &bytes)
-{
-    return ScriptedUpstream([bytes](const SeenRequest &) { return ScriptedAnswer{ bytes, Then::Close }; });
-}
-
-MemoryMove orderAnsweredBy(const std::string &bytes)
-{
-    const ScriptedUpstream upstream = peerThatSends(bytes);
-    boost::asio::io_context loop{ 1 };
-    ConnectionPool pool{ loop.get_executor() };
-    UpstreamRecord source;
-    source.id = "u1";
-    source.address = upstream.address();
-    const PlainOrders orders;
-    MemoryMove moved;
-    spawnTask(loop.get_executor(), "order", [&]() -> Task<void> {
-        moved = co_await sendMoveOrder(pool, orders, orders.copy("id1", "10.0.0.1:80"), source, std::chrono::hours(1),
-                                       [](const UpstreamRecord &, const boost::beast::http::response_header<> &) {});
-    });
-    loop.run();
-    return moved;
-}
-
 } // namespace
 
 TEST_CASE("Status code, of 200 to 599, reaches the caller")
 {
     for (const std::string &status : passedOn) {
         CAPTURE(status);
-        StatusFixture site;
+        DamagedAnswerSite site;
         site.bytes = answerWith(status);
         CHECK(site.ask("/once/a", "id1").status == std::stoi(status));
     }
@@ -132,7 +66,7 @@
         for (const char *path : { "/once/a", "/stream/a" }) {
             CAPTURE(status);
             CAPTURE(path);
-            StatusFixture site;
+            DamagedAnswerSite site;
             site.bytes = answerWith(status);
             CHECK(site.ask(path, "id1").status == 502);
             CHECK(site.seen() == 1);
@@ -146,7 +80,7 @@
         for (const auto &[path, body] : { std::pair("/plain/a", std::string("own")), std::pair("/resume/a", events(1, 2)) }) {
             CAPTURE(status);
             CAPTURE(path);
-            StatusFixture site;
+            DamagedAnswerSite site;
             site.bytes = answerWith(status);
             site.onlyFirst = true;
             const SeenAnswer answer = site.ask(path, "id1");
@@ -161,7 +95,7 @@
 {
     for (const std::string &status : invalidStatuses()) {
         CAPTURE(status);
-        StatusFixture site;
+        DamagedAnswerSite site;
         site.bytes = answerWith(status, "X-Not-Run: 1\r\n");
         CHECK(site.ask("/once/a", "id1").status == 502);
         CHECK(site.seen() == 1);
@@ -174,7 +108,7 @@
         for (const char *id : { "@id", "earlier" }) {
             CAPTURE(status);
             CAPTURE(id);
-            StatusFixture site;
+            DamagedAnswerSite site;
             site.bytes = emptyAnswerWith(status, id) + answerWith("200");
             CHECK(site.ask("/once/a", "id1").status == 502);
             CHECK(site.seen() == 1);
@@ -186,7 +120,7 @@
 {
     for (const std::string &status : invalidStatuses()) {
         CAPTURE(status);
-        StatusFixture site;
+        DamagedAnswerSite site;
         CHECK(site.ask("/once/a", "id1").body == "own");
         site.bytes = answerWith(status);
         CHECK(site.ask("/once/a", "id2").status == 502);
@@ -197,7 +131,7 @@
 {
     for (const std::string &status : invalidStatuses()) {
         CAPTURE(status);
-        StatusFixture site;
+        DamagedAnswerSite site;
         site.bytes = answerWith(status);
         const SeenAnswer answer = site.askAsDaemon("/once/a", "id1");
         CHECK(answer.status == 502);
@@ -306,12 +240,8 @@
         for (const char *more : { "", "X-Run-State: not_run\r\n" }) {
             CAPTURE(status);
             CAPTURE(more);
-            const ScriptedUpstream upstream = peerThatSends(answerWith(status, more));
-            HttpUpstreamClient client;
-            Call call;
-            call.path = "/v1/run";
             RecordingSink sink;
-            const AttemptResult result = client.attempt(upstream.address(), call, Millis(20'000), sink);
+            const AttemptResult result = askOnSettings(answerWith(status, more), sink);
             CHECK(result.end == AttemptEnd::Broken);
             CHECK(result.error.run == RunState::MayHaveRun);
             CHECK(sink.heads() == 0);
