--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -4,6 +4,7 @@
 /// Sends a request once, to an upstream or to another daemon, and forwards the answer.
 #pragma once
 
+#include "portpaddle/attempts/answer_reading.h"
 #include "portpaddle/attempts/upstream_connection.h"
 #include "portpaddle/callers/caller_request.h"
 #include "portpaddle/callers/caller_writer.h"
@@ -184,7 +185,7 @@
 
 private:
     using Message = boost::beast::http::request<boost::beast::http::span_body<const char>>;
-    using Parser = boost::beast::http::response_parser<ReceivedBody>;
+    using Parser = AnswerParser;
 
     Task<bool> openConnection(const AttemptPlan &plan, const AttemptCallbacks &callbacks, AttemptReport &report);
     Message composeRequest(const AttemptPlan &plan) const;
@@ -221,7 +222,8 @@
     bool namesVersion(const boost::beast::http::fields &fields) const;
     /// Sends the head to the caller; returns false if the caller is gone.
     Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
-    Task<bool> forwardEvents(Parser &parser, std::string_view bytes, const AttemptCallbacks &callbacks);
+    /// @p ended tells whether @p bytes are the last ones of the stream.
+    Task<bool> forwardEvents(Parser &parser, std::string_view bytes, bool ended, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
     /// Returns the fields of the answer that the caller receives.
     boost::beast::http::fields fieldsForCaller(const Parser &parser) const;
--- a/src/portpaddle/attempts/upstream_attempt_heads.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_heads.cpp
@@ -9,8 +9,6 @@
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 
-#include <boost/beast/http/read.hpp>
-
 namespace Portpaddle {
 
 namespace http = boost::beast::http;
@@ -78,17 +76,14 @@
     }
     if (connection_->buffer.size() == 0) {
         co_await connection_->socket.async_wait(Socket::wait_read, awaitingInto(error));
+        connection_->noteError(error);
         if (error) {
             co_return;
         }
     }
     const ConnectionTimeout timeout(*connection_, PeerBounds::answerHeadTime);
-    co_await http::async_read_header(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+    co_await readAnswerHead(*connection_, parser, error);
     tooSlow_ = tooSlow_ || (error && !connection_->socket.is_open());
-    // Such a head is no answer, not even an interim one, so whose bytes follow it is unknown.
-    if (!error && !HttpStatus::isValid(parser.get().result_int())) {
-        error = http::error::bad_status;
-    }
 }
 
 Task<bool> UpstreamAttempt::discardRest(Parser &parser, std::chrono::milliseconds maxTime, NetError &error)
@@ -96,7 +91,7 @@
     const ConnectionTimeout timeout(*connection_, maxTime);
     std::size_t discarded = 0;
     while (!parser.is_done()) {
-        co_await http::async_read_some(connection_->socket, connection_->buffer, parser, awaitingInto(error));
+        co_await readMore(*connection_, parser, error);
         discarded += parser.get().body().size();
         parser.get().body().clear();
         if (error || discarded > PeerBounds::discardedBytes) {
--- a/src/portpaddle/attempts/upstream_connection.h
+++ b/src/portpaddle/attempts/upstream_connection.h
@@ -27,8 +27,12 @@
     explicit UpstreamConnection(Executor executor);
     /// Closes the connection; pending operations on it fail.
     void interrupt();
-    /// Returns false if the connection is closed or unexpected bytes have arrived on it.
+    /// Returns false if the connection is closed or has failed, or if unexpected bytes have arrived on it.
     bool looksUsable();
+    /// Records that a call on the connection has failed, unless @p error is none.
+    void noteError(const NetError &error);
+    /// Whether any call on the connection has failed.
+    bool hasFailed() const;
 
     Socket socket;
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
@@ -36,6 +40,9 @@
     SteadyTime usableUntil{};
     /// The connection has served a request before.
     bool reused = false;
+
+private:
+    bool failed_ = false;
 };
 
 /// Closes a connection after a time, unless this object is destroyed before.
--- a/src/portpaddle/platform/http_platform.cpp
+++ b/src/portpaddle/platform/http_platform.cpp
@@ -3,10 +3,10 @@
 
 #include "portpaddle/platform/http_platform.h"
 
+#include "portpaddle/base/json_text.h"
+#include "portpaddle/net/checked_client.h"
 #include "portpaddle/platform/platform_codec.h"
 
-#include <httplib.h>
-
 namespace Portpaddle {
 
 namespace {
@@ -104,7 +104,7 @@
 
 Result<nlohmann::json> HttpPlatform::call(const std::string &operation, const nlohmann::json &arguments, Millis timeout) const
 {
-    httplib::Client client(address_.host, address_.port);
+    CheckedClient client(address_.host, address_.port);
     client.set_connection_timeout(connectTimeout);
     client.set_read_timeout(timeout);
     client.set_write_timeout(timeout_);
@@ -115,7 +115,7 @@
         const bool neverSent = reply.error() == httplib::Error::Connection || reply.error() == httplib::Error::ConnectionTimeout;
         return unavailable(neverSent ? RunState::NotRun : RunState::MayHaveRun);
     }
-    nlohmann::json json = nlohmann::json::parse(reply->body, nullptr, false);
+    nlohmann::json json = parseJson(reply->body);
     if (!json.is_object()) {
         return unavailable(RunState::MayHaveRun);
     }
--- a/src/portpaddle/streams/memory_move.cpp
+++ b/src/portpaddle/streams/memory_move.cpp
@@ -3,11 +3,11 @@
 
 #include "portpaddle/streams/memory_move.h"
 
+#include "portpaddle/attempts/answer_reading.h"
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 #include "portpaddle/net/received_body.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <optional>
@@ -20,17 +20,15 @@
 
 constexpr std::chrono::milliseconds connectTimeout{ 300 };
 
-using AnswerParser = http::response_parser<ReceivedBody>;
-
 Task<void> readOneAnswer(UpstreamConnection &connection, AnswerParser &parser, NetError &error)
 {
     parser.header_limit(PeerBounds::orderAnswerBytes);
     parser.body_limit(PeerBounds::orderAnswerBytes);
-    while (!error && !parser.is_done()) {
-        co_await http::async_read_some(connection.socket, connection.buffer, parser, awaitingInto(error));
+    if (!error) {
+        co_await readAnswerHead(connection, parser, error);
     }
-    if (!error && !HttpStatus::isValid(parser.get().result_int())) {
-        error = http::error::bad_status;
+    while (!error && !parser.is_done()) {
+        co_await readMore(connection, parser, error);
     }
 }
 
@@ -78,6 +76,7 @@
         order.prepare_payload();
         moved.sent = true;
         co_await http::async_write(connection->socket, order, awaitingInto(error));
+        connection->noteError(error);
         std::optional<AnswerParser> parser;
         co_await readAnswer(*connection, parser, error);
         const http::response<ReceivedBody> &answer = parser->get();
