A status that is none is no answer to the stand-alone daemon's platform client and probes

Callers' answers were right already.

Cause: HttpPlatform and fetchLoad() look at the body only, and cpp-httplib takes any three digits for a status.

Change: CheckedClient, which all blocking clients are, refuses a head whose status is none, or interim and not 100, after which alone the library reads on. AnswerHeadCheck tells the status it has seen.

--- a/src/portpaddle/net/answer_head_check.cpp
+++ b/src/portpaddle/net/answer_head_check.cpp
@@ -57,9 +57,9 @@
     return part_ == Part::Ended;
 }
 
-bool AnswerHeadCheck::isInterim() const
+unsigned AnswerHeadCheck::status() const
 {
-    return isInterim_;
+    return status_;
 }
 
 bool AnswerHeadCheck::acceptNameByte(char byte)
@@ -85,15 +85,17 @@
     return byte == '\n' && !framing_.hasUnknownCoding() && !framing_.hasUnknownLength();
 }
 
-// What the status line says is for the reader; here only whether it begins an interim head, whose first digit is 1.
+// The form of the status line is for the reader to check.
 void AnswerHeadCheck::takeStatusByte(char byte)
 {
-    if (!statusBegan_ && lastStatusByte_ == ' ') {
-        statusBegan_ = true;
-        isInterim_ = byte == '1';
-    }
-    lastStatusByte_ = byte;
+    constexpr unsigned base = 10;
+    constexpr unsigned maxStatus = 999;
     part_ = byte == '\n' ? Part::LineBegin : Part::StatusLine;
+    if (byte == ' ') {
+        ++statusBlanks_;
+    } else if (statusBlanks_ == 1 && byte >= '0' && byte <= '9' && status_ <= maxStatus) {
+        status_ = status_ * base + static_cast<unsigned>(byte - '0');
+    }
 }
 
 } // namespace Portpaddle
--- a/src/portpaddle/net/answer_head_check.h
+++ b/src/portpaddle/net/answer_head_check.h
@@ -19,8 +19,8 @@
     bool accept(char byte);
     /// Whether the empty line that ends the head was taken.
     bool hasEnded() const;
-    /// Whether another head follows this one.
-    bool isInterim() const;
+    /// Returns the number in the status line; 0 if it has none.
+    unsigned status() const;
 
 private:
     enum class Part {
@@ -40,10 +40,9 @@
     void takeStatusByte(char byte);
 
     Part part_ = Part::StatusLine;
-    /// The last byte of the status line so far.
-    char lastStatusByte_ = '\0';
-    bool statusBegan_ = false;
-    bool isInterim_ = false;
+    /// Number of blanks in the status line so far; the status stands after the first one.
+    unsigned statusBlanks_ = 0;
+    unsigned status_ = 0;
     /// The begin of the line's name and value, as much of them as the fields that frame a body may have.
     std::string name_;
     std::string value_;
--- a/src/portpaddle/net/checked_client.cpp
+++ b/src/portpaddle/net/checked_client.cpp
@@ -3,8 +3,22 @@
 
 #include "portpaddle/net/checked_client.h"
 
+#include "portpaddle/net/http_status.h"
+
 namespace Portpaddle {
 
+namespace {
+
+/// Whether the library does the right thing with an answer of @p status. It reads on after 100 only, and takes any other three
+/// digits for those of the answer.
+bool isReadable(unsigned status)
+{
+    const bool isFinal = HttpStatus::isValid(status) && !HttpStatus::isInformational(status);
+    return isFinal || status == HttpStatus::continueRequest;
+}
+
+} // namespace
+
 CheckedStream::CheckedStream(httplib::Stream &stream) : stream_(stream)
 {
 }
@@ -47,10 +61,10 @@
 
 bool CheckedStream::acceptLineByte(char byte)
 {
-    if (head_.hasEnded() && head_.isInterim()) {
+    if (head_.hasEnded() && head_.status() == HttpStatus::continueRequest) {
         head_ = {};
     }
-    return head_.accept(byte);
+    return head_.accept(byte) && (!head_.hasEnded() || isReadable(head_.status()));
 }
 
 bool CheckedStream::headEnded() const
--- a/src/portpaddle/net/checked_client.h
+++ b/src/portpaddle/net/checked_client.h
@@ -37,8 +37,8 @@
     AnswerHeadCheck head_;
 };
 
-/// A client that gives up an answer whose head has a line that is none. The library takes any bytes for the name of a field, and
-/// skips a line that it cannot read, a length among them.
+/// A client that gives up an answer whose status is none or whose head has a line that is none. The library takes any bytes for
+/// the name of a field, and skips a line that it cannot read, a length among them.
 class CheckedClient : public httplib::ClientImpl
 {
 public:
--- a/src/portpaddle/net/http_status.h
+++ b/src/portpaddle/net/http_status.h
@@ -6,6 +6,7 @@
 
 namespace Portpaddle::HttpStatus {
 
+inline constexpr unsigned continueRequest = 100;
 inline constexpr unsigned ok = 200;
 inline constexpr unsigned noContent = 204;
 inline constexpr unsigned notModified = 304;
--- a/tests/gateway/status_code_tests.cpp
+++ b/tests/gateway/status_code_tests.cpp
@@ -3,8 +3,13 @@
 
 // Heads whose status is none: not three digits, or the first digit not 1 to 5. They are no answers, and no interim ones either.
 
+#include "ctl/admin_client.h"
 #include "platform/store_client.h"
+#include "portpaddle/base/system_clock.h"
+#include "portpaddle/control/observer_controller.h"
+#include "portpaddle/control/order_controller.h"
 #include "portpaddle/net/peer_bounds.h"
+#include "portpaddle/platform/http_platform.h"
 #include "portpaddle/store_following/state_exchange.h"
 #include "support/damaged_answers.h"
 
@@ -248,3 +253,19 @@
         }
     }
 }
+
+TEST_CASE("Status code, invalid in an answer to the stand-alone daemon's platform client, order or probe, or to an operator, is "
+          "no answer")
+{
+    for (const std::string &status : invalidStatuses()) {
+        CAPTURE(status);
+        const ScriptedUpstream peer
+            = peerThatSends("HTTP/1.1 " + status + " S\r\nContent-Length: 20\r\n\r\n{\"organisation\":\"o\"}");
+        const SocketAddress address = valueOf(parseSocketAddress(peer.address()));
+        CHECK_FALSE(isOk(HttpPlatform(address, Millis(20'000)).find("digest")));
+        CHECK_FALSE(isOk(AdminClient(address, "key").get("/members", {})));
+        HttpOrderSender sender;
+        CHECK(sender.send({ "u1", peer.address(), OrderKind::Drop, "subject", 7 }) == OrderOutcome::Unknown);
+        CHECK_FALSE(fetchLoad("u1", peer.address(), 1, SystemClock()).reachable);
+    }
+}
