The cases of review/ run again, in the suite

What was seen: cases 4, 5, 6 and 8 ended with code 2 within a second of their start, with and without their trouble; a case that cannot be run counts as open.

Cause: tests/soak/daemons.py asks the deployment that starts it for limits of its machines, without a default. The deployment of review/standins-2/fleet.py was written before and has none, so that the first daemon's settings could not be written. Nothing in the product ended, hung or refused. No test noticed, because none ran the cases.

Change: a deployment that names no limits has those of the file, so that the cases run as the review left them, whichever copy of review/ is used. A deployment that lacks anything else is told what, in one sentence, before a daemon starts.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -11,10 +11,20 @@
 BOUNDS = {"drainMs": 3000, "graceS": GRACE, "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtraAttempts": 54,
           "coldOvershoot": 1.5, "coldSlack": 3, "ttl_max_s": 5}
 LIMITS = {"memoryMb": 260, "fileDescriptors": 4100}
+# What a deployment that starts daemons has to offer; limits that differ from LIMITS are its own affair.
+DEPLOYMENT_FIELDS = ("program", "directory", "daemons", "bounds", "now", "process_ended")
+
+
+def check_deployment(deployment):
+    """Raises a TypeError that names what @p deployment lacks in order to start daemons."""
+    lacking = [field for field in DEPLOYMENT_FIELDS if not hasattr(deployment, field)]
+    if lacking:
+        raise TypeError(f"the deployment cannot start daemons, it lacks: {', '.join(lacking)}")
 
 
 class Daemon:
     def __init__(self, soak, name, region, data_centre, host, ports, store_port):
+        check_deployment(soak)
         self.soak = soak
         self.name, self.region, self.data_centre, self.host, self.ports = name, region, data_centre, host, ports
         self.store_port = store_port
@@ -43,7 +53,7 @@
             "firstStart": is_first,
             "listenAddresses": {"frontend": self.address("entry"), "readiness": self.address("readiness"),
                                 "control": "", "directory": self.address("directory")},
-            "limits": {**LIMITS, **self.soak.limits},
+            "limits": {**LIMITS, **getattr(self.soak, "limits", {})},
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 1},
             "bounds": {**BOUNDS, **self.soak.bounds},
             "platform": {"address": f"{self.host}:{self.store_proxy.port}", "ttlMinMs": 1000},
