What begins again in place of a stream's rest does not reach the caller

What callers saw: event 1 two or three times in one answer that was told as sound. The first engine had been cut behind it, and the one asked for the rest began again. The two beginnings may be two texts.

Cause: the id of the last event is only told to the next upstream. Nothing compared what came with it, so that any answer with a signature and the framing of a stream was passed on as the rest.

Change: an answer to a request that names an event is the rest only if its first event has an id above that one, and if later ids rise. What has not ends the attempt there; another upstream is asked as far as attempts and budget allow, or the stream is broken off visibly. It holds for streams resumed after a break, continued from a copy or at the source, taken up by their caller, and at both daemons of a relayed request. rest_rejected logs the upstream and both ids, portpaddle_rests_rejected_total counts.

Why it works: ids of a stream rise, so that a beginning, or a repetition of the last event, has an id that is not above the last one. A rest that skips events, and one without events, cannot be told from a right one by ids; both stay as they were.

--- a/src/portpaddle/attempts/upstream_attempt.cpp
+++ b/src/portpaddle/attempts/upstream_attempt.cpp
@@ -146,6 +146,7 @@
     AttemptReport report;
     peer_ = plan.peer;
     streamed_ = plan.streamed;
+    takenUpAfter_ = plan.takenUpAfter;
     relayReport_ = plan.relayReport;
     upstreamVersion_ = plan.upstreamVersion;
     remote_ = plan.age.has_value();
--- a/src/portpaddle/attempts/upstream_attempt.h
+++ b/src/portpaddle/attempts/upstream_attempt.h
@@ -95,6 +95,8 @@
     std::optional<RelayReport> relayReport;
     unsigned priority = 5;
     bool streamed = false;
+    /// Id of the last event that the caller has of a stream which it takes up; empty if it takes up none.
+    std::string takenUpAfter;
     /// The attempt is made beside another one, which a failure must not replace.
     bool besideAnother = false;
     /// The organisation that the request belongs to; empty if no key is needed.
@@ -124,6 +126,8 @@
     bool turnedAway = false;
     /// The connection was open, but the request was not sent because the target no longer accepts requests.
     bool withheld = false;
+    /// What came in place of the rest of a stream is none: its events do not go on where the caller's end.
+    bool isRestOutOfOrder = false;
     /// The target is a daemon that refused the request because it does not reach the upstreams.
     bool peerCutOff = false;
     /// The target is a daemon that refused the request because its configuration is older.
@@ -222,6 +226,8 @@
     bool namesVersion(const boost::beast::http::fields &fields) const;
     /// Sends the head to the caller; returns false if the caller is gone.
     Task<bool> beginStream(const Parser &parser, const AttemptCallbacks &callbacks);
+    /// Reports that the answer is no rest of the stream, as @p event shows.
+    AttemptReport noRest(const EventOutOfOrder &event);
     /// @p ended tells whether @p bytes are the last ones of the stream.
     Task<bool> forwardEvents(Parser &parser, std::string_view bytes, bool ended, const AttemptCallbacks &callbacks);
     AttemptReport evaluateWholeAnswer(Parser &parser, MemoryShare memory) const;
@@ -250,6 +256,7 @@
     /// Key of the target in the connection pool.
     std::string peer_;
     bool streamed_ = false;
+    std::string takenUpAfter_;
     /// The answer that is being read.
     std::optional<Parser> parser_;
     /// The fields of its head. The parser adds those of the trailer to its own, where they would count as headers.
--- a/src/portpaddle/attempts/upstream_attempt_streams.cpp
+++ b/src/portpaddle/attempts/upstream_attempt_streams.cpp
@@ -9,6 +9,8 @@
 #include "portpaddle/net/http_status.h"
 #include "portpaddle/net/peer_bounds.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace Portpaddle {
@@ -33,6 +35,8 @@
         co_return failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
                                 "the other daemon does not name the stream's version");
     }
+    const std::string &lastId = progress_.splitter.lastId();
+    progress_.splitter.expectAfter(lastId.empty() ? takenUpAfter_ : lastId);
     NetError error;
     MemoryShare held(&answerMemory_);
     bool first = true;
@@ -56,6 +60,9 @@
         if (!taken) {
             co_return failedAttempt(AttemptEnd::ReceiverGone, ErrorCode::Cancelled, "the caller disconnected");
         }
+        if (progress_.splitter.outOfOrder()) {
+            co_return noRest(*progress_.splitter.outOfOrder());
+        }
         if (error) {
             progress_.splitter.dropPartial();
             co_return brokenConnection("the stream was cut off: " + error.message());
@@ -86,6 +93,17 @@
     co_return report;
 }
 
+// An upstream that begins the stream again may write another text, and the caller must not get its events twice.
+AttemptReport UpstreamAttempt::noRest(const EventOutOfOrder &event)
+{
+    AttemptReport report
+        = failedAttempt(AttemptEnd::Broken, ErrorCode::UpstreamFailed,
+                        fmt::format("an event with id \"{}\" in place of the rest after id \"{}\"", event.id, event.precedingId));
+    report.isRestOutOfOrder = true;
+    progress_.splitter.dropPartial();
+    return report;
+}
+
 /// Forwards complete events to the caller; the head is sent with the first of them, or at the end of an empty stream.
 Task<bool> UpstreamAttempt::forwardEvents(Parser &parser, std::string_view bytes, bool ended, const AttemptCallbacks &callbacks)
 {
@@ -94,7 +112,7 @@
         callbacks.bytesReceived();
         callbacks.eventsReceived(EventSplitter::count(whole));
     }
-    const bool due = !whole.empty() || ended;
+    const bool due = !whole.empty() || (ended && !progress_.splitter.outOfOrder());
     if (due && !progress_.begun) {
         const bool begun = co_await beginStream(parser, callbacks);
         if (!begun) {
--- a/src/portpaddle/base/log.cpp
+++ b/src/portpaddle/base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::array<LogEventDescription, 63> catalogue{ {
+constexpr std::array<LogEventDescription, 64> catalogue{ {
     { LogEvent::DaemonStarted, "daemon_started", "info", "The daemon listens on all its addresses." },
     { LogEvent::DaemonStopping, "daemon_stopping", "info",
       "A planned stop began: no new requests are accepted, those in progress continue." },
@@ -63,6 +63,8 @@
       "A request was refused and its connection closed because it broke the protocol or a bound; the line says which." },
     { LogEvent::ConnectionRefused, "connection_refused", "warning",
       "A connection was closed on arrival because its listener has as many as it may have." },
+    { LogEvent::RestRejected, "rest_rejected", "warning",
+      "What came in place of the rest of a stream does not go on after its last event; the line gives both ids." },
     { LogEvent::UpstreamEjected, "upstream_ejected", "warning",
       "An upstream failed repeatedly and receives no requests for a while." },
     { LogEvent::UpstreamReadmitted, "upstream_readmitted", "info", "An ejected upstream receives requests again, few at first." },
--- a/src/portpaddle/base/log.h
+++ b/src/portpaddle/base/log.h
@@ -43,6 +43,7 @@
     SessionTimedOut = 4008,
     SessionRejected = 4009,
     ConnectionRefused = 4010,
+    RestRejected = 4011,
     UpstreamEjected = 4101,
     UpstreamReadmitted = 4102,
     UpstreamChanged = 4103,
--- a/src/portpaddle/base/metrics.cpp
+++ b/src/portpaddle/base/metrics.cpp
@@ -83,6 +83,7 @@
       "Connections closed because a request on them broke the protocol or a bound of what peers may send." },
     { "portpaddle_connections_refused_total",
       "Connections closed on arrival because their listener had as many as it may have." },
+    { "portpaddle_rests_rejected_total", "Answers that were to be the rest of a stream and do not go on after its last event." },
 } };
 
 constexpr std::array<MetricDescription, static_cast<std::size_t>(Timer::Count)> timers{ {
--- a/src/portpaddle/base/metrics.h
+++ b/src/portpaddle/base/metrics.h
@@ -69,6 +69,7 @@
     StandbysDropped,
     SessionsRejected,
     ConnectionsRefused,
+    RestsRejected,
     Count,
 };
 
--- a/src/portpaddle/exchanges/exchange.h
+++ b/src/portpaddle/exchanges/exchange.h
@@ -180,6 +180,8 @@
     void settleRetry(const Attempt &attempt);
     /// Records where an attempt that broke may have run the request.
     void noteWhereItRan(const Attempt &attempt, const AttemptReport &report);
+    /// Logs and counts an answer that is no rest of the stream.
+    void noteNoRest(const Attempt &attempt, const AttemptReport &report) const;
     /// Records that the daemon of @p attempt did not take the request for a reason that concerns itself and not its region.
     void noteUnfitPeer(const Attempt &attempt);
     /// Returns the number of times that this daemon sent the request to an upstream.
--- a/src/portpaddle/exchanges/exchange_attempt.cpp
+++ b/src/portpaddle/exchanges/exchange_attempt.cpp
@@ -59,6 +59,10 @@
     plan.organisation = organisationName_;
     plan.removesAuthorization = !services_->organisations.empty();
     plan.streamed = route_->kind == RouteKind::Stream;
+    // Elsewhere the id that the caller names has no meaning.
+    if (route_->resumable || request_.continuation) {
+        plan.takenUpAfter = viewOf(request_.message[gateway_.names_.lastEventId]);
+    }
     plan.fetchFrom = target.fetchFrom;
     plan.memoryFrom = std::exchange(memoryFrom_, {});
     plan.continuation = local ? std::nullopt : std::exchange(continuation_, std::nullopt);
@@ -245,6 +249,9 @@
     if (target.upstream && report.connectionBroke && !move_.stopOrdered()) {
         noteBrokenRun(attempt, now);
     }
+    if (report.isRestOutOfOrder) {
+        noteNoRest(attempt, report);
+    }
     if (target.upstream && report.incarnationEnded) {
         gateway_.notices_.incarnationEnded(target.upstream->id, now);
     }
@@ -288,6 +295,19 @@
     }
 }
 
+void Exchange::noteNoRest(const Attempt &attempt, const AttemptReport &report) const
+{
+    gateway_.metrics_.count(Counter::RestsRejected);
+    logEvent(LogEvent::RestRejected,
+             { { "request", request_.id },
+               { "target", attempt.plan.peer },
+               { "address", attempt.plan.address },
+               { "memory_from", attempt.plan.memoryFrom },
+               { "relayed", request_.relayed ? "true" : "false" },
+               { "begun", progress_.begun ? "true" : "false" },
+               { "message", report.error.message } });
+}
+
 // What may have run the request must not run it again. A daemon that named the upstream avoids it, so that its region may be
 // asked again. Where a daemon did not answer at all, another one of its region may.
 void Exchange::noteWhereItRan(const Attempt &attempt, const AttemptReport &report)
--- a/src/portpaddle/streams/event_splitter.cpp
+++ b/src/portpaddle/streams/event_splitter.cpp
@@ -3,24 +3,19 @@
 
 #include "portpaddle/streams/event_splitter.h"
 
+#include "portpaddle/streams/event_id.h"
+#include "portpaddle/streams/event_lines.h"
+
 #include <algorithm>
 
 namespace Portpaddle {
 
 namespace {
 
-constexpr std::string_view lineEnds = "\r\n";
-constexpr std::string_view idField = "id:";
-constexpr std::string_view dataField = "data:";
-
 /// Memory that is kept for the next events.
 constexpr std::size_t keptBytes = 4 * 1024;
-
-/// Whether a line of @p text begins at @p at.
-bool isLineBegin(std::string_view text, std::size_t at)
-{
-    return at == 0 || lineEnds.find(text[at - 1]) != std::string_view::npos;
-}
+/// The part of an id that is shown if it is out of order.
+constexpr std::size_t maxShownIdBytes = 64;
 
 /// Returns the position after the line that begins at @p begin; npos if it has no end.
 std::size_t lineEndAfter(std::string_view text, std::size_t begin)
@@ -62,24 +57,6 @@
     return hasField(block, idField) || hasField(block, dataField);
 }
 
-/// Returns the value of the last id line in @p events; empty if there is none.
-std::string_view lastIdIn(std::string_view events)
-{
-    std::size_t at = events.rfind(idField);
-    while (at != std::string_view::npos && !isLineBegin(events, at)) {
-        at = events.rfind(idField, at - 1);
-    }
-    if (at == std::string_view::npos) {
-        return {};
-    }
-    std::string_view value = events.substr(at + idField.size());
-    value = value.substr(0, value.find_first_of(lineEnds));
-    while (!value.empty() && value.front() == ' ') {
-        value.remove_prefix(1);
-    }
-    return value;
-}
-
 } // namespace
 
 // Bytes may come in small pieces and without any line end, so the search goes on where the last one stopped.
@@ -119,6 +96,9 @@
     for (std::size_t next = nextBlockEnd(); next != std::string::npos; next = nextBlockEnd()) {
         const std::string_view block = std::string_view(partial_).substr(begin, next - begin);
         const bool kept = isEvent(block);
+        if (kept && !takeId(lastIdIn(block))) {
+            break;
+        }
         whole += kept ? block : std::string_view{};
         droppedBytes_ = kept ? 0 : droppedBytes_ + block.size();
         begin = next;
@@ -132,11 +112,35 @@
     if (begin > 0 && partial_.capacity() > keptBytes) {
         partial_.shrink_to_fit();
     }
-    const std::string_view id = lastIdIn(whole);
+    return whole;
+}
+
+// Only the first event of a rest has to have an id: it shows whether the upstream goes on or begins again.
+bool EventSplitter::takeId(std::string_view id)
+{
+    const bool isChecked = !precedingId_.empty() && (isFirstOfRest_ || !id.empty());
+    if (isChecked && !mayFollow(precedingId_, id)) {
+        outOfOrder_ = EventOutOfOrder{ std::string(id.substr(0, maxShownIdBytes)), precedingId_.substr(0, maxShownIdBytes) };
+        return false;
+    }
+    isFirstOfRest_ = false;
     if (!id.empty()) {
         lastId_ = id;
+        precedingId_ = precedingId_.empty() ? std::string() : lastId_;
     }
-    return whole;
+    return true;
+}
+
+void EventSplitter::expectAfter(std::string_view precedingId)
+{
+    precedingId_ = precedingId;
+    isFirstOfRest_ = true;
+    outOfOrder_.reset();
+}
+
+const std::optional<EventOutOfOrder> &EventSplitter::outOfOrder() const
+{
+    return outOfOrder_;
 }
 
 std::size_t EventSplitter::count(std::string_view whole)
--- a/tests/support/moving_engines.h
+++ b/tests/support/moving_engines.h
@@ -72,6 +72,8 @@
     std::atomic<int> running{ -1 };
     std::string continuedFrom;
     std::string continuedAt;
+    /// Number of events, of those before it, with which a continued run begins.
+    unsigned eventsRepeated = 0;
     /// Whether the engine that holds the copy refuses to resume the run.
     bool refusing = false;
     std::atomic<bool> ordered{ false };
@@ -115,7 +117,7 @@
                 return { notRunAnswer };
             }
             const unsigned last = static_cast<unsigned>(std::stoi(request.headers.at("last-event-id")));
-            return stream(request, last + 1, 6);
+            return stream(request, last + 1 - eventsRepeated, 6);
         }
         if (refuseStarts > 0) {
             --refuseStarts;
