Streams begin at a new version as soon as it is on record

What callers saw: after each release, and longer where daemons had restarted, new streams were refused as version_absent though engines were ready.

Cause: a stream began at a new version only 3 s after it was announced, so that no daemon took the other version for the only one any more. Since the proof of the only version is a read of the store that begins after the stream is taken up, the wait guards nothing: whoever begins a stream knows a record that names its version, records name it until 60 s after its last upstream, and counted reads of the store are linearizable. Besides, a daemon wrote no second record within 2 s of the first, also if that one had long come back, so that versions that followed each other quickly were announced late.

Change: streams begin at announced versions. A write is repeated after 2 s only if the record that it replaces has not changed.

--- a/src/portpaddle/stream_versions/version_set_recorder.cpp
+++ b/src/portpaddle/stream_versions/version_set_recorder.cpp
@@ -125,9 +125,7 @@
         // The first records may still be on their way.
         return !terms_.isFirstStart || now - startedAt_ >= firstRecordTime + terms_.settling;
     }
-    const auto state = states_.find(service);
-    return mayBeginStream(set, version) || isSole(service, version)
-        || (state != states_.end() && isAnnouncedLong(state->second, version, now));
+    return mayBeginStream(set, version) || isSole(service, version);
 }
 
 VersionSet VersionSetRecorder::firstRecord(const State &state, SteadyTime now) const
@@ -140,8 +138,9 @@
     return set;
 }
 
-// A new version is announced first: a daemon that does not know it yet still takes the other version for the only one. A version
-// is removed when no stream that it began can be in progress any more; the last one stays, since its upstreams may come back.
+// A new version is announced before a stream begins there: a daemon that does not know it yet still takes the other version for
+// the only one, but a read of the store that begins after the stream holds the announcement. A version is removed when no stream
+// that it began can be in progress any more; the last one stays, since its upstreams may come back.
 std::optional<VersionSet> VersionSetRecorder::wanted(const std::string &service, const State &state, SteadyTime now) const
 {
     const VersionSet *present = stored(service);
@@ -172,6 +171,12 @@
     return isRight ? std::nullopt : std::optional(set);
 }
 
+// A write is repeated if the record that it replaces has not changed for a while; the next change need not wait for that.
+bool VersionSetRecorder::awaitsWrite(const State &state, const VersionSet &set, SteadyTime now)
+{
+    return state.writtenAt && state.replacedRevision == set.revision && now - *state.writtenAt < rewriteInterval;
+}
+
 void VersionSetRecorder::tick(bool stalled, const OwnRank &ownRank, SteadyTime now)
 {
     if (!view_ || !view_->storeReachable || stalled) {
@@ -192,8 +197,9 @@
         state.dueSince = state.dueSince.value_or(now);
         const std::optional<std::size_t> rank = ownRank(service);
         const bool isTurn = rank && *rank < maxWriters && now - *state.dueSince >= writeStagger * static_cast<int>(*rank);
-        if (isTurn && (!state.writtenAt || now - *state.writtenAt >= rewriteInterval)) {
+        if (isTurn && !awaitsWrite(state, *set, now)) {
             state.writtenAt = now;
+            state.replacedRevision = set->revision;
             write_({ service, ownRegion_ }, *set);
         }
     }
--- a/src/portpaddle/stream_versions/version_set_recorder.h
+++ b/src/portpaddle/stream_versions/version_set_recorder.h
@@ -59,6 +59,8 @@
         /// Since when the record has to be changed.
         std::optional<SteadyTime> dueSince;
         std::optional<SteadyTime> writtenAt;
+        /// Revision of the record that this write was to replace.
+        std::uint64_t replacedRevision = 0;
     };
 
     const VersionSet *stored(const std::string &service) const;
@@ -69,6 +71,8 @@
     /// Returns the record as it should be; no value if the stored one is right.
     std::optional<VersionSet> wanted(const std::string &service, const State &state, SteadyTime now) const;
     VersionSet firstRecord(const State &state, SteadyTime now) const;
+    /// Whether a write that would replace the same record may still be on its way.
+    static bool awaitsWrite(const State &state, const VersionSet &set, SteadyTime now);
     /// Whether the store was followed without a gap for as long as streams last.
     bool hasWatchedLong(SteadyTime now) const;
     bool isAnnouncedLong(const State &state, const std::string &version, SteadyTime now) const;
--- a/src/portpaddle/stream_versions/version_sets.cpp
+++ b/src/portpaddle/stream_versions/version_sets.cpp
@@ -44,7 +44,7 @@
 
 bool mayBeginStream(const VersionSet *set, const std::string &version)
 {
-    return set == nullptr || set->open.contains(version);
+    return set == nullptr || set->open.contains(version) || set->announced.contains(version);
 }
 
 std::string versionSetKey(const VersionSetPlace &place)
--- a/src/portpaddle/stream_versions/version_sets.h
+++ b/src/portpaddle/stream_versions/version_sets.h
@@ -20,7 +20,7 @@
 {
     /// Streams may begin at these, and may have begun at no other for as long as streams last.
     std::set<std::string> open;
-    /// Streams will begin at these once all daemons know that they may.
+    /// Streams may begin at these as well, which not all daemons know yet.
     std::set<std::string> announced;
     /// Whether open holds every version at which streams in progress may have begun.
     bool complete = false;
